--- /dev/null
+++ b/core/message/session.go
@@ -0,0 +1,83 @@
+package message
+
+import (
+	"time"
+
+	"oleanderdale.org/core/id"
+)
+
+// sessionTypes are numbered 1 to 19.
+var sessionTypes = map[Kind]Message{
+	1: Heartbeat{},
+	2: ConfirmAsk{},
+	3: Confirm{},
+	4: Handover{},
+	5: HandoverTaken{},
+}
+
+// Heartbeat says that the sender lives and what it knows. It goes to every
+// instance of the availability zone, and to a few of the other zones.
+type Heartbeat struct {
+	Zone     id.Zone          `cbor:"1,keyasint"`
+	Address  string           `cbor:"2,keyasint"`
+	Version  id.ConfigVersion `cbor:"3,keyasint"` // configuration in force
+	Leaving  bool             `cbor:"4,keyasint,omitempty"`
+	Fencing  id.Fencing       `cbor:"5,keyasint,omitempty"` // of the sender's session
+	TableAge time.Duration    `cbor:"6,keyasint,omitempty"` // since the sender last reached the table
+}
+
+// ConfirmAsk asks an instance of the same availability zone whether it knows
+// of a takeover of the sender's session.
+type ConfirmAsk struct {
+	Nonce uint64 `cbor:"1,keyasint"`
+}
+
+// Confirm answers ConfirmAsk. TableAge tells when the answerer last reached
+// the table: only if it didn't since the asker's pause began can it vouch that
+// nobody of its zone took over.
+type Confirm struct {
+	Nonce    uint64        `cbor:"1,keyasint"`
+	TakenBy  id.Instance   `cbor:"2,keyasint,omitempty"` // "": nobody that I know of
+	TableAge time.Duration `cbor:"3,keyasint"`
+}
+
+// Handover gives what the sender owns to the receiver. The sender has stopped
+// using it before it sends, and sends it again until it is taken.
+type Handover struct {
+	ID       uint64         `cbor:"1,keyasint"`
+	Fencing  id.Fencing     `cbor:"2,keyasint"`
+	Backends []OwnedBackend `cbor:"3,keyasint,omitempty"`
+	Slots    []HandoverSlot `cbor:"4,keyasint,omitempty"`
+}
+
+// OwnedBackend is a backend server handed over.
+type OwnedBackend struct {
+	Backend id.Backend `cbor:"1,keyasint"`
+	Fencing id.Fencing `cbor:"2,keyasint"`
+	Row     uint64     `cbor:"3,keyasint"` // version of its row
+}
+
+// HandoverSlot is a rate slot handed over with its balances.
+type HandoverSlot struct {
+	Zone     id.Zone       `cbor:"1,keyasint"`
+	Index    int           `cbor:"2,keyasint"`
+	Fencing  id.Fencing    `cbor:"3,keyasint"`
+	Balances []SlotBalance `cbor:"4,keyasint,omitempty"`
+}
+
+// SlotBalance is what an account has left in a slot, in tokens.
+type SlotBalance struct {
+	Account id.Account `cbor:"1,keyasint"`
+	Tokens  float64    `cbor:"2,keyasint"`
+}
+
+// HandoverTaken answers Handover.
+type HandoverTaken struct {
+	ID uint64 `cbor:"1,keyasint"`
+}
+
+func (Heartbeat) message()     {}
+func (ConfirmAsk) message()    {}
+func (Confirm) message()       {}
+func (Handover) message()      {}
+func (HandoverTaken) message() {}
--- /dev/null
+++ b/oleander/doc.go
@@ -0,0 +1,2 @@
+// Package oleander is the program around the core: its binaries are under cmd.
+package oleander
--- /dev/null
+++ b/proving/doc.go
@@ -0,0 +1,3 @@
+// Package proving proves the system from outside: separate processes,
+// randomised runs and workload measurements.
+package proving
