--- /dev/null
+++ b/core/connection/stream.go
@@ -0,0 +1,166 @@
+// Package connection holds what lives as long as a caller's connection: the
+// assembly of one whole answer out of the parts of one or more attempts.
+package connection
+
+import (
+	"fmt"
+
+	"oleanderdale.org/core/id"
+)
+
+// Part is a piece of an answer as an attempt delivered it.
+type Part struct {
+	Attempt id.Attempt
+	Offset  int64 // bytes of the answer before this part
+	Data    []byte
+	End     bool // the answer is whole after this part
+}
+
+// Taken says what became of a part.
+type Taken int
+
+// What may become of a part.
+const (
+	Used    Taken = iota
+	Crossed       // dropped: of an attempt that is not the current one
+	Doubled       // dropped: all of it was there already
+)
+
+// GapError says that bytes are missing before a part. The attempt is of no
+// more use; Break tells how to go on.
+type GapError struct {
+	Attempt    id.Attempt
+	Have, Want int64 // bytes
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("attempt %s: part at byte %d, but only %d arrived", e.Attempt, e.Want, e.Have)
+}
+
+// LengthError says that an attempt went on past its own end marker, or ended
+// before what an earlier attempt had delivered.
+type LengthError struct {
+	Attempt id.Attempt
+	Length  int64 // bytes
+}
+
+// Error implements error.
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("attempt %s: inconsistent end at byte %d", e.Attempt, e.Length)
+}
+
+// Kind says how to go on after a break.
+type Kind int
+
+// The ways to go on after a break.
+const (
+	Ignore Kind = iota // an older attempt broke, or the answer is whole
+	Resume             // a new attempt continues at Offset
+	Rerun              // a new attempt starts anew
+	Fail               // end the answer with an explicit error
+)
+
+// Decision says how to go on after a break.
+type Decision struct {
+	Kind   Kind
+	Offset int64 // bytes, for Resume
+}
+
+// Options say what may be done with a broken answer.
+type Options struct {
+	Resumes    bool // the engine continues a stream at an offset
+	Repeatable bool // the call may run more than once
+}
+
+// Stream assembles one answer. It is used by one goroutine at a time.
+type Stream struct {
+	opts    Options
+	current id.Attempt
+	running bool
+	pending []byte // arrived, not yet handed out
+	written int64  // bytes handed out to be written to the caller
+	whole   bool
+}
+
+// New returns a Stream without an attempt.
+func New(opts Options) *Stream { return &Stream{opts: opts} }
+
+// Begin makes a the current attempt. It must follow New, or a Break that said
+// Resume or Rerun; parts of all other attempts are dropped from now on.
+func (s *Stream) Begin(a id.Attempt) {
+	s.current, s.running = a, true
+}
+
+// Add takes a part in. Its data is copied. The error is a *GapError or a
+// *LengthError: call Break then.
+func (s *Stream) Add(p Part) (Taken, error) {
+	// A part of an older attempt may come late, when its replacement has begun.
+	// Mixed in, the caller would get bytes of two different answers; the attempt
+	// id tells them apart whatever the order.
+	if !s.running || p.Attempt != s.current {
+		return Crossed, nil
+	}
+	have := s.received()
+	end := p.Offset + int64(len(p.Data))
+	if p.Offset > have {
+		return Used, &GapError{Attempt: p.Attempt, Have: have, Want: p.Offset}
+	}
+	if s.whole {
+		return s.addAfterEnd(p, end)
+	}
+	if p.End && end < have {
+		return Used, &LengthError{Attempt: p.Attempt, Length: end}
+	}
+	if end <= have && !p.End {
+		return Doubled, nil
+	}
+	s.pending = append(s.pending, p.Data[have-p.Offset:]...)
+	s.whole = p.End
+	return Used, nil
+}
+
+func (s *Stream) addAfterEnd(p Part, end int64) (Taken, error) {
+	if end > s.received() {
+		return Used, &LengthError{Attempt: p.Attempt, Length: end}
+	}
+	return Doubled, nil
+}
+
+// Next hands out what may be written to the caller now, and counts it as
+// written. The slice is valid until the next Add.
+func (s *Stream) Next() []byte {
+	b := s.pending
+	s.pending = s.pending[:0]
+	s.written += int64(len(b))
+	return b
+}
+
+// Whole reports whether the end marker arrived and all was handed out. Without
+// it the caller must be told that the answer broke off.
+func (s *Stream) Whole() bool { return s.whole && len(s.pending) == 0 }
+
+// Written returns the bytes handed out.
+func (s *Stream) Written() int64 { return s.written }
+
+// Break says how to go on after attempt a ended without its end marker. The
+// attempt's later parts are dropped.
+func (s *Stream) Break(a id.Attempt) Decision {
+	if !s.running || a != s.current || s.whole {
+		return Decision{Kind: Ignore}
+	}
+	s.running = false
+	switch {
+	case s.opts.Resumes && s.received() > 0:
+		return Decision{Kind: Resume, Offset: s.received()}
+	// A rerun may word its answer differently: after the first byte the
+	// caller would get two halves that don't fit.
+	case s.opts.Repeatable && s.written == 0:
+		s.pending = s.pending[:0]
+		return Decision{Kind: Rerun}
+	default:
+		return Decision{Kind: Fail}
+	}
+}
+
+func (s *Stream) received() int64 { return s.written + int64(len(s.pending)) }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -90,6 +90,12 @@
 		Config  *config.Config
 		Err     string
 	}
+	// ConfigEncoded answers EncodeConfig. Err is not empty if it can't be encoded.
+	ConfigEncoded struct {
+		Version  id.ConfigVersion
+		Snapshot []byte
+		Err      string
+	}
 	// ListRead is a reading of the platform's instance list.
 	ListRead struct{ Members []Member }
 	// CallArrived is a caller's request.
@@ -108,6 +114,8 @@
 		Result  AttemptResult
 		// Answered reports whether any part of the answer reached the caller.
 		Answered bool
+		// Leaving reports whether the server said that it takes no new work.
+		Leaving bool
 		// Generated counts the tokens of the answer.
 		Generated int
 		// Status, Type and Body hold the answer of a non-idempotent call.
@@ -115,6 +123,15 @@
 		Type   string
 		Body   []byte
 	}
+	// OutcomeTold answers AskOutcome. Known is false if the service could not
+	// be asked or knows nothing of the call.
+	OutcomeTold struct {
+		Request id.Request
+		Known   bool
+		Status  int
+		Type    string
+		Body    []byte
+	}
 	// BackendReport is an engine's own report, read by its owner.
 	BackendReport struct {
 		Backend id.Backend
@@ -245,9 +262,9 @@
 		Change   []byte
 		Snapshot []byte
 	}
-	// Dispatch sends a waiting request to a backend server. Valid reports at
-	// the last moment whether the right to send still holds; the program asks
-	// it right before the first byte.
+	// EncodeConfig asks for ConfigEncoded: the whole of Config as a snapshot.
+	EncodeConfig struct{ Config *config.Config }
+	// Dispatch sends a waiting request to a backend server.
 	Dispatch struct {
 		Request id.Request
 		Attempt id.Attempt
@@ -280,6 +297,13 @@
 		Attempt id.Attempt
 		Refusal Refusal
 	}
+	// AskOutcome asks a plain service what came of a non-idempotent call.
+	AskOutcome struct {
+		Request id.Request
+		Address string
+		Path    string // with the idempotency key
+		Account id.Account
+	}
 	// OrderBackend orders a backend server to load or unload. NotAfter is the
 	// last moment at which it may still be sent.
 	OrderBackend struct {
@@ -309,11 +333,13 @@
 func (TableResult) event()    {}
 func (ObjectResult) event()   {}
 func (ConfigDecoded) event()  {}
+func (ConfigEncoded) event()  {}
 func (ListRead) event()       {}
 func (CallArrived) event()    {}
 func (CallerGone) event()     {}
 func (AttemptStarted) event() {}
 func (AttemptEnded) event()   {}
+func (OutcomeTold) event()    {}
 func (BackendReport) event()  {}
 func (OrderAnswered) event()  {}
 func (StopRequested) event()  {}
@@ -325,10 +351,12 @@
 func (TableCommit) effect()  {}
 func (ObjectGet) effect()    {}
 func (DecodeConfig) effect() {}
+func (EncodeConfig) effect() {}
 func (Dispatch) effect()     {}
 func (Answer) effect()       {}
 func (Refuse) effect()       {}
 func (Cancel) effect()       {}
+func (AskOutcome) effect()   {}
 func (OrderBackend) effect() {}
 func (AskReport) effect()    {}
 func (Ready) effect()        {}
--- /dev/null
+++ b/core/instance/instance.go
@@ -0,0 +1,377 @@
+// Package instance puts the parts of an entry instance together: it routes
+// events to them, carries their decisions from one to the next, and follows
+// each request from its arrival to its one final answer.
+//
+// An Instance is a deterministic state machine. The same events at the same
+// times give the same effects, so a run can be replayed from its trace, and
+// several instances can run in one test without a process.
+package instance
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/invariant"
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/core/process"
+	"oleanderdale.org/core/process/member"
+	"oleanderdale.org/core/process/placement"
+	"oleanderdale.org/core/process/rate"
+	"oleanderdale.org/core/process/session"
+	"oleanderdale.org/core/process/suspect"
+	"oleanderdale.org/core/request/once"
+	"oleanderdale.org/core/request/queue"
+	"oleanderdale.org/core/request/turn"
+	"oleanderdale.org/core/version"
+)
+
+// Settings of an Instance. A zero duration takes its default.
+type Settings struct {
+	Instance id.Instance
+	Zone     id.Zone
+	Address  string // for other instances, host:port
+
+	LeaseTerm  time.Duration // of the session
+	DrainDelay time.Duration // calls are still taken so long after a stop was asked for
+	Grace      time.Duration // running calls may take so long after that
+
+	// Placement tunes the loads and unloads; its names are filled in.
+	Placement placement.Settings
+}
+
+const (
+	// renewalsPerTerm is how often the lease is renewed within its term.
+	renewalsPerTerm = 3
+	// demandEvery is how often what waits is shown to the placement.
+	demandEvery = 100 * time.Millisecond
+	// startAnyway is when an instance takes calls without a session: it can
+	// draw tokens and route to what is loaded while the table is down.
+	startAnyway = 5 * time.Second
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	set   Settings
+	check *invariant.Checker
+
+	members  *member.Membership
+	lease    *session.Lease
+	follower *version.Follower
+	rates    *rate.Holder
+	places   *placement.Placement
+	queue    *queue.Owner
+	turns    *turn.Entry
+	once     *once.Calls
+	suspects *suspect.Register
+	machines []process.Machine
+
+	out      event.Outbox
+	effects  []event.Effect // of the event that is being handled
+	cfg      *config.Config
+	flights  map[id.Request]*flight
+	running  map[id.Backend]int // attempts of this instance on a server
+	live     []id.Instance      // as last seen
+	started  clock.Time
+	begun    bool
+	ready    bool
+	demandAt clock.Time
+	stop     stop
+	taken    map[handoverKey]bool
+	attempts uint64
+	now      clock.Time // of the event that is being handled
+}
+
+// New returns an Instance that has seen no event.
+func New(s Settings, check *invariant.Checker) *Instance {
+	i := &Instance{
+		set: s, check: check,
+		flights: make(map[id.Request]*flight), running: make(map[id.Backend]int),
+		taken: make(map[handoverKey]bool),
+	}
+	i.members = member.New(member.Settings{Instance: s.Instance, Zone: s.Zone, Address: s.Address}, check)
+	i.lease = session.New(session.Settings{
+		Instance: s.Instance, Zone: s.Zone, Address: s.Address,
+		Term: s.LeaseTerm, RenewEvery: s.LeaseTerm / renewalsPerTerm,
+	}, i.members, check)
+	i.follower = version.NewFollower(version.Settings{}, i.members, check)
+	i.rates = rate.New(rate.Settings{Instance: s.Instance, Zone: s.Zone}, i.lease, i.members, check)
+	p := s.Placement
+	p.Instance, p.Zone = s.Instance, s.Zone
+	i.places = placement.New(p, i.lease, i.members, check)
+	i.queue = queue.New(queue.Settings{Instance: s.Instance, Zone: s.Zone}, i.members, &servers{i}, check)
+	i.turns = turn.New(turn.Settings{}, i.members, &servers{i}, check)
+	i.once = once.New(once.Settings{}, i.members, check)
+	i.suspects = suspect.New(suspect.Settings{}, i.members, check)
+	i.machines = []process.Machine{
+		i.members, i.lease, i.follower, i.rates, i.places, i.queue, i.turns, i.once, i.suspects,
+	}
+	return i
+}
+
+// Handle takes one event at now and returns what is to be done, in order. now
+// must not go back.
+func (i *Instance) Handle(now clock.Time, e event.Event) []event.Effect {
+	if !i.begun {
+		i.begun, i.started = true, now
+	}
+	i.effects, i.now = nil, now
+	i.members.SetSelf(i.version(), i.stop.asked, i.lease.Fencing(), i.lease.TableAge(now))
+	i.take(now, e)
+	i.tick(now)
+	i.settle(now)
+	i.checkReady(now)
+	i.effects = append(i.effects, event.SetTimer{At: max(i.next(), now)})
+	return i.effects
+}
+
+func (i *Instance) version() id.ConfigVersion {
+	if i.cfg == nil {
+		return 0
+	}
+	return i.cfg.Version
+}
+
+// take routes one event.
+func (i *Instance) take(now clock.Time, e event.Event) {
+	switch e := e.(type) {
+	case event.PeerMessage:
+		i.peer(now, e.From, e.Message)
+	case event.TableResult:
+		i.tableResult(now, e)
+	case event.ObjectResult:
+		i.follower.Object(now, e, &i.out)
+	case event.ConfigDecoded:
+		i.follower.Decoded(now, e, &i.out)
+	case event.ConfigEncoded:
+		i.follower.Encoded(now, e, &i.out)
+	case event.ListRead:
+		i.members.List(now, e)
+		i.queue.Changed(now, &i.out)
+	case event.CallArrived:
+		i.arrive(now, e.Call)
+	case event.CallerGone:
+		i.callerGone(now, e.Request)
+	case event.AttemptStarted:
+		i.attemptStarted(e)
+	case event.AttemptEnded:
+		i.attemptEnded(now, e)
+	case event.OutcomeTold:
+		i.once.StatusTold(now, e.Request, once.Status{Known: e.Known, Status: e.Status, Type: e.Type, Body: e.Body}, &i.out)
+	case event.BackendReport:
+		i.places.Report(now, e, &i.out)
+		i.queue.Changed(now, &i.out)
+	case event.OrderAnswered:
+		i.places.Ordered(now, e, &i.out)
+	case event.StopRequested:
+		i.stopRequested(now)
+	}
+}
+
+// peer routes a message from another instance, or from this one.
+func (i *Instance) peer(now clock.Time, from id.Instance, m message.Message) {
+	switch m := m.(type) {
+	case message.Heartbeat:
+		i.members.Peer(now, from, m, &i.out)
+		i.lease.Peer(now, from, m, &i.out)
+		i.follower.Peer(now, from, m, &i.out)
+	case message.VersionAsk, message.VersionChange, message.VersionSnapshot:
+		i.follower.Peer(now, from, m, &i.out)
+	case message.Draw, message.Lent:
+		i.rates.Peer(now, from, m, &i.out)
+	case message.TurnAsk:
+		i.queue.Ask(now, from, m, &i.out)
+		i.demandAt = 0
+	case message.TurnDone:
+		i.turnDone(now, from, m)
+	case message.TurnWaiting, message.TurnGranted, message.TurnRefused:
+		i.turns.Peer(now, from, m, &i.out)
+	case message.SuspectSeen, message.SuspectCleared:
+		i.suspects.Peer(now, from, m)
+	case message.BackendState:
+		i.places.Peer(now, from, m, &i.out)
+		i.queue.Changed(now, &i.out)
+	case message.Want, message.LoadsInTransit:
+		i.places.Peer(now, from, m, &i.out)
+	case message.OnceAsk, message.OnceTold:
+		i.once.Peer(now, from, m, &i.out)
+	case message.Handover:
+		i.handoverReceived(now, from, m)
+	case message.HandoverTaken:
+		i.handoverTaken(m)
+	default:
+		i.lease.Peer(now, from, m, &i.out)
+	}
+}
+
+func (i *Instance) tableResult(now clock.Time, r event.TableResult) {
+	switch r.Op.Part {
+	case event.PartSession:
+		i.lease.Table(now, r, &i.out)
+	case event.PartRate:
+		i.rates.Table(now, r, &i.out)
+	case event.PartConfig:
+		i.follower.Table(now, r, &i.out)
+	case event.PartPlacement:
+		i.places.Table(now, r, &i.out)
+	case event.PartOnce:
+		i.once.Table(now, r, &i.out)
+	}
+}
+
+// tick runs each part that has something due, once.
+func (i *Instance) tick(now clock.Time) {
+	for _, m := range i.machines {
+		if now.Reached(m.Next()) {
+			m.Tick(now, &i.out)
+		}
+	}
+	i.noteLost(now)
+	if now.Reached(i.demandAt) {
+		i.showDemand(now)
+	}
+	i.tickStop(now)
+}
+
+// next returns when the next event is wanted at the latest.
+func (i *Instance) next() clock.Time {
+	at := i.stop.next()
+	for _, m := range i.machines {
+		at = min(at, m.Next())
+	}
+	if i.queue.Waiting() > 0 {
+		at = min(at, i.demandAt)
+	}
+	return at
+}
+
+// settle carries decisions and messages to self from part to part until
+// nothing moves any more.
+func (i *Instance) settle(now clock.Time) {
+	for i.decide(now) || i.loopBack(now) {
+	}
+}
+
+// loopBack moves the effects of the outbox out, and handles those that are for
+// this instance. It reports whether there was one.
+func (i *Instance) loopBack(now clock.Time) bool {
+	some := false
+	for _, e := range i.out.Take() {
+		switch e := e.(type) {
+		case event.SendPeer:
+			if e.To == i.set.Instance {
+				some = true
+				i.peer(now, i.set.Instance, e.Message)
+				continue
+			}
+		case event.InForce:
+			some = true
+			i.inForce(now, e.Config)
+		}
+		i.effects = append(i.effects, e)
+	}
+	return some
+}
+
+// decide carries the decisions of the parts on. It reports whether there was one.
+func (i *Instance) decide(now clock.Time) bool {
+	some := false
+	for _, d := range i.rates.Decisions() {
+		some = true
+		i.rateDecided(now, d)
+	}
+	for _, d := range i.turns.Decisions() {
+		some = true
+		i.turnDecided(now, d)
+	}
+	for _, d := range i.once.Decisions() {
+		some = true
+		i.onceDecided(now, d)
+	}
+	return some
+}
+
+// inForce swaps the configuration, and checks every open call against it.
+func (i *Instance) inForce(now clock.Time, c *config.Config) {
+	i.cfg = c
+	i.rates.Configure(now, c)
+	i.places.Configure(now, c, &i.out)
+	i.queue.Configure(now, c)
+	i.recheckAll(now)
+}
+
+// showDemand tells the placement what waits here.
+func (i *Instance) showDemand(now clock.Time) {
+	i.demandAt = now.Add(demandEvery)
+	for _, d := range i.queue.Demands(now) {
+		i.places.Demand(now, placement.Demand{
+			Artifact: d.Artifact, Class: d.Class, Within: d.Within, Waiting: d.Waiting,
+		}, &i.out)
+	}
+}
+
+// noteLost tells the queues about instances that are gone.
+func (i *Instance) noteLost(now clock.Time) {
+	live := i.members.Live()
+	if same(live, i.live) {
+		return
+	}
+	present := make(map[id.Instance]bool, len(live))
+	for _, l := range live {
+		present[l] = true
+	}
+	for _, was := range i.live {
+		// An instance that is leaving is off the list of those that take
+		// work, but its calls run on.
+		if _, heard := i.members.Heard(was); !present[was] && !heard {
+			i.queue.Lost(now, was, &i.out)
+		}
+	}
+	i.live = append(i.live[:0:0], live...)
+}
+
+func same(a, b []id.Instance) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for n := range a {
+		if a[n] != b[n] {
+			return false
+		}
+	}
+	return true
+}
+
+// checkReady tells the program when calls can be taken.
+func (i *Instance) checkReady(now clock.Time) {
+	ready := i.cfg != nil && !i.stop.asked && (i.lease.Valid(now) || now.Reached(i.started.Add(startAnyway)) || i.ready)
+	if ready != i.ready {
+		i.ready = ready
+		i.effects = append(i.effects, event.Ready{Ready: ready})
+	}
+}
+
+// Status is what operators see of an instance.
+type Status struct {
+	Lease    bool          `json:"lease"` // the session lease holds
+	Fencing  id.Fencing    `json:"fencing"`
+	TableAge time.Duration `json:"table_age"` // since the table was last reached
+	Heard    bool          `json:"heard"`
+	HeardAge time.Duration `json:"-"`
+	Live     int           `json:"live"`    // instances that it sees, itself included
+	Calls    int           `json:"calls"`   // open calls
+	Waiting  int           `json:"waiting"` // requests in the queues that it owns
+	Stopping bool          `json:"stopping"`
+}
+
+// Status returns what operators see at now.
+func (i *Instance) Status(now clock.Time) Status {
+	age := i.follower.HeardAge(now)
+	return Status{
+		Lease: i.lease.Valid(now), Fencing: i.lease.Fencing(), TableAge: i.lease.TableAge(now),
+		Heard: age != version.NeverHeard, HeardAge: age, Live: len(i.members.Live()),
+		Calls: len(i.flights), Waiting: i.queue.Waiting(), Stopping: i.stop.asked,
+	}
+}
--- a/core/message/placement.go
+++ b/core/message/placement.go
@@ -5,6 +5,7 @@
 
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/table"
 )
 
 // placementTypes are numbered 60 to 79.
@@ -73,6 +74,9 @@
 	Within   time.Duration `cbor:"4,keyasint"` // earliest deadline waiting
 	Waiting  int           `cbor:"5,keyasint"`
 	Version  uint64        `cbor:"6,keyasint,omitempty"`
+	// Forwarded says that the owner of another backend server passed it on,
+	// since this one has the pre-authorised replica. It is not passed on twice.
+	Forwarded bool `cbor:"7,keyasint,omitempty"`
 }
 
 // BackendState is what the owner of a backend server tells the instances of
@@ -84,6 +88,10 @@
 	Report  Report     `cbor:"4,keyasint"`
 	Free    int64      `cbor:"5,keyasint"` // bytes neither reserved nor held
 	Down    bool       `cbor:"6,keyasint,omitempty"`
+	// RowVersion is the version of the backend server's row that the sender
+	// acts on. Row is that row; it is left out while it is the same.
+	RowVersion uint64         `cbor:"7,keyasint,omitempty"`
+	Row        *table.Backend `cbor:"8,keyasint,omitempty"`
 }
 
 // LoadsInTransit says how many loads of the sender's backend servers draw on
--- a/core/message/queue.go
+++ b/core/message/queue.go
@@ -31,6 +31,12 @@
 	Prefix   uint64        `cbor:"8,keyasint,omitempty"`
 	Alone    bool          `cbor:"9,keyasint,omitempty"` // must run away from others' work
 	Avoid    []id.Backend  `cbor:"10,keyasint,omitempty"`
+	// Turn grows with each turn that the sender asks for: a request that is
+	// tried again asks for another one. What it asked for before is void.
+	Turn uint64 `cbor:"11,keyasint"`
+	// Digest is of account and body, set for an Alone request: at most one
+	// request of a digest runs at a time.
+	Digest id.Digest `cbor:"12,keyasint,omitempty"`
 }
 
 // TurnWaiting says that the request is in the queue; Estimate is when its turn
@@ -38,6 +44,7 @@
 type TurnWaiting struct {
 	Request  id.Request    `cbor:"1,keyasint"`
 	Estimate time.Duration `cbor:"2,keyasint"`
+	Turn     uint64        `cbor:"3,keyasint"`
 }
 
 // TurnGranted names the backend server that the request goes to now.
@@ -45,6 +52,7 @@
 	Request id.Request `cbor:"1,keyasint"`
 	Backend id.Backend `cbor:"2,keyasint"`
 	Address string     `cbor:"3,keyasint"`
+	Turn    uint64     `cbor:"4,keyasint"`
 }
 
 // TurnRefused says that the request can't be served in time.
@@ -52,6 +60,7 @@
 	Request    id.Request    `cbor:"1,keyasint"`
 	Reason     string        `cbor:"2,keyasint"`
 	RetryAfter time.Duration `cbor:"3,keyasint"`
+	Turn       uint64        `cbor:"4,keyasint"`
 }
 
 // TurnDone gives a turn back, or withdraws a waiting request.
@@ -62,6 +71,7 @@
 	Leaving   bool          `cbor:"4,keyasint,omitempty"` // the server refused new work
 	Service   time.Duration `cbor:"5,keyasint,omitempty"` // time from dispatch to end
 	Generated int           `cbor:"6,keyasint,omitempty"`
+	Turn      uint64        `cbor:"7,keyasint"`
 }
 
 // SuspectSeen says that a request was running on a backend server that crashed.
--- a/core/message/rate.go
+++ b/core/message/rate.go
@@ -10,10 +10,14 @@
 var rateTypes = map[Kind]Message{
 	30: Draw{},
 	31: Lent{},
+	32: Settle{},
+	33: SlotsHeld{},
+	34: SlotGiven{},
+	35: SlotTaken{},
 }
 
-// Draw asks a holder for tokens of an account. A repeat carries the same ID
-// and gets the same answer.
+// Draw asks a holder for tokens of an account, or, with WantRate, for a part of
+// its share. A repeat carries the same ID and gets the same answer.
 type Draw struct {
 	ID       uint64     `cbor:"1,keyasint"`
 	Account  id.Account `cbor:"2,keyasint"`
@@ -28,8 +32,44 @@
 	Account id.Account    `cbor:"2,keyasint"`
 	Tokens  float64       `cbor:"3,keyasint"`
 	Rate    float64       `cbor:"4,keyasint,omitempty"` // tokens a second lent
-	Term    time.Duration `cbor:"5,keyasint,omitempty"` // borrower's; the lender counts longer
+	Term    time.Duration `cbor:"5,keyasint,omitempty"` // borrower's, from when it sent Draw; the lender counts longer
+	Burst   float64       `cbor:"6,keyasint,omitempty"` // room for tokens lent with Rate
 }
 
-func (Draw) message() {}
-func (Lent) message() {}
+// Settle ends the loan of Draw ID early: Returned tokens come back, the others
+// are spent. Once settled, the lender may refill what it had set aside.
+type Settle struct {
+	ID       uint64     `cbor:"1,keyasint"`
+	Account  id.Account `cbor:"2,keyasint"`
+	Returned float64    `cbor:"3,keyasint,omitempty"`
+}
+
+// SlotsHeld says now and then which slots the sender holds.
+type SlotsHeld struct {
+	Slots []HeldSlot `cbor:"1,keyasint"`
+}
+
+// HeldSlot is one slot that is held.
+type HeldSlot struct {
+	Zone    id.Zone    `cbor:"1,keyasint"`
+	Index   int        `cbor:"2,keyasint"`
+	Fencing id.Fencing `cbor:"3,keyasint"`
+}
+
+// SlotGiven gives a slot to an instance that holds fewer. The giver has stopped
+// using it; the receiver uses it once the table has it on record.
+type SlotGiven struct {
+	Slot HandoverSlot `cbor:"1,keyasint"`
+}
+
+// SlotTaken answers SlotGiven: the table has the slot on record as the sender's.
+type SlotTaken struct {
+	Slot HeldSlot `cbor:"1,keyasint"`
+}
+
+func (Draw) message()      {}
+func (Lent) message()      {}
+func (Settle) message()    {}
+func (SlotsHeld) message() {}
+func (SlotGiven) message() {}
+func (SlotTaken) message() {}
--- a/core/message/session.go
+++ b/core/message/session.go
@@ -24,6 +24,7 @@
 	Leaving  bool             `cbor:"4,keyasint,omitempty"`
 	Fencing  id.Fencing       `cbor:"5,keyasint,omitempty"` // of the sender's session
 	TableAge time.Duration    `cbor:"6,keyasint,omitempty"` // since the sender last reached the table
+	Ask      bool             `cbor:"7,keyasint,omitempty"` // wants a heartbeat back
 }
 
 // ConfirmAsk asks an instance of the same availability zone whether it knows
@@ -39,6 +40,9 @@
 	Nonce    uint64        `cbor:"1,keyasint"`
 	TakenBy  id.Instance   `cbor:"2,keyasint,omitempty"` // "": nobody that I know of
 	TableAge time.Duration `cbor:"3,keyasint"`
+	// Zone lists the instances of the zone that the answerer sees, so that the
+	// asker also asks those that started during its pause.
+	Zone []id.Instance `cbor:"4,keyasint,omitempty"`
 }
 
 // Handover gives what the sender owns to the receiver. The sender has stopped
@@ -63,12 +67,24 @@
 	Index    int           `cbor:"2,keyasint"`
 	Fencing  id.Fencing    `cbor:"3,keyasint"`
 	Balances []SlotBalance `cbor:"4,keyasint,omitempty"`
+	Row      uint64        `cbor:"5,keyasint,omitempty"` // version of its row, as last known
+	// Holders lists who held the slot since that version, the giver last: the
+	// table may learn of them later.
+	Holders []id.Instance `cbor:"6,keyasint,omitempty"`
+	// Age and Full tell the balances of the accounts that are not listed: what
+	// accrued over Age to an empty bucket, or a full one.
+	Age  time.Duration `cbor:"7,keyasint,omitempty"`
+	Full bool          `cbor:"8,keyasint,omitempty"`
 }
 
 // SlotBalance is what an account has left in a slot, in tokens.
 type SlotBalance struct {
 	Account id.Account `cbor:"1,keyasint"`
 	Tokens  float64    `cbor:"2,keyasint"`
+	// Lent and LentRate are the burst and the rate that are lent out of the
+	// slot; they stay unused until the loans have run out.
+	Lent     float64 `cbor:"3,keyasint,omitempty"`
+	LentRate float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // HandoverTaken answers Handover.
--- /dev/null
+++ b/core/process/placement/load.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/core/table"
+)
+
+// wantFresh is how long a Want counts that is not repeated.
+const wantFresh = 2 * time.Second
+
+// want is a load that a queue owner asks for.
+type want struct {
+	artifact  id.Artifact
+	class     config.Class
+	deadline  clock.Time
+	waiting   int
+	until     clock.Time
+	forwarded bool
+	gated     bool // nothing but the weight store keeps it waiting
+}
+
+// urgency numbers the classes, the most urgent 0.
+func urgency(c config.Class) int {
+	switch c {
+	case config.Urgent:
+		return 0
+	case config.Interactive:
+		return 1
+	}
+	return 2
+}
+
+// compareWants orders by class, then by the earliest deadline.
+func compareWants(a, b *want) int {
+	return cmp.Or(
+		cmp.Compare(urgency(a.class), urgency(b.class)),
+		cmp.Compare(a.deadline, b.deadline),
+		cmp.Compare(a.artifact, b.artifact))
+}
+
+// want handles a Want. It is idempotent: a repeat only brings it up to date.
+func (p *Placement) want(now clock.Time, m message.Want, out *event.Outbox) {
+	o := p.owned[m.Backend]
+	if o == nil {
+		p.viewOf(m.Backend).named = true
+		return
+	}
+	if _, ok := p.artifact(m.Artifact); !ok {
+		return
+	}
+	p.arrived(now, m.Artifact)
+	w := o.wants[m.Artifact]
+	if w == nil {
+		w = &want{artifact: m.Artifact}
+		o.wants[m.Artifact] = w
+	}
+	w.class, w.deadline, w.waiting = m.Class, now.Add(m.Within), m.Waiting
+	w.until, w.forwarded = now.Add(wantFresh), m.Forwarded
+	p.advance(o, now, out)
+}
+
+// sortedWants drops the wants that are over, and returns the others.
+func (o *owned) sortedWants(now clock.Time) []*want {
+	for a, w := range o.wants {
+		if now.Reached(w.until) || o.held[a].State == message.Loaded {
+			delete(o.wants, a)
+		}
+	}
+	return slices.SortedFunc(maps.Values(o.wants), compareWants)
+}
+
+// planLoad decides the most urgent load that has room.
+func (p *Placement) planLoad(o *owned, d *draft, now clock.Time, out *event.Outbox) {
+	if !o.known || o.leaving || o.down || p.moving(o, now) {
+		return
+	}
+	for _, w := range o.sortedWants(now) {
+		if o.works[w.artifact] != nil || o.held[w.artifact].State != Cold {
+			continue
+		}
+		p.decideLoad(o, d, w, now, out)
+		if d.changed || len(d.missing) > 0 {
+			return
+		}
+	}
+}
+
+func (p *Placement) decideLoad(o *owned, d *draft, w *want, now clock.Time, out *event.Outbox) {
+	c, ok := p.artifact(w.artifact)
+	if !ok {
+		return
+	}
+	r, ok := p.replicaFor(d, w.artifact)
+	if !ok || p.poolWill(o, c, now) {
+		return
+	}
+	if p.elsewhere(o, w, r.row) || !p.allowed(r.row, o.name, c) {
+		p.denied(o, d, w, r, out)
+		return
+	}
+	if !p.fits(d.row, c.Bytes) {
+		w.gated = false
+		if !p.makeRoom(o, d, c, now) {
+			p.yield(o, d, c.Name, now)
+		}
+		return
+	}
+	if !p.store.mayStart(p, o, w, now) {
+		return
+	}
+	p.addLoad(o, d, r, c)
+}
+
+// addLoad writes the decision into the draft. Both limits are asserted where
+// they are written; the transaction holds only if nobody changed the rows.
+func (p *Placement) addLoad(o *owned, d *draft, r replicaRow, c config.Artifact) {
+	d.row.Reservations = append(d.row.Reservations, table.Reservation{
+		Artifact: c.Name, Order: o.newOrder(), Bytes: c.Bytes, State: table.Decided,
+	})
+	if !slices.Contains(r.row.Decided, o.name) {
+		r.row.Decided = append(r.row.Decided, o.name)
+	}
+	memory := p.check.Hold(reservedBytes(d.row) <= d.row.Bytes, "memory-overcommitted",
+		"%s at %s: %d of %d bytes", c.Name, o.name, reservedBytes(d.row), d.row.Bytes)
+	count := p.check.Hold(len(places(r.row)) <= maxReplicas(c), "too-many-replicas",
+		"%s: %v", c.Name, places(r.row))
+	if memory && count {
+		d.writeReplica(r)
+	}
+}
+
+// places returns where a replica may be loaded; the standby counts as decided.
+func places(r table.Replica) []id.Backend {
+	all := slices.Clone(r.Decided)
+	if r.Standby != "" && !slices.Contains(all, r.Standby) {
+		all = append(all, r.Standby)
+	}
+	return all
+}
+
+func maxReplicas(c config.Artifact) int { return max(c.MaxReplicas, 1) }
+
+// allowed reports whether one more replica at b is within the limit.
+func (p *Placement) allowed(r table.Replica, b id.Backend, c config.Artifact) bool {
+	all := places(r)
+	return slices.Contains(all, b) || len(all) < maxReplicas(c) || p.unsafe.noReplicas
+}
+
+func (p *Placement) fits(row table.Backend, bytes int64) bool {
+	return reservedBytes(row)+bytes <= row.Bytes || p.unsafe.noMemory
+}
+
+// elsewhere reports whether the artifact is pre-authorised, but cold, on
+// another backend server: a load there needs no further decision, and one here
+// would leave that right standing beside it.
+func (p *Placement) elsewhere(o *owned, w *want, r table.Replica) bool {
+	if r.Standby == "" || r.Standby == o.name || w.forwarded || slices.Contains(r.Decided, r.Standby) {
+		return false
+	}
+	v := p.views[r.Standby]
+	return v == nil || v.held[w.artifact].State == Cold
+}
+
+// replicaFresh is how long a replica row is believed that denies a load.
+const replicaFresh = time.Second
+
+// denied reads a row again that denies a load, since another owner may have
+// changed it; else it passes the want on to the owners of the places that it
+// names. That also tells an instance of a backend server that has gone, and
+// whose decisions nobody gave up.
+func (p *Placement) denied(o *owned, d *draft, w *want, r replicaRow, out *event.Outbox) {
+	if p.now.Sub(r.readAt) > replicaFresh {
+		d.missing = append(d.missing, w.artifact)
+		return
+	}
+	delete(o.wants, w.artifact)
+	for _, b := range places(r.row) {
+		if b == o.name || w.forwarded {
+			continue
+		}
+		out.Send(p.ownerOf(b), message.Want{
+			Backend: b, Artifact: w.artifact, Class: w.class, Within: max(w.deadline.Sub(p.now), 0),
+			Waiting: w.waiting, Forwarded: true,
+		})
+	}
+}
+
+// planResize follows the configured memory of the group, or the engine's own
+// word where none is configured.
+func (p *Placement) planResize(o *owned, d *draft, now clock.Time, out *event.Outbox) {
+	if !o.known || o.leaving {
+		return
+	}
+	p.size(&d.row, o.report.Bytes)
+	d.changed = d.row.Bytes != o.row.Bytes || d.row.StandbyBytes != o.row.StandbyBytes
+}
+
+// size sets the memory of a row, and sets the standby pool aside while there is
+// room for it.
+func (p *Placement) size(row *table.Backend, reported int64) {
+	row.Bytes = reported
+	if v := p.views[row.Name]; v != nil && v.group.MemoryBytes > 0 {
+		row.Bytes = v.group.MemoryBytes
+	}
+	pool := int64(p.set.StandbyShare * float64(row.Bytes))
+	if row.StandbyBytes == 0 && pool > 0 && reservedBytes(*row)+pool <= row.Bytes {
+		row.StandbyBytes = pool
+	}
+}
--- /dev/null
+++ b/core/process/placement/unload.go
@@ -0,0 +1,159 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/core/process/keepalive"
+	"oleanderdale.org/core/table"
+)
+
+// firstUse is how long a replica stays that was loaded and not used yet: the
+// requests that it was loaded for are on their way.
+const firstUse = 5 * time.Second
+
+// planWithdraw withdraws what is refused, not configured any more, or idle for
+// longer than it is worth keeping.
+func (p *Placement) planWithdraw(o *owned, d *draft, now clock.Time, out *event.Outbox) {
+	if now.Before(o.idleAt) {
+		return
+	}
+	o.idleAt = now.Add(time.Second)
+	for _, a := range o.sortedWorks() {
+		if w := o.works[a]; !w.withdrawn && p.dispensable(o, w, now) {
+			p.withdraw(o, d, w, now)
+		}
+	}
+}
+
+// withdraw decides an unload. A pre-authorised replica needs no write. The
+// larger fencing number lets a checking engine refuse load orders that are
+// still under way once it has seen the unload order.
+func (p *Placement) withdraw(o *owned, d *draft, w *work, now clock.Time) {
+	if w.pool {
+		w.withdrawn, w.retryAt, o.changed = true, now, true
+		return
+	}
+	for i := range d.row.Reservations {
+		if d.row.Reservations[i].Artifact == w.artifact {
+			d.row.Reservations[i].State = table.Withdrawn
+		}
+	}
+	if !d.changed {
+		d.row.Fencing++
+	}
+	d.changed = true
+}
+
+// dispensable reports whether w should go without anybody needing its memory.
+func (p *Placement) dispensable(o *owned, w *work, now clock.Time) bool {
+	if _, configured := p.artifact(w.artifact); !configured || w.refused {
+		return true
+	}
+	if o.wants[w.artifact] != nil {
+		return false
+	}
+	if o.known && o.held[w.artifact].State == Cold && w.answered != 0 && o.asked.Reached(w.quietAt) {
+		return true // lost with a restart of the engine, and nobody waits for it
+	}
+	if !p.evictable(o, w, now) {
+		return false
+	}
+	it := p.item(o, w, now)
+	return it.Idle >= p.policy.Keep(it)
+}
+
+// evictable reports whether w is loaded and unused.
+func (p *Placement) evictable(o *owned, w *work, now clock.Time) bool {
+	h := o.held[w.artifact]
+	switch {
+	case h.State != message.Loaded || h.Running > 0 || w.withdrawn || o.wants[w.artifact] != nil:
+		return false
+	case h.Uses == 0 && now.Before(w.loadedAt.Add(firstUse)):
+		return false
+	}
+	return !o.baseInUse(w.artifact)
+}
+
+// baseInUse reports whether an adapter of a is on the engine.
+func (o *owned) baseInUse(a id.Artifact) bool {
+	if a.IsAdapter() {
+		return false
+	}
+	for _, h := range o.report.Held {
+		if h.Artifact.IsAdapter() && h.Artifact.Model() == a {
+			return true
+		}
+	}
+	return false
+}
+
+// item describes w to the policy.
+func (p *Placement) item(o *owned, w *work, now clock.Time) keepalive.Item {
+	c, _ := p.artifact(w.artifact)
+	h := o.held[w.artifact]
+	idle := h.Idle + now.Sub(o.asked)
+	if h.Uses == 0 {
+		idle = now.Sub(w.loadedAt)
+	}
+	size := float64(max(o.row.Bytes, 1))
+	return keepalive.Item{
+		Artifact: w.artifact,
+		Bytes:    w.bytes,
+		Share:    float64(w.bytes) / size,
+		LoadCost: p.loadTime(c, p.levelAt(o.name, w.artifact)),
+		Idle:     idle,
+		Pressure: float64(reservedBytes(o.row)) / size,
+	}
+}
+
+// makeRoom withdraws the replicas with the least expected loss until c fits,
+// counting what is on its way out already. It reports false, and unloads
+// nothing, if it can't fit.
+func (p *Placement) makeRoom(o *owned, d *draft, c config.Artifact, now clock.Time) bool {
+	lack := reservedBytes(d.row) + c.Bytes - d.row.Bytes
+	chosen, ok := p.victims(o, lack, false, now)
+	for _, w := range chosen {
+		p.withdraw(o, d, w, now)
+	}
+	return ok
+}
+
+// victims returns what must be withdrawn, beside what is on its way out, to
+// free lack bytes. It reports false if that can't be had.
+func (p *Placement) victims(o *owned, lack int64, pool bool, now clock.Time) ([]*work, bool) {
+	type candidate struct {
+		w    *work
+		loss float64
+	}
+	var all []candidate
+	for _, a := range o.sortedWorks() {
+		w := o.works[a]
+		switch {
+		case w.pool != pool:
+		case w.withdrawn:
+			lack -= w.bytes
+		case p.evictable(o, w, now):
+			all = append(all, candidate{w, p.policy.Loss(p.item(o, w, now))})
+		}
+	}
+	slices.SortStableFunc(all, func(x, y candidate) int { return cmp.Compare(x.loss, y.loss) })
+	var chosen []*work
+	for _, c := range all {
+		if lack <= 0 {
+			break
+		}
+		chosen = append(chosen, c.w)
+		lack -= c.w.bytes
+	}
+	if lack > 0 {
+		return nil, false
+	}
+	return chosen, true
+}
--- /dev/null
+++ b/core/process/placement/view.go
@@ -0,0 +1,254 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/core/table"
+)
+
+// Cold is the state of an artifact on a backend server that holds nothing of it.
+const Cold message.LoadState = ""
+
+// viewFresh is how long an owner's word about a backend server names its owner.
+const viewFresh = 5 * time.Second
+
+// view is what this instance knows of a backend server of its zone, whoever
+// owns it.
+type view struct {
+	name    id.Backend
+	address string
+	group   config.Group
+	leaving bool // never cleared
+	down    bool
+	dropped bool // a request found it down
+	dropEnd clock.Time
+	gone    bool       // not in the instance list
+	goneAt  clock.Time // since when
+	named   bool       // a row names it, though nobody here saw it
+
+	owner   id.Instance // who told
+	heardAt clock.Time
+	fencing id.Fencing
+	seq     uint64
+	report  message.Report
+	free    int64
+	held    map[id.Artifact]message.Held
+	cached  map[id.Artifact]message.CacheLevel
+
+	row        table.Backend
+	rowVersion uint64
+}
+
+func (v *view) usable() bool { return !v.leaving && !v.down && !v.dropped && !v.gone }
+
+// refreshViews follows the instance list.
+func (p *Placement) refreshViews(now clock.Time) {
+	listed := map[id.Backend]bool{}
+	all := p.members.Backends()
+	for _, m := range all {
+		g, ok := p.cfg.Groups[m.Group]
+		if m.Zone != p.set.Zone || !ok || g.Kind != config.GroupModels {
+			continue
+		}
+		b := id.Backend(m.Name)
+		listed[b] = true
+		v := p.viewOf(b)
+		v.address, v.group, v.gone = m.Address, g, false
+		v.leaving = v.leaving || m.Leaving
+	}
+	if len(all) > 0 { // an empty list is one that was not read yet
+		p.markGone(now, listed)
+	}
+}
+
+// markGone notes which backend servers the instance list does not name.
+func (p *Placement) markGone(now clock.Time, listed map[id.Backend]bool) {
+	for _, v := range p.sorted {
+		v.dropped = v.dropped && now.Before(v.dropEnd)
+		switch {
+		case listed[v.name]:
+			v.goneAt = clock.Never
+		case v.goneAt == clock.Never:
+			v.gone, v.goneAt = true, now
+		}
+	}
+}
+
+// goneAfter is how long a backend server must be missing in the instance list
+// before what was decided there is given up.
+const goneAfter = 10 * time.Second
+
+// left reports whether the backend server has gone for good.
+func (v *view) left(now clock.Time) bool {
+	return v.leaving || (v.gone && v.goneAt != clock.Never && now.Sub(v.goneAt) >= goneAfter)
+}
+
+func (p *Placement) viewOf(b id.Backend) *view {
+	if v := p.views[b]; v != nil {
+		return v
+	}
+	v := &view{name: b, gone: true, goneAt: clock.Never}
+	p.views[b] = v
+	p.sorted = append(p.sorted, v)
+	slices.SortFunc(p.sorted, func(x, y *view) int { return strings.Compare(string(x.name), string(y.name)) })
+	return v
+}
+
+// state takes in what an owner says. An older word is dropped: states may come
+// late and out of order.
+func (p *Placement) state(now clock.Time, from id.Instance, m message.BackendState) {
+	v := p.viewOf(m.Backend)
+	if m.Fencing < v.fencing || (m.Fencing == v.fencing && from == v.owner && m.Seq <= v.seq) {
+		return
+	}
+	v.owner, v.heardAt, v.fencing, v.seq = from, now, m.Fencing, m.Seq
+	v.report, v.free, v.down = m.Report, m.Free, m.Down
+	v.leaving = v.leaving || m.Report.Leaving
+	v.index()
+	if m.Row != nil {
+		p.viewRow(v, *m.Row, m.RowVersion)
+	}
+	if o := p.owned[m.Backend]; o != nil && from != p.set.Instance && m.Fencing > o.row.Fencing {
+		// Somebody acts with a larger number: whether the row is still ours is
+		// read before anything else is done with it.
+		o.doubted = true
+	}
+}
+
+func (v *view) index() {
+	v.held = make(map[id.Artifact]message.Held, len(v.report.Held))
+	for _, h := range v.report.Held {
+		v.held[h.Artifact] = h
+	}
+	v.cached = make(map[id.Artifact]message.CacheLevel, len(v.report.Cached))
+	for _, c := range v.report.Cached {
+		v.cached[c.Artifact] = c.Level
+	}
+}
+
+func (p *Placement) viewRow(v *view, row table.Backend, version uint64) {
+	if version <= v.rowVersion {
+		return
+	}
+	for _, a := range v.row.Standby {
+		if p.standbys[a] == v.name {
+			delete(p.standbys, a)
+		}
+	}
+	for _, a := range row.Standby {
+		p.standbys[a] = v.name
+	}
+	v.row, v.rowVersion = row, version
+}
+
+// Replica is an artifact on a backend server, or the lack of it.
+type Replica struct {
+	Backend     id.Backend
+	Address     string
+	State       message.LoadState // Cold if nothing of it is there
+	Running     int               // requests that the server runs, of all artifacts
+	Reported    clock.Time        // when this instance heard of Running; 0: never
+	Concurrency int               // requests that it may run
+	Free        int64             // bytes that nothing is reserved for
+	Cached      message.CacheLevel
+	Leaving     bool
+	Down        bool
+	// ReadyIn is when it is expected to be loaded, 0 if it is; for a cold one,
+	// if its load were decided now.
+	ReadyIn time.Duration
+}
+
+// Snapshot returns a on each backend server of the zone that may hold it,
+// sorted by name.
+func (p *Placement) Snapshot(a id.Artifact) []Replica {
+	c, ok := p.artifact(a)
+	if !ok {
+		return nil
+	}
+	all := make([]Replica, 0, len(p.sorted))
+	queue := p.storeQueue()
+	for _, v := range p.sorted {
+		if v.gone || v.group.Name != c.Group {
+			continue
+		}
+		all = append(all, p.replica(v, c, queue))
+	}
+	return all
+}
+
+func (p *Placement) replica(v *view, c config.Artifact, queue time.Duration) Replica {
+	return Replica{
+		Backend:     v.name,
+		Address:     v.address,
+		State:       v.held[c.Name].State,
+		Running:     v.report.Running,
+		Reported:    v.heardAt,
+		Concurrency: v.group.Concurrency,
+		Free:        v.free,
+		Cached:      v.level(c.Name),
+		Leaving:     v.leaving,
+		Down:        v.down || v.dropped,
+		ReadyIn:     p.readyIn(v, c, queue),
+	}
+}
+
+func (v *view) level(a id.Artifact) message.CacheLevel {
+	if l, ok := v.cached[a]; ok {
+		return l
+	}
+	return message.CacheRemote
+}
+
+// broadcast tells the zone about o, when something changed and now and then.
+func (p *Placement) broadcast(o *owned, now clock.Time, out *event.Outbox) {
+	// Before the first report nothing is known, and an empty word would make
+	// loaded replicas look cold.
+	if (!o.known && !o.down) || (!o.changed && now.Before(o.stateAt)) {
+		return
+	}
+	o.changed, o.stateAt = false, now.Add(p.set.StateEvery)
+	o.seq++
+	m := message.BackendState{
+		Backend: o.name, Fencing: o.row.Fencing, Seq: o.seq,
+		Report: p.shown(o), Free: o.free(), Down: o.down, RowVersion: o.version,
+	}
+	if o.toldRow != o.version || o.seq%rowEvery == 0 {
+		row := o.row
+		m.Row, o.toldRow = &row, o.version
+	}
+	p.state(now, p.set.Instance, m)
+	for _, i := range p.members.InZone(p.set.Zone) {
+		if i != p.set.Instance {
+			out.Send(i, m)
+		}
+	}
+}
+
+// rowEvery is how many states go without the row while it stays the same; an
+// instance that missed it learns it then.
+const rowEvery = 10
+
+// shown is the report with what was ordered since: a replica whose unload is
+// decided must not look loaded, or requests go on being sent to it.
+func (p *Placement) shown(o *owned) message.Report {
+	r := o.report
+	r.Held = slices.Clone(r.Held)
+	for i, h := range r.Held {
+		if w := o.works[h.Artifact]; w != nil && w.withdrawn {
+			r.Held[i].State = message.Unloading
+		}
+	}
+	for _, a := range o.sortedWorks() {
+		if w := o.works[a]; !w.withdrawn && o.held[a].State == Cold && w.sent {
+			r.Held = append(r.Held, message.Held{Artifact: a, State: message.Loading, Bytes: w.bytes})
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/core/process/rate/draw.go
@@ -0,0 +1,162 @@
+package rate
+
+import (
+	"slices"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+)
+
+// drawRound moves a round of draws on: it starts one, goes over to the other
+// zones, or ends it.
+func (h *Holder) drawRound(now clock.Time, a *account, out *event.Outbox) {
+	missing := a.need() - a.available()
+	if missing <= 0 {
+		return
+	}
+	if a.round.running {
+		if a.openDraws() > 0 && now.Before(a.round.until) {
+			return
+		}
+		h.endHalf(now, a, missing, out)
+		return
+	}
+	if now.Before(a.round.next) {
+		return
+	}
+	a.round = round{running: true}
+	if !h.sendDraws(now, a, missing, out) {
+		h.endHalf(now, a, missing, out)
+	}
+}
+
+// endHalf ends the first or the second half of a round.
+func (h *Holder) endHalf(now clock.Time, a *account, missing float64, out *event.Outbox) {
+	a.shunSilent(now)
+	if !a.round.far {
+		a.round.far = true
+		if h.sendDraws(now, a, missing, out) {
+			return
+		}
+	}
+	a.round.running = false
+	wait := fillTime(a.queue[0].tokens-a.available(), a.reach(h))
+	a.round.next = now.Add(min(max(wait, retryMin), retryMax))
+}
+
+// openDraws counts the draws that the running round still waits for.
+func (a *account) openDraws() int {
+	n := 0
+	for _, d := range a.draws {
+		if d.open {
+			n++
+		}
+	}
+	return n
+}
+
+// shunSilent lets the next rounds pass over holders that did not answer, so
+// that an unreachable zone costs one timeout, not one a round.
+func (a *account) shunSilent(now clock.Time) {
+	for _, d := range a.draws {
+		if d.open {
+			d.open = false
+			a.shun[d.to] = now.Add(shunTime)
+		}
+	}
+}
+
+// sendDraws asks the holders of this half for what is missing, all at once;
+// what comes in excess is settled. It reports whether there was one to ask.
+func (h *Holder) sendDraws(now clock.Time, a *account, missing float64, out *event.Outbox) bool {
+	targets := h.directory.targets(now, h, a.round.far)
+	sent := 0
+	for _, to := range targets {
+		if sent == maxParallel || now.Before(a.shun[to]) {
+			continue
+		}
+		sent++
+		h.sendDraw(now, a, &draw{to: to, tokens: missing, open: true}, out)
+	}
+	a.round.until = now.Add(h.set.DrawTimeout)
+	return sent > 0
+}
+
+func (h *Holder) sendDraw(now clock.Time, a *account, d *draw, out *event.Outbox) {
+	h.lastDraw++
+	d.sent = now
+	d.again = now.Add(h.set.DrawTimeout / 2)
+	d.expires = now.Add(h.set.LoanTerm)
+	d.id = h.lastDraw
+	a.draws = append(a.draws, d)
+	out.Send(d.to, message.Draw{ID: h.lastDraw, Account: a.name, Tokens: d.tokens, WantRate: d.want})
+}
+
+// tickDraws repeats draws without an answer and forgets those that ran out.
+func (h *Holder) tickDraws(now clock.Time, a *account, out *event.Outbox) {
+	a.draws = slices.DeleteFunc(a.draws, func(d *draw) bool { return now.Reached(d.expires) })
+	for _, d := range a.draws {
+		if now.Reached(d.again) {
+			d.again = clock.Never
+			out.Send(d.to, message.Draw{ID: d.id, Account: a.name, Tokens: d.tokens, WantRate: d.want})
+		}
+	}
+}
+
+// Peer takes in a message of another instance.
+func (h *Holder) Peer(now clock.Time, from id.Instance, m message.Message, out *event.Outbox) {
+	switch m := m.(type) {
+	case message.Draw:
+		h.drawn(now, from, m, out)
+	case message.Lent:
+		h.lentHere(now, from, m, out)
+	case message.Settle:
+		h.settled(now, from, m)
+	case message.SlotsHeld:
+		h.directory.heard(now, from, h.members.ZoneOf(from), m)
+	case message.SlotGiven:
+		h.given(now, from, m.Slot, out)
+	case message.SlotTaken:
+		h.taken(from, m.Slot)
+	}
+}
+
+// lentHere takes in the answer to a draw. One that comes again, or after the
+// loan has run out on this clock, finds no draw.
+func (h *Holder) lentHere(now clock.Time, from id.Instance, m message.Lent, out *event.Outbox) {
+	a := h.accounts[m.Account]
+	if a == nil {
+		return
+	}
+	d := a.draw(m.ID)
+	until := clock.Time(0)
+	if d != nil {
+		until = d.sent.Add(min(m.Term, h.set.LoanTerm))
+	}
+	if d == nil || d.to != from || now.Reached(until) {
+		return
+	}
+	a.refill(h, now)
+	a.dropDraw(m.ID)
+	delete(a.shun, from)
+	if d.want > 0 {
+		h.borrowShare(now, a, from, m, until)
+	} else {
+		h.borrowTokens(a, from, m, until)
+		if d.open {
+			a.round.reach += h.directory.slotsOf(from)
+		}
+	}
+	h.serve(now, a, out)
+	h.plan(now, a)
+}
+
+func (h *Holder) borrowTokens(a *account, from id.Instance, m message.Lent, until clock.Time) {
+	if m.Tokens <= 0 {
+		return
+	}
+	a.pouch = append(a.pouch, pouchLoan{from: from, id: m.ID, tokens: m.Tokens, until: until})
+	slices.SortStableFunc(a.pouch, func(p, q pouchLoan) int { return int(p.until.Sub(q.until)) })
+}
--- /dev/null
+++ b/core/process/rate/settings.go
@@ -0,0 +1,83 @@
+package rate
+
+import (
+	"time"
+
+	"oleanderdale.org/core/id"
+)
+
+// The defaults of Settings.
+const (
+	DefaultDrawTimeout = 250 * time.Millisecond
+	DefaultLoanTerm    = 3 * time.Second
+	DefaultLoanMargin  = 500 * time.Millisecond
+	DefaultReadEvery   = 2 * time.Second
+	DefaultHeldEvery   = time.Second
+	DefaultClaimWait   = 4 * time.Second
+	DefaultGiveTimeout = 10 * time.Second
+	DefaultOpTimeout   = 3 * time.Second
+)
+
+const (
+	// demandWindow is the time constant over which demand is averaged.
+	demandWindow = 2 * time.Second
+	// wantHeadroom is how much more rate than the demand is borrowed, and
+	// keepHeadroom how much more than its own demand a lender keeps.
+	wantHeadroom = 1.3
+	keepHeadroom = 1.1
+	// shareEvery is the shortest time between two rounds of borrowing rate.
+	shareEvery = 200 * time.Millisecond
+	// retryMin and retryMax bound the time between two rounds of draws.
+	retryMin = 20 * time.Millisecond
+	retryMax = 250 * time.Millisecond
+	// maxParallel bounds the draws of one round.
+	maxParallel = 16
+	// shunTime is how long a holder that left a draw unanswered is not asked.
+	shunTime = time.Second
+	// maxInvalidWait is how long a request waits for the lease to hold again.
+	maxInvalidWait = 2 * time.Second
+	// tolerance is what floating-point sums may be off, relative to a burst.
+	tolerance = 1e-9
+)
+
+// Settings says who this instance is and how shares are lent. A zero duration
+// stands for its default.
+type Settings struct {
+	Instance id.Instance
+	Zone     id.Zone
+
+	// DrawTimeout bounds the wait for the answers to a round of draws.
+	DrawTimeout time.Duration
+	// LoanTerm is how long a borrower uses a loan, counted from before it
+	// asked; the lender counts LoanMargin more from when it answered. Their
+	// sum must be below the term of the session lease: a dead lender's slot
+	// then passes on only after all its loans have run out.
+	LoanTerm   time.Duration
+	LoanMargin time.Duration
+	ReadEvery  time.Duration // between two readings of the slot rows
+	HeldEvery  time.Duration // between two SlotsHeld
+	// ClaimWait is how long an ended holder's slot is watched before it is
+	// acquired: an instance to which it was handed over while the table was
+	// down says so meanwhile. It has to be several times HeldEvery.
+	ClaimWait   time.Duration
+	GiveTimeout time.Duration // after which a slot that was given in vain is vacated
+	OpTimeout   time.Duration // after which a table operation's fate is unknown
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.DrawTimeout, DefaultDrawTimeout)
+	setDefault(&s.LoanTerm, DefaultLoanTerm)
+	setDefault(&s.LoanMargin, DefaultLoanMargin)
+	setDefault(&s.ReadEvery, DefaultReadEvery)
+	setDefault(&s.HeldEvery, DefaultHeldEvery)
+	setDefault(&s.ClaimWait, DefaultClaimWait)
+	setDefault(&s.GiveTimeout, DefaultGiveTimeout)
+	setDefault(&s.OpTimeout, DefaultOpTimeout)
+	return s
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/oleander/connection/peer/codec.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/message"
+)
+
+// ErrUnknownKind says that a packet carries a message type that this version
+// does not know. It is dropped: the sender may be newer.
+var ErrUnknownKind = errors.New("unknown message kind")
+
+// maxElements bounds arrays and maps in a message, so that a damaged length
+// can't make the decoder allocate without end.
+const maxElements = 1 << 17
+
+// codec turns messages into CBOR and back.
+type codec struct {
+	decode cbor.DecMode
+	kinds  map[reflect.Type]message.Kind
+	types  map[message.Kind]reflect.Type
+}
+
+func newCodec() (*codec, error) {
+	decode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "peer codec")
+	}
+	c := &codec{decode: decode, kinds: make(map[reflect.Type]message.Kind), types: make(map[message.Kind]reflect.Type)}
+	for k, m := range message.Types() {
+		t := reflect.TypeOf(m)
+		c.kinds[t], c.types[k] = k, t
+	}
+	return c, nil
+}
+
+// encode returns the number of m's type and its body.
+func (c *codec) encode(m message.Message) (message.Kind, []byte, error) {
+	k, ok := c.kinds[reflect.TypeOf(m)]
+	if !ok {
+		return 0, nil, errors.Wrapf(ErrUnknownKind, "%T", m)
+	}
+	body, err := cbor.Marshal(m)
+	return k, body, errors.Wrapf(err, "encode %T", m)
+}
+
+// decodeBody returns the message of kind k in body.
+func (c *codec) decodeBody(k message.Kind, body []byte) (message.Message, error) {
+	t, ok := c.types[k]
+	if !ok {
+		return nil, errors.Wrapf(ErrUnknownKind, "%d", k)
+	}
+	v := reflect.New(t)
+	if err := c.decode.Unmarshal(body, v.Interface()); err != nil {
+		return nil, errors.Wrapf(err, "decode %s", t)
+	}
+	return v.Elem().Interface().(message.Message), nil
+}
--- /dev/null
+++ b/oleander/platform/instancelist/instancelist_test.go
@@ -0,0 +1,131 @@
+package instancelist_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/oleander/platform/instancelist"
+	standin "oleanderdale.org/oleander/standin/instancelist"
+)
+
+const (
+	patient = 30 * time.Second // no test waits for it unless it fails
+	hasty   = 500 * time.Millisecond
+	seed    = 1
+)
+
+var (
+	entry   = event.Member{Name: "entry-a-1", Address: "127.0.0.1:7000", Zone: "a"}
+	backend = event.Member{Name: "gpu-a-1", Address: "127.0.0.1:9000", Zone: "a", Group: "gpu"}
+)
+
+func newClient(t *testing.T, url string, timeout time.Duration) *instancelist.Client {
+	t.Helper()
+	c, err := instancelist.New(instancelist.Settings{URL: url, Timeout: timeout})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func newBench(t *testing.T, timeout time.Duration) (*instancelist.Client, *standin.List) {
+	t.Helper()
+	l := standin.New(seed)
+	srv := httptest.NewServer(l)
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { l.Close() })
+	l.Put(backend)
+	l.Put(entry)
+	return newClient(t, srv.URL+standin.ListPath+"?reader=a", timeout), l
+}
+
+func TestRead(t *testing.T) {
+	leaving := backend
+	leaving.Leaving = true
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		change func(*standin.List)
+		want   []event.Member
+	}{
+		{"two entries", standin.Faults{}, func(*standin.List) {}, []event.Member{entry, backend}},
+		{"shuffled", standin.Faults{Shuffle: true}, func(*standin.List) {}, []event.Member{entry, backend}},
+		{"leaving", standin.Faults{}, func(l *standin.List) { l.SetLeaving(backend.Name) }, []event.Member{entry, leaving}},
+		{"deleted", standin.Faults{}, func(l *standin.List) { l.Delete(backend.Name) }, []event.Member{entry}},
+		{"lagging", standin.Faults{Lag: time.Hour}, func(*standin.List) {}, []event.Member{}},
+		// The reader sees a server that is leaving as live again; it is for the
+		// core to keep the sign that it had.
+		{"stale by one change", standin.Faults{Backwards: 1}, func(l *standin.List) { l.SetLeaving(backend.Name) }, []event.Member{entry, backend}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, l := newBench(t, patient)
+			test.change(l)
+			l.SetFaults(test.faults)
+			if got, err := c.Read(context.Background()); err != nil || !reflect.DeepEqual(got, test.want) {
+				t.Errorf("read: %+v, %v; want %+v", got, err, test.want)
+			}
+		})
+	}
+}
+
+// The caller sees a typed error and no list. A list in part would make the
+// missing instances look dead.
+func TestReadFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  standin.Faults
+		timeout time.Duration
+		want    error
+	}{
+		{"down", standin.Faults{Down: true}, patient, instancelist.ErrUnavailable},
+		{"cut off", standin.Faults{CutOff: []string{"a"}}, patient, instancelist.ErrUnavailable},
+		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty, instancelist.ErrUnavailable},
+		{"garbage", standin.Faults{Garbage: 1}, patient, instancelist.ErrDamaged},
+		{"oversized", standin.Faults{Oversized: 1}, patient, instancelist.ErrTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, l := newBench(t, test.timeout)
+			l.SetFaults(test.faults)
+			if got, err := c.Read(context.Background()); got != nil || !errors.Is(err, test.want) {
+				t.Errorf("read: %v, %v; want %v", got, err, test.want)
+			}
+		})
+	}
+}
+
+func TestDamagedLists(t *testing.T) {
+	const good = `{"targets":["127.0.0.1:1"],"labels":{"__meta_oleanderdale_name":"n","__meta_oleanderdale_zone":"a"}}`
+	tests := []struct{ name, body string }{
+		{"null", `null`},
+		{"object", `{}`},
+		{"data after the list", `[] []`},
+		{"unknown field", `[{"target":["127.0.0.1:1"]}]`},
+		{"no name", `[{"targets":["127.0.0.1:1"],"labels":{"__meta_oleanderdale_zone":"a"}}]`},
+		{"no zone", `[{"targets":["127.0.0.1:1"],"labels":{"__meta_oleanderdale_name":"n"}}]`},
+		{"no target", `[{"targets":[],"labels":{"__meta_oleanderdale_name":"n","__meta_oleanderdale_zone":"a"}}]`},
+		{"two targets", `[{"targets":["127.0.0.1:1","127.0.0.1:2"],"labels":{"__meta_oleanderdale_name":"n","__meta_oleanderdale_zone":"a"}}]`},
+		{"no port", `[{"targets":["127.0.0.1"],"labels":{"__meta_oleanderdale_name":"n","__meta_oleanderdale_zone":"a"}}]`},
+		{"port 0", `[{"targets":["127.0.0.1:0"],"labels":{"__meta_oleanderdale_name":"n","__meta_oleanderdale_zone":"a"}}]`},
+		{"bad leaving label", `[{"targets":["127.0.0.1:1"],"labels":{"__meta_oleanderdale_name":"n","__meta_oleanderdale_zone":"a","__meta_oleanderdale_leaving":"soon"}}]`},
+		{"same name twice", `[` + good + `,` + good + `]`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(test.body))
+			}))
+			defer srv.Close()
+			if got, err := newClient(t, srv.URL, patient).Read(context.Background()); got != nil || !errors.Is(err, instancelist.ErrDamaged) {
+				t.Errorf("read: %v, %v", got, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/oleander/platform/internal/wire/wire.go
@@ -0,0 +1,130 @@
+// Package wire holds the HTTP transport that the platform's clients share:
+// it never repeats a request, follows no redirect, asks no proxy and bounds
+// what it reads.
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrTooLarge says that a body is longer than its limit.
+var ErrTooLarge = errors.New("body is too large")
+
+const (
+	dialTimeout   = time.Second
+	tlsTimeout    = 2 * time.Second
+	idleTimeout   = 10 * time.Second
+	idlePerHost   = 16
+	maxHeaderSize = 64 << 10
+)
+
+// Options sets up a client.
+type Options struct {
+	// MaxBody is the longest answer that is read, in bytes.
+	MaxBody int64
+	// Fresh opens a connection for each request.
+	Fresh bool
+}
+
+// NewClient returns an HTTP client that sends each request at most once.
+func NewClient(o Options) *http.Client {
+	return &http.Client{
+		Transport:     NewTransport(o),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// NewTransport returns the transport of NewClient.
+func NewTransport(o Options) http.RoundTripper {
+	base := &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSHandshakeTimeout:    tlsTimeout,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    idlePerHost,
+		MaxResponseHeaderBytes: maxHeaderSize,
+		DisableKeepAlives:      o.Fresh,
+		DisableCompression:     true,
+		Protocols:              new(http.Protocols),
+	}
+	base.Protocols.SetHTTP1(true)
+	return &transport{base: base, maxBody: o.MaxBody}
+}
+
+// transport sends a request once and bounds the answer.
+type transport struct {
+	base    *http.Transport
+	maxBody int64
+}
+
+// RoundTrip implements http.RoundTripper.
+//
+// Failure: net/http sends a request again when a reused connection turns out
+// to be closed. Symptom: a write that took effect is carried out a second
+// time, and its condition then reads as a conflict. Without GetBody the library
+// can't rewind a body, and it repeats no POST or PUT that has one, so each
+// write goes out once.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(trace(r.Context()))
+	r.GetBody = nil
+	resp, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if t.maxBody > 0 {
+		resp.Body = &boundedBody{ReadCloser: resp.Body, left: t.maxBody}
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+type sentKey struct{}
+
+// Sent tells whether any byte of a call can have left this process.
+type Sent struct{ any atomic.Bool }
+
+// Any reports whether a connection was there to send on.
+func (s *Sent) Any() bool { return s.any.Load() }
+
+// WithSent returns a context whose requests are noted in the returned Sent.
+func WithSent(ctx context.Context) (context.Context, *Sent) {
+	s := new(Sent)
+	return context.WithValue(ctx, sentKey{}, s), s
+}
+
+func trace(ctx context.Context) context.Context {
+	s, ok := ctx.Value(sentKey{}).(*Sent)
+	if !ok {
+		return ctx
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { s.any.Store(true) },
+	})
+}
+
+// boundedBody fails with ErrTooLarge once more than left bytes were read.
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if int64(len(p)) > b.left+1 {
+		p = p[:b.left+1]
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return n, ErrTooLarge
+	}
+	return n, err
+}
--- /dev/null
+++ b/oleander/platform/objects/objects.go
@@ -0,0 +1,168 @@
+// Package objects is the client of the platform's object store, which speaks
+// the S3 protocol. Objects are kept under the SHA-256 of their content, so a
+// repeated Put is idempotent and a damaged answer is noticed.
+package objects
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/minio/minio-go/v7"
+	"github.com/minio/minio-go/v7/pkg/credentials"
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/platform/internal/wire"
+)
+
+// The errors of the client.
+var (
+	// ErrNotFound says that the store holds no such object.
+	ErrNotFound = errors.New("object store: no such object")
+	// ErrUnavailable says that the store failed or did not answer in time. A
+	// Put may have taken effect.
+	ErrUnavailable = errors.New("object store: not available")
+	// ErrDamaged says that the content does not have its digest.
+	ErrDamaged = errors.New("object store: content does not match its digest")
+	// ErrTooLarge says that the object is longer than Settings.MaxBytes.
+	ErrTooLarge = errors.New("object store: object is too large")
+	// ErrSettings says that a setting is missing or malformed.
+	ErrSettings = errors.New("object store: bad settings")
+)
+
+// The defaults of Settings.
+const (
+	DefaultTimeout  = 10 * time.Second
+	DefaultMaxBytes = 64 << 20
+)
+
+// slack is what an error answer may take beyond the largest object, in bytes.
+const slack = 64 << 10
+
+// Settings says which bucket to use and how.
+type Settings struct {
+	// Endpoint is the URL of the store, for instance "http://10.0.0.1:9000".
+	Endpoint  string
+	Region    string
+	Bucket    string
+	Prefix    string // put before each object name, for instance "config/"
+	AccessKey string
+	SecretKey string
+	// Timeout ends each call; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// MaxBytes is the largest object; 0 means DefaultMaxBytes.
+	MaxBytes int64
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	core     *minio.Core
+	settings Settings
+}
+
+// New returns a client. It connects to nothing yet; the error is ErrSettings.
+func New(s Settings) (*Client, error) {
+	u, err := url.Parse(s.Endpoint)
+	if err != nil || u.Host == "" || s.Bucket == "" || s.Region == "" {
+		return nil, errors.Wrap(ErrSettings, "endpoint URL, region and bucket are needed")
+	}
+	if s.Timeout == 0 {
+		s.Timeout = DefaultTimeout
+	}
+	if s.MaxBytes == 0 {
+		s.MaxBytes = DefaultMaxBytes
+	}
+	core, err := minio.NewCore(u.Host, &minio.Options{
+		Creds:        credentials.NewStaticV4(s.AccessKey, s.SecretKey, ""),
+		Secure:       u.Scheme == "https",
+		Transport:    wire.NewTransport(wire.Options{MaxBody: s.MaxBytes + slack}),
+		Region:       s.Region,
+		BucketLookup: minio.BucketLookupPath,
+		MaxRetries:   1,
+	})
+	if err != nil {
+		return nil, errors.Wrap(ErrSettings, err.Error())
+	}
+	return &Client{core: core, settings: s}, nil
+}
+
+// Digest returns the digest that body is kept under.
+func Digest(body []byte) id.Digest {
+	sum := sha256.Sum256(body)
+	return id.Digest(hex.EncodeToString(sum[:]))
+}
+
+// Get returns the object with digest d. The error is ErrNotFound,
+// ErrUnavailable, ErrDamaged or ErrTooLarge, wrapped.
+func (c *Client) Get(ctx context.Context, d id.Digest) ([]byte, error) {
+	if !validDigest(d) {
+		return nil, errors.Wrap(ErrNotFound, "not a digest")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
+	defer cancel()
+	r, info, _, err := c.core.GetObject(ctx, c.settings.Bucket, c.name(d), minio.GetObjectOptions{})
+	if err != nil {
+		return nil, convert(err)
+	}
+	defer r.Close()
+	if info.Size > c.settings.MaxBytes {
+		return nil, ErrTooLarge
+	}
+	return c.read(r, d)
+}
+
+func (c *Client) read(r io.Reader, d id.Digest) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, c.settings.MaxBytes+1))
+	if err != nil {
+		return nil, convert(err)
+	}
+	if int64(len(body)) > c.settings.MaxBytes {
+		return nil, ErrTooLarge
+	}
+	if Digest(body) != d {
+		return nil, ErrDamaged
+	}
+	return body, nil
+}
+
+// Put stores body and returns its digest. The error is ErrUnavailable or
+// ErrTooLarge, wrapped; it is safe to repeat the call.
+func (c *Client) Put(ctx context.Context, body []byte) (id.Digest, error) {
+	if int64(len(body)) > c.settings.MaxBytes {
+		return "", ErrTooLarge
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
+	defer cancel()
+	d := Digest(body)
+	opts := minio.PutObjectOptions{DisableContentSha256: true}
+	_, err := c.core.PutObject(ctx, c.settings.Bucket, c.name(d), bytes.NewReader(body), int64(len(body)), "", string(d), opts)
+	if err != nil {
+		return "", convert(err)
+	}
+	return d, nil
+}
+
+func (c *Client) name(d id.Digest) string { return c.settings.Prefix + string(d) }
+
+func validDigest(d id.Digest) bool {
+	b, err := hex.DecodeString(string(d))
+	return err == nil && len(b) == sha256.Size
+}
+
+// convert turns an error of the S3 library into one of this package.
+func convert(err error) error {
+	if errors.Is(err, wire.ErrTooLarge) {
+		return ErrTooLarge
+	}
+	resp := minio.ToErrorResponse(err)
+	if resp.StatusCode == http.StatusNotFound && resp.Code == minio.NoSuchKey {
+		return ErrNotFound
+	}
+	return errors.Wrap(ErrUnavailable, err.Error())
+}
--- /dev/null
+++ b/oleander/platform/objects/objects_test.go
@@ -0,0 +1,161 @@
+package objects_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/platform/objects"
+	standin "oleanderdale.org/oleander/standin/objects"
+)
+
+const (
+	patient  = 30 * time.Second // no test waits for it unless it fails
+	hasty    = 500 * time.Millisecond
+	maxBytes = 1 << 20
+)
+
+func newClient(t *testing.T, url string, timeout time.Duration) *objects.Client {
+	t.Helper()
+	c, err := objects.New(objects.Settings{
+		Endpoint: url, Region: "local", Bucket: "oleanderdale", Prefix: "config/",
+		AccessKey: "zone-a", SecretKey: "secret", Timeout: timeout, MaxBytes: maxBytes,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func newBench(t *testing.T, timeout time.Duration) (*objects.Client, *standin.Store) {
+	t.Helper()
+	s := standin.New()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { s.Close() })
+	return newClient(t, srv.URL, timeout), s
+}
+
+func TestPutAndGet(t *testing.T) {
+	c, s := newBench(t, patient)
+	ctx := context.Background()
+	for _, body := range [][]byte{{}, []byte("small"), bytes.Repeat([]byte("x"), maxBytes)} {
+		d, err := c.Put(ctx, body)
+		if err != nil || d != objects.Digest(body) {
+			t.Fatalf("put of %d bytes: %q, %v", len(body), d, err)
+		}
+		if got, err := c.Get(ctx, d); err != nil || !bytes.Equal(got, body) {
+			t.Fatalf("get of %d bytes: %d bytes, %v", len(body), len(got), err)
+		}
+	}
+	if n := s.Counts(); n.Puts != 3 || n.Gets != 3 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// The caller of Get sees a typed error that says whether to ask again, and
+// never content that does not have the digest it asked for.
+func TestGetFaults(t *testing.T) {
+	body := bytes.Repeat([]byte("content "), 1000)
+	tests := []struct {
+		name    string
+		faults  standin.Faults
+		timeout time.Duration
+		want    error
+	}{
+		{"down", standin.Faults{Down: true}, patient, objects.ErrUnavailable},
+		{"cut off", standin.Faults{CutOff: []string{"zone-a"}}, patient, objects.ErrUnavailable},
+		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty, objects.ErrUnavailable},
+		{"internal error", standin.Faults{InternalErrors: 1}, patient, objects.ErrUnavailable},
+		{"damaged", standin.Faults{Damage: 1}, patient, objects.ErrDamaged},
+		{"truncated", standin.Faults{Truncate: 1}, patient, objects.ErrUnavailable},
+		{"longer than stored", standin.Faults{Oversized: 10}, patient, objects.ErrDamaged},
+		{"oversized", standin.Faults{Oversized: maxBytes}, patient, objects.ErrTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, s := newBench(t, test.timeout)
+			d, err := c.Put(context.Background(), body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.SetFaults(test.faults)
+			if got, err := c.Get(context.Background(), d); got != nil || !errors.Is(err, test.want) {
+				t.Errorf("get: %d bytes, %v; want %v", len(got), err, test.want)
+			}
+		})
+	}
+}
+
+// The caller of Put sees ErrUnavailable when the answer is lost after the
+// effect. The object is there, and the repeated call does no harm.
+func TestPutFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  standin.Faults
+		timeout time.Duration
+	}{
+		{"down", standin.Faults{Down: true}, patient},
+		{"answer lost after effect", standin.Faults{LoseAnswers: 1}, patient},
+		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty},
+		{"internal error", standin.Faults{InternalErrors: 1}, patient},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, s := newBench(t, test.timeout)
+			body := []byte("configuration")
+			s.SetFaults(test.faults)
+			if _, err := c.Put(context.Background(), body); !errors.Is(err, objects.ErrUnavailable) {
+				t.Errorf("put: %v", err)
+			}
+			stored := s.Counts().Puts
+			s.SetFaults(standin.Faults{})
+			d, err := c.Put(context.Background(), body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := c.Get(context.Background(), d); err != nil || !bytes.Equal(got, body) {
+				t.Errorf("get: %q, %v", got, err)
+			}
+			if lost := test.faults.LoseAnswers; stored != uint64(lost) {
+				t.Errorf("%d puts took effect, want %d", stored, lost)
+			}
+		})
+	}
+}
+
+func TestRefusedWithoutACall(t *testing.T) {
+	c, s := newBench(t, patient)
+	if _, err := c.Put(context.Background(), make([]byte, maxBytes+1)); !errors.Is(err, objects.ErrTooLarge) {
+		t.Errorf("oversized put: %v", err)
+	}
+	if _, err := c.Get(context.Background(), "../other"); !errors.Is(err, objects.ErrNotFound) {
+		t.Errorf("get of no digest: %v", err)
+	}
+	if n := s.Counts(); n.Puts+n.Gets != 0 {
+		t.Errorf("%+v", n)
+	}
+}
+
+func TestNotFound(t *testing.T) {
+	c, _ := newBench(t, patient)
+	if _, err := c.Get(context.Background(), objects.Digest([]byte("never put"))); !errors.Is(err, objects.ErrNotFound) {
+		t.Errorf("get: %v", err)
+	}
+}
+
+func TestNothingListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + l.Addr().String()
+	l.Close()
+	if _, err := newClient(t, url, patient).Get(context.Background(), objects.Digest(nil)); !errors.Is(err, objects.ErrUnavailable) {
+		t.Errorf("get: %v", err)
+	}
+}
--- /dev/null
+++ b/oleander/process/certs/certs.go
@@ -0,0 +1,122 @@
+// Package certs makes the certificates with which the instances of a
+// deployment recognise one another: one authority, and one certificate signed
+// by it. The authority's private key is thrown away, so that no further
+// certificate can be made from the files.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The names of the files.
+const (
+	FileCA   = "ca.pem"
+	FileCert = "instance.pem"
+	FileKey  = "instance-key.pem"
+)
+
+const (
+	skew       = time.Hour // certificates are valid from before now, for clocks that are behind
+	serialBits = 120
+	modePublic = 0o644
+	modeSecret = 0o600
+)
+
+// Write makes a new authority and certificate, valid for the given time, and
+// writes the three files into dir, which must exist. It overwrites nothing.
+func Write(dir string, valid time.Duration) error {
+	caKey, ca, err := authority(valid)
+	if err != nil {
+		return err
+	}
+	key, cert, err := instance(ca, caKey, valid)
+	if err != nil {
+		return err
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "certs: encode the private key")
+	}
+	for _, f := range []struct {
+		name, kind string
+		body       []byte
+		mode       os.FileMode
+	}{
+		{FileCA, "CERTIFICATE", ca.Raw, modePublic},
+		{FileCert, "CERTIFICATE", cert, modePublic},
+		{FileKey, "PRIVATE KEY", secret, modeSecret},
+	} {
+		if err := writeNew(filepath.Join(dir, f.name), pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.body}), f.mode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeNew(path string, body []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return errors.Wrap(err, "certs")
+	}
+	if _, err := f.Write(body); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "certs")
+	}
+	return errors.Wrap(f.Close(), "certs")
+}
+
+func authority(valid time.Duration) (*ecdsa.PrivateKey, *x509.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "certs: new key")
+	}
+	t, err := template("oleanderdale instances", valid)
+	if err != nil {
+		return nil, nil, err
+	}
+	t.IsCA, t.BasicConstraintsValid, t.KeyUsage = true, true, x509.KeyUsageCertSign
+	raw, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "certs: sign the authority")
+	}
+	cert, err := x509.ParseCertificate(raw)
+	return key, cert, errors.Wrap(err, "certs: parse the authority")
+}
+
+func instance(ca *x509.Certificate, caKey *ecdsa.PrivateKey, valid time.Duration) (*ecdsa.PrivateKey, []byte, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "certs: new key")
+	}
+	t, err := template("oleanderdale instance", valid)
+	if err != nil {
+		return nil, nil, err
+	}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	raw, err := x509.CreateCertificate(rand.Reader, t, ca, &key.PublicKey, caKey)
+	return key, raw, errors.Wrap(err, "certs: sign the certificate")
+}
+
+func template(name string, valid time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "certs: serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name},
+		NotBefore: now.Add(-skew), NotAfter: now.Add(valid),
+	}, nil
+}
--- /dev/null
+++ b/oleander/process/daemon/admin.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"oleanderdale.org/core/instance"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// Status is the answer of GET /status.
+type Status struct {
+	Instance   string `json:"instance"`
+	Zone       string `json:"zone"`
+	Version    uint64 `json:"version"`
+	Ready      bool   `json:"ready"`
+	HeardAgeMS int64  `json:"heard_age_ms"` // since the version was last confirmed to be the newest; -1: never
+	instance.Status
+}
+
+// adminHandler serves health, status, burn and metrics. None of it needs a key, so the
+// address belongs on the operators' network.
+func (i *Instance) adminHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	r.HandleFunc("/readyz", i.readyz)
+	r.HandleFunc("/status", i.status)
+	r.HandleFunc("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.burn.Snapshot()) })
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return r
+}
+
+func (i *Instance) readyz(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-i.stopping:
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	default:
+	}
+	if !i.front.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (i *Instance) status(w http.ResponseWriter, _ *http.Request) {
+	var s Status
+	if !i.loop.Ask(func() { s = i.snapshot() }) {
+		http.Error(w, "stopped", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, s)
+}
+
+func (i *Instance) snapshot() Status {
+	now := boottime.Now()
+	core := i.core.Status(now)
+	s := Status{
+		Instance: string(i.name), Zone: i.settings.Zone, Ready: i.front.Ready(),
+		HeardAgeMS: -1, Status: core,
+	}
+	if c := i.Config(); c != nil {
+		s.Version = uint64(c.Version)
+		if core.Heard {
+			s.HeardAgeMS = core.HeardAge.Milliseconds()
+		}
+	}
+	return s
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/oleander/process/daemon/daemon.go
@@ -0,0 +1,288 @@
+// Package daemon is the entry instance: it puts the core, its event loop and
+// the connections together, runs them, and stops them without cutting a call.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/instance"
+	"oleanderdale.org/core/invariant"
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/oleander/connection/peer"
+	"oleanderdale.org/oleander/connection/upstream"
+	"oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/platform/instancelist"
+	"oleanderdale.org/oleander/platform/objects"
+	"oleanderdale.org/oleander/platform/tablesvc"
+	"oleanderdale.org/oleander/process/burn"
+	"oleanderdale.org/oleander/process/loop"
+	"oleanderdale.org/oleander/process/metric"
+	"oleanderdale.org/oleander/request/front"
+)
+
+func itoa(v int64) string { return strconv.FormatInt(v, 10) }
+
+// Instance is one running entry instance.
+type Instance struct {
+	settings Settings
+	name     id.Instance
+	log      zerolog.Logger
+	core     *instance.Instance
+	loop     *loop.Loop
+	front    *front.Front
+	peers    *peer.Transport
+	upstream *upstream.Client
+	list     *instancelist.Client
+	executor *executor
+	burn     *burn.Recorder
+	admin    *http.Server
+
+	callers, admins, others net.Listener
+	cancel                  context.CancelFunc
+	ctx                     context.Context
+	running                 sync.WaitGroup
+	stopOnce                sync.Once
+	stopping                chan struct{}
+	done                    chan struct{}
+}
+
+// New connects nothing yet, but listens on all three addresses, so that a
+// wrong one is an error here.
+func New(s Settings, log zerolog.Logger) (*Instance, error) {
+	name, err := newInstance(s.Name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &Instance{
+		settings: s, name: name, ctx: ctx, cancel: cancel,
+		log:      log.With().Str("instance", string(name)).Str("zone", s.Zone).Logger(),
+		upstream: upstream.New(), burn: burn.New(), stopping: make(chan struct{}), done: make(chan struct{}),
+	}
+	if err := i.build(); err != nil {
+		i.closeListeners()
+		cancel()
+		return nil, err
+	}
+	return i, nil
+}
+
+// build makes the parts.
+func (i *Instance) build() error {
+	if err := i.listen(); err != nil {
+		return err
+	}
+	x, err := i.clients()
+	if err != nil {
+		return err
+	}
+	i.core = instance.New(i.coreSettings(), invariant.Reporting(i.violated))
+	i.loop = loop.New(i.core, i.log)
+	fs := front.DefaultSettings()
+	fs.Instance, fs.MaxBody, fs.MaxConnections, fs.DefaultDeadline = i.name, i.settings.MaxBody, i.settings.MaxConnections, i.settings.Deadline
+	i.front = front.New(fs, i.loop, i.upstream, x.inForce.Load, i.burn.Observe, i.log)
+	server, client, err := peerTLS(i.settings.TLSCA, i.settings.TLSCert, i.settings.TLSKey)
+	if err != nil {
+		return err
+	}
+	i.peers, err = peer.New(peer.Settings{
+		Self: i.name, Name: i.settings.Name, Server: server, Client: client, Log: i.log,
+		Receive: func(from id.Instance, m message.Message) { i.loop.Offer(event.PeerMessage{From: from, Message: m}) },
+	})
+	if err != nil {
+		return err
+	}
+	x.loop, x.front, x.peers = i.loop, i.front, i.peers
+	i.executor = x
+	i.admin = &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+func (i *Instance) listen() error {
+	for _, l := range []struct {
+		to      *net.Listener
+		flag    string
+		address string
+	}{{&i.callers, "listen", i.settings.Listen}, {&i.admins, "admin", i.settings.Admin}, {&i.others, "peer", i.settings.Peer}} {
+		var err error
+		if *l.to, err = net.Listen("tcp", l.address); err != nil {
+			return errors.Wrapf(err, "daemon: --%s=%s", l.flag, l.address)
+		}
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range []net.Listener{i.callers, i.admins, i.others} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// clients makes the clients of the platform and of the engines.
+func (i *Instance) clients() (*executor, error) {
+	s := i.settings
+	t, err := tablesvc.New(tablesvc.Settings{
+		Endpoint: s.TableURL, Region: s.TableRegion, Table: s.TableName,
+		AccessKey: s.TableKey, SecretKey: s.TableSecret, Timeout: s.TableLimit,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: table service")
+	}
+	o, err := objects.New(objects.Settings{
+		Endpoint: s.ObjectURL, Region: s.TableRegion, Bucket: s.Bucket, AccessKey: s.ObjectKey, SecretKey: s.ObjectPass,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: object store")
+	}
+	if i.list, err = instancelist.New(instancelist.Settings{URL: s.ListURL}); err != nil {
+		return nil, errors.Wrap(err, "daemon: instance list")
+	}
+	x := &executor{
+		ctx: i.ctx, table: t, objects: o, engines: engine.New(engine.Settings{}), upstream: i.upstream, log: i.log,
+		limit: s.TableLimit, slots: make(chan struct{}, tableAtOnce), stopped: make(chan struct{}),
+	}
+	x.sizes = func(a id.Artifact) (int64, time.Duration) {
+		c := x.inForce.Load()
+		if c == nil {
+			return 0, 0
+		}
+		return c.Artifacts[a].Bytes, c.Artifacts[a].LoadTime
+	}
+	return x, nil
+}
+
+func (i *Instance) coreSettings() instance.Settings {
+	return instance.Settings{
+		Instance: i.name, Zone: id.Zone(i.settings.Zone), Address: i.settings.Advertise,
+		LeaseTerm: i.settings.LeaseTerm, DrainDelay: i.settings.DrainDelay, Grace: i.settings.Grace,
+	}
+}
+
+func (i *Instance) violated(v invariant.Violation) {
+	metric.Violation(v.Name).Inc()
+	i.log.Error().Str("invariant", v.Name).Str("detail", v.Detail).Msg("daemon: invariant violated")
+}
+
+// Name returns the name of this run.
+func (i *Instance) Name() id.Instance { return i.name }
+
+// CallersAddress returns the address that callers use.
+func (i *Instance) CallersAddress() string { return i.callers.Addr().String() }
+
+// AdminAddress returns the address of health, status and metrics.
+func (i *Instance) AdminAddress() string { return i.admins.Addr().String() }
+
+// Config returns the configuration in force, nil if there is none yet.
+func (i *Instance) Config() *config.Config { return i.executor.inForce.Load() }
+
+// Run serves until Stop has been carried out or ctx ends. A ctx that ends
+// stops it at once.
+func (i *Instance) Run(ctx context.Context) error {
+	defer close(i.done)
+	i.log.Info().Str("callers", i.CallersAddress()).Str("admin", i.AdminAddress()).Msg("daemon: started")
+	failed := make(chan error, 3)
+	i.spawn(func() { i.loop.Run(i.ctx, i.executor) })
+	i.spawn(func() { failed <- notClosed(i.peers.Serve(i.others)) })
+	i.spawn(func() { failed <- notClosed(i.admin.Serve(i.admins)) })
+	i.spawn(func() { failed <- notClosed(i.front.Serve(i.callers)) })
+	i.spawn(i.readList)
+	err := i.wait(ctx, failed)
+	i.shutdown()
+	return err
+}
+
+func (i *Instance) spawn(f func()) {
+	i.running.Add(1)
+	go func() {
+		defer i.running.Done()
+		f()
+	}()
+}
+
+// wait returns when there is a reason to end: all is handed over, ctx has
+// ended, or something failed for good.
+func (i *Instance) wait(ctx context.Context, failed <-chan error) error {
+	for {
+		select {
+		case <-i.executor.stopped:
+			return nil
+		case <-ctx.Done():
+			i.log.Warn().Msg("daemon: stopped at once")
+			return nil
+		case err := <-failed:
+			if err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func notClosed(err error) error {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop asks for a graceful shutdown; Run returns when it is done.
+func (i *Instance) Stop() {
+	i.stopOnce.Do(func() {
+		close(i.stopping)
+		i.log.Info().Msg("daemon: graceful shutdown began")
+		i.front.SetReady(false)
+		i.loop.Post(event.StopRequested{})
+	})
+}
+
+// shutdown ends the connections. Calls that are still running here are past
+// the grace time.
+func (i *Instance) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = i.front.Server().Shutdown(ctx)
+	_ = i.front.Server().Close()
+	i.peers.Close()
+	_ = i.admin.Close()
+	i.cancel()
+	i.upstream.Close()
+	i.running.Wait()
+	i.log.Info().Msg("daemon: stopped")
+}
+
+// readList reads the platform's instance list over and over.
+func (i *Instance) readList() {
+	t := time.NewTicker(i.settings.ListEvery)
+	defer t.Stop()
+	for {
+		members, err := i.list.Read(i.ctx)
+		switch {
+		case err == nil:
+			for _, m := range members {
+				if m.Group == "" {
+					i.peers.Learn(id.Instance(m.Name), m.Address)
+				}
+			}
+			i.loop.Post(event.ListRead{Members: members})
+		case i.ctx.Err() == nil:
+			i.log.Warn().Err(err).Msg("daemon: instance list not read")
+		}
+		select {
+		case <-t.C:
+		case <-i.ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/oleander/process/daemon/executor.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/table"
+	"oleanderdale.org/oleander/connection/peer"
+	"oleanderdale.org/oleander/connection/upstream"
+	"oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/process/boottime"
+	"oleanderdale.org/oleander/process/loop"
+	"oleanderdale.org/oleander/process/metric"
+	"oleanderdale.org/oleander/request/front"
+	"oleanderdale.org/oleander/version/configcodec"
+)
+
+const (
+	// tableAtOnce bounds table operations under way. While the table hangs,
+	// further ones fail at once, so that a caller's order is refused in time.
+	tableAtOnce = 64
+	// engineLimit bounds one call to an engine's control interface.
+	engineLimit = 2 * time.Second
+	objectLimit = 5 * time.Second
+)
+
+// tableService is what the executor needs of the table client.
+type tableService interface {
+	Read(ctx context.Context, keys []table.Key) ([]table.Row, table.Outcome)
+	Scan(ctx context.Context, kind table.Kind, prefix string) ([]table.Row, table.Outcome)
+	Commit(ctx context.Context, writes []table.Write) table.Outcome
+}
+
+// objectStore is what the executor needs of the object client.
+type objectStore interface {
+	Get(ctx context.Context, d id.Digest) ([]byte, error)
+}
+
+// executor carries out the effects of the core.
+type executor struct {
+	ctx      context.Context
+	loop     *loop.Loop
+	front    *front.Front
+	peers    *peer.Transport
+	table    tableService
+	objects  objectStore
+	engines  *engine.Client
+	upstream *upstream.Client
+	log      zerolog.Logger
+	limit    time.Duration // of a table operation
+	slots    chan struct{}
+	inForce  atomic.Pointer[config.Config]
+	stopped  chan struct{}
+	stopOnce sync.Once
+	sizes    func(id.Artifact) (bytes int64, load time.Duration)
+}
+
+// Execute implements loop.Executor.
+func (x *executor) Execute(e event.Effect) {
+	switch e := e.(type) {
+	case event.SendPeer:
+		x.peers.Send(e.To, e.Message)
+	case event.Dispatch:
+		x.front.Deliver(e.Request, e)
+	case event.Answer:
+		x.front.Deliver(e.Request, e)
+	case event.Refuse:
+		x.front.Deliver(e.Request, e)
+	case event.Cancel:
+		x.front.Deliver(e.Request, e)
+	case event.OrderBackend:
+		go x.order(e)
+	case event.AskReport:
+		go x.report(e)
+	case event.AskOutcome:
+		go x.outcome(e)
+	case event.Ready:
+		x.front.SetReady(e.Ready)
+		x.log.Info().Bool("ready", e.Ready).Msg("daemon: readiness changed")
+	case event.InForce:
+		x.inForce.Store(e.Config)
+		x.log.Info().Uint64("version", uint64(e.Config.Version)).Msg("daemon: configuration in force")
+	case event.Stopped:
+		x.stopOnce.Do(func() { close(x.stopped) })
+	default:
+		x.platform(e)
+	}
+}
+
+// platform carries out the effects on the platform's services.
+func (x *executor) platform(e event.Effect) {
+	switch e := e.(type) {
+	case event.TableRead:
+		x.tableOp("read", e.Op, func(ctx context.Context) ([]table.Row, table.Outcome) { return x.table.Read(ctx, e.Keys) })
+	case event.TableScan:
+		x.tableOp("scan", e.Op, func(ctx context.Context) ([]table.Row, table.Outcome) { return x.table.Scan(ctx, e.Kind, e.Prefix) })
+	case event.TableCommit:
+		x.tableOp("commit", e.Op, func(ctx context.Context) ([]table.Row, table.Outcome) { return nil, x.table.Commit(ctx, e.Writes) })
+	case event.ObjectGet:
+		go x.object(e.Digest)
+	case event.DecodeConfig:
+		go x.decode(e)
+	case event.EncodeConfig:
+		go x.encode(e)
+	default:
+		x.log.Error().Type("effect", e).Msg("daemon: unknown effect")
+	}
+}
+
+// tableOp runs one table operation and posts its result.
+func (x *executor) tableOp(kind string, op event.Op, f func(context.Context) ([]table.Row, table.Outcome)) {
+	select {
+	case x.slots <- struct{}{}:
+	default:
+		metric.TableOperation(kind, "crowded").Inc()
+		go x.loop.Post(event.TableResult{Op: op, Outcome: table.NotDone})
+		return
+	}
+	go func() {
+		defer func() { <-x.slots }()
+		ctx, cancel := context.WithTimeout(x.ctx, x.limit)
+		defer cancel()
+		rows, outcome := f(ctx)
+		metric.TableOperation(kind, outcome.String()).Inc()
+		x.loop.Post(event.TableResult{Op: op, Outcome: outcome, Rows: rows})
+	}()
+}
+
+func (x *executor) object(d id.Digest) {
+	ctx, cancel := context.WithTimeout(x.ctx, objectLimit)
+	defer cancel()
+	body, err := x.objects.Get(ctx, d)
+	if err != nil {
+		x.log.Warn().Err(err).Msg("daemon: object not read")
+	}
+	x.loop.Post(event.ObjectResult{Digest: d, OK: err == nil, Body: body})
+}
+
+func (x *executor) order(e event.OrderBackend) {
+	// The order may have waited here, or the process may have been paused
+	// since it was decided. Past NotAfter another instance may own the server,
+	// and an order sent now would load what nobody decided. A server that
+	// checks fencing numbers refuses it anyway; for the others this is the
+	// last check, and the new owner waits out what is under way already.
+	if boottime.Now() > e.NotAfter {
+		metric.Orders(string(e.Kind), "late").Inc()
+		x.loop.Post(event.OrderAnswered{Backend: e.Backend, Order: e.Order, Result: event.OrderUnknown})
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, engineLimit)
+	defer cancel()
+	size, load := x.sizes(e.Artifact)
+	result := x.engines.Order(ctx, e.Address, engine.OrderRequest{
+		Order: e.Order, Kind: e.Kind, Artifact: e.Artifact, Bytes: size, LoadTime: load, Fencing: e.Fencing,
+	})
+	metric.Orders(string(e.Kind), orderResults[result]).Inc()
+	x.loop.Post(event.OrderAnswered{Backend: e.Backend, Order: e.Order, Result: result})
+}
+
+var orderResults = map[event.OrderResult]string{
+	event.OrderAccepted: "accepted", event.OrderRefused: "refused",
+	event.OrderOldFencing: "old-fencing", event.OrderUnknown: "unknown",
+}
+
+func (x *executor) report(e event.AskReport) {
+	asked := boottime.Now()
+	ctx, cancel := context.WithTimeout(x.ctx, engineLimit)
+	defer cancel()
+	r, err := x.engines.Report(ctx, e.Address)
+	x.loop.Post(event.BackendReport{Backend: e.Backend, Asked: asked, OK: err == nil, Report: r})
+}
+
+func (x *executor) decode(e event.DecodeConfig) {
+	done := configcodec.Decode(e)
+	if done.Err != "" {
+		x.log.Error().Str("reason", done.Err).Msg("daemon: configuration not decoded")
+	}
+	x.loop.Post(done)
+}
+
+func (x *executor) encode(e event.EncodeConfig) { x.loop.Post(configcodec.Encode(e)) }
+
+// outcome asks a plain service what came of a call. Whatever is not a clear
+// answer counts as not known.
+func (x *executor) outcome(e event.AskOutcome) {
+	ctx, cancel := context.WithTimeout(x.ctx, engineLimit)
+	defer cancel()
+	status, kind, body, err := x.upstream.Outcome(ctx, e.Address, e.Path, string(e.Account))
+	if err != nil {
+		x.log.Warn().Err(err).Str("request", string(e.Request)).Msg("daemon: outcome not known")
+	}
+	x.loop.Post(event.OutcomeTold{Request: e.Request, Known: err == nil, Status: status, Type: kind, Body: body})
+}
--- /dev/null
+++ b/oleander/process/daemon/settings.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/url"
+	"regexp"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/id"
+)
+
+// Settings of oleanderd. Each is a flag and an environment variable.
+type Settings struct {
+	Name  string `help:"Name under which the platform's instance list knows this instance." env:"OLEANDERD_NAME" required:""`
+	Zone  string `help:"Availability zone of this instance." env:"OLEANDERD_ZONE" required:""`
+	Debug bool   `help:"Log at debug level." env:"OLEANDERD_DEBUG"`
+
+	Listen    string `help:"Address for callers, IP:port." env:"OLEANDERD_LISTEN" default:"127.0.0.1:8080"`
+	Admin     string `help:"Address for health, status and metrics, IP:port." env:"OLEANDERD_ADMIN" default:"127.0.0.1:8081"`
+	Peer      string `help:"Address for other instances, IP:port." env:"OLEANDERD_PEER" default:"127.0.0.1:8082"`
+	Advertise string `help:"Address at which other instances reach this one; the peer address if empty." env:"OLEANDERD_ADVERTISE"`
+
+	TableURL    string `help:"URL of the table service." env:"OLEANDERD_TABLE_URL" required:""`
+	TableName   string `help:"Table to use." env:"OLEANDERD_TABLE_NAME" default:"oleanderdale"`
+	TableRegion string `help:"Region name for the table service." env:"OLEANDERD_TABLE_REGION" default:"local"`
+	TableKey    string `help:"Access key for the table service." env:"OLEANDERD_TABLE_KEY" default:"local"`
+	TableSecret string `help:"Secret for the table service." env:"OLEANDERD_TABLE_SECRET" default:"local"`
+	ObjectURL   string `help:"URL of the object store." env:"OLEANDERD_OBJECT_URL" required:""`
+	Bucket      string `help:"Bucket to use." env:"OLEANDERD_BUCKET" default:"oleanderdale"`
+	ObjectKey   string `help:"Access key for the object store." env:"OLEANDERD_OBJECT_KEY" default:"local"`
+	ObjectPass  string `help:"Secret for the object store." env:"OLEANDERD_OBJECT_SECRET" default:"localsecret"`
+	ListURL     string `help:"URL of the platform's instance list." env:"OLEANDERD_LIST_URL" required:""`
+
+	TLSCA   string `name:"tls-ca" help:"File with the certificate authority of the instances (PEM)." env:"OLEANDERD_TLS_CA" type:"existingfile" required:""`
+	TLSCert string `name:"tls-cert" help:"File with this instance's certificate (PEM)." env:"OLEANDERD_TLS_CERT" type:"existingfile" required:""`
+	TLSKey  string `name:"tls-key" help:"File with this instance's private key (PEM)." env:"OLEANDERD_TLS_KEY" type:"existingfile" required:""`
+
+	LeaseTerm  time.Duration `help:"Term of the session lease." env:"OLEANDERD_LEASE_TERM" default:"9s"`
+	ListEvery  time.Duration `help:"How often the instance list is read." env:"OLEANDERD_LIST_EVERY" default:"1s"`
+	TableLimit time.Duration `help:"Time limit of one table operation." env:"OLEANDERD_TABLE_LIMIT" default:"2s"`
+	DrainDelay time.Duration `help:"How long new calls are still taken after SIGTERM, so that the balancer sees it." env:"OLEANDERD_DRAIN_DELAY" default:"2s"`
+	Grace      time.Duration `help:"How long running calls may take to end after that." env:"OLEANDERD_GRACE" default:"60s"`
+
+	MaxBody        int64         `help:"Largest body of a call, in bytes." env:"OLEANDERD_MAX_BODY" default:"4194304"`
+	MaxConnections int           `help:"Most open connections of callers." env:"OLEANDERD_MAX_CONNECTIONS" default:"4096"`
+	Deadline       time.Duration `help:"Deadline of calls that name none." env:"OLEANDERD_DEADLINE" default:"60s"`
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// least and most of the durations, with the reason that a user is told.
+const (
+	leastTerm  = 2 * time.Second
+	mostTerm   = 5 * time.Minute
+	leastEvery = 50 * time.Millisecond
+)
+
+// SettingError names a setting that can't be used.
+type SettingError struct {
+	Flag    string
+	Value   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *SettingError) Error() string {
+	return "--" + e.Flag + "=" + e.Value + ": allowed is " + e.Allowed
+}
+
+// Validate checks each setting; kong calls it.
+func (s *Settings) Validate() error {
+	if s.Advertise == "" {
+		s.Advertise = s.Peer
+	}
+	checks := []func() error{
+		func() error { return pattern("name", s.Name) },
+		func() error { return pattern("zone", s.Zone) },
+		func() error { return address("listen", s.Listen) },
+		func() error { return address("admin", s.Admin) },
+		func() error { return address("peer", s.Peer) },
+		func() error { return address("advertise", s.Advertise) },
+		func() error { return httpURL("table-url", s.TableURL) },
+		func() error { return httpURL("object-url", s.ObjectURL) },
+		func() error { return httpURL("list-url", s.ListURL) },
+		func() error { return within("lease-term", s.LeaseTerm, leastTerm, mostTerm) },
+		func() error { return within("list-every", s.ListEvery, leastEvery, time.Minute) },
+		func() error { return within("table-limit", s.TableLimit, leastEvery, s.LeaseTerm/2) },
+		func() error { return within("drain-delay", s.DrainDelay, 0, time.Minute) },
+		func() error { return within("grace", s.Grace, 0, time.Hour) },
+		func() error { return within("deadline", s.Deadline, time.Second, 24*time.Hour) },
+		func() error { return number("max-body", s.MaxBody, 1024, 64<<20) },
+		func() error { return number("max-connections", int64(s.MaxConnections), 1, 1<<20) },
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pattern(flag, v string) error {
+	if namePattern.MatchString(v) {
+		return nil
+	}
+	return &SettingError{flag, v, "lower-case letters, digits and hyphens, 63 at most"}
+}
+
+func address(flag, v string) error {
+	host, _, err := net.SplitHostPort(v)
+	if err == nil && net.ParseIP(host) != nil {
+		return nil
+	}
+	return &SettingError{flag, v, "an IP number and a port, such as 10.0.0.1:8080"}
+}
+
+func httpURL(flag, v string) error {
+	u, err := url.Parse(v)
+	if err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" {
+		return nil
+	}
+	return &SettingError{flag, v, "a URL that starts with http:// or https://"}
+}
+
+func within(flag string, v, least, most time.Duration) error {
+	if v >= least && v <= most {
+		return nil
+	}
+	return &SettingError{flag, v.String(), least.String() + " to " + most.String()}
+}
+
+func number(flag string, v, least, most int64) error {
+	if v >= least && v <= most {
+		return nil
+	}
+	return &SettingError{flag, itoa(v), itoa(least) + " to " + itoa(most)}
+}
+
+// newInstance returns the name of this run of the instance: the platform's
+// name and a random part, so that a restarted process is never taken for the
+// one before it.
+func newInstance(name string) (id.Instance, error) {
+	var b [6]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return "", errors.Wrap(err, "daemon: no random numbers")
+	}
+	return id.Instance(name + "." + hex.EncodeToString(b[:])), nil
+}
--- /dev/null
+++ b/oleander/process/dev/dev.go
@@ -0,0 +1,334 @@
+// Package dev runs a whole small deployment in one process, on the loopback
+// interface, for trying out: entry instances in three availability zones and
+// stand-ins of the platform, the model engines and the plain services.
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	_ "embed"
+	"encoding/base32"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/platform/objects"
+	"oleanderdale.org/oleander/platform/tablesvc"
+	"oleanderdale.org/oleander/process/certs"
+	"oleanderdale.org/oleander/process/daemon"
+	"oleanderdale.org/oleander/standin/deployment"
+	"oleanderdale.org/oleander/standin/engine"
+	"oleanderdale.org/oleander/version/configfile"
+	"oleanderdale.org/oleander/version/publish"
+)
+
+// Settings of the development deployment.
+type Settings struct {
+	Port      int           `help:"First port; each instance takes the next ten: callers, admin, peers." env:"OLEANDER_DEV_PORT" default:"8080"`
+	Instances int           `help:"Entry instances in each availability zone." env:"OLEANDER_DEV_INSTANCES" default:"2"`
+	Engines   int           `help:"Model engines in each availability zone." env:"OLEANDER_DEV_ENGINES" default:"2"`
+	TokenTime time.Duration `help:"Time that the stand-in engines take for a token." env:"OLEANDER_DEV_TOKEN_TIME" default:"20ms"`
+	Verbose   bool          `help:"Show the instances' logs." env:"OLEANDER_DEV_VERBOSE"`
+
+	Out io.Writer `kong:"-"` // where the addresses and the key are printed; standard output if nil
+}
+
+//go:embed dev.yaml
+var devYAML []byte
+
+const (
+	keyBytes    = 20
+	certValid   = 24 * time.Hour
+	readyLimit  = 30 * time.Second
+	portsEach   = 10
+	loopback    = "127.0.0.1"
+	stopLimit   = 20 * time.Second
+	most        = 20 // instances or engines in a zone
+	tableName   = "oleanderdale"
+	bucket      = "oleanderdale"
+	credential  = "local"
+	objectPass  = "localsecret"
+	tableRegion = "local"
+)
+
+// Validate checks the settings; kong calls it.
+func (s *Settings) Validate() error {
+	switch {
+	case s.Port < 1024 || s.Port > 60000:
+		return errors.Errorf("--port=%d: allowed is 1024 to 60000", s.Port)
+	case s.Instances < 1 || s.Instances > most:
+		return errors.Errorf("--instances=%d: allowed is 1 to %d", s.Instances, most)
+	case s.Engines < 1 || s.Engines > most:
+		return errors.Errorf("--engines=%d: allowed is 1 to %d", s.Engines, most)
+	case s.TokenTime < 0 || s.TokenTime > time.Second:
+		return errors.Errorf("--token-time=%s: allowed is 0s to 1s", s.TokenTime)
+	}
+	return nil
+}
+
+// Deployment is a running development deployment.
+type Deployment struct {
+	Key       string // of account technicians
+	Instances []*daemon.Instance
+	Platform  *deployment.Platform
+	Backends  []*deployment.Backends
+	Config    *config.Config
+
+	settings Settings
+	dir      string // of the certificates
+	running  sync.WaitGroup
+	failed   chan error
+}
+
+// Run runs the deployment until ctx ends, and stops it gracefully.
+func Run(ctx context.Context, s Settings) error {
+	d, err := Start(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	out := s.Out
+	if out == nil {
+		out = os.Stdout
+	}
+	d.printUse(out)
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-d.failed:
+		return err
+	}
+}
+
+// Start starts the deployment and returns when all instances are ready.
+func Start(ctx context.Context, s Settings) (*Deployment, error) {
+	d := &Deployment{settings: s, failed: make(chan error, 1)}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	var err error
+	if d.Key, d.Config, err = devConfig(); err != nil {
+		return err
+	}
+	if d.Platform, err = deployment.StartPlatform(deployment.PlatformAddresses{}); err != nil {
+		return err
+	}
+	if err := d.startBackends(); err != nil {
+		return err
+	}
+	if err := d.publish(ctx); err != nil {
+		return err
+	}
+	if err := d.startInstances(); err != nil {
+		return err
+	}
+	return d.awaitReady(ctx)
+}
+
+// devConfig returns a new key and the configuration that holds its digest.
+func devConfig() (string, *config.Config, error) {
+	b := make([]byte, keyBytes)
+	if _, err := rand.Read(b); err != nil {
+		return "", nil, errors.Wrap(err, "dev: no random numbers")
+	}
+	key := "odk_" + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b))
+	sum := sha256.Sum256([]byte(key))
+	doc := fmt.Sprintf("kind: key\ndigest: %s\naccount: technicians\nlabel: made by oleander dev\n", hex.EncodeToString(sum[:]))
+	c, err := configfile.Parse([]configfile.File{{Name: "dev.yaml", Data: devYAML}, {Name: "key.yaml", Data: []byte(doc)}})
+	return key, c, errors.Wrap(err, "dev: configuration")
+}
+
+func (d *Deployment) startBackends() error {
+	store := engine.NewWeightStore(engine.StoreSettings{
+		LoadsPerSecond: d.Config.Fleet.LoadsPerSecond, LoadsAtOnce: d.Config.Fleet.LoadsAtOnce, AdaptersInTransit: d.Config.Fleet.AdaptersInTransit,
+	})
+	for _, z := range d.Config.Fleet.Zones {
+		b, err := deployment.StartBackends(deployment.BackendSettings{
+			Zone: z, Engines: d.settings.Engines, Services: 1, Store: store, TokenTime: d.settings.TokenTime,
+			EngineGroup: d.Config.Groups["workers"], ServiceGroup: d.Config.Groups["desk"],
+		})
+		if err != nil {
+			return err
+		}
+		d.Backends = append(d.Backends, b)
+		for _, m := range b.Members {
+			d.Platform.List.Put(m)
+		}
+	}
+	return nil
+}
+
+// publish applies the configuration as an operator would.
+func (d *Deployment) publish(ctx context.Context) error {
+	t, err := tablesvc.New(tablesvc.Settings{Endpoint: d.Platform.TableURL, Region: tableRegion, Table: tableName, AccessKey: credential, SecretKey: credential})
+	if err != nil {
+		return errors.Wrap(err, "dev: table service")
+	}
+	o, err := objects.New(objects.Settings{Endpoint: d.Platform.ObjectURL, Region: tableRegion, Bucket: bucket, AccessKey: credential, SecretKey: objectPass})
+	if err != nil {
+		return errors.Wrap(err, "dev: object store")
+	}
+	p := publish.Publisher{Table: t, Objects: o}
+	_, err = p.Apply(ctx, d.Config, "oleander dev", "dev", nil)
+	return errors.Wrap(err, "dev: apply the configuration")
+}
+
+func (d *Deployment) startInstances() error {
+	dir, err := os.MkdirTemp("", "oleander-dev-")
+	if err != nil {
+		return errors.Wrap(err, "dev")
+	}
+	d.dir = dir
+	if err := certs.Write(dir, certValid); err != nil {
+		return err
+	}
+	port := d.settings.Port
+	for _, z := range d.Config.Fleet.Zones {
+		for n := range d.settings.Instances {
+			if err := d.startInstance(z, n, port); err != nil {
+				return err
+			}
+			port += portsEach
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startInstance(z id.Zone, n, port int) error {
+	s := d.instanceSettings(fmt.Sprintf("%s-%d", z, n+1), z, port)
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	log := zerolog.Nop()
+	if d.settings.Verbose {
+		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
+	}
+	i, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	d.Instances = append(d.Instances, i)
+	d.Platform.List.Put(event.Member{Name: s.Name, Address: s.Peer, Zone: z})
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		if err := i.Run(context.Background()); err != nil {
+			select {
+			case d.failed <- err:
+			default:
+			}
+		}
+	}()
+	return nil
+}
+
+func (d *Deployment) instanceSettings(name string, z id.Zone, port int) daemon.Settings {
+	at := func(offset int) string { return net.JoinHostPort(loopback, strconv.Itoa(port+offset)) }
+	return daemon.Settings{
+		Name: name, Zone: string(z), Listen: at(0), Admin: at(1), Peer: at(2),
+		TableURL: d.Platform.TableURL, TableName: tableName, TableRegion: tableRegion, TableKey: credential, TableSecret: credential,
+		ObjectURL: d.Platform.ObjectURL, Bucket: bucket, ObjectKey: credential, ObjectPass: objectPass, ListURL: d.Platform.ListURL,
+		TLSCA: d.dir + "/" + certs.FileCA, TLSCert: d.dir + "/" + certs.FileCert, TLSKey: d.dir + "/" + certs.FileKey,
+		LeaseTerm: 9 * time.Second, ListEvery: 500 * time.Millisecond, TableLimit: 2 * time.Second,
+		DrainDelay: 200 * time.Millisecond, Grace: 5 * time.Second,
+		MaxBody: 4 << 20, MaxConnections: 1024, Deadline: time.Minute,
+	}
+}
+
+// awaitReady waits until each instance takes calls.
+func (d *Deployment) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, i := range d.Instances {
+		for !isReady(ctx, i.AdminAddress()) {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("dev: instance %s is not ready", i.Name())
+			case err := <-d.failed:
+				return err
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, admin string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close stops the instances gracefully, then the stand-ins.
+func (d *Deployment) Close() {
+	for _, i := range d.Instances {
+		i.Stop()
+	}
+	done := make(chan struct{})
+	go func() {
+		d.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(stopLimit):
+	}
+	for _, b := range d.Backends {
+		b.Close()
+	}
+	if d.Platform != nil {
+		d.Platform.Close()
+	}
+	if d.dir != "" {
+		_ = os.RemoveAll(d.dir)
+	}
+}
+
+func (d *Deployment) printUse(w io.Writer) {
+	first := d.Instances[0].CallersAddress()
+	admins := make([]string, len(d.Instances))
+	for n, i := range d.Instances {
+		admins[n] = i.AdminAddress()
+	}
+	fmt.Fprintf(w, `oleander dev is ready: %d entry instances in %d availability zones.
+
+export KEY=%s
+
+curl -N http://%s/v1/chat/completions -H "Authorization: Bearer $KEY" \
+  -H 'Content-Type: application/json' \
+  -d '{"model":"fault-summary","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"door 7 jams"}]}'
+
+curl http://%s/services/work-orders/orders -H "Authorization: Bearer $KEY" \
+  -H 'Idempotency-Key: order-1' -H 'Content-Type: application/json' -d '{"door":7}'
+
+Status and metrics: http://%s/status and /metrics
+For oleander status and burn: --instances %s
+Stop with Ctrl-C.
+`, len(d.Instances), len(d.Config.Fleet.Zones), d.Key, first, first, d.Instances[0].AdminAddress(), strings.Join(admins, ","))
+}
--- /dev/null
+++ b/oleander/process/operator/burn.go
@@ -0,0 +1,161 @@
+package operator
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/process/burn"
+)
+
+// maxBurn bounds the answer of one instance, in bytes.
+const maxBurn = 8 << 20
+
+// burnCommand reports service-level burn.
+type burnCommand struct {
+	Instances []string `help:"Admin addresses (IP:port) of the entry instances." required:""`
+	HTML      string   `help:"Also write the report as a page to this file." type:"path"`
+}
+
+// Run implements the command. It reports what it heard, and fails if an
+// instance did not answer, since the report then lacks that one's calls.
+func (c *burnCommand) Run(ctx context.Context, s *streams) error {
+	all, silent := c.collect(ctx)
+	rows := burn.Merge(all...)
+	if err := printBurn(s.out, rows); err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		if err := writeBurnPage(c.HTML, rows); err != nil {
+			return err
+		}
+	}
+	if len(silent) > 0 {
+		return errors.Wrapf(errNotHeard, "no answer from %v", silent)
+	}
+	return nil
+}
+
+// collect asks all instances at once.
+func (c *burnCommand) collect(ctx context.Context) (all [][]burn.Row, silent []string) {
+	answers := make([][]burn.Row, len(c.Instances))
+	failed := make([]bool, len(c.Instances))
+	var wg sync.WaitGroup
+	for i, address := range c.Instances {
+		wg.Go(func() {
+			var err error
+			answers[i], err = askBurn(ctx, address)
+			failed[i] = err != nil
+		})
+	}
+	wg.Wait()
+	for i, address := range c.Instances {
+		if failed[i] {
+			silent = append(silent, address)
+		}
+	}
+	return answers, silent
+}
+
+func askBurn(ctx context.Context, address string) ([]burn.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/burn", nil)
+	if err != nil {
+		return nil, errors.Wrap(errAnswer, err.Error())
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(errAnswer, err.Error())
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrap(errAnswer, resp.Status)
+	}
+	var rows []burn.Row
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxBurn)).Decode(&rows)
+	return rows, errors.Wrap(err, "burn report")
+}
+
+func printBurn(out io.Writer, rows []burn.Row) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "ACCOUNT\tCLASS\tCALLS 5M\tBAD 5M\tBURN 5M\tCALLS 1H\tBAD 1H\tBURN 1H\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f\t%d\t%d\t%.2f\t\n", r.Account, r.Class,
+			r.Short.Calls, r.Short.Bad, r.Short.Burn(), r.Long.Calls, r.Long.Bad, r.Long.Burn())
+	}
+	return errors.Wrap(w.Flush(), "print burn")
+}
+
+//go:embed burn.html
+var burnHTML string
+
+var burnPage = template.Must(template.New("burn").Parse(burnHTML))
+
+// The bars of the page.
+const (
+	barFull   = 300 // pixels of a bar at burnTop
+	burnTop   = 20.0
+	burnAlarm = 10.0 // a short window above it calls for somebody at once
+	burnWarn  = 1.0
+)
+
+// burnBar is one bar of the page.
+type burnBar struct {
+	Burn   string
+	Width  int
+	Colour string
+}
+
+// burnLine is one line of the page.
+type burnLine struct {
+	Account, Class    string
+	Calls, Bad        uint64
+	ShortBar, LongBar burnBar
+}
+
+type burnReport struct {
+	At    string
+	Lines []burnLine
+}
+
+func barOf(c burn.Count) burnBar {
+	rate := c.Burn()
+	colour := "#2a7d4f"
+	switch {
+	case rate >= burnAlarm:
+		colour = "#b3261e"
+	case rate >= burnWarn:
+		colour = "#c77700"
+	}
+	return burnBar{fmt.Sprintf("%.2f", rate), int(min(rate, burnTop) / burnTop * barFull), colour}
+}
+
+func writeBurnPage(path string, rows []burn.Row) error {
+	report := burnReport{At: time.Now().UTC().Format(time.RFC3339)}
+	for _, r := range rows {
+		report.Lines = append(report.Lines, burnLine{
+			Account: string(r.Account), Class: string(r.Class), Calls: r.Long.Calls, Bad: r.Long.Bad,
+			ShortBar: barOf(r.Short), LongBar: barOf(r.Long),
+		})
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "burn page")
+	}
+	if err := burnPage.Execute(f, report); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "burn page")
+	}
+	return errors.Wrap(f.Close(), "burn page")
+}
--- /dev/null
+++ b/oleander/process/operator/key.go
@@ -0,0 +1,84 @@
+package operator
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base32"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+
+	"oleanderdale.org/core/id"
+)
+
+const (
+	keyPrefix = "odk_" // lets scanners of leaked secrets recognise a key
+	keyBytes  = 20     // 160 random bits; 32 digits of base32
+)
+
+type keyCommands struct {
+	New keyNewCommand `cmd:"" help:"Make a key. It is printed once and kept nowhere."`
+}
+
+type keyNewCommand struct {
+	Account string `help:"Client account that the key acts for." required:""`
+	Label   string `help:"What operators call the key." required:""`
+	Out     string `help:"File that the YAML document goes to instead of the standard output; it must not exist." type:"path"`
+}
+
+// keyDocument is the declaration of a key, without the key.
+type keyDocument struct {
+	Kind    string    `yaml:"kind"`
+	Account string    `yaml:"account"`
+	Label   string    `yaml:"label"`
+	Digest  id.Digest `yaml:"digest"`
+}
+
+// Run implements the command. The key goes to the standard output and nowhere
+// else: not to a log, an error or the document.
+func (c *keyNewCommand) Run(s *streams) error {
+	if c.Account == "" || c.Label == "" {
+		return errors.Wrap(errUsage, "account and label must not be empty")
+	}
+	key := newKey()
+	sum := sha256.Sum256([]byte(key))
+	doc, err := yaml.Marshal(keyDocument{
+		Kind: "key", Account: c.Account, Label: c.Label, Digest: id.Digest(hex.EncodeToString(sum[:])),
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode key document")
+	}
+	if c.Out == "" {
+		_, err = fmt.Fprintf(s.out, "%s\n---\n%s", key, doc)
+		return errors.Wrap(err, "print key")
+	}
+	// The document first: a key without its document would be of no use.
+	if err := writeNew(c.Out, doc); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(s.out, key)
+	return errors.Wrap(err, "print key")
+}
+
+func newKey() string {
+	var b [keyBytes]byte
+	rand.Read(b[:]) // never fails: see crypto/rand
+	return keyPrefix + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b[:]))
+}
+
+// writeNew writes a file that must not exist, so that no declared key is lost.
+func writeNew(name string, body []byte) error {
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "write key document")
+	}
+	if _, err := f.Write(body); err != nil {
+		f.Close()
+		return errors.Wrap(err, "write key document")
+	}
+	return errors.Wrap(f.Close(), "write key document")
+}
--- /dev/null
+++ b/oleander/process/operator/operator.go
@@ -0,0 +1,99 @@
+// Package operator is the operators' command line: check, plan, apply, status,
+// key and dev. Every setting is a flag and an environment variable.
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/version/configfile"
+	"oleanderdale.org/oleander/version/publish"
+)
+
+// The exit codes.
+const (
+	ExitOK           = 0
+	ExitFailure      = 1 // nothing was applied, or a command failed
+	ExitUsage        = 2 // bad usage or invalid files
+	ExitConflict     = 3 // another operator's change came first
+	ExitUnknown      = 4 // may or may not have been applied; repeating is safe
+	ExitNotConfirmed = 5 // applied, but not known to be in force everywhere
+)
+
+// envPrefix starts the environment variable of each setting.
+const envPrefix = "OLEANDER"
+
+// commands is the command line.
+type commands struct {
+	Check   checkCommand    `cmd:"" help:"Check files without applying them."`
+	Plan    planCommand     `cmd:"" help:"Show what applying files would change."`
+	Apply   applyCommand    `cmd:"" help:"Apply files as a whole and wait until every availability zone confirms."`
+	Status  statusCommand   `cmd:"" help:"Show which configuration version each instance has."`
+	Burn    burnCommand     `cmd:"" help:"Report service-level burn by client account and class."`
+	Key     keyCommands     `cmd:"" help:"Make keys of client accounts."`
+	TLS     tlsCommands     `cmd:"" name:"tls" help:"Make certificates for the traffic between instances."`
+	Standin standinCommands `cmd:"" help:"Run stand-ins of what the system runs beside, for tests."`
+	Dev     devCommand      `cmd:"" help:"Run a small deployment in one process, for trying out."`
+}
+
+// streams are where a command writes: results to out, progress to progress.
+type streams struct{ out, progress io.Writer }
+
+// Run carries out one command line and returns its exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	parser, err := kong.New(&commands{},
+		kong.Name("oleander"),
+		kong.Description("Operates oleanderdale by applying declarative files."),
+		kong.DefaultEnvars(envPrefix),
+		kong.Writers(stdout, stderr),
+	)
+	if err != nil {
+		return report(stderr, err)
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "oleander: %v\n", err)
+		return ExitUsage
+	}
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	return report(stderr, parsed.Run(&streams{out: stdout, progress: stderr}))
+}
+
+func report(stderr io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var invalid *configfile.InvalidError
+	if errors.As(err, &invalid) {
+		fmt.Fprintln(stderr, invalid) // each line begins with its file
+		return ExitUsage
+	}
+	fmt.Fprintf(stderr, "oleander: %v\n", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var conflict *publish.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.Is(err, publish.ErrUnknown):
+		return ExitUnknown
+	case errors.Is(err, errNotConfirmed):
+		return ExitNotConfirmed
+	case errors.Is(err, errUsage), errors.Is(err, publish.ErrInvalid),
+		errors.Is(err, configfile.ErrRead), errors.Is(err, configfile.ErrNoFiles):
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+var (
+	errUsage        = errors.New("bad usage")
+	errNotConfirmed = errors.New("applied, but not confirmed everywhere")
+	errNotHeard     = errors.New("not every instance answered and is ready")
+)
--- /dev/null
+++ b/oleander/process/operator/platform.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/platform/objects"
+	"oleanderdale.org/oleander/platform/tablesvc"
+	"oleanderdale.org/oleander/version/publish"
+)
+
+// pauseBetweenTries is how long a failed table operation is left alone.
+const pauseBetweenTries = 300 * time.Millisecond
+
+// platform says where the platform's services are.
+type platform struct {
+	TableURL    string        `name:"table-url" help:"URL of the table service." required:""`
+	TableName   string        `help:"Table to use." default:"oleanderdale"`
+	TableRegion string        `help:"Region name for the table service and the object store." default:"local"`
+	TableKey    string        `help:"Access key for the table service." default:"local"`
+	TableSecret string        `help:"Secret for the table service; better set by the environment." default:"local"`
+	TableLimit  time.Duration `help:"Time limit of one table operation." default:"3s"`
+	ObjectURL   string        `name:"object-url" help:"URL of the object store." required:""`
+	Bucket      string        `help:"Bucket to use." default:"oleanderdale"`
+	ObjectKey   string        `help:"Access key for the object store." default:"local"`
+	ObjectPass  string        `name:"object-secret" help:"Secret for the object store; better set by the environment." default:"localsecret"`
+}
+
+func (p *platform) publisher() (*publish.Publisher, error) {
+	t, err := tablesvc.New(tablesvc.Settings{
+		Endpoint:  p.TableURL,
+		Region:    p.TableRegion,
+		Table:     p.TableName,
+		AccessKey: p.TableKey,
+		SecretKey: p.TableSecret,
+		Timeout:   p.TableLimit,
+	})
+	if err != nil {
+		return nil, errors.Wrap(errUsage, err.Error())
+	}
+	o, err := objects.New(objects.Settings{
+		Endpoint:  p.ObjectURL,
+		Region:    p.TableRegion,
+		Bucket:    p.Bucket,
+		AccessKey: p.ObjectKey,
+		SecretKey: p.ObjectPass,
+	})
+	if err != nil {
+		return nil, errors.Wrap(errUsage, err.Error())
+	}
+	return &publish.Publisher{Table: t, Objects: o, Pause: pause(pauseBetweenTries)}, nil
+}
+
+// pause returns a function that waits for d, or fails when its context ends.
+func pause(d time.Duration) func(context.Context) error {
+	return func(ctx context.Context) error {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/oleander/process/operator/status.go
@@ -0,0 +1,152 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/id"
+)
+
+// How instances are asked.
+const (
+	askEvery   = 250 * time.Millisecond
+	askTimeout = 2 * time.Second
+	maxStatus  = 64 << 10 // bytes
+	// cutOffAfter is the age from which on status calls an instance cut off.
+	cutOffAfter = 15 * time.Second
+)
+
+// Status is what an instance answers to GET /status on its admin address.
+type Status struct {
+	Instance id.Instance      `json:"instance"`
+	Zone     id.Zone          `json:"zone"`
+	Version  id.ConfigVersion `json:"version"`
+	Ready    bool             `json:"ready"`
+	// HeardAgeMillis is the time since the version was last known to be the
+	// newest; -1 if it never was.
+	HeardAgeMillis int64 `json:"heard_age_ms"`
+}
+
+func (s *Status) cutOff() bool {
+	return s.HeardAgeMillis < 0 || time.Duration(s.HeardAgeMillis)*time.Millisecond > cutOffAfter
+}
+
+var errAnswer = errors.New("instance did not answer")
+
+// asker asks instances for their status and keeps the last answers.
+type asker struct {
+	client    *http.Client
+	addresses []string
+	answers   []*Status // by index of the address; nil if the last ask failed
+}
+
+func newAsker(addresses []string) *asker {
+	return &asker{
+		client:    &http.Client{Timeout: askTimeout},
+		addresses: addresses,
+		answers:   make([]*Status, len(addresses)),
+	}
+}
+
+// ask asks all instances at once and waits for the answers.
+func (a *asker) ask(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i, address := range a.addresses {
+		wg.Go(func() { a.answers[i], _ = a.askOne(ctx, address) })
+	}
+	wg.Wait()
+}
+
+func (a *asker) askOne(ctx context.Context, address string) (*Status, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, errors.Wrap(errAnswer, err.Error())
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(errAnswer, err.Error())
+	}
+	defer resp.Body.Close()
+	var s Status
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrap(errAnswer, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s); err != nil {
+		return nil, errors.Wrap(errAnswer, err.Error())
+	}
+	return &s, nil
+}
+
+// confirmations compares the last answers with version v. A zone confirms only
+// if all its instances that were asked have v: one of them with an older
+// version would still let a withdrawn key in.
+func (a *asker) confirmations(v id.ConfigVersion, zones []id.Zone) confirmations {
+	heard, behind := make(map[id.Zone]bool), make(map[id.Zone]bool)
+	var c confirmations
+	for i, s := range a.answers {
+		if s == nil {
+			c.silent = append(c.silent, a.addresses[i])
+			continue
+		}
+		heard[s.Zone] = true
+		behind[s.Zone] = behind[s.Zone] || s.Version < v
+	}
+	for _, z := range zones {
+		switch {
+		case !heard[z]:
+			c.unheard = append(c.unheard, z)
+		case behind[z]:
+			c.behind = append(c.behind, z)
+		default:
+			c.confirmed = append(c.confirmed, z)
+		}
+	}
+	return c
+}
+
+type statusCommand struct {
+	Instances []string `help:"Admin addresses (IP:port) of the entry instances." required:""`
+}
+
+// Run implements the command. It fails if an instance does not answer or is
+// not ready.
+func (c *statusCommand) Run(ctx context.Context, s *streams) error {
+	a := newAsker(c.Instances)
+	a.ask(ctx)
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ADDRESS\tZONE\tINSTANCE\tVERSION\tREADY\tNEWEST AS OF")
+	well := true
+	for i, st := range a.answers {
+		well = well && st != nil && st.Ready
+		fmt.Fprintln(w, a.addresses[i]+"\t"+statusLine(st))
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "print status")
+	}
+	if !well {
+		return errNotHeard
+	}
+	return nil
+}
+
+func statusLine(s *Status) string {
+	if s == nil {
+		return "-\t-\t-\t-\tno answer"
+	}
+	heard := "never heard"
+	if s.HeardAgeMillis >= 0 {
+		heard = (time.Duration(s.HeardAgeMillis) * time.Millisecond).String() + " ago"
+	}
+	if s.cutOff() {
+		heard += " (cut off)"
+	}
+	return fmt.Sprintf("%s\t%s\t%d\t%t\t%s", s.Zone, s.Instance, s.Version, s.Ready, heard)
+}
--- /dev/null
+++ b/oleander/request/front/service.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/connection/upstream"
+)
+
+const servicePrefix = "/services/"
+
+// service serves plain services.
+func (f *Front) service(w http.ResponseWriter, r *http.Request) {
+	body, err := f.readBody(w, r)
+	if err != nil {
+		writeProblem(w, problemOf(err))
+		return
+	}
+	call, err := f.base(r, body)
+	if err != nil {
+		writeProblem(w, problemOf(err))
+		return
+	}
+	if call.IdempotencyKey, err = idempotencyKey(r); err != nil {
+		writeProblem(w, problemOf(err))
+		return
+	}
+	name := mux.Vars(r)["service"]
+	call.Service = id.Service(name)
+	call.PromptTokens = 0
+	x := f.open(call)
+	defer f.close(x)
+	x.run(w, r, &serviceCall{x: x, w: w, r: r, body: body, path: servicePath(r, name)})
+}
+
+// servicePath is what follows the service's name, with the query.
+func servicePath(r *http.Request, name string) string {
+	p := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+name)
+	if p == "" {
+		p = "/"
+	}
+	if r.URL.RawQuery != "" {
+		p += "?" + r.URL.RawQuery
+	}
+	return p
+}
+
+// serviceCall carries out the attempts of one call of a plain service.
+type serviceCall struct {
+	x    *exchange
+	w    http.ResponseWriter
+	r    *http.Request
+	body []byte
+	path string
+}
+
+func (s *serviceCall) attempt(ctx context.Context, d event.Dispatch) event.AttemptEnded {
+	ended := event.AttemptEnded{Request: d.Request, Attempt: d.Attempt}
+	err := s.send(ctx, d, &ended)
+	ended.Answered = s.x.begun
+	if err == nil {
+		return ended
+	}
+	var u *upstream.Error
+	if !errors.As(err, &u) {
+		u = upstream.Broken(ctx, d.Address, err)
+	}
+	ended.Result, ended.Leaving = u.Result, u.Leaving
+	return ended
+}
+
+func (s *serviceCall) send(ctx context.Context, d event.Dispatch, ended *event.AttemptEnded) error {
+	r, err := http.NewRequestWithContext(ctx, s.r.Method, "http://"+d.Address+s.path, bytes.NewReader(s.body))
+	if err != nil {
+		return &upstream.Error{Result: event.AttemptNotSent}
+	}
+	if d.Once {
+		r.GetBody = nil // nothing below may send the body again
+	}
+	s.headers(r, d)
+	resp, err := s.x.front.upstream.Do(r, d.Once)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	limit := s.x.front.settings.MaxAnswer
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return errors.Wrap(err, "front: read the answer")
+	}
+	if int64(len(body)) > limit {
+		return &upstream.Error{Result: event.AttemptBroken}
+	}
+	ended.Status, ended.Type, ended.Body = resp.StatusCode, resp.Header.Get("Content-Type"), body
+	if !d.Once {
+		s.pass(resp, body)
+	}
+	return nil
+}
+
+func (s *serviceCall) pass(resp *http.Response, body []byte) {
+	if t := resp.Header.Get("Content-Type"); t != "" {
+		s.w.Header().Set("Content-Type", t)
+	}
+	s.w.WriteHeader(resp.StatusCode)
+	s.x.first()
+	_, _ = s.w.Write(body)
+}
+
+// passed lists the callers' headers that a plain service gets. Everything
+// else, and so every header that could carry a key, stays here.
+var passed = []string{"Accept", "Accept-Language", "Content-Type", headerIdempotency, "Traceparent", "If-Match", "If-None-Match"}
+
+func (s *serviceCall) headers(r *http.Request, d event.Dispatch) {
+	key, _, _ := keyOf(s.r)
+	for _, name := range passed {
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		for _, v := range s.r.Header.Values(name) {
+			if !strings.Contains(v, key) {
+				r.Header.Add(name, v)
+			}
+		}
+	}
+	r.Header.Set(upstream.HeaderAccount, string(d.Account))
+	r.Header.Set(upstream.HeaderAttempt, string(d.Attempt))
+}
--- /dev/null
+++ b/oleander/standin/engine/answer.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/standin/internal/serve"
+)
+
+// EndMarker is the data of the last event of a whole stream.
+const EndMarker = "[DONE]"
+
+var (
+	errBroken     = errors.New("stream broken by a fault knob")
+	errEndedEarly = errors.New("stream ended early by a fault knob")
+)
+
+// answerBody is the JSON of a whole answer and of each part of a stream.
+type answerBody struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// choice has Text for completions, Message for a whole chat answer and Delta
+// for a part of one.
+type choice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *ChatMessage `json:"message,omitempty"`
+	Delta        *delta       `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// next takes the time of one token.
+func (e *Engine) next(ctx context.Context, run *Run) error {
+	if err := sleep(ctx, e.settings.TokenTime+e.knobs.Get().SlowTokens); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.record.token(run)
+	return nil
+}
+
+func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, c *call, run *Run) error {
+	var text strings.Builder
+	for i := c.offset; i < c.MaxTokens; i++ {
+		if err := e.next(ctx, run); err != nil {
+			return err
+		}
+		text.WriteString(Token(c.digest, i))
+	}
+	body := c.body(text.String(), false)
+	body.finish(c)
+	serve.JSON(w, http.StatusOK, body)
+	return nil
+}
+
+// stream sends one event a token, whose id is the token's offset, then one with
+// the usage, then the end marker.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, c *call, run *Run) error {
+	out := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	fault := e.takeStreamFault()
+	for i := c.offset; i < c.MaxTokens; i++ {
+		if fault != nil && i-c.offset == e.knobs.Get().BreakAfter {
+			return errors.WithStack(firstError(out.Flush(), fault))
+		}
+		if err := e.next(ctx, run); err != nil {
+			return err
+		}
+		if err := writeEvent(w, out, i, c.body(Token(c.digest, i), true)); err != nil {
+			return err
+		}
+	}
+	last := c.body("", true)
+	last.finish(c)
+	if err := writeEvent(w, out, c.MaxTokens, last); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "data: %s\n\n", EndMarker)
+	return firstError(err, out.Flush())
+}
+
+// takeStreamFault returns how this stream is to fail, nil if it is not.
+func (e *Engine) takeStreamFault() error {
+	if e.knobs.Take(func(f *Faults) *int { return &f.BreakStreams }) {
+		return errBroken
+	}
+	if e.knobs.Take(func(f *Faults) *int { return &f.EndEarly }) {
+		return errEndedEarly
+	}
+	return nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeEvent(w http.ResponseWriter, out *http.ResponseController, offset int, body *answerBody) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode event")
+	}
+	if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, data); err != nil {
+		return errors.Wrap(err, "write event")
+	}
+	return errors.Wrap(out.Flush(), "flush event")
+}
+
+// body returns an answer, or a part of one, that holds text.
+func (c *call) body(text string, part bool) *answerBody {
+	b := &answerBody{ID: "answer-" + c.digest, Model: string(c.Model)}
+	var ch choice
+	switch {
+	case c.form == completions:
+		b.Object = "text_completion"
+		ch.Text = &text
+	case part:
+		b.Object = "chat.completion.chunk"
+		ch.Delta = &delta{Content: text}
+	default:
+		b.Object = "chat.completion"
+		ch.Message = &ChatMessage{Role: "assistant", Content: text}
+	}
+	b.Choices = []choice{ch}
+	return b
+}
+
+// finish marks the end of an answer and adds the usage.
+func (b *answerBody) finish(c *call) {
+	reason := "length"
+	b.Choices[0].FinishReason = &reason
+	prompt := PromptTokens(c.Prompt)
+	b.Usage = &usage{
+		PromptTokens:     prompt,
+		CompletionTokens: c.MaxTokens,
+		TotalTokens:      prompt + c.MaxTokens,
+	}
+}
--- /dev/null
+++ b/oleander/standin/engine/memory.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+)
+
+// held is one artifact in the engine's memory.
+type held struct {
+	artifact  id.Artifact
+	order     id.Order
+	bytes     int64
+	state     message.LoadState
+	running   int
+	uses      uint64
+	loadedAt  time.Time
+	idleSince time.Time // zero unless loaded with nothing running
+	cancel    context.CancelFunc
+}
+
+// usedBytes must be called with the lock held.
+func (e *Engine) usedBytes() int64 {
+	var n int64
+	for _, h := range e.held {
+		n += h.bytes
+	}
+	return n
+}
+
+// remove takes an artifact out of memory; its checkpoint stays cached.
+func (e *Engine) remove(h *held) {
+	h.cancel()
+	delete(e.held, h.artifact)
+	e.record.endLoaded(h, time.Now())
+	if !h.loadedAt.IsZero() {
+		e.memory.add(h.artifact, h.bytes)
+	}
+}
+
+// loadSnapshot holds the numbers of running requests, which a report may give
+// with a lag.
+type loadSnapshot struct {
+	at      time.Time
+	total   int
+	running map[id.Artifact]int
+}
+
+func (e *Engine) snapshotLoad(now time.Time) loadSnapshot {
+	s := loadSnapshot{at: now, running: make(map[id.Artifact]int, len(e.held))}
+	for a, h := range e.held {
+		s.running[a] = h.running
+		s.total += h.running
+	}
+	return s
+}
+
+func (e *Engine) heldReport(now time.Time) []message.Held {
+	out := make([]message.Held, 0, len(e.held))
+	for _, h := range e.held {
+		m := message.Held{
+			Artifact: h.artifact, State: h.state, Order: h.order, Bytes: h.bytes,
+			Running: e.load.running[h.artifact], Uses: h.uses,
+		}
+		if !h.idleSince.IsZero() {
+			m.Idle = now.Sub(h.idleSince)
+		}
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b message.Held) int {
+		return strings.Compare(string(a.Artifact), string(b.Artifact))
+	})
+	return out
+}
+
+func (e *Engine) cachedReport() []message.Cached {
+	out := []message.Cached{}
+	for _, c := range e.memory.entries {
+		out = append(out, message.Cached{Artifact: c.artifact, Level: message.CacheMemory})
+	}
+	for _, c := range e.disk.entries {
+		if !e.memory.has(c.artifact) {
+			out = append(out, message.Cached{Artifact: c.artifact, Level: message.CacheDisk})
+		}
+	}
+	slices.SortFunc(out, func(a, b message.Cached) int {
+		return strings.Compare(string(a.Artifact), string(b.Artifact))
+	})
+	return out
+}
+
+// cacheLevel must be called with the lock held.
+func (e *Engine) cacheLevel(a id.Artifact) message.CacheLevel {
+	switch {
+	case e.memory.has(a):
+		return message.CacheMemory
+	case e.disk.has(a):
+		return message.CacheDisk
+	}
+	return message.CacheRemote
+}
+
+// cache keeps checkpoints up to a size and drops the least recently added.
+type cache struct {
+	limit   int64
+	used    int64
+	entries []cached // the oldest first
+}
+
+type cached struct {
+	artifact id.Artifact
+	bytes    int64
+}
+
+func newCache(limit int64) *cache { return &cache{limit: limit} }
+
+func (c *cache) has(a id.Artifact) bool {
+	return slices.ContainsFunc(c.entries, func(e cached) bool { return e.artifact == a })
+}
+
+func (c *cache) add(a id.Artifact, bytes int64) {
+	c.remove(a)
+	if bytes > c.limit {
+		return
+	}
+	for c.used+bytes > c.limit {
+		c.remove(c.entries[0].artifact)
+	}
+	c.entries = append(c.entries, cached{artifact: a, bytes: bytes})
+	c.used += bytes
+}
+
+func (c *cache) remove(a id.Artifact) {
+	c.entries = slices.DeleteFunc(c.entries, func(e cached) bool {
+		if e.artifact != a {
+			return false
+		}
+		c.used -= e.bytes
+		return true
+	})
+}
--- /dev/null
+++ b/oleander/standin/engine/orders.go
@@ -0,0 +1,192 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+	client "oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/standin/internal/serve"
+)
+
+const maxOrder = 64 << 10 // bytes
+
+// orderAnswer is the JSON answer of an order.
+type orderAnswer struct {
+	Order  id.Order `json:"order"`
+	Detail string   `json:"detail"`
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o client.OrderRequest
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrder))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&o); err != nil || o.Order == "" {
+		http.Error(w, "order can't be decoded", http.StatusBadRequest)
+		return
+	}
+	e.noteKey(r, nil)
+	e.abortIfAway()
+	e.loseOrder(o)
+	status, detail := e.Order(o)
+	if e.knobs.Take(func(f *Faults) *int { return &f.LoseOrderAnswers }) {
+		serve.Abort()
+	}
+	serve.JSON(w, status, orderAnswer{Order: o.Order, Detail: detail})
+}
+
+// loseOrder closes the connection if a knob says that the order is lost or late.
+func (e *Engine) loseOrder(o client.OrderRequest) {
+	if e.knobs.Take(func(f *Faults) *int { return &f.LoseOrders }) {
+		serve.Abort()
+	}
+	if !e.knobs.Take(func(f *Faults) *int { return &f.LateOrders }) {
+		return
+	}
+	delay := e.knobs.Get().OrderDelay
+	go func() {
+		e.server.Sleep(delay)
+		e.server.Sleep(e.away())
+		select {
+		case <-e.server.Done():
+		default:
+			e.Order(o)
+		}
+	}()
+	serve.Abort()
+}
+
+// Order carries out an order and returns its HTTP status with a sentence.
+func (e *Engine) Order(o client.OrderRequest) (status int, detail string) {
+	leaving := e.knobs.Get().Leaving
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.ChecksFencing {
+		if o.Fencing < e.fencing {
+			e.record.usage.OldFencing++
+			return http.StatusConflict, "a larger fencing number was seen"
+		}
+		e.fencing = o.Fencing
+	}
+	switch o.Kind {
+	case event.OrderFence:
+		return http.StatusAccepted, "fencing number noted"
+	case event.OrderLoad:
+		return e.orderLoad(o, leaving)
+	case event.OrderUnload:
+		return e.orderUnload(o)
+	}
+	return http.StatusUnprocessableEntity, "unknown kind of order"
+}
+
+func (e *Engine) orderLoad(o client.OrderRequest, leaving bool) (status int, detail string) {
+	if o.Artifact == "" || o.Bytes <= 0 || o.LoadTime < 0 {
+		return http.StatusUnprocessableEntity, "artifact, bytes and load time are needed"
+	}
+	if h := e.held[o.Artifact]; h != nil {
+		return e.orderHeld(o, h)
+	}
+	if e.usedBytes()+o.Bytes > e.settings.Bytes {
+		e.record.violations.Overcommit++
+		return http.StatusUnprocessableEntity, "not enough memory"
+	}
+	if leaving {
+		return http.StatusUnprocessableEntity, "leaving"
+	}
+	e.startLoad(o)
+	return http.StatusAccepted, "loading"
+}
+
+// orderHeld answers an order to load what is held already.
+func (e *Engine) orderHeld(o client.OrderRequest, h *held) (status int, detail string) {
+	switch {
+	case h.order == o.Order:
+		return http.StatusAccepted, "order was taken before"
+	case h.state == message.Loading:
+		e.record.violations.DoubleLoad++
+		return http.StatusUnprocessableEntity, "loading by another order"
+	case h.state == message.Unloading:
+		return http.StatusUnprocessableEntity, "unloading"
+	}
+	return http.StatusAccepted, "loaded"
+}
+
+func (e *Engine) startLoad(o client.OrderRequest) {
+	ctx, cancel := context.WithCancel(e.life)
+	h := &held{artifact: o.Artifact, order: o.Order, bytes: o.Bytes, state: message.Loading, cancel: cancel}
+	e.held[o.Artifact] = h
+	level := e.cacheLevel(o.Artifact)
+	e.record.startLoad(level)
+	crash := e.knobs.Take(func(f *Faults) *int { return &f.CrashLoads })
+	go e.runLoad(ctx, h, level, o.LoadTime, crash)
+}
+
+// runLoad takes the time of a load, and then marks h as loaded.
+func (e *Engine) runLoad(ctx context.Context, h *held, level message.CacheLevel, d time.Duration, crash bool) {
+	defer h.cancel()
+	if crash {
+		if sleep(ctx, d/2) == nil {
+			e.Crash()
+		}
+		return
+	}
+	if e.transfer(ctx, h.artifact, level, d) != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held[h.artifact] != h || h.state != message.Loading {
+		return
+	}
+	h.state = message.Loaded
+	h.loadedAt = time.Now()
+	h.idleSince = h.loadedAt
+	e.disk.add(h.artifact, h.bytes)
+}
+
+func (e *Engine) transfer(ctx context.Context, a id.Artifact, level message.CacheLevel, d time.Duration) error {
+	switch level {
+	case message.CacheMemory:
+		return sleep(ctx, time.Duration(float64(d)*e.settings.MemoryShare))
+	case message.CacheDisk:
+		return sleep(ctx, time.Duration(float64(d)*e.settings.DiskShare))
+	}
+	return e.settings.Store.Load(ctx, a.IsAdapter(), d)
+}
+
+// orderUnload ends a load, or frees the memory once the last request has ended.
+func (e *Engine) orderUnload(o client.OrderRequest) (status int, detail string) {
+	h := e.held[o.Artifact]
+	if h == nil {
+		return http.StatusAccepted, "not held"
+	}
+	if h.running == 0 {
+		e.remove(h)
+		return http.StatusAccepted, "unloaded"
+	}
+	h.state = message.Unloading
+	h.order = o.Order
+	return http.StatusAccepted, "unloads after its last request"
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, r *http.Request) {
+	e.noteKey(r, nil)
+	e.abortIfAway()
+	report := e.Report()
+	e.server.Sleep(e.knobs.Get().SlowReports)
+	w.Header().Set("Content-Type", "application/json")
+	switch {
+	case e.knobs.Take(func(f *Faults) *int { return &f.GarbageReports }):
+		// The client may be gone; there is nobody left to tell.
+		_, _ = w.Write([]byte(`{"bytes": "many"`))
+	case e.knobs.Take(func(f *Faults) *int { return &f.OversizedReports }):
+		_, _ = w.Write([]byte(strings.Repeat(" ", client.MaxReport+1)))
+	default:
+		serve.JSON(w, http.StatusOK, report)
+	}
+}
--- /dev/null
+++ b/oleander/standin/instancelist/instancelist.go
@@ -0,0 +1,262 @@
+// Package instancelist is a stand-in for the platform's list of live and
+// leaving instances. GET /instances gives the list in the form of Prometheus
+// HTTP service discovery; PUT, DELETE and POST …/leaving under
+// /instances/{name} change it. Changes show in the list after a lag.
+package instancelist
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	client "oleanderdale.org/oleander/platform/instancelist"
+	"oleanderdale.org/oleander/standin/internal/serve"
+)
+
+// ListPath is where the list is.
+const ListPath = "/instances"
+
+// ReaderParameter may name the reader of the list in the query.
+const ReaderParameter = "reader"
+
+const (
+	maxRequest  = 64 << 10 // bytes
+	garbageBody = `[{"targets": ["127.0.0.1`
+)
+
+// Faults are the fault knobs.
+type Faults struct {
+	// Down closes the connection of every reading of the list.
+	Down bool `json:"down"`
+	// CutOff lists values of the query parameter ReaderParameter: readings with
+	// them are treated as if Down were set.
+	CutOff []string `json:"cut_off"`
+	// Slow delays every reading.
+	Slow time.Duration `json:"slow"`
+	// Lag is how far the list is behind the changes.
+	Lag time.Duration `json:"lag"`
+	// Backwards counts the next readings that show the list as it was before
+	// the last change, though a newer one may have been shown already.
+	Backwards int `json:"backwards"`
+	// Shuffle gives the entries in a random order.
+	Shuffle bool `json:"shuffle"`
+	// Garbage counts the next readings that are no JSON.
+	Garbage int `json:"garbage"`
+	// Oversized counts the next readings that are longer than any client
+	// should read.
+	Oversized int `json:"oversized"`
+}
+
+// Instance is the body of PUT /instances/{name}.
+type Instance struct {
+	Address string `json:"address"` // host:port
+	Zone    string `json:"zone"`
+	Group   string `json:"group,omitempty"` // "": an entry instance
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// List is the stand-in. It is safe for concurrent use.
+type List struct {
+	knobs  serve.Knobs[Faults]
+	server serve.Server
+	router *mux.Router
+
+	mu     sync.Mutex
+	random *rand.Rand
+	states []state // the oldest first; never empty
+}
+
+// state is the list after a change. Its entries are never changed.
+type state struct {
+	at      time.Time
+	entries map[string]event.Member
+}
+
+// New returns an empty list. The seed decides the order that Shuffle gives.
+func New(seed uint64) *List {
+	l := &List{
+		router: mux.NewRouter(),
+		random: rand.New(rand.NewPCG(seed, 0)),
+		states: []state{{}},
+	}
+	l.router.Handle(serve.FaultsPath, &l.knobs)
+	l.router.HandleFunc(ListPath, l.serveList).Methods(http.MethodGet)
+	l.router.HandleFunc(ListPath+"/{name}", l.servePut).Methods(http.MethodPut)
+	l.router.HandleFunc(ListPath+"/{name}", l.serveDelete).Methods(http.MethodDelete)
+	l.router.HandleFunc(ListPath+"/{name}/leaving", l.serveLeaving).Methods(http.MethodPost)
+	return l
+}
+
+// Faults returns the fault knobs as they are.
+func (l *List) Faults() Faults { return l.knobs.Get() }
+
+// SetFaults replaces the fault knobs.
+func (l *List) SetFaults(f Faults) { l.knobs.Set(f) }
+
+// UpdateFaults changes the fault knobs in place.
+func (l *List) UpdateFaults(change func(*Faults)) { l.knobs.Update(change) }
+
+// Put adds an entry or replaces the one of that name.
+func (l *List) Put(m event.Member) {
+	l.change(func(entries map[string]event.Member) { entries[m.Name] = m })
+}
+
+// Delete removes an entry.
+func (l *List) Delete(name string) {
+	l.change(func(entries map[string]event.Member) { delete(entries, name) })
+}
+
+// SetLeaving marks an entry as leaving. It reports whether there is one.
+func (l *List) SetLeaving(name string) bool {
+	found := false
+	l.change(func(entries map[string]event.Member) {
+		m, ok := entries[name]
+		if !ok {
+			return
+		}
+		found = true
+		m.Leaving = true
+		entries[name] = m
+	})
+	return found
+}
+
+// Members returns the list as it is, without lag, sorted by name.
+func (l *List) Members() []event.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return sorted(l.states[len(l.states)-1].entries)
+}
+
+func (l *List) change(do func(map[string]event.Member)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entries := make(map[string]event.Member)
+	for name, m := range l.states[len(l.states)-1].entries {
+		entries[name] = m
+	}
+	do(entries)
+	l.states = append(l.states, state{at: time.Now(), entries: entries})
+	l.forget()
+}
+
+// maxStates is how many past lists are kept.
+const maxStates = 1024
+
+func (l *List) forget() {
+	if len(l.states) > maxStates {
+		l.states = slices.Delete(l.states, 0, len(l.states)-maxStates)
+	}
+}
+
+// shown returns the list as a reader sees it now.
+func (l *List) shown() []event.Member {
+	backwards := l.knobs.Take(func(f *Faults) *int { return &f.Backwards })
+	faults := l.knobs.Get()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := time.Now().Add(-faults.Lag)
+	i := len(l.states) - 1
+	for i > 0 && l.states[i].at.After(at) {
+		i--
+	}
+	if backwards && i > 0 {
+		i--
+	}
+	members := sorted(l.states[i].entries)
+	if faults.Shuffle {
+		l.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	}
+	return members
+}
+
+func sorted(entries map[string]event.Member) []event.Member {
+	members := make([]event.Member, 0, len(entries))
+	for _, m := range entries {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b event.Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
+// ServeHTTP implements http.Handler.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.router.ServeHTTP(w, r) }
+
+// Serve answers on nl until Close.
+func (l *List) Serve(nl net.Listener) error { return l.server.Serve(nl, l) }
+
+// Close closes all listeners and connections.
+func (l *List) Close() error { return l.server.Close() }
+
+func (l *List) serveList(w http.ResponseWriter, r *http.Request) {
+	faults := l.knobs.Get()
+	if faults.Down || slices.Contains(faults.CutOff, r.URL.Query().Get(ReaderParameter)) {
+		serve.Abort()
+	}
+	l.server.Sleep(faults.Slow)
+	w.Header().Set("Content-Type", "application/json")
+	switch {
+	case l.knobs.Take(func(f *Faults) *int { return &f.Garbage }):
+		// The client may be gone; there is nobody left to tell.
+		_, _ = w.Write([]byte(garbageBody))
+	case l.knobs.Take(func(f *Faults) *int { return &f.Oversized }):
+		_, _ = w.Write([]byte(strings.Repeat(" ", client.MaxList+1)))
+	default:
+		serve.JSON(w, http.StatusOK, groups(l.shown()))
+	}
+}
+
+func groups(members []event.Member) []client.TargetGroup {
+	out := make([]client.TargetGroup, 0, len(members))
+	for _, m := range members {
+		labels := map[string]string{client.LabelName: m.Name, client.LabelZone: string(m.Zone)}
+		if m.Group != "" {
+			labels[client.LabelGroup] = string(m.Group)
+		}
+		if m.Leaving {
+			labels[client.LabelLeaving] = "true"
+		}
+		out = append(out, client.TargetGroup{Targets: []string{m.Address}, Labels: labels})
+	}
+	return out
+}
+
+func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
+	var in Instance
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&in); err != nil || in.Address == "" || in.Zone == "" {
+		http.Error(w, "address and zone are needed", http.StatusBadRequest)
+		return
+	}
+	l.Put(in.member(mux.Vars(r)["name"]))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) serveDelete(w http.ResponseWriter, r *http.Request) {
+	l.Delete(mux.Vars(r)["name"])
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) serveLeaving(w http.ResponseWriter, r *http.Request) {
+	if !l.SetLeaving(mux.Vars(r)["name"]) {
+		http.Error(w, "no such instance", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (in Instance) member(name string) event.Member {
+	return event.Member{
+		Name: name, Address: in.Address, Zone: id.Zone(in.Zone), Group: id.Group(in.Group), Leaving: in.Leaving,
+	}
+}
--- /dev/null
+++ b/oleander/standin/objects/objects.go
@@ -0,0 +1,229 @@
+// Package objects is a stand-in for the platform's object store. It speaks the
+// part of the S3 protocol that the client uses: PUT, GET and HEAD of an object
+// and the location of a bucket. Buckets need not be made.
+package objects
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/xml"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"oleanderdale.org/oleander/standin/internal/serve"
+)
+
+const (
+	maxObject       = 256 << 20 // bytes
+	sha256Header    = "X-Amz-Content-Sha256"
+	streamingPrefix = "STREAMING-"
+	unsigned        = "UNSIGNED-PAYLOAD"
+)
+
+// Faults are the fault knobs.
+type Faults struct {
+	// Down closes the connection of every call, which has no effect.
+	Down bool `json:"down"`
+	// CutOff lists access keys: what they sign is treated as if Down were set.
+	// With one access key an availability zone, it cuts off zones.
+	CutOff []string `json:"cut_off"`
+	// Slow delays every call; it takes effect after the delay.
+	Slow time.Duration `json:"slow"`
+	// LoseAnswers counts the next PUTs that take effect and whose connection
+	// is closed in place of the answer.
+	LoseAnswers int `json:"lose_answers"`
+	// InternalErrors counts the next calls that are answered with status 500.
+	InternalErrors int `json:"internal_errors"`
+	// Damage counts the next GETs with one byte changed.
+	Damage int `json:"damage"`
+	// Truncate counts the next GETs whose body breaks off halfway.
+	Truncate int `json:"truncate"`
+	// Oversized is added to the length of each GET, in bytes.
+	Oversized int `json:"oversized"`
+}
+
+// Counts tells what was carried out since the start.
+type Counts struct {
+	Gets    uint64 `json:"gets"`
+	Puts    uint64 `json:"puts"`
+	Objects int    `json:"objects"` // distinct names held
+}
+
+// CountsPath shows the Counts in JSON.
+const CountsPath = "/counts"
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	knobs  serve.Knobs[Faults]
+	server serve.Server
+	router *mux.Router
+
+	mu      sync.Mutex
+	objects map[string]object // by bucket/name
+	counts  Counts
+}
+
+type object struct {
+	body []byte
+	at   time.Time
+}
+
+// New returns an empty store.
+func New() *Store {
+	s := &Store{router: mux.NewRouter().SkipClean(true), objects: make(map[string]object)}
+	s.router.Handle(serve.FaultsPath, &s.knobs)
+	s.router.HandleFunc(CountsPath, s.serveCounts).Methods(http.MethodGet)
+	s.router.HandleFunc("/{bucket}/{name:.*}", s.serveObject)
+	return s
+}
+
+// Faults returns the fault knobs as they are.
+func (s *Store) Faults() Faults { return s.knobs.Get() }
+
+// SetFaults replaces the fault knobs.
+func (s *Store) SetFaults(f Faults) { s.knobs.Set(f) }
+
+// UpdateFaults changes the fault knobs in place.
+func (s *Store) UpdateFaults(change func(*Faults)) { s.knobs.Update(change) }
+
+// Counts tells what was carried out.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts
+	c.Objects = len(s.objects)
+	return c
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Serve answers on l until Close.
+func (s *Store) Serve(l net.Listener) error { return s.server.Serve(l, s) }
+
+// Close closes all listeners and connections.
+func (s *Store) Close() error { return s.server.Close() }
+
+func (s *Store) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, s.Counts())
+}
+
+func (s *Store) serveObject(w http.ResponseWriter, r *http.Request) {
+	faults := s.knobs.Get()
+	if faults.Down || slices.Contains(faults.CutOff, serve.AccessKey(r)) {
+		serve.Abort()
+	}
+	s.server.Sleep(faults.Slow)
+	if s.knobs.Take(func(f *Faults) *int { return &f.InternalErrors }) {
+		fail(w, http.StatusInternalServerError, "InternalError")
+		return
+	}
+	vars := mux.Vars(r)
+	name := vars["bucket"] + "/" + vars["name"]
+	switch {
+	case r.Method == http.MethodGet && r.URL.Query().Has("location"):
+		writeXML(w, http.StatusOK, location{})
+	case r.Method == http.MethodPut:
+		s.put(w, r, name)
+	case r.Method == http.MethodGet || r.Method == http.MethodHead:
+		s.get(w, r, name)
+	default:
+		fail(w, http.StatusMethodNotAllowed, "MethodNotAllowed")
+	}
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, name string) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		serve.Abort()
+	}
+	sum := sha256.Sum256(body)
+	digest := hex.EncodeToString(sum[:])
+	switch claimed := r.Header.Get(sha256Header); {
+	case strings.HasPrefix(claimed, streamingPrefix):
+		fail(w, http.StatusNotImplemented, "NotImplemented")
+		return
+	case claimed != unsigned && claimed != digest:
+		fail(w, http.StatusBadRequest, "XAmzContentSHA256Mismatch")
+		return
+	}
+	s.store(name, body)
+	if s.knobs.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		serve.Abort()
+	}
+	w.Header().Set("ETag", strconv.Quote(digest))
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Store) store(name string, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = object{body: body, at: time.Now()}
+	s.counts.Puts++
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request, name string) {
+	s.mu.Lock()
+	o, ok := s.objects[name]
+	s.counts.Gets++
+	s.mu.Unlock()
+	if !ok {
+		fail(w, http.StatusNotFound, "NoSuchKey")
+		return
+	}
+	body := s.spoil(o.body)
+	w.Header().Set("ETag", strconv.Quote(strconv.Itoa(len(body))))
+	w.Header().Set("Last-Modified", o.at.UTC().Format(http.TimeFormat))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if r.Method == http.MethodHead {
+		return
+	}
+	if s.knobs.Take(func(f *Faults) *int { return &f.Truncate }) {
+		body = body[:len(body)/2]
+	}
+	// The client may be gone; there is nobody left to tell.
+	_, _ = w.Write(body)
+}
+
+// spoil returns the body as the knobs want it.
+func (s *Store) spoil(body []byte) []byte {
+	if n := s.knobs.Get().Oversized; n > 0 {
+		body = append(bytes.Clone(body), make([]byte, n)...)
+	}
+	if len(body) > 0 && s.knobs.Take(func(f *Faults) *int { return &f.Damage }) {
+		body = bytes.Clone(body)
+		body[len(body)/2] ^= 1
+	}
+	return body
+}
+
+type location struct {
+	XMLName xml.Name `xml:"http://s3.amazonaws.com/doc/2006-03-01/ LocationConstraint"`
+}
+
+type errorBody struct {
+	XMLName xml.Name `xml:"Error"`
+	Code    string
+	Message string
+}
+
+func fail(w http.ResponseWriter, status int, code string) {
+	writeXML(w, status, errorBody{Code: code, Message: code})
+}
+
+func writeXML(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/xml")
+	w.WriteHeader(status)
+	// The client may be gone; there is nobody left to tell.
+	_ = xml.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/oleander/standin/service/service.go
@@ -0,0 +1,301 @@
+// Package service is a stand-in for a plain service: a work-order desk that
+// runs every call at any path and counts the runs by Idempotency-Key and
+// digest of the body.
+//
+// GET /control/runs shows the runs, GET /control/violations the violations,
+// /faults has the fault knobs. GET /status/{key} tells whether the call with
+// that Idempotency-Key was run; it can be switched off.
+package service
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"oleanderdale.org/oleander/standin/internal/serve"
+)
+
+// The paths that are not calls.
+const (
+	RunsPath       = "/control/runs"
+	ViolationsPath = "/control/violations"
+	StatusPath     = "/status/{key}"
+)
+
+// The headers of a call.
+const (
+	IdempotencyKeyHeader = "Idempotency-Key"
+	AccountHeader        = "Client-Account"
+	AttemptHeader        = "Attempt-Id"
+	LeavingHeader        = "Oleanderdale-Leaving"
+)
+
+const maxRequest = 4 << 20 // bytes
+
+// Faults are the fault knobs.
+type Faults struct {
+	// Down closes the connection of every call before it runs.
+	Down bool `json:"down"`
+	// Slow delays every call before it runs; it runs even if the caller has
+	// gone by then.
+	Slow time.Duration `json:"slow"`
+	// SlowAnswer delays every answer after the run.
+	SlowAnswer time.Duration `json:"slow_answer"`
+	// LoseAnswers counts the next calls that run and whose connection is
+	// closed in place of the answer.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseRequests counts the next calls whose connection is closed and that
+	// don't run.
+	LoseRequests int `json:"lose_requests"`
+	// DieAfterRun counts the next calls after whose run the service drops all
+	// connections and listeners, for Restart.
+	DieAfterRun int `json:"die_after_run"`
+	// Restart is how long the service stays away after DieAfterRun.
+	Restart time.Duration `json:"restart"`
+	// Refuse counts the next calls that are answered with 503 and don't run.
+	Refuse int `json:"refuse"`
+	// Leaving refuses all calls with 503 and LeavingHeader.
+	Leaving bool `json:"leaving"`
+	// NoStatus answers the status path with 404.
+	NoStatus bool `json:"no_status"`
+}
+
+// Run is one call that was run.
+type Run struct {
+	Account        string    `json:"account"`
+	Attempt        string    `json:"attempt"`
+	IdempotencyKey string    `json:"idempotency_key,omitempty"`
+	Digest         string    `json:"digest"` // hexadecimal SHA-256 of the body
+	Method         string    `json:"method"`
+	Path           string    `json:"path"`
+	At             time.Time `json:"at"`
+}
+
+// Violations counts what a service must never see.
+type Violations struct {
+	KeySeen        int `json:"key_seen"`        // a caller's key in a header, the query or the body
+	AccountMissing int `json:"account_missing"` // no AccountHeader
+}
+
+// Answer is the JSON answer of a call.
+type Answer struct {
+	Run    int    `json:"run"` // number of the run, starting at 1
+	Digest string `json:"digest"`
+	Path   string `json:"path"`
+}
+
+// State says whether a call was run.
+type State string
+
+// The states of StatusPath.
+const (
+	StateDone State = "done"
+	StateNone State = "none"
+)
+
+// Status is the JSON answer of StatusPath.
+type Status struct {
+	State  State   `json:"state"`
+	Answer *Answer `json:"answer,omitempty"` // of StateDone
+}
+
+// Service is the stand-in. It is safe for concurrent use.
+type Service struct {
+	knobs  serve.Knobs[Faults]
+	server serve.Server
+	router *mux.Router
+
+	mu         sync.Mutex
+	boot       int // counts the restarts
+	downUntil  time.Time
+	runs       []Run
+	violations Violations
+}
+
+// New returns a service that has run nothing.
+func New() *Service {
+	s := &Service{router: mux.NewRouter().SkipClean(true)}
+	s.router.Handle(serve.FaultsPath, &s.knobs)
+	s.router.HandleFunc(RunsPath, s.serveRuns).Methods(http.MethodGet)
+	s.router.HandleFunc(ViolationsPath, s.serveViolations).Methods(http.MethodGet)
+	s.router.HandleFunc(StatusPath, s.serveStatus).Methods(http.MethodGet)
+	s.router.PathPrefix("/").HandlerFunc(s.serveCall)
+	return s
+}
+
+// Faults returns the fault knobs as they are.
+func (s *Service) Faults() Faults { return s.knobs.Get() }
+
+// SetFaults replaces the fault knobs.
+func (s *Service) SetFaults(f Faults) { s.knobs.Set(f) }
+
+// UpdateFaults changes the fault knobs in place.
+func (s *Service) UpdateFaults(change func(*Faults)) { s.knobs.Update(change) }
+
+// Runs returns all runs, the oldest first.
+func (s *Service) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.runs...)
+}
+
+// Violations returns what was seen that must never be.
+func (s *Service) Violations() Violations {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.violations
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Serve answers on l until Close. After DieAfterRun it listens again at the
+// same address.
+func (s *Service) Serve(l net.Listener) error {
+	return s.server.ServeAgain(l, s, s.away)
+}
+
+// Close closes all listeners and connections for good.
+func (s *Service) Close() error { return s.server.Close() }
+
+// away returns how long the service stays away from now on.
+func (s *Service) away() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.downUntil)
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, s.Runs())
+}
+
+func (s *Service) serveViolations(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, s.Violations())
+}
+
+func (s *Service) serveStatus(w http.ResponseWriter, r *http.Request) {
+	faults := s.knobs.Get()
+	if faults.Down || s.away() > 0 {
+		serve.Abort()
+	}
+	if faults.NoStatus {
+		http.NotFound(w, r)
+		return
+	}
+	serve.JSON(w, http.StatusOK, s.status(mux.Vars(r)["key"]))
+}
+
+func (s *Service) status(key string) Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, run := range s.runs {
+		if run.IdempotencyKey == key {
+			return Status{State: StateDone, Answer: run.answer(i + 1)}
+		}
+	}
+	return Status{State: StateNone}
+}
+
+func (r Run) answer(n int) *Answer { return &Answer{Run: n, Digest: r.Digest, Path: r.Path} }
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		serve.Abort()
+	}
+	s.check(r, body)
+	faults, boot := s.knobs.Get(), s.currentBoot()
+	if faults.Down || s.away() > 0 {
+		serve.Abort()
+	}
+	s.server.Sleep(faults.Slow)
+	if s.refuse(w, faults) {
+		return
+	}
+	if s.knobs.Take(func(f *Faults) *int { return &f.LoseRequests }) {
+		serve.Abort()
+	}
+	a := s.run(r, body, boot)
+	if a == nil {
+		serve.Abort()
+	}
+	s.server.Sleep(faults.SlowAnswer)
+	s.dieOrLose()
+	serve.JSON(w, http.StatusOK, a)
+}
+
+// check counts the violations of a call.
+func (s *Service) check(r *http.Request, body []byte) {
+	keySeen := serve.HoldsKey(r, body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if keySeen {
+		s.violations.KeySeen++
+	}
+	if r.Header.Get(AccountHeader) == "" {
+		s.violations.AccountMissing++
+	}
+}
+
+func (s *Service) refuse(w http.ResponseWriter, faults Faults) bool {
+	if faults.Leaving {
+		w.Header().Set(LeavingHeader, "true")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return true
+	}
+	if s.knobs.Take(func(f *Faults) *int { return &f.Refuse }) {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return true
+	}
+	return false
+}
+
+func (s *Service) currentBoot() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boot
+}
+
+// run runs the call, unless the service has died since the call came in at
+// boot; then it returns nil.
+func (s *Service) run(r *http.Request, body []byte, boot int) *Answer {
+	sum := sha256.Sum256(body)
+	run := Run{
+		Account:        r.Header.Get(AccountHeader),
+		Attempt:        r.Header.Get(AttemptHeader),
+		IdempotencyKey: r.Header.Get(IdempotencyKeyHeader),
+		Digest:         hex.EncodeToString(sum[:]),
+		Method:         r.Method,
+		Path:           r.URL.Path,
+		At:             time.Now(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.boot != boot {
+		return nil
+	}
+	s.runs = append(s.runs, run)
+	return run.answer(len(s.runs))
+}
+
+// dieOrLose loses the answer after a run if a knob says so.
+func (s *Service) dieOrLose() {
+	if s.knobs.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		serve.Abort()
+	}
+	if !s.knobs.Take(func(f *Faults) *int { return &f.DieAfterRun }) {
+		return
+	}
+	s.mu.Lock()
+	s.boot++
+	s.downUntil = time.Now().Add(s.knobs.Get().Restart)
+	s.mu.Unlock()
+	s.server.Drop()
+	serve.Abort()
+}
--- /dev/null
+++ b/oleander/standin/tablesvc/protocol.go
@@ -0,0 +1,127 @@
+package tablesvc
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// The errors of the protocol.
+const (
+	errConditional      = "ConditionalCheckFailed"
+	errCancelled        = "TransactionCanceledException"
+	errValidation       = "ValidationException"
+	errSerialization    = "SerializationException"
+	errThrottled        = "ProvisionedThroughputExceededException"
+	errInternal         = "InternalServerError"
+	errUnknownOperation = "UnknownOperationException"
+
+	errNamespace = "com.amazonaws.dynamodb.v20120810#"
+	noReason     = "None"
+)
+
+// serviceError is an error answer.
+type serviceError struct {
+	kind    string
+	message string
+	status  int // 0 means 400
+	reasons []reason
+}
+
+// reason says why one write of a transaction failed, or that it did not.
+type reason struct {
+	Code    string
+	Message string `json:",omitempty"`
+}
+
+type errorBody struct {
+	Type                string `json:"__type"`
+	Message             string
+	CancellationReasons []reason `json:",omitempty"`
+}
+
+func answer(w http.ResponseWriter, result any, fail *serviceError) {
+	status := http.StatusOK
+	if fail != nil {
+		status = http.StatusBadRequest
+		if fail.status != 0 {
+			status = fail.status
+		}
+		result = errorBody{Type: errNamespace + fail.kind, Message: fail.message, CancellationReasons: fail.reasons}
+	}
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	// The client may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+// attribute is a value: a string or a number.
+type attribute struct {
+	S *string `json:",omitempty"`
+	N *string `json:",omitempty"`
+}
+
+func (a attribute) equal(b attribute) bool {
+	return equalText(a.S, b.S) && equalText(a.N, b.N)
+}
+
+func equalText(a, b *string) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
+type item map[string]attribute
+
+type batchGetInput struct {
+	RequestItems map[string]keysAndAttributes
+}
+
+type keysAndAttributes struct {
+	Keys           []item
+	ConsistentRead bool `json:",omitempty"`
+}
+
+type batchGetOutput struct {
+	Responses       map[string][]item
+	UnprocessedKeys map[string]keysAndAttributes
+}
+
+type queryInput struct {
+	TableName                 string
+	ConsistentRead            bool
+	KeyConditionExpression    string
+	ExpressionAttributeNames  map[string]string
+	ExpressionAttributeValues item
+	ExclusiveStartKey         item
+}
+
+type queryOutput struct {
+	Items            []item
+	Count            int
+	ScannedCount     int
+	LastEvaluatedKey item `json:",omitempty"`
+}
+
+type transactWriteInput struct {
+	TransactItems []transactItem
+}
+
+// transactItem is one write; one field is set.
+type transactItem struct {
+	Put            *conditional
+	Delete         *conditional
+	ConditionCheck *conditional
+}
+
+// conditional is a write or check; Put has Item, the others have Key.
+type conditional struct {
+	TableName                 string
+	Item                      item
+	Key                       item
+	ConditionExpression       string
+	ExpressionAttributeNames  map[string]string
+	ExpressionAttributeValues item
+}
+
+type transactWriteOutput struct{}
--- /dev/null
+++ b/oleander/version/configfile/kinds.go
@@ -0,0 +1,145 @@
+package configfile
+
+import (
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/version"
+)
+
+// readers read one document each, by kind.
+var readers = map[version.Kind]func(*parser, *fields){
+	version.KindFleet:    (*parser).fleet,
+	version.KindGroup:    (*parser).group,
+	version.KindModel:    (*parser).model,
+	version.KindAdapter:  (*parser).adapter,
+	version.KindService:  (*parser).service,
+	version.KindAccount:  (*parser).account,
+	version.KindKey:      (*parser).key,
+	version.KindApproval: (*parser).approval,
+}
+
+func (p *parser) fleet(f *fields) {
+	fleet := config.Fleet{
+		SlotsPerZone:      f.integer("slots_per_zone"),
+		LoadsPerSecond:    f.number("loads_per_second"),
+		LoadsAtOnce:       f.integer("loads_at_once"),
+		AdaptersInTransit: f.integer("adapters_in_transit"),
+	}
+	for _, z := range f.texts("zones") {
+		fleet.Zones = append(fleet.Zones, id.Zone(z))
+	}
+	if p.declare(version.KindFleet, "", f) {
+		p.config.Fleet = fleet
+	}
+}
+
+func (p *parser) group(f *fields) {
+	g := config.Group{
+		Name:          id.Group(f.text("name")),
+		Kind:          config.GroupKind(f.text("serves")),
+		Owner:         f.text("owner"),
+		ChecksFencing: f.truth("checks_fencing"),
+		Concurrency:   f.integer("concurrency"),
+	}
+	if g.Kind == config.GroupModels {
+		g.MemoryBytes = f.size("memory")
+		g.MaxOrderTime = f.duration("max_order_time")
+		g.Resumes = f.optionalTruth("resumes")
+	}
+	if p.declare(version.KindGroup, string(g.Name), f) {
+		p.config.Groups[g.Name] = g
+	}
+}
+
+func (p *parser) model(f *fields) {
+	a := artifact(f)
+	a.Name = id.Artifact(f.text("name"))
+	a.Group = id.Group(f.text("group"))
+	if a.Name.IsAdapter() {
+		p.problem(f.file, f.place.lineOf("name"), "a model's name has no %q", id.AdapterSeparator)
+		return
+	}
+	if p.declare(version.KindModel, string(a.Name), f) {
+		p.config.Artifacts[a.Name] = a
+	}
+}
+
+func (p *parser) adapter(f *fields) {
+	a := artifact(f)
+	a.Name = id.Adapter(id.Artifact(f.text("model")), f.text("name"))
+	if p.declare(version.KindAdapter, string(a.Name), f) {
+		p.config.Artifacts[a.Name] = a
+	}
+}
+
+func artifact(f *fields) config.Artifact {
+	return config.Artifact{
+		Bytes:       f.size("size"),
+		LoadTime:    f.duration("load_time"),
+		MaxReplicas: f.integer("max_replicas"),
+		MaxTokens:   f.integer("max_tokens"),
+	}
+}
+
+func (p *parser) service(f *fields) {
+	s := config.Service{
+		Name:       id.Service(f.text("name")),
+		Group:      id.Group(f.text("group")),
+		Repeatable: f.truth("repeatable"),
+		StatusPath: f.optionalText("status_path"),
+		Tokens:     f.integer("tokens"),
+	}
+	if p.declare(version.KindService, string(s.Name), f) {
+		p.config.Services[s.Name] = s
+	}
+}
+
+func (p *parser) account(f *fields) {
+	a := config.Account{
+		Name:   id.Account(f.text("name")),
+		Rate:   f.number("rate"),
+		Burst:  f.number("burst"),
+		Weight: f.number("weight"),
+		Class:  config.Class(f.text("class")),
+	}
+	if isolation := f.optionalFields("isolation"); isolation != nil {
+		a.ServeFor = isolation.duration("serve_for")
+		isolation.rejectUnknown()
+	}
+	if p.declare(version.KindAccount, string(a.Name), f) {
+		p.config.Accounts[a.Name] = a
+	}
+}
+
+func (p *parser) key(f *fields) {
+	k := config.Key{
+		Digest:  id.Digest(f.text("digest")),
+		Account: id.Account(f.text("account")),
+		Label:   f.text("label"),
+	}
+	if p.declare(version.KindKey, string(k.Digest), f) {
+		p.config.Keys[k.Digest] = k
+	}
+}
+
+// approval reads one document that can approve several models and services.
+func (p *parser) approval(f *fields) {
+	account, owner := id.Account(f.text("account")), f.text("owner")
+	models, services := f.optionalTexts("models"), f.optionalTexts("services")
+	if len(models)+len(services) == 0 {
+		p.problem(f.file, f.place.line, "an approval needs models or services")
+	}
+	for _, m := range models {
+		p.approve(config.Approval{Account: account, Model: id.Artifact(m)}, owner, f)
+	}
+	for _, s := range services {
+		p.approve(config.Approval{Account: account, Service: id.Service(s)}, owner, f)
+	}
+}
+
+func (p *parser) approve(a config.Approval, owner string, f *fields) {
+	if p.declare(version.KindApproval, version.ApprovalName(a), f) {
+		p.config.Approvals[a] = struct{}{}
+		p.owners = append(p.owners, ownerCheck{approval: a, owner: owner, place: f.place})
+	}
+}
--- /dev/null
+++ b/oleander/version/configfile/parse.go
@@ -0,0 +1,219 @@
+package configfile
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"gopkg.in/yaml.v3"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/version"
+)
+
+// Parse makes one configuration, without a version, of all files together. The
+// error is an *InvalidError. Whole files are checked against one another only
+// if each is right by itself: otherwise one misspelt field would show as many
+// dangling references.
+func Parse(files []File) (*config.Config, error) {
+	p := &parser{
+		config: &config.Config{
+			Groups:    make(map[id.Group]config.Group),
+			Artifacts: make(map[id.Artifact]config.Artifact),
+			Services:  make(map[id.Service]config.Service),
+			Accounts:  make(map[id.Account]config.Account),
+			Keys:      make(map[id.Digest]config.Key),
+			Approvals: make(map[config.Approval]struct{}),
+		},
+		items: make(map[item]place),
+	}
+	for _, f := range files {
+		p.file(f)
+	}
+	if len(p.problems) == 0 {
+		p.fleetDeclared(files)
+	}
+	if len(p.problems) == 0 {
+		p.completeAdapters()
+		p.validate()
+		p.checkOwners()
+	}
+	if len(p.problems) > 0 {
+		slices.SortStableFunc(p.problems, func(a, b Problem) int {
+			return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+		})
+		return nil, &InvalidError{Problems: slices.Compact(p.problems)}
+	}
+	return p.config, nil
+}
+
+// item names one declared item.
+type item struct {
+	kind version.Kind
+	name string
+}
+
+// place is where an item stands.
+type place struct {
+	file   string
+	line   int
+	fields map[string]int // line by field
+}
+
+func (l place) lineOf(field string) int {
+	if line, ok := l.fields[field]; ok {
+		return line
+	}
+	return l.line
+}
+
+// ownerCheck is an approval whose owner is compared once all groups are known.
+type ownerCheck struct {
+	approval config.Approval
+	owner    string
+	place    place
+}
+
+type parser struct {
+	config   *config.Config
+	items    map[item]place
+	owners   []ownerCheck
+	problems []Problem
+}
+
+func (p *parser) problem(file string, line int, format string, args ...any) {
+	p.problems = append(p.problems, Problem{File: file, Line: max(line, 1), Text: fmt.Sprintf(format, args...)})
+}
+
+// file reads the documents of one file. The YAML library reports some
+// malformed input by a panic of its own; an operator's typing error must show
+// as an error of the file, so such a panic is turned into one here. Nothing
+// outside this parser is touched before Parse returns.
+func (p *parser) file(f File) {
+	defer func() {
+		if r := recover(); r != nil {
+			p.problem(f.Name, 1, "the file is not readable as YAML")
+		}
+	}()
+	d := yaml.NewDecoder(bytes.NewReader(f.Data))
+	for {
+		var doc yaml.Node
+		err := d.Decode(&doc)
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			line, text := yamlError(err)
+			p.problem(f.Name, line, "%s", text)
+			return
+		}
+		p.document(f.Name, &doc)
+	}
+}
+
+var yamlLine = regexp.MustCompile(`^yaml: (?:line (\d+): )?(.*)$`)
+
+// yamlError takes the line out of an error of the YAML library.
+func yamlError(err error) (line int, text string) {
+	m := yamlLine.FindStringSubmatch(err.Error())
+	if m == nil {
+		return 1, "the file is not readable as YAML"
+	}
+	line, _ = strconv.Atoi(m[1])
+	return line, m[2]
+}
+
+func (p *parser) document(file string, doc *yaml.Node) {
+	if len(doc.Content) == 0 || isNull(doc.Content[0]) {
+		return // only comments
+	}
+	root := doc.Content[0]
+	if root.Kind != yaml.MappingNode {
+		p.problem(file, root.Line, "a document must be a mapping of fields")
+		return
+	}
+	f := newFields(p, file, root)
+	kind := version.Kind(f.text("kind"))
+	read, ok := readers[kind]
+	if !ok {
+		if kind != "" {
+			p.problem(file, f.place.lineOf("kind"), "unknown kind %q", kind)
+		}
+		return
+	}
+	read(p, f)
+	f.rejectUnknown()
+}
+
+func isNull(n *yaml.Node) bool { return n.Kind == yaml.ScalarNode && n.Tag == "!!null" }
+
+// declare notes where an item stands; it reports whether it is the first of
+// its name.
+func (p *parser) declare(k version.Kind, name string, f *fields) bool {
+	it := item{kind: k, name: name}
+	if first, ok := p.items[it]; ok {
+		shown := string(k)
+		if k != version.KindKey && name != "" {
+			shown += fmt.Sprintf(" %q", name)
+		}
+		p.problem(f.file, f.place.line, "%s is declared twice, first at %s:%d", shown, first.file, first.line)
+		return false
+	}
+	p.items[it] = f.place
+	return true
+}
+
+func (p *parser) fleetDeclared(files []File) {
+	if _, ok := p.items[item{kind: version.KindFleet}]; ok {
+		return
+	}
+	name := "configuration"
+	if len(files) > 0 {
+		name = files[0].Name
+	}
+	p.problem(name, 1, "no document of kind fleet")
+}
+
+// completeAdapters gives each adapter the group of its model.
+func (p *parser) completeAdapters() {
+	for name, a := range p.config.Artifacts {
+		if name.IsAdapter() {
+			a.Group = p.config.Artifacts[name.Model()].Group
+			p.config.Artifacts[name] = a
+		}
+	}
+}
+
+func (p *parser) validate() {
+	for _, v := range version.Validate(p.config) {
+		at := p.items[item{kind: v.Kind, name: v.Name}]
+		p.problem(at.file, at.lineOf(v.Field), "%s", v)
+	}
+}
+
+// checkOwners compares who approved with who owns the group. Without it a team
+// could approve calls to servers that are not its own.
+func (p *parser) checkOwners() {
+	for _, o := range p.owners {
+		group, ok := p.groupOf(o.approval)
+		if !ok || group.Owner == o.owner {
+			continue
+		}
+		p.problem(o.place.file, o.place.lineOf("owner"), "approval %s: group %s is owned by %q, not by %q",
+			version.ApprovalName(o.approval), group.Name, group.Owner, o.owner)
+	}
+}
+
+func (p *parser) groupOf(a config.Approval) (config.Group, bool) {
+	name := p.config.Services[a.Service].Group
+	if a.Model != "" {
+		name = p.config.Artifacts[a.Model].Group
+	}
+	g, ok := p.config.Groups[name]
+	return g, ok
+}
