--- /dev/null
+++ b/oleander/version/publish/publish.go
@@ -0,0 +1,335 @@
+// Package publish makes a configuration the newest one in the table service:
+// all of it or nothing, once, and never over another operator's work.
+package publish
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/table"
+	"oleanderdale.org/core/version"
+	"oleanderdale.org/oleander/version/configcodec"
+)
+
+// The bounds of the tries of one operation.
+const (
+	readTries   = 4
+	commitTries = 4
+	rowsPerRead = 16
+)
+
+// MaxInline is the largest encoded change that stands in its row; a larger one
+// is put into the object store.
+const MaxInline = 200_000
+
+var (
+	// ErrUnavailable says that the table or the object store could not be
+	// read or written. Nothing was applied.
+	ErrUnavailable = errors.New("table or object store not available; nothing was applied")
+	// ErrUnknown says that the answer to the transaction was lost and the
+	// table could not be read afterwards. Repeating the apply is safe.
+	ErrUnknown = errors.New("outcome unknown: the change may or may not have been applied; repeating is safe")
+	// ErrDamaged says that the table's configuration can't be reconstructed.
+	ErrDamaged = errors.New("the configuration in the table is damaged")
+	// ErrInvalid says that the wanted configuration has problems.
+	ErrInvalid = errors.New("configuration is invalid")
+)
+
+// ConflictError says that another operator's change came first. Nothing of
+// this one was applied.
+type ConflictError struct {
+	Version id.ConfigVersion // that the other one wrote
+	Winner  string           // its author, "" if that could not be read
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	winner := e.Winner
+	if winner == "" {
+		winner = "another operator"
+	}
+	return fmt.Sprintf("version %d was applied by %s meanwhile; nothing was applied", e.Version, winner)
+}
+
+// Table is what this package needs of the table service. Read must be
+// consistent.
+type Table interface {
+	Read(ctx context.Context, keys []table.Key) ([]table.Row, table.Outcome)
+	Scan(ctx context.Context, kind table.Kind, prefix string) ([]table.Row, table.Outcome)
+	Commit(ctx context.Context, writes []table.Write) table.Outcome
+}
+
+// Objects is what this package needs of the object store.
+type Objects interface {
+	Get(ctx context.Context, d id.Digest) ([]byte, error)
+	Put(ctx context.Context, body []byte) (id.Digest, error)
+}
+
+// Publisher loads and applies configurations.
+type Publisher struct {
+	Table   Table
+	Objects Objects
+	// Pause, if set, waits between two tries; it returns an error to give up.
+	Pause func(ctx context.Context) error
+}
+
+// State is the newest configuration in the table.
+type State struct {
+	Config  *config.Config // at version 0 if nothing was applied yet
+	headRow uint64         // version of the head row, 0 if absent
+}
+
+// Result says what an apply did.
+type Result struct {
+	Version id.ConfigVersion // now the newest
+	Change  version.Change   // empty if nothing had to be done
+}
+
+// Load reads the newest configuration. The error wraps ErrUnavailable or
+// ErrDamaged.
+func (p *Publisher) Load(ctx context.Context) (State, error) {
+	rows, err := p.read(ctx, []table.Key{version.HeadKey()})
+	if err != nil {
+		return State{}, err
+	}
+	if len(rows) == 0 {
+		return State{Config: &config.Config{}}, nil
+	}
+	head, ok := rows[0].Body.(table.Head)
+	if !ok {
+		return State{}, errors.Wrap(ErrDamaged, "head row")
+	}
+	c, err := p.config(ctx, head.Version)
+	if err != nil {
+		return State{}, err
+	}
+	return State{Config: c, headRow: rows[0].Version}, nil
+}
+
+// Apply makes wanted the newest configuration. base, if not nil, is what the
+// operator planned against: if the table has moved on since, the result is a
+// conflict. author and applyID are written into the row; applyID must be new.
+// If wanted is in force already, nothing is written. The error is a
+// *ConflictError or wraps ErrInvalid, ErrUnavailable, ErrUnknown or ErrDamaged.
+func (p *Publisher) Apply(ctx context.Context, wanted *config.Config, author, applyID string, base *id.ConfigVersion) (Result, error) {
+	if problems := version.Validate(wanted); len(problems) > 0 {
+		return Result{}, errors.Wrap(ErrInvalid, problems[0].String())
+	}
+	s, err := p.Load(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if base != nil && *base != s.Config.Version {
+		return Result{}, p.conflict(ctx, s.Config.Version)
+	}
+	change := version.Diff(s.Config, wanted)
+	if change.Empty() {
+		return Result{Version: s.Config.Version}, nil
+	}
+	row, err := p.row(ctx, s, change, author, applyID)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := p.commit(ctx, s, row); err != nil {
+		return Result{}, err
+	}
+	return Result{Version: row.Version, Change: change}, nil
+}
+
+// row prepares the version row. Its objects are stored first, so that no row
+// ever names an object that is not there.
+func (p *Publisher) row(ctx context.Context, s State, change version.Change, author, applyID string) (table.Version, error) {
+	next, err := version.Apply(s.Config, change)
+	if err != nil {
+		return table.Version{}, errors.Wrap(ErrDamaged, err.Error())
+	}
+	body, err := configcodec.EncodeChange(change)
+	if err != nil {
+		return table.Version{}, errors.Wrap(ErrInvalid, err.Error())
+	}
+	row := table.Version{Version: next.Version, ApplyID: applyID, Author: author, Change: body}
+	if len(body) > MaxInline {
+		row.Change = nil
+		if row.ObjectOf, err = p.put(ctx, body); err != nil {
+			return table.Version{}, err
+		}
+	}
+	if version.HasSnapshot(next.Version) {
+		row.Snapshot, err = p.putSnapshot(ctx, next)
+	}
+	return row, err
+}
+
+func (p *Publisher) putSnapshot(ctx context.Context, c *config.Config) (id.Digest, error) {
+	body, err := configcodec.EncodeSnapshot(c)
+	if err != nil {
+		return "", errors.Wrap(ErrInvalid, err.Error())
+	}
+	return p.put(ctx, body)
+}
+
+func (p *Publisher) put(ctx context.Context, body []byte) (id.Digest, error) {
+	d, err := p.Objects.Put(ctx, body)
+	if err != nil {
+		return "", errors.Wrapf(ErrUnavailable, "store object: %v", err)
+	}
+	return d, nil
+}
+
+// commit writes the version row and moves the head in one transaction.
+//
+// An answer can be lost after the transaction took effect, or before, or while
+// it is still under way; one reading that finds no row does not tell these
+// apart. Sending the same transaction again does: its conditions let it take
+// effect at most once, and whoever finds the row compares the apply ID.
+func (p *Publisher) commit(ctx context.Context, s State, row table.Version) error {
+	writes := []table.Write{
+		{Key: version.RowKey(row.Version), Expect: 0, Body: row},
+		{Key: version.HeadKey(), Expect: s.headRow, Body: table.Head{Version: row.Version}},
+	}
+	inDoubt := false // a try may have taken effect, or may still
+	for try := range commitTries {
+		if try > 0 && p.pause(ctx) != nil {
+			break
+		}
+		outcome := p.Table.Commit(ctx, writes)
+		switch outcome {
+		case table.Done:
+			return nil
+		case table.NotDone:
+			continue
+		case table.Unknown:
+			inDoubt = true
+		}
+		won, found := p.winner(ctx, row.Version)
+		switch {
+		case found && won.ApplyID == row.ApplyID:
+			return nil
+		case found:
+			return &ConflictError{Version: won.Version, Winner: won.Author}
+		}
+	}
+	if inDoubt {
+		return errors.WithStack(ErrUnknown)
+	}
+	return errors.Wrap(ErrUnavailable, "write version")
+}
+
+// winner reads who wrote version v; found is false if nobody did, or if the
+// row could not be read.
+func (p *Publisher) winner(ctx context.Context, v id.ConfigVersion) (row table.Version, found bool) {
+	rows, err := p.read(ctx, []table.Key{version.RowKey(v)})
+	if err != nil || len(rows) == 0 {
+		return table.Version{}, false
+	}
+	row, found = rows[0].Body.(table.Version)
+	return row, found
+}
+
+func (p *Publisher) conflict(ctx context.Context, v id.ConfigVersion) error {
+	won, _ := p.winner(ctx, v)
+	return &ConflictError{Version: v, Winner: won.Author}
+}
+
+// config reconstructs version v from the newest snapshot up to it and the
+// changes after that.
+func (p *Publisher) config(ctx context.Context, v id.ConfigVersion) (*config.Config, error) {
+	if v == 0 {
+		return &config.Config{}, nil
+	}
+	start := version.SnapshotAt(v)
+	rows, err := p.versions(ctx, start, v)
+	if err != nil {
+		return nil, err
+	}
+	body, err := p.get(ctx, rows[0].Snapshot)
+	if err != nil {
+		return nil, err
+	}
+	c, err := configcodec.DecodeSnapshot(body)
+	if err != nil {
+		return nil, errors.Wrapf(ErrDamaged, "snapshot of version %d: %v", start, err)
+	}
+	for _, row := range rows[1:] {
+		if c, err = p.applyRow(ctx, c, row); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (p *Publisher) applyRow(ctx context.Context, c *config.Config, row table.Version) (*config.Config, error) {
+	body := row.Change
+	if row.ObjectOf != "" {
+		var err error
+		if body, err = p.get(ctx, row.ObjectOf); err != nil {
+			return nil, err
+		}
+	}
+	change, err := configcodec.DecodeChange(body)
+	if err != nil {
+		return nil, errors.Wrapf(ErrDamaged, "version %d: %v", row.Version, err)
+	}
+	next, err := version.Apply(c, change)
+	if err != nil {
+		return nil, errors.Wrapf(ErrDamaged, "version %d: %v", row.Version, err)
+	}
+	return next, nil
+}
+
+// versions reads the rows from first to last, all of which must be there.
+func (p *Publisher) versions(ctx context.Context, first, last id.ConfigVersion) ([]table.Version, error) {
+	var list []table.Version
+	for v := first; v <= last; v += rowsPerRead {
+		rows, err := p.read(ctx, version.RowKeys(v, min(last, v+rowsPerRead-1)))
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			if row, ok := r.Body.(table.Version); ok {
+				list = append(list, row)
+			}
+		}
+	}
+	for i, row := range list {
+		if row.Version != first+id.ConfigVersion(i) {
+			return nil, errors.Wrapf(ErrDamaged, "version %d is missing", first+id.ConfigVersion(i))
+		}
+	}
+	if len(list) != int(last-first)+1 {
+		return nil, errors.Wrapf(ErrDamaged, "%d of versions %d to %d are missing", int(last-first)+1-len(list), first, last)
+	}
+	return list, nil
+}
+
+func (p *Publisher) get(ctx context.Context, d id.Digest) ([]byte, error) {
+	body, err := p.Objects.Get(ctx, d)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "read object %s: %v", d, err)
+	}
+	return body, nil
+}
+
+// read repeats a read that failed; reading has no effect.
+func (p *Publisher) read(ctx context.Context, keys []table.Key) ([]table.Row, error) {
+	for try := range readTries {
+		if try > 0 && p.pause(ctx) != nil {
+			break
+		}
+		if rows, outcome := p.Table.Read(ctx, keys); outcome == table.Done {
+			return rows, nil
+		}
+	}
+	return nil, errors.Wrap(ErrUnavailable, "read table")
+}
+
+func (p *Publisher) pause(ctx context.Context) error {
+	if err := ctx.Err(); err != nil || p.Pause == nil {
+		return err
+	}
+	return p.Pause(ctx)
+}
