Follow configuration versions: fetch, serve and swap without going back

Cause: a Follower that only polled needed two polls to reach every instance. Change: a reader of the head pushes a new change to at most 8 instances of its zone; head reading and the age of the last confirmation have files of their own. Ruled out: polling faster, which costs the table reads at every reader.

--- a/core/version/follower.go
+++ b/core/version/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -12,8 +11,6 @@
 	"oleanderdale.org/core/invariant"
 	"oleanderdale.org/core/message"
 	"oleanderdale.org/core/process"
-	"oleanderdale.org/core/process/rendezvous"
-	"oleanderdale.org/core/table"
 )
 
 // NoReversal names the invariant that an instance never goes back to a lower
@@ -23,6 +20,10 @@
 // NeverHeard is the HeardAge of a Follower whose version was never confirmed.
 const NeverHeard = time.Duration(math.MaxInt64)
 
+// maxTableAge bounds the TableAge that is believed. A sender that never reached
+// the table gives a huge one, and a sum with it could overflow to a small age.
+const maxTableAge = 365 * 24 * time.Hour
+
 // Settings tune a Follower. A field that is 0 takes its default.
 type Settings struct {
 	// Poll is the time between two readings of the head; default 300 ms.
@@ -44,6 +45,10 @@
 	CatchUp time.Duration
 	// Keep is how many encoded changes are kept for peers; default 128.
 	Keep int
+	// Push is to how many instances of its zone a reader of the head sends a
+	// new change unasked; default 8, none if negative. It bounds what a change
+	// costs a reader, however large the zone is.
+	Push int
 }
 
 // The defaults of Settings.
@@ -55,6 +60,7 @@
 	defaultSettle    = 1500 * time.Millisecond
 	defaultCatchUp   = 5 * time.Second
 	defaultKeep      = 128
+	defaultPush      = 8
 )
 
 func (s Settings) withDefaults() Settings {
@@ -65,6 +71,7 @@
 	setDefault(&s.Settle, defaultSettle)
 	setDefault(&s.CatchUp, defaultCatchUp)
 	setDefault(&s.Keep, defaultKeep)
+	setDefault(&s.Push, defaultPush)
 	return s
 }
 
@@ -112,20 +119,6 @@
 
 var _ process.Machine = (*Follower)(nil)
 
-// headRead is a reading of the head row that is under way.
-type headRead struct {
-	op   uint64
-	sent clock.Time
-}
-
-// The bounds of the readings that are under way together while the table is
-// slow. An answer may be lost, so one of them must not keep the next back for
-// long; and a table that is down must not be met by a growing crowd.
-const (
-	maxHeads   = 4
-	forgetHead = 5 * time.Second
-)
-
 // encoded is an encoded change or, if Snapshot is set, a whole configuration.
 // Version 0 means none.
 type encoded struct {
@@ -247,7 +240,9 @@
 	switch m := m.(type) {
 	case message.Heartbeat:
 		f.notePeer(from, m.Version)
-		f.heard.note(m.Version, now.Add(-m.TableAge))
+		if m.TableAge >= 0 && m.TableAge < maxTableAge {
+			f.heard.note(m.Version, now.Add(-m.TableAge))
+		}
 	case message.VersionAsk:
 		f.notePeer(from, m.Have)
 		f.serve(from, m.Have, out)
@@ -271,68 +266,6 @@
 	f.heard.confirm(f.inForce)
 }
 
-// readsHead reports whether this instance reads the head: it is one of the
-// readers of its zone, or has no version yet.
-func (f *Follower) readsHead() bool {
-	if f.inForce == nil {
-		return true
-	}
-	zone := f.members.Zone()
-	readers := rendezvous.Rank("config/"+string(zone), f.members.InZone(zone), f.set.Readers)
-	return slices.Contains(readers, f.members.Self())
-}
-
-func (f *Follower) readHead(now clock.Time, out *event.Outbox) {
-	if len(f.heads) == maxHeads || !f.readsHead() {
-		return
-	}
-	h := headRead{op: f.nextOp(), sent: now}
-	f.heads = append(f.heads, h)
-	out.Add(event.TableRead{Op: f.op(h.op), Keys: []table.Key{HeadKey()}})
-}
-
-func (f *Follower) forgetHeads(now clock.Time) {
-	f.heads = slices.DeleteFunc(f.heads, func(h headRead) bool {
-		return now.Reached(h.sent.Add(forgetHead))
-	})
-	if len(f.heads) > 0 && now.Reached(f.heads[0].sent.Add(f.set.TableWait)) {
-		f.headOK = false
-	}
-}
-
-// takeHead returns when the reading op was sent, if it is one of the head, and
-// forgets it.
-func (f *Follower) takeHead(op uint64) (sent clock.Time, ok bool) {
-	for i, h := range f.heads {
-		if h.op == op {
-			f.heads = slices.Delete(f.heads, i, i+1)
-			return h.sent, true
-		}
-	}
-	return 0, false
-}
-
-// headRead takes an answer. Answers may come out of order; only larger
-// versions and later times of asking count.
-func (f *Follower) headRead(sent clock.Time, r event.TableResult) {
-	f.headOK = r.Outcome == table.Done
-	if !f.headOK {
-		return
-	}
-	var v id.ConfigVersion
-	for _, row := range r.Rows {
-		if h, ok := row.Body.(table.Head); ok {
-			v = h.Version
-		}
-	}
-	f.headKnown = true
-	f.headSeen = max(f.headSeen, v)
-	f.newest = max(f.newest, v)
-	// The head may have moved while the answer was under way, so the time of
-	// asking counts.
-	f.heard.note(v, sent)
-}
-
 func (f *Follower) nextOp() uint64 {
 	f.ops++
 	return f.ops
@@ -380,6 +313,7 @@
 	}
 	f.inForce = f.tip
 	out.Add(event.InForce{Config: f.tip})
+	f.push(out)
 }
 
 // mayStart reports whether the tip is new enough to begin with. An instance
@@ -408,35 +342,3 @@
 	}
 	return c.Version
 }
-
-// heard tells when the version in force was last known to be the newest.
-type heard struct {
-	known bool
-	at    clock.Time
-	// latest is the newest confirmation of any version; it counts for the
-	// version in force once that is as high.
-	latest struct {
-		known   bool
-		version id.ConfigVersion
-		at      clock.Time
-	}
-}
-
-// note takes that v was the newest version at the time at.
-func (h *heard) note(v id.ConfigVersion, at clock.Time) {
-	l := &h.latest
-	if l.known && (v < l.version || (v == l.version && at <= l.at)) {
-		return
-	}
-	l.known, l.version, l.at = true, v, at
-}
-
-func (h *heard) confirm(inForce *config.Config) {
-	l := h.latest
-	if !l.known || inForce == nil || inForce.Version != l.version {
-		return
-	}
-	if !h.known || l.at > h.at {
-		h.known, h.at = true, l.at
-	}
-}
--- a/core/version/follower_test.go
+++ b/core/version/follower_test.go
@@ -1,7 +1,10 @@
 package version
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/invariant"
@@ -52,6 +56,35 @@
 					t.Errorf("started on %v, newest is %d", n.inForce, s.newest.Version)
 				}
 			}},
+		{"start with a version that can't be had", `
+			The only peer that announces the newest version dies before anybody
+			fetches it, while the table is down. A starting instance waits, but
+			then takes the best that there is: its zone must go on serving.`,
+			func(t *testing.T, s *sim) {
+				s.tableUp = false
+				n := s.start(4)
+				n.Peer(s.now, s.nodes[0].name, message.Heartbeat{Version: 99}, new(event.Outbox))
+				s.run(4 * time.Second)
+				if len(n.inForce) != 0 {
+					t.Errorf("started on %v without waiting for version 99", n.inForce)
+				}
+				s.run(4 * time.Second)
+			}},
+		{"start after a peer's death", `
+			As before, but the announcing peer is known to be gone: there is
+			nothing to wait for, and callers need not.`,
+			func(t *testing.T, s *sim) {
+				s.tableUp = false
+				n := s.start(4)
+				n.Peer(s.now, s.nodes[0].name, message.Heartbeat{Version: 99}, new(event.Outbox))
+				s.run(time.Second)
+				s.start(0)
+				s.run(time.Second)
+				if len(n.inForce) == 0 {
+					t.Error("still waits for a version of a dead peer")
+				}
+				s.run(2 * time.Second)
+			}},
 		{"far behind", `
 			A zone is cut off while more versions are applied than its peers
 			keep changes of. After the cut it catches up by a snapshot, with the
@@ -138,14 +171,17 @@
 	}
 	f.Tick(f.fetch.until, &out)
 	f.Tick(f.fetch.until, &out)
-	asked := map[id.Instance]bool{}
+	asked, read := map[id.Instance]bool{}, false
 	for _, e := range out.Take() {
-		if m, ok := e.(event.SendPeer); ok {
-			asked[m.To] = true
+		switch e := e.(type) {
+		case event.SendPeer:
+			asked[e.To] = true
+		case event.TableRead:
+			read = e.Keys[0] == RowKey(2)
 		}
 	}
-	if len(asked) != 2 {
-		t.Errorf("asked %v, want both peers", asked)
+	if len(asked) != 2 || !read {
+		t.Errorf("asked %v, read the row: %t; want both peers, then the table", asked, read)
 	}
 }
 
@@ -156,6 +192,13 @@
 	if s.nodes[0].HeardAge(s.now) != NeverHeard {
 		t.Error("heard before anything was")
 	}
+	alone := NewFollower(Settings{}, s.nodes[0], new(invariant.Checker))
+	alone.inForce = &config.Config{Version: 1}
+	alone.tip = alone.inForce
+	alone.Peer(5, s.nodes[1].name, message.Heartbeat{Version: 1, TableAge: math.MaxInt64}, new(event.Outbox))
+	if alone.HeardAge(9) != NeverHeard {
+		t.Error("heard through a peer that never reached the table")
+	}
 	s.publish(1)
 	s.run(3 * time.Second)
 	within := func(i int, low, high time.Duration) {
@@ -173,6 +216,9 @@
 	within(4, 59*time.Second, 61*time.Second) // its own zone does not vouch for itself
 	s.publish(1)
 	s.run(2 * time.Second)
+	// To hear of a version without getting it makes nothing in force newer.
+	s.nodes[4].Peer(s.now, s.nodes[3].name, message.Heartbeat{Version: 2}, new(event.Outbox))
+	within(4, 61*time.Second, 63*time.Second)
 	clear(s.cut)
 	s.run(2 * time.Second)
 	within(4, 0, time.Second)
@@ -194,6 +240,51 @@
 	}
 }
 
+// BenchmarkSpread tells how long a version takes to be in force at all of nine
+// instances in three zones, in virtual time: the table answers after 1 ms,
+// messages take 1 ms, heartbeats go out every 500 ms.
+func BenchmarkSpread(b *testing.B) {
+	for _, push := range []int{defaultPush, -1} {
+		b.Run(fmt.Sprint("push=", push), func(b *testing.B) {
+			s := newSim(threeZones...)
+			s.make = func(n *node) machine { return NewFollower(Settings{Push: push}, n, new(invariant.Checker)) }
+			for i := range s.nodes {
+				s.start(i)
+				s.run(77 * time.Millisecond) // so that they do not act in step
+			}
+			s.publish(1)
+			s.run(5 * time.Second)
+			var took []time.Duration
+			for b.Loop() {
+				s.run(time.Duration(1000+len(took)*37%300) * time.Millisecond)
+				s.publish(1)
+				from := s.now
+				for !s.everywhere() {
+					s.run(time.Millisecond)
+				}
+				took = append(took, s.now.Sub(from))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
+			b.ReportMetric(float64(took[len(took)*99/100].Milliseconds()), "p99-ms")
+		})
+	}
+}
+
+// A cut zone aside, a version must not wait for heartbeats: a withdrawn key
+// would work for that much longer.
+func TestReadersPush(t *testing.T) {
+	s := newSim(threeZones...)
+	s.publish(1)
+	s.run(3 * time.Second)
+	for range 20 {
+		s.run(731 * time.Millisecond)
+		s.publish(1)
+		s.run(defaultPoll + 10*time.Millisecond)
+		s.converged(t)
+	}
+}
+
 // Instances start, stop and are cut off while operators apply versions and the
 // network loses, doubles and delays. At no time may one go back; once faults
 // end all have the newest version.
--- a/core/version/serve.go
+++ b/core/version/serve.go
@@ -113,3 +113,22 @@
 	f.log.encoding = true
 	out.Add(event.EncodeConfig{Config: f.tip})
 }
+
+// push sends the newest change to instances of the zone, so that they need not
+// wait for the next heartbeat. Lost ones are made up for by heartbeats.
+func (f *Follower) push(out *event.Outbox) {
+	l := &f.log
+	if len(l.changes) == 0 || f.set.Push < 0 || !f.readsHead() {
+		return
+	}
+	body := l.changes[len(l.changes)-1]
+	if len(body) > bytesPerAnswer {
+		return
+	}
+	v := versionOf(f.tip)
+	for _, i := range f.zoneRank(f.set.Push + 1) {
+		if i != f.members.Self() && f.peers[i] < v {
+			out.Send(i, message.VersionChange{Version: v, Change: body})
+		}
+	}
+}
--- a/core/version/sim_test.go
+++ b/core/version/sim_test.go
@@ -78,7 +78,6 @@
 	tableUp  bool
 	fate     func() (copies int, delay time.Duration) // of one message or table answer
 	cut      map[id.Zone]bool                         // from the other zones and the table
-	asks     map[id.Instance]int                      // VersionAsk by receiver
 	reversed []string
 }
 
@@ -88,7 +87,7 @@
 	s := &sim{
 		zones: zones, tableUp: true,
 		rows: make(map[table.Key]table.Row), objects: make(map[id.Digest][]byte),
-		cut: make(map[id.Zone]bool), asks: make(map[id.Instance]int),
+		cut:  make(map[id.Zone]bool),
 		fate: func() (int, time.Duration) { return 1, time.Millisecond },
 		make: func(n *node) machine { return NewFollower(Settings{Keep: 8}, n, new(invariant.Checker)) },
 	}
@@ -221,9 +220,6 @@
 	if to == nil || (to.Zone() != from.Zone() && (s.cut[to.Zone()] || s.cut[from.Zone()])) {
 		return
 	}
-	if _, ok := e.Message.(message.VersionAsk); ok {
-		s.asks[e.To]++
-	}
 	s.send(e.To, func(n *node, out *event.Outbox) { n.Peer(s.now, from.name, e.Message, out) })
 }
 
@@ -283,6 +279,10 @@
 	}
 }
 
+func (s *sim) everywhere() bool {
+	return !slices.ContainsFunc(s.nodes, func(n *node) bool { return versionOf(n.Current()) != s.newest.Version })
+}
+
 // converged fails the test unless every node has the newest version.
 func (s *sim) converged(t interface{ Fatalf(string, ...any) }) {
 	for _, n := range s.nodes {
--- a/oleander/version/configfile/kinds.go
+++ b/oleander/version/configfile/kinds.go
@@ -105,6 +105,11 @@
 	if isolation := f.optionalFields("isolation"); isolation != nil {
 		a.ServeFor = isolation.duration("serve_for")
 		isolation.rejectUnknown()
+		if a.ServeFor == 0 && isolation.values["serve_for"] != nil {
+			// 0 stands for no limit in config.Account, and whoever writes it
+			// more likely means the opposite.
+			isolation.fault("serve_for", "serve_for must be above 0; without isolation there is no limit")
+		}
 	}
 	if p.declare(version.KindAccount, string(a.Name), f) {
 		p.config.Accounts[a.Name] = a
--- a/oleander/version/configfile/parse.go
+++ b/oleander/version/configfile/parse.go
@@ -108,7 +108,7 @@
 			return
 		}
 		if err != nil {
-			line, text := yamlError(err)
+			line, text := yamlError(err, f.Data)
 			p.problem(f.Name, line, "%s", text)
 			return
 		}
@@ -116,14 +116,23 @@
 	}
 }
 
-var yamlLine = regexp.MustCompile(`^yaml: (?:line (\d+): )?(.*)$`)
+var (
+	yamlLine   = regexp.MustCompile(`^yaml: (?:line (\d+): )?(.*)$`)
+	yamlAnchor = regexp.MustCompile(`^unknown anchor '(.*)' referenced$`)
+)
 
-// yamlError takes the line out of an error of the YAML library.
-func yamlError(err error) (line int, text string) {
+// yamlError takes the line out of an error of the YAML library. For a block
+// that is not closed the library names the line where it began; for an unknown
+// anchor it names none, so the line is looked up.
+func yamlError(err error, data []byte) (line int, text string) {
 	m := yamlLine.FindStringSubmatch(err.Error())
 	if m == nil {
 		return 1, "the file is not readable as YAML"
 	}
+	if anchor := yamlAnchor.FindStringSubmatch(m[2]); anchor != nil {
+		before, _, _ := bytes.Cut(data, []byte("*"+anchor[1]))
+		return 1 + bytes.Count(before, []byte("\n")), m[2]
+	}
 	line, _ = strconv.Atoi(m[1])
 	return line, m[2]
 }
--- /dev/null
+++ b/oleander/version/publish/publish_test.go
@@ -0,0 +1,310 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/table"
+	"oleanderdale.org/core/version"
+)
+
+// fakePlatform is a table and an object store in memory. commit and readable,
+// if set, decide what becomes of an operation.
+type fakePlatform struct {
+	mu       sync.Mutex
+	rows     map[table.Key]table.Row
+	objects  map[id.Digest][]byte
+	commits  int
+	commit   func(n int) (carryOut bool, lost table.Outcome) // of the n-th; Done: not lost
+	readable func() bool
+}
+
+func newFake() *fakePlatform {
+	return &fakePlatform{rows: make(map[table.Key]table.Row), objects: make(map[id.Digest][]byte)}
+}
+
+func (f *fakePlatform) Read(_ context.Context, keys []table.Key) ([]table.Row, table.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.readable != nil && !f.readable() {
+		return nil, table.Unknown
+	}
+	var rows []table.Row
+	for _, k := range keys {
+		if r, ok := f.rows[k]; ok {
+			rows = append(rows, r)
+		}
+	}
+	return rows, table.Done
+}
+
+func (f *fakePlatform) Scan(context.Context, table.Kind, string) ([]table.Row, table.Outcome) {
+	return nil, table.NotDone
+}
+
+func (f *fakePlatform) Commit(_ context.Context, writes []table.Write) table.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	if f.commit == nil {
+		return f.carryOut(writes)
+	}
+	carryOut, lost := f.commit(f.commits)
+	outcome := lost
+	if carryOut {
+		if real := f.carryOut(writes); lost == table.Done {
+			outcome = real
+		}
+	}
+	return outcome
+}
+
+func (f *fakePlatform) carryOut(writes []table.Write) table.Outcome {
+	for _, w := range writes {
+		if f.rows[w.Key].Version != w.Expect {
+			return table.Conflict
+		}
+	}
+	for _, w := range writes {
+		f.rows[w.Key] = table.Row{Key: w.Key, Version: w.Expect + 1, Body: w.Body}
+	}
+	return table.Done
+}
+
+func (f *fakePlatform) Get(_ context.Context, d id.Digest) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b, ok := f.objects[d]; ok {
+		return b, nil
+	}
+	return nil, errors.New("no such object")
+}
+
+func (f *fakePlatform) Put(_ context.Context, b []byte) (id.Digest, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := id.Digest(fmt.Sprint("object", len(f.objects)))
+	f.objects[d] = b
+	return d, nil
+}
+
+func wanted(accounts ...string) *config.Config {
+	c := &config.Config{
+		Fleet:    config.Fleet{Zones: []id.Zone{"a"}, SlotsPerZone: 1, LoadsPerSecond: 1, LoadsAtOnce: 1, AdaptersInTransit: 1},
+		Accounts: make(map[id.Account]config.Account),
+	}
+	for _, a := range accounts {
+		c.Accounts[id.Account(a)] = config.Account{Name: id.Account(a), Rate: 1, Burst: 1, Weight: 1, Class: config.Batch}
+	}
+	return c
+}
+
+func apply(f *fakePlatform, author string, c *config.Config) (Result, error) {
+	p := &Publisher{Table: f, Objects: f}
+	return p.Apply(context.Background(), c, author, "apply of "+author, nil)
+}
+
+func mustApply(t *testing.T, f *fakePlatform, author string, c *config.Config) Result {
+	t.Helper()
+	r, err := apply(f, author, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func load(t *testing.T, f *fakePlatform) *config.Config {
+	t.Helper()
+	s, err := (&Publisher{Table: f, Objects: f}).Load(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Config
+}
+
+func TestVersionsFollow(t *testing.T) {
+	f := newFake()
+	for i := range 120 {
+		c := wanted("a", fmt.Sprint("b", i))
+		if r := mustApply(t, f, "ann", c); r.Version != id.ConfigVersion(i+1) {
+			t.Fatalf("version %d, want %d", r.Version, i+1)
+		}
+		if got := load(t, f); got.Version != id.ConfigVersion(i+1) || !version.Diff(got, c).Empty() {
+			t.Fatalf("loaded another configuration than applied as %d", i+1)
+		}
+	}
+	if len(f.objects) != 3 { // of versions 1, 50 and 100
+		t.Errorf("%d snapshots, want 3", len(f.objects))
+	}
+}
+
+func TestNothingToChange(t *testing.T) {
+	f := newFake()
+	mustApply(t, f, "ann", wanted("a"))
+	if r := mustApply(t, f, "bo", wanted("a")); r.Version != 1 || !r.Change.Empty() || f.commits != 1 {
+		t.Errorf("%+v after %d commits", r, f.commits)
+	}
+}
+
+func TestLargeChangeGoesIntoAnObject(t *testing.T) {
+	f := newFake()
+	mustApply(t, f, "ann", wanted("a"))
+	var many []string
+	for i := range 3000 {
+		many = append(many, fmt.Sprint("account-with-a-long-name-", i))
+	}
+	mustApply(t, f, "ann", wanted(many...))
+	row := f.rows[version.RowKey(2)].Body.(table.Version)
+	if row.ObjectOf == "" || row.Change != nil {
+		t.Error("the change stands in its row")
+	}
+	if n := len(load(t, f).Accounts); n != len(many) {
+		t.Errorf("%d accounts, want %d", n, len(many))
+	}
+}
+
+// Two operators apply at the same time from the same version. One wins; the
+// other's command ends with who won, and nothing of its files is in force.
+func TestRace(t *testing.T) {
+	f := newFake()
+	mustApply(t, f, "ann", wanted("a"))
+	p := &Publisher{Table: f, Objects: f}
+	raced := false
+	f.commit = func(int) (bool, table.Outcome) {
+		if !raced { // bo's transaction arrives right before cy's
+			raced = true
+			row := table.Version{Version: 2, ApplyID: "other", Author: "bo", Change: []byte(`{}`)}
+			f.carryOut([]table.Write{
+				{Key: version.RowKey(2), Body: row},
+				{Key: version.HeadKey(), Expect: 1, Body: table.Head{Version: 2}},
+			})
+		}
+		return true, table.Done
+	}
+	_, err := p.Apply(context.Background(), wanted("a", "c"), "cy", "x", nil)
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || conflict.Winner != "bo" || conflict.Version != 2 {
+		t.Fatalf("got %v", err)
+	}
+	if !strings.Contains(err.Error(), "bo") || load(t, f).Version != 2 {
+		t.Errorf("%v, at version %d", err, load(t, f).Version)
+	}
+}
+
+// Many operators apply different files at once. Every version has one author,
+// and each command that reported success is the version it reported.
+func TestManyRaces(t *testing.T) {
+	f := newFake()
+	mustApply(t, f, "first", wanted("a"))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	won := make(map[id.ConfigVersion]string)
+	for i := range 16 {
+		wg.Go(func() {
+			name := fmt.Sprint("op", i)
+			r, err := apply(f, name, wanted("a", name))
+			var conflict *ConflictError
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil && won[r.Version] == "":
+				won[r.Version] = name
+			case !errors.As(err, &conflict):
+				t.Errorf("%s: version %d, error %v", name, r.Version, err)
+			}
+		})
+	}
+	wg.Wait()
+	for v, name := range won {
+		if row := f.rows[version.RowKey(v)].Body.(table.Version); row.Author != name {
+			t.Errorf("version %d is by %s, and %s was told it was theirs", v, row.Author, name)
+		}
+	}
+	if int(load(t, f).Version) != len(won)+1 {
+		t.Errorf("%d versions, %d successes", load(t, f).Version, len(won))
+	}
+}
+
+// Answers are lost before or after the transaction took effect, and the table
+// can or can't be read afterwards. The command must never claim success or
+// failure that it does not know, and a repeat must not apply twice.
+func TestLostAnswers(t *testing.T) {
+	type fate struct {
+		carryOut bool
+		outcome  table.Outcome
+	}
+	lost, lostAfter, ok := fate{false, table.Unknown}, fate{true, table.Unknown}, fate{true, table.Done}
+	cases := []struct {
+		name    string
+		fates   []fate // of the transactions, the last one for all further ones
+		blind   int    // reads that fail after the first transaction
+		want    error  // nil: applied
+		version id.ConfigVersion
+	}{
+		{"lost after effect", []fate{lostAfter}, 0, nil, 2},
+		{"lost before effect, then sent again", []fate{lost, ok}, 0, nil, 2},
+		{"lost after effect, unreadable at first, sent again", []fate{lostAfter, ok}, readTries, nil, 2},
+		{"never answered, never in effect", []fate{lost}, 0, ErrUnknown, 1},
+		{"lost after effect and unreadable", []fate{lostAfter}, 99, ErrUnknown, 2},
+		{"nothing could be sent", []fate{{false, table.NotDone}}, 0, ErrUnavailable, 1},
+		{"conflict without a winner", []fate{{false, table.Conflict}}, 0, ErrUnavailable, 1},
+		{"not sent, then lost", []fate{{false, table.NotDone}, lost, {false, table.NotDone}}, 0, ErrUnknown, 1},
+	}
+	for _, c := range cases {
+		f := newFake()
+		mustApply(t, f, "ann", wanted("a"))
+		f.commits = 0
+		f.commit = func(n int) (bool, table.Outcome) {
+			fate := c.fates[min(n, len(c.fates))-1]
+			return fate.carryOut, fate.outcome
+		}
+		f.readable = func() bool {
+			if f.commits == 0 || c.blind == 0 {
+				return true
+			}
+			c.blind--
+			return false
+		}
+		if _, err := apply(f, "bo", wanted("a", "b")); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+		f.commit, f.readable = nil, nil
+		if v := load(t, f).Version; v != c.version {
+			t.Errorf("%s: at version %d, want %d", c.name, v, c.version)
+		}
+		if r := mustApply(t, f, "bo", wanted("a", "b")); r.Version != 2 {
+			t.Errorf("%s: repeated as version %d", c.name, r.Version)
+		}
+	}
+}
+
+func TestBasePlannedAgainst(t *testing.T) {
+	f := newFake()
+	mustApply(t, f, "ann", wanted("a"))
+	mustApply(t, f, "bo", wanted("b"))
+	planned := id.ConfigVersion(1)
+	p := &Publisher{Table: f, Objects: f}
+	_, err := p.Apply(context.Background(), wanted("c"), "cy", "x", &planned)
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || conflict.Winner != "bo" || conflict.Version != 2 {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestDamagedTable(t *testing.T) {
+	f := newFake()
+	for i := range 4 {
+		mustApply(t, f, "ann", wanted(fmt.Sprint("a", i)))
+	}
+	delete(f.rows, version.RowKey(3))
+	if _, err := apply(f, "bo", wanted("b")); !errors.Is(err, ErrDamaged) {
+		t.Errorf("got %v", err)
+	}
+}
