Take calls only when tokens can be found

Cause: an instance took calls as soon as it had a configuration and a session, and refused every one as over the rate until the first announcement of rate slots reached it, up to a second later. Change: readiness also waits until the instance holds a slot or has heard of one, for five seconds at most. Ruled out: the balancer (its list showed the instances ready), the drawing (no refusal came from an instance that had heard a holder).

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -47,8 +47,9 @@
 	renewalsPerTerm = 3
 	// demandEvery is how often what waits is shown to the placement.
 	demandEvery = 100 * time.Millisecond
-	// startAnyway is when an instance takes calls without a session: it can
-	// draw tokens and route to what is loaded while the table is down.
+	// startAnyway is when an instance takes calls without a session, or
+	// without having heard of tokens: it can route to what is loaded while
+	// the table is down, and refuse honestly what it can't charge.
 	startAnyway = 5 * time.Second
 )
 
@@ -350,7 +351,9 @@
 
 // checkReady tells the program when calls can be taken.
 func (i *Instance) checkReady(now clock.Time) {
-	ready := i.cfg != nil && !i.stop.asked && (i.lease.Valid(now) || now.Reached(i.started.Add(startAnyway)) || i.ready)
+	able := i.lease.Valid(now) && i.rates.Informed()
+	late := now.Reached(i.started.Add(startAnyway))
+	ready := i.cfg != nil && !i.stop.asked && (able || late || i.ready)
 	if ready != i.ready {
 		i.ready = ready
 		i.effects = append(i.effects, event.Ready{Ready: ready})
--- a/proving/fleet/scenario.go
+++ b/proving/fleet/scenario.go
@@ -126,7 +126,6 @@
 	*Fleet
 	orders int
 	calls  int
-	left   int
 	// Done counts the steps by kind.
 	Done map[string]int
 }
