--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # Everything is built by the go command; these are the usual calls.
 MODULES := core oleander proving
 
-.PHONY: build test lint
+.PHONY: build test lint processes long bench
+
+# How long `make long` plays random faults.
+LONG ?= 5m
 
 build:
 	go build -o bin/ ./oleander/cmd/...
@@ -13,6 +16,15 @@
 	go vet $(foreach m,$(MODULES),./$(m)/...)
 	cd proving && go tool staticcheck $(foreach m,$(MODULES),../$(m)/...)
 
+processes:
+	go test -count=1 -v -run TestEveryInstanceServes ./proving/processes
+
+long:
+	OLEANDERDALE_LONG=$(LONG) go test -count=1 -v -timeout 0 -run TestLongRun ./proving/fleet
+
+bench:
+	go test -run XXX -bench . -benchmem $(foreach m,$(MODULES),./$(m)/...)
+
 .PHONY: generate
 
 # Needs protoc; the two plugins are pinned in proving/go.mod.
--- /dev/null
+++ b/oleander/internal/testutil/testutil.go
@@ -0,0 +1,63 @@
+// Package testutil holds what the tests of several packages share.
+package testutil
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// Patience is a timeout that passes only in a test that fails anyway.
+const Patience = 30 * time.Second
+
+const poll = time.Millisecond
+
+// WaitFor returns once ok is true; the test fails if that takes longer than
+// Patience.
+func WaitFor(t testing.TB, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !ok(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			t.Fatal("did not come true in time")
+		}
+	}
+}
+
+// Listen listens on a free port of loopback.
+func Listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// Serve answers with h on loopback until the test ends, and returns the URL.
+func Serve(t testing.TB, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// ServeText answers every request with body until the test ends, and returns
+// the URL.
+func ServeText(t testing.TB, body string) string {
+	t.Helper()
+	return Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// The client notices a short answer.
+		_, _ = io.WriteString(w, body)
+	}))
+}
+
+// ClosedAddress returns an address on loopback at which nothing listens.
+func ClosedAddress(t testing.TB) string {
+	t.Helper()
+	l := Listen(t)
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/oleander/platform/engine/engine_test.go
+++ b/oleander/platform/engine/engine_test.go
@@ -3,22 +3,21 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
-	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"oleanderdale.org/core/event"
+	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/platform/engine"
 	standin "oleanderdale.org/oleander/standin/engine"
 )
 
 const (
-	patient = 30 * time.Second // no test waits for it unless it fails
-	hasty   = 500 * time.Millisecond
-	memory  = 100
+	hasty  = 500 * time.Millisecond
+	memory = 100
 )
 
 type bench struct {
@@ -34,13 +33,12 @@
 		Client: engine.New(engine.Settings{Timeout: timeout}),
 		server: standin.New(standin.Settings{Name: "gpu", Bytes: memory, ChecksFencing: true}),
 	}
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	url := testutil.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.calls.Add(1)
 		b.server.ServeHTTP(w, r)
 	}))
-	t.Cleanup(srv.Close)
 	t.Cleanup(func() { b.server.Close() })
-	b.addr = srv.Listener.Addr().String()
+	b.addr = strings.TrimPrefix(url, "http://")
 	return b
 }
 
@@ -81,7 +79,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t, patient)
+			b := newBench(t, testutil.Patience)
 			b.server.Order(engine.OrderRequest{Order: "o0", Kind: event.OrderFence, Fencing: 5})
 			b.server.SetFaults(test.faults)
 			if got := b.Order(context.Background(), b.addr, test.order); got != test.want {
@@ -91,7 +89,7 @@
 				t.Errorf("%d requests for one order", n)
 			}
 			if test.effect {
-				waitFor(t, func() bool { return len(b.server.Report().Held) == 1 })
+				testutil.WaitFor(t, func() bool { return len(b.server.Report().Held) == 1 })
 			} else if held := b.server.Report().Held; len(held) != 0 {
 				t.Errorf("held: %+v", held)
 			}
@@ -114,17 +112,8 @@
 	}
 }
 
-func waitFor(t *testing.T, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patient); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("did not come true in time")
-		}
-	}
-}
-
 func TestReport(t *testing.T) {
-	b := newBench(t, patient)
+	b := newBench(t, testutil.Patience)
 	b.server.Order(load(10))
 	got, err := b.Report(context.Background(), b.addr)
 	if err != nil || got.Bytes != memory || got.Fencing != 5 || got.Boot == "" || len(got.Held) != 1 || got.Held[0].Order != "o1" {
@@ -141,10 +130,10 @@
 		timeout time.Duration
 		want    error
 	}{
-		{"down", standin.Faults{Down: true}, patient, engine.ErrUnavailable},
+		{"down", standin.Faults{Down: true}, testutil.Patience, engine.ErrUnavailable},
 		{"slower than the timeout", standin.Faults{SlowReports: 4 * hasty}, hasty, engine.ErrUnavailable},
-		{"garbage", standin.Faults{GarbageReports: 1}, patient, engine.ErrDamaged},
-		{"oversized", standin.Faults{OversizedReports: 1}, patient, engine.ErrTooLarge},
+		{"garbage", standin.Faults{GarbageReports: 1}, testutil.Patience, engine.ErrDamaged},
+		{"oversized", standin.Faults{OversizedReports: 1}, testutil.Patience, engine.ErrTooLarge},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -168,12 +157,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				_, _ = w.Write([]byte(test.body))
-			}))
-			defer srv.Close()
-			c := engine.New(engine.Settings{Timeout: patient})
-			if _, err := c.Report(context.Background(), srv.Listener.Addr().String()); !errors.Is(err, engine.ErrDamaged) {
+			addr := strings.TrimPrefix(testutil.ServeText(t, test.body), "http://")
+			c := engine.New(engine.Settings{Timeout: testutil.Patience})
+			if _, err := c.Report(context.Background(), addr); !errors.Is(err, engine.ErrDamaged) {
 				t.Errorf("report: %v", err)
 			}
 		})
@@ -181,13 +167,8 @@
 }
 
 func TestNothingListens(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	c := engine.New(engine.Settings{Timeout: patient})
+	addr := testutil.ClosedAddress(t)
+	c := engine.New(engine.Settings{Timeout: testutil.Patience})
 	if _, err := c.Report(context.Background(), addr); !errors.Is(err, engine.ErrUnavailable) {
 		t.Errorf("report: %v", err)
 	}
--- /dev/null
+++ b/oleander/platform/engine/openapi_test.go
@@ -0,0 +1,56 @@
+package engine_test
+
+import (
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.yaml.in/yaml/v3"
+
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/oleander/platform/engine"
+)
+
+const description = "../../../docs/api/engine.openapi.yaml"
+
+// The description that engine owners build from must name the same fields as
+// the program sends and reads.
+func TestDescriptionNamesTheFields(t *testing.T) {
+	raw, err := os.ReadFile(description)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var doc struct {
+		Paths      map[string]any
+		Components struct {
+			Schemas map[string]struct{ Properties map[string]any }
+		}
+	}
+	if err := yaml.Unmarshal(raw, &doc); err != nil {
+		t.Fatal(err)
+	}
+	if got := slices.Sorted(maps.Keys(doc.Paths)); !slices.Equal(got, []string{engine.OrdersPath, engine.ReportPath}) {
+		t.Errorf("paths %v", got)
+	}
+	for name, v := range map[string]any{
+		"Order": engine.OrderRequest{}, "Report": message.Report{},
+		"Held": message.Held{}, "Cached": message.Cached{},
+	} {
+		got := slices.Sorted(maps.Keys(doc.Components.Schemas[name].Properties))
+		if want := fields(reflect.TypeOf(v)); !slices.Equal(got, want) {
+			t.Errorf("%s has %v, want %v", name, got, want)
+		}
+	}
+}
+
+func fields(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		names = append(names, name)
+	}
+	return slices.Sorted(slices.Values(names))
+}
--- a/oleander/platform/instancelist/instancelist_test.go
+++ b/oleander/platform/instancelist/instancelist_test.go
@@ -3,21 +3,19 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"net/http/httptest"
 	"reflect"
 	"testing"
 	"time"
 
 	"oleanderdale.org/core/event"
+	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/platform/instancelist"
 	standin "oleanderdale.org/oleander/standin/instancelist"
 )
 
 const (
-	patient = 30 * time.Second // no test waits for it unless it fails
-	hasty   = 500 * time.Millisecond
-	seed    = 1
+	hasty = 500 * time.Millisecond
+	seed  = 1
 )
 
 var (
@@ -37,12 +35,11 @@
 func newBench(t *testing.T, timeout time.Duration) (*instancelist.Client, *standin.List) {
 	t.Helper()
 	l := standin.New(seed)
-	srv := httptest.NewServer(l)
-	t.Cleanup(srv.Close)
+	url := testutil.Serve(t, l)
 	t.Cleanup(func() { l.Close() })
 	l.Put(backend)
 	l.Put(entry)
-	return newClient(t, srv.URL+standin.ListPath+"?reader=a", timeout), l
+	return newClient(t, url+standin.ListPath+"?reader=a", timeout), l
 }
 
 func TestRead(t *testing.T) {
@@ -65,7 +62,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c, l := newBench(t, patient)
+			c, l := newBench(t, testutil.Patience)
 			test.change(l)
 			l.SetFaults(test.faults)
 			if got, err := c.Read(context.Background()); err != nil || !reflect.DeepEqual(got, test.want) {
@@ -84,11 +81,11 @@
 		timeout time.Duration
 		want    error
 	}{
-		{"down", standin.Faults{Down: true}, patient, instancelist.ErrUnavailable},
-		{"cut off", standin.Faults{CutOff: []string{"a"}}, patient, instancelist.ErrUnavailable},
+		{"down", standin.Faults{Down: true}, testutil.Patience, instancelist.ErrUnavailable},
+		{"cut off", standin.Faults{CutOff: []string{"a"}}, testutil.Patience, instancelist.ErrUnavailable},
 		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty, instancelist.ErrUnavailable},
-		{"garbage", standin.Faults{Garbage: 1}, patient, instancelist.ErrDamaged},
-		{"oversized", standin.Faults{Oversized: 1}, patient, instancelist.ErrTooLarge},
+		{"garbage", standin.Faults{Garbage: 1}, testutil.Patience, instancelist.ErrDamaged},
+		{"oversized", standin.Faults{Oversized: 1}, testutil.Patience, instancelist.ErrTooLarge},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -119,11 +116,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				_, _ = w.Write([]byte(test.body))
-			}))
-			defer srv.Close()
-			if got, err := newClient(t, srv.URL, patient).Read(context.Background()); got != nil || !errors.Is(err, instancelist.ErrDamaged) {
+			url := testutil.ServeText(t, test.body)
+			if got, err := newClient(t, url, testutil.Patience).Read(context.Background()); got != nil || !errors.Is(err, instancelist.ErrDamaged) {
 				t.Errorf("read: %v, %v", got, err)
 			}
 		})
--- a/oleander/platform/internal/wire/wire.go
+++ b/oleander/platform/internal/wire/wire.go
@@ -74,6 +74,9 @@
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(trace(r.Context()))
 	r.GetBody = nil
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = plainBody{r.Body}
+	}
 	resp, err := t.base.RoundTrip(r)
 	if err != nil {
 		return nil, err
@@ -87,6 +90,16 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
+// plainBody hides all methods of a body but Read and Close.
+//
+// Failure: the table service's library closes the body as soon as the answer's
+// headers are there, while net/http may still look for more of it, through
+// WriteTo if there is one; the closed body's WriteTo returns io.EOF, and
+// net/http takes that for a failed request and closes the connection. Symptom:
+// "use of closed network connection" on reading an answer, now and then on a
+// busy machine. Read may return io.EOF, so net/http sees the end of the body.
+type plainBody struct{ io.ReadCloser }
+
 type sentKey struct{}
 
 // Sent tells whether any byte of a call can have left this process.
--- a/oleander/platform/objects/objects_test.go
+++ b/oleander/platform/objects/objects_test.go
@@ -4,17 +4,15 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
-	"net/http/httptest"
 	"testing"
 	"time"
 
+	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/platform/objects"
 	standin "oleanderdale.org/oleander/standin/objects"
 )
 
 const (
-	patient  = 30 * time.Second // no test waits for it unless it fails
 	hasty    = 500 * time.Millisecond
 	maxBytes = 1 << 20
 )
@@ -34,14 +32,13 @@
 func newBench(t *testing.T, timeout time.Duration) (*objects.Client, *standin.Store) {
 	t.Helper()
 	s := standin.New()
-	srv := httptest.NewServer(s)
-	t.Cleanup(srv.Close)
+	url := testutil.Serve(t, s)
 	t.Cleanup(func() { s.Close() })
-	return newClient(t, srv.URL, timeout), s
+	return newClient(t, url, timeout), s
 }
 
 func TestPutAndGet(t *testing.T) {
-	c, s := newBench(t, patient)
+	c, s := newBench(t, testutil.Patience)
 	ctx := context.Background()
 	for _, body := range [][]byte{{}, []byte("small"), bytes.Repeat([]byte("x"), maxBytes)} {
 		d, err := c.Put(ctx, body)
@@ -67,14 +64,14 @@
 		timeout time.Duration
 		want    error
 	}{
-		{"down", standin.Faults{Down: true}, patient, objects.ErrUnavailable},
-		{"cut off", standin.Faults{CutOff: []string{"zone-a"}}, patient, objects.ErrUnavailable},
+		{"down", standin.Faults{Down: true}, testutil.Patience, objects.ErrUnavailable},
+		{"cut off", standin.Faults{CutOff: []string{"zone-a"}}, testutil.Patience, objects.ErrUnavailable},
 		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty, objects.ErrUnavailable},
-		{"internal error", standin.Faults{InternalErrors: 1}, patient, objects.ErrUnavailable},
-		{"damaged", standin.Faults{Damage: 1}, patient, objects.ErrDamaged},
-		{"truncated", standin.Faults{Truncate: 1}, patient, objects.ErrUnavailable},
-		{"longer than stored", standin.Faults{Oversized: 10}, patient, objects.ErrDamaged},
-		{"oversized", standin.Faults{Oversized: maxBytes}, patient, objects.ErrTooLarge},
+		{"internal error", standin.Faults{InternalErrors: 1}, testutil.Patience, objects.ErrUnavailable},
+		{"damaged", standin.Faults{Damage: 1}, testutil.Patience, objects.ErrDamaged},
+		{"truncated", standin.Faults{Truncate: 1}, testutil.Patience, objects.ErrUnavailable},
+		{"longer than stored", standin.Faults{Oversized: 10}, testutil.Patience, objects.ErrDamaged},
+		{"oversized", standin.Faults{Oversized: maxBytes}, testutil.Patience, objects.ErrTooLarge},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -99,10 +96,10 @@
 		faults  standin.Faults
 		timeout time.Duration
 	}{
-		{"down", standin.Faults{Down: true}, patient},
-		{"answer lost after effect", standin.Faults{LoseAnswers: 1}, patient},
+		{"down", standin.Faults{Down: true}, testutil.Patience},
+		{"answer lost after effect", standin.Faults{LoseAnswers: 1}, testutil.Patience},
 		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty},
-		{"internal error", standin.Faults{InternalErrors: 1}, patient},
+		{"internal error", standin.Faults{InternalErrors: 1}, testutil.Patience},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -128,8 +125,8 @@
 	}
 }
 
-func TestRefusedWithoutACall(t *testing.T) {
-	c, s := newBench(t, patient)
+func TestNoSuchObject(t *testing.T) {
+	c, s := newBench(t, testutil.Patience)
 	if _, err := c.Put(context.Background(), make([]byte, maxBytes+1)); !errors.Is(err, objects.ErrTooLarge) {
 		t.Errorf("oversized put: %v", err)
 	}
@@ -139,23 +136,14 @@
 	if n := s.Counts(); n.Puts+n.Gets != 0 {
 		t.Errorf("%+v", n)
 	}
-}
-
-func TestNotFound(t *testing.T) {
-	c, _ := newBench(t, patient)
 	if _, err := c.Get(context.Background(), objects.Digest([]byte("never put"))); !errors.Is(err, objects.ErrNotFound) {
-		t.Errorf("get: %v", err)
+		t.Errorf("get of what was never put: %v", err)
 	}
 }
 
 func TestNothingListens(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	url := "http://" + l.Addr().String()
-	l.Close()
-	if _, err := newClient(t, url, patient).Get(context.Background(), objects.Digest(nil)); !errors.Is(err, objects.ErrUnavailable) {
+	url := "http://" + testutil.ClosedAddress(t)
+	if _, err := newClient(t, url, testutil.Patience).Get(context.Background(), objects.Digest(nil)); !errors.Is(err, objects.ErrUnavailable) {
 		t.Errorf("get: %v", err)
 	}
 }
--- a/oleander/platform/tablesvc/rows.go
+++ b/oleander/platform/tablesvc/rows.go
@@ -55,7 +55,12 @@
 		return nil, errors.Wrapf(ErrBadWrite, "%d writes, at most %d", len(writes), MaxWrites)
 	}
 	items := make([]types.TransactWriteItem, 0, len(writes))
+	seen := make(map[table.Key]struct{}, len(writes))
 	for _, w := range writes {
+		if _, ok := seen[w.Key]; ok {
+			return nil, errors.Wrapf(ErrBadWrite, "two writes of one row of kind %q", w.Key.Kind)
+		}
+		seen[w.Key] = struct{}{}
 		it, err := c.encodeWrite(w)
 		if err != nil {
 			return nil, err
--- a/oleander/platform/tablesvc/tablesvc_test.go
+++ b/oleander/platform/tablesvc/tablesvc_test.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"reflect"
 	"strings"
 	"sync"
@@ -16,13 +13,13 @@
 
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/table"
+	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/platform/tablesvc"
 	standin "oleanderdale.org/oleander/standin/tablesvc"
 )
 
 const (
 	tableName = "oleanderdale"
-	patient   = 30 * time.Second // no test waits for it unless it fails
 	hasty     = 500 * time.Millisecond // shorter than the delays it is used against
 )
 
@@ -37,13 +34,11 @@
 func newBench(t *testing.T, timeout time.Duration) *bench {
 	t.Helper()
 	b := &bench{service: standin.New()}
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	b.url = testutil.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.calls.Add(1)
 		b.service.ServeHTTP(w, r)
 	}))
-	t.Cleanup(srv.Close)
 	t.Cleanup(func() { b.service.Close() })
-	b.url = srv.URL
 	b.Client = newClient(t, b.url, timeout)
 	return b
 }
@@ -53,6 +48,7 @@
 	c, err := tablesvc.New(tablesvc.Settings{
 		Endpoint: url, Region: "local", Table: tableName,
 		AccessKey: "zone-a", SecretKey: "secret", Timeout: timeout,
+		Observe: func(o tablesvc.Observation) { t.Logf("%s: %v", o.Op, o.Err) },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +65,7 @@
 // version reads the head row's version, 0 if it is absent.
 func (b *bench) version(t *testing.T) uint64 {
 	t.Helper()
-	rows, out := newClient(t, b.url, patient).Read(context.Background(), []table.Key{headKey})
+	rows, out := newClient(t, b.url, testutil.Patience).Read(context.Background(), []table.Key{headKey})
 	if out != table.Done {
 		t.Fatalf("read back: %v", out)
 	}
@@ -80,7 +76,7 @@
 }
 
 func TestRoundTripOfEveryKind(t *testing.T) {
-	b := newBench(t, patient)
+	b := newBench(t, testutil.Patience)
 	bodies := map[string]table.Body{
 		"session": table.Session{Instance: "i", Zone: "z", Address: "127.0.0.1:1", Fencing: 3, Term: time.Second, State: table.SessionLive},
 		"slot":    table.Slot{Zone: "z", Index: 2, Holder: "i", Fencing: 3},
@@ -125,12 +121,13 @@
 		{"delete of an older version", table.Write{Key: headKey, Expect: 1, Delete: true}, table.Conflict},
 		{"delete of the right version", table.Write{Key: headKey, Expect: 2, Delete: true}, table.Done},
 		{"body of another kind", table.Write{Key: headKey, Expect: 2, Body: table.Slot{}}, table.NotDone},
+		{"two writes of one row", table.Write{Key: other, Body: table.Slot{}}, table.NotDone},
 		{"no body", table.Write{Key: headKey, Expect: 2}, table.NotDone},
 		{"oversized body", table.Write{Key: table.Key{Kind: table.KindVersion, ID: "9"}, Body: table.Version{Change: make([]byte, tablesvc.MaxBody)}}, table.NotDone},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t, patient)
+			b := newBench(t, testutil.Patience)
 			ctx := context.Background()
 			for v := range uint64(2) {
 				if out := b.Commit(ctx, []table.Write{headWrite(v)}); out != table.Done {
@@ -149,28 +146,30 @@
 	}
 }
 
+// faultCases holds the faults that end an operation as Unknown.
+var faultCases = []struct {
+	name    string
+	faults  standin.Faults
+	timeout time.Duration
+	effect  bool // whether a commit takes effect
+}{
+	{"down", standin.Faults{Down: true}, testutil.Patience, false},
+	{"cut off", standin.Faults{CutOff: []string{"zone-a"}}, testutil.Patience, false},
+	{"answer lost after effect", standin.Faults{LoseAnswers: 1}, testutil.Patience, true},
+	{"request lost", standin.Faults{LoseRequests: 1}, testutil.Patience, false},
+	{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty, true},
+	{"throttled", standin.Faults{Throttle: 1}, testutil.Patience, false},
+	{"internal error after effect", standin.Faults{InternalErrors: 1}, testutil.Patience, true},
+	{"garbage after effect", standin.Faults{Garbage: 1}, testutil.Patience, true},
+	{"oversized after effect", standin.Faults{Oversized: 1}, testutil.Patience, true},
+}
+
 // The caller of a commit sees Unknown whenever the request may have reached the
 // service, whether it took effect or not, and reads back to find out. The client
 // must not send the request again: the repeat of a write that took effect would
 // read as a conflict with itself.
 func TestCommitFaults(t *testing.T) {
-	tests := []struct {
-		name    string
-		faults  standin.Faults
-		timeout time.Duration
-		effect  bool
-	}{
-		{"down", standin.Faults{Down: true}, patient, false},
-		{"cut off", standin.Faults{CutOff: []string{"zone-a"}}, patient, false},
-		{"answer lost after effect", standin.Faults{LoseAnswers: 1}, patient, true},
-		{"request lost", standin.Faults{LoseRequests: 1}, patient, false},
-		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty, true},
-		{"throttled", standin.Faults{Throttle: 1}, patient, false},
-		{"internal error after effect", standin.Faults{InternalErrors: 1}, patient, true},
-		{"garbage after effect", standin.Faults{Garbage: 1}, patient, true},
-		{"oversized after effect", standin.Faults{Oversized: 1}, patient, true},
-	}
-	for _, test := range tests {
+	for _, test := range faultCases {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, test.timeout)
 			b.service.SetFaults(test.faults)
@@ -181,7 +180,7 @@
 				t.Errorf("%d requests for one commit", n)
 			}
 			if test.effect {
-				waitFor(t, func() bool { return b.service.Counts().Transactions == 1 })
+				testutil.WaitFor(t, func() bool { return b.service.Counts().Transactions == 1 })
 			}
 			b.service.SetFaults(standin.Faults{})
 			if effect := b.version(t) == 1; effect != test.effect {
@@ -191,20 +190,11 @@
 	}
 }
 
-func waitFor(t *testing.T, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patient); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("did not come true in time")
-		}
-	}
-}
-
 // The caller has used its connection before, and the service closes it just as
 // the next commit arrives. net/http would send some requests again here by
 // itself; the caller must see Unknown after exactly one request.
 func TestCommitOnReusedConnectionIsSentOnce(t *testing.T) {
-	b := newBench(t, patient)
+	b := newBench(t, testutil.Patience)
 	b.version(t)
 	if _, out := b.Read(context.Background(), []table.Key{headKey}); out != table.Done {
 		t.Fatal(out)
@@ -222,13 +212,8 @@
 // Nothing listens at the service's address: no byte can have left, so the
 // caller sees NotDone and may try again without reading back.
 func TestNothingListens(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	url := "http://" + l.Addr().String()
-	l.Close()
-	c := newClient(t, url, patient)
+	url := "http://" + testutil.ClosedAddress(t)
+	c := newClient(t, url, testutil.Patience)
 	if out := c.Commit(context.Background(), []table.Write{headWrite(0)}); out != table.NotDone {
 		t.Errorf("commit: %v", out)
 	}
@@ -245,33 +230,30 @@
 // The caller of a read sees Unknown and no rows, never a part of the rows and
 // never a row that was guessed.
 func TestReadFaults(t *testing.T) {
-	tests := []struct {
-		name    string
-		faults  standin.Faults
-		timeout time.Duration
-	}{
-		{"down", standin.Faults{Down: true}, patient},
-		{"slower than the timeout", standin.Faults{Slow: 4 * hasty}, hasty},
-		{"throttled", standin.Faults{Throttle: 1}, patient},
-		{"internal error", standin.Faults{InternalErrors: 1}, patient},
-		{"garbage", standin.Faults{Garbage: 1}, patient},
-		{"oversized", standin.Faults{Oversized: 1}, patient},
-	}
-	for _, test := range tests {
+	for _, test := range faultCases {
+		if test.faults.LoseAnswers+test.faults.LoseRequests > 0 {
+			continue // knobs of transactions only
+		}
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, test.timeout)
-			b.service.SetFaults(test.faults)
-			if rows, out := b.Read(context.Background(), []table.Key{headKey}); out != table.Unknown || rows != nil {
-				t.Errorf("read: %v, %v", out, rows)
-			}
-			b.service.SetFaults(test.faults)
-			if rows, out := b.Scan(context.Background(), table.KindHead, ""); out != table.Unknown || rows != nil {
-				t.Errorf("scan: %v, %v", out, rows)
-			}
+			b.wantUnknown(t, func() { b.service.SetFaults(test.faults) })
 		})
 	}
 }
 
+// wantUnknown reads and scans the head row, each after prepare.
+func (b *bench) wantUnknown(t *testing.T, prepare func()) {
+	t.Helper()
+	prepare()
+	if rows, out := b.Read(context.Background(), []table.Key{headKey}); out != table.Unknown || rows != nil {
+		t.Errorf("read: %v, %v", out, rows)
+	}
+	prepare()
+	if rows, out := b.Scan(context.Background(), table.KindHead, ""); out != table.Unknown || rows != nil {
+		t.Errorf("scan: %v, %v", out, rows)
+	}
+}
+
 // Someone wrote a row that this client can't understand. Its reader sees
 // Unknown: acting on a row in part could free memory that is still reserved.
 func TestDamagedRows(t *testing.T) {
@@ -288,14 +270,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t, patient)
+			b := newBench(t, testutil.Patience)
 			putRaw(t, b.url, test.row)
-			if rows, out := b.Read(context.Background(), []table.Key{headKey}); out != table.Unknown || rows != nil {
-				t.Errorf("read: %v, %v", out, rows)
-			}
-			if rows, out := b.Scan(context.Background(), table.KindHead, ""); out != table.Unknown || rows != nil {
-				t.Errorf("scan: %v, %v", out, rows)
-			}
+			b.wantUnknown(t, func() {})
 		})
 	}
 }
@@ -312,16 +289,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close()
-	if answer, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
-		t.Fatalf("status %d: %s", resp.StatusCode, answer)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", resp.StatusCode)
 	}
 }
 
 // The service answers reads that don't ask for consistency from an hour ago.
 // The caller must not notice: it asks for consistency in every read and scan.
 func TestReadsAreConsistent(t *testing.T) {
-	b := newBench(t, patient)
+	b := newBench(t, testutil.Patience)
 	b.service.SetFaults(standin.Faults{StaleFor: time.Hour})
 	ctx := context.Background()
 	b.Commit(ctx, []table.Write{headWrite(0)})
@@ -338,7 +315,7 @@
 }
 
 func TestPages(t *testing.T) {
-	b := newBench(t, patient)
+	b := newBench(t, testutil.Patience)
 	ctx := context.Background()
 	const n = 250
 	var keys []table.Key
@@ -365,11 +342,26 @@
 	}
 }
 
+// The service allows less than the caller writes. What goes beyond the rate is
+// not written, but the caller can't tell that from a failure after the effect.
+func TestBeyondTheRate(t *testing.T) {
+	b := newBench(t, testutil.Patience)
+	b.service.SetFaults(standin.Faults{WritesPerSecond: 1e-9})
+	for v, want := range []table.Outcome{table.Done, table.Unknown} {
+		if out := b.Commit(context.Background(), []table.Write{headWrite(uint64(v))}); out != want {
+			t.Errorf("commit %d: %v, want %v", v, out, want)
+		}
+	}
+	if v := b.version(t); v != 1 {
+		t.Errorf("version %d", v)
+	}
+}
+
 // Several instances raise one row's version at once, with answers lost now and
 // then. Each version is taken by one of them: the row ends at the number of
 // transactions that took effect, known or not.
 func TestRacingCommits(t *testing.T) {
-	b := newBench(t, patient)
+	b := newBench(t, testutil.Patience)
 	b.service.SetFaults(standin.Faults{LoseAnswers: 10})
 	var done, unknown atomic.Int64
 	var wg sync.WaitGroup
--- /dev/null
+++ b/oleander/standin/engine/engine_test.go
@@ -0,0 +1,420 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
+	"oleanderdale.org/oleander/internal/testutil"
+	client "oleanderdale.org/oleander/platform/engine"
+)
+
+const long = time.Hour // never passes within a test
+
+// bench is an engine that listens on loopback.
+type bench struct {
+	*Engine
+	url string
+}
+
+func newBench(t *testing.T, s Settings) *bench {
+	t.Helper()
+	if s.Bytes == 0 {
+		s.Bytes = 100
+	}
+	s.CacheBytes, s.DiskBytes, s.Resumes = 100, 100, true
+	l := testutil.Listen(t)
+	b := &bench{Engine: New(s), url: "http://" + l.Addr().String()}
+	served := make(chan error, 1)
+	go func() { served <- b.Serve(l) }()
+	t.Cleanup(func() {
+		b.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return b
+}
+
+func loadOrder(order id.Order, a id.Artifact, bytes int64, d time.Duration) client.OrderRequest {
+	return client.OrderRequest{Order: order, Kind: event.OrderLoad, Artifact: a, Bytes: bytes, LoadTime: d}
+}
+
+func unloadOrder(a id.Artifact) client.OrderRequest {
+	return client.OrderRequest{Order: "u", Kind: event.OrderUnload, Artifact: a}
+}
+
+// mustLoad loads an artifact of ten bytes and waits until it is loaded.
+func (b *bench) mustLoad(t *testing.T, a id.Artifact) {
+	t.Helper()
+	if status, detail := b.Order(loadOrder("o-"+id.Order(a), a, 10, time.Millisecond)); status != http.StatusAccepted {
+		t.Fatalf("load: %d %s", status, detail)
+	}
+	testutil.WaitFor(t, func() bool { return b.heldOf(a).State == message.Loaded })
+}
+
+// heldOf returns what the report says of a, the zero value if it is not held.
+func (b *bench) heldOf(a id.Artifact) message.Held {
+	for _, h := range b.Report().Held {
+		if h.Artifact == a {
+			return h
+		}
+	}
+	return message.Held{}
+}
+
+// reply is what a caller saw of an answer.
+type reply struct {
+	status int
+	header http.Header
+	ids    []string
+	text   string
+	usage  *usage
+	whole  bool // a stream's end marker was seen
+	err    error
+}
+
+func (b *bench) call(ctx context.Context, path, body string, header map[string]string) reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set(AccountHeader, "depot")
+	req.Header.Set(AttemptHeader, "attempt-1")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	r := reply{status: resp.StatusCode, header: resp.Header}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		r.readEvents(resp.Body)
+		return r
+	}
+	answer, err := io.ReadAll(resp.Body)
+	if r.err = err; err == nil && r.status == http.StatusOK {
+		r.add(answer)
+	}
+	return r
+}
+
+func (r *reply) readEvents(body io.Reader) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch {
+		case name == "id":
+			r.ids = append(r.ids, value)
+		case name == "data" && value == EndMarker:
+			r.whole = true
+		case name == "data":
+			r.add([]byte(value))
+		}
+	}
+	if r.err == nil {
+		r.err = lines.Err()
+	}
+}
+
+func (r *reply) add(body []byte) {
+	var a struct {
+		Choices []struct {
+			Text           string
+			Delta, Message ChatMessage
+		}
+		Usage *usage
+	}
+	if r.err = json.Unmarshal(body, &a); r.err == nil {
+		c := a.Choices[0]
+		r.text += c.Text + c.Delta.Content + c.Message.Content
+		r.usage = a.Usage
+	}
+}
+
+const (
+	streamBody = `{"model":"m","prompt":"which door?","max_tokens":5,"stream":true,"user":"u1"}`
+	plainBody  = `{"model":"m","prompt":"which door?","max_tokens":5,"user":"u1"}`
+	longBody   = `{"model":"m","prompt":"tell it all","max_tokens":1000,"stream":true}`
+)
+
+func TestAnswers(t *testing.T) {
+	digest := RequestDigest("u1", "which door?")
+	chatDigest := RequestDigest("", ChatPrompt([]ChatMessage{{Role: "user", Content: "hello"}}))
+	const chatBody = `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":3,"stream":`
+	tests := []struct {
+		name, path, body, resume, want string
+		ids                            int
+		whole                          bool
+	}{
+		{"plain", CompletionsPath, plainBody, "", AnswerText(digest, 5), 0, false},
+		{"stream", CompletionsPath, streamBody, "", AnswerText(digest, 5), 6, true},
+		{"chat", ChatPath, chatBody + "false}", "", AnswerText(chatDigest, 3), 0, false},
+		{"chat stream", ChatPath, chatBody + "true}", "", AnswerText(chatDigest, 3), 4, true},
+		{"resumed", CompletionsPath, streamBody, "3", Token(digest, 3) + Token(digest, 4), 3, true},
+		{"resumed at the end", CompletionsPath, streamBody, "5", "", 1, true},
+	}
+	b := newBench(t, Settings{})
+	b.mustLoad(t, "m")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			header := map[string]string{}
+			if test.resume != "" {
+				header[ResumeHeader] = test.resume
+			}
+			r := b.call(context.Background(), test.path, test.body, header)
+			if r.err != nil || r.status != http.StatusOK || r.text != test.want || r.whole != test.whole || len(r.ids) != test.ids {
+				t.Fatalf("%+v", r)
+			}
+			for i, got := range r.ids {
+				if first, _ := strconv.Atoi(test.resume); got != strconv.Itoa(first+i) {
+					t.Errorf("event %d has id %s", i, got)
+				}
+			}
+			if r.usage == nil || r.usage.PromptTokens == 0 || r.usage.CompletionTokens == 0 {
+				t.Errorf("usage %+v", r.usage)
+			}
+		})
+	}
+	if a := b.Accounts()["depot"]; a.Runs != len(tests) || a.GeneratedTokens != 5+5+3+3+2+0 {
+		t.Errorf("%+v", a)
+	}
+	if h := b.heldOf("m"); h.Uses != uint64(len(tests)) || h.Running != 0 || h.Idle <= 0 {
+		t.Errorf("%+v", h)
+	}
+}
+
+// The caller sees an error that says the call was not run, and no run is
+// recorded.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults Faults
+		body   string
+		header map[string]string
+		status int
+	}{
+		{"not loaded", Faults{}, `{"model":"m:a","prompt":"p"}`, nil, http.StatusServiceUnavailable},
+		{"leaving", Faults{Leaving: true}, plainBody, nil, http.StatusServiceUnavailable},
+		{"refused", Faults{RefuseCalls: 1}, plainBody, nil, http.StatusServiceUnavailable},
+		{"no account", Faults{}, plainBody, map[string]string{AccountHeader: ""}, http.StatusBadRequest},
+		{"resumed beyond the end", Faults{}, plainBody, map[string]string{ResumeHeader: "6"}, http.StatusBadRequest},
+		{"garbage", Faults{}, `{"model":`, nil, http.StatusBadRequest},
+		{"no prompt", Faults{}, `{"model":"m"}`, nil, http.StatusBadRequest},
+	}
+	b := newBench(t, Settings{})
+	b.mustLoad(t, "m")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b.SetFaults(test.faults)
+			r := b.call(context.Background(), CompletionsPath, test.body, test.header)
+			if r.err != nil || r.status != test.status {
+				t.Errorf("%+v", r)
+			}
+			if leaving := r.header.Get(LeavingHeader) == "true"; leaving != test.faults.Leaving {
+				t.Errorf("leaving header: %v", leaving)
+			}
+		})
+	}
+	if runs := b.Runs(); len(runs) != 0 {
+		t.Errorf("runs: %+v", runs)
+	}
+}
+
+// A stream breaks off after two tokens, or ends well but without its end
+// marker. The caller must be able to tell both from a whole answer.
+func TestBrokenStreams(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults Faults
+		err    bool
+	}{
+		{"connection closed", Faults{BreakStreams: 1, BreakAfter: 2}, true},
+		{"no end marker", Faults{EndEarly: 1, BreakAfter: 2}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, Settings{})
+			b.mustLoad(t, "m")
+			b.SetFaults(test.faults)
+			r := b.call(context.Background(), CompletionsPath, streamBody, nil)
+			if r.whole || len(r.ids) != 2 || (r.err != nil) != test.err {
+				t.Errorf("%+v", r)
+			}
+			testutil.WaitFor(t, func() bool { return b.Runs()[0].End == RunBroken })
+		})
+	}
+}
+
+// The caller goes away in the middle of a stream. The engine stops generating,
+// and its report shows the artifact as idle again.
+func TestCancel(t *testing.T) {
+	b := newBench(t, Settings{TokenTime: time.Millisecond})
+	b.mustLoad(t, "m")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for b.Accounts()["depot"].GeneratedTokens == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if h := b.heldOf("m"); h.Running != 1 || h.Idle != 0 {
+			t.Errorf("while it runs: %+v", h)
+		}
+		cancel()
+	}()
+	if r := b.call(ctx, CompletionsPath, longBody, nil); !errors.Is(r.err, context.Canceled) {
+		t.Errorf("%+v", r)
+	}
+	testutil.WaitFor(t, func() bool { return b.Usage().Cancelled == 1 })
+	if h := b.heldOf("m"); h.Running != 0 || h.Idle <= 0 {
+		t.Errorf("after it: %+v", h)
+	}
+}
+
+// A prompt crashes the engine. Its caller and an innocent one beside it lose
+// their connections; the engine comes back at the same address under a new
+// boot name, empty, with the checkpoint on disk.
+func TestCrash(t *testing.T) {
+	b := newBench(t, Settings{TokenTime: time.Millisecond, Restart: 20 * time.Millisecond})
+	b.mustLoad(t, "m")
+	before := b.Report().Boot
+	b.SetFaults(Faults{CrashMarker: "boom"})
+	innocent := make(chan reply, 1)
+	go func() { innocent <- b.call(context.Background(), CompletionsPath, longBody, nil) }()
+	testutil.WaitFor(t, func() bool { return b.Accounts()["depot"].GeneratedTokens > 0 })
+	if r := b.call(context.Background(), CompletionsPath, `{"model":"m","prompt":"a boom"}`, nil); r.err == nil {
+		t.Errorf("guilty: %+v", r)
+	}
+	if r := <-innocent; r.err == nil || r.whole {
+		t.Errorf("innocent: %+v", r)
+	}
+	c := client.New(client.Settings{Timeout: testutil.Patience})
+	var report message.Report
+	testutil.WaitFor(t, func() (ok bool) {
+		var err error
+		report, err = c.Report(context.Background(), strings.TrimPrefix(b.url, "http://"))
+		return err == nil
+	})
+	if report.Boot == before || len(report.Held) != 0 || len(report.Cached) != 1 || report.Cached[0].Level != message.CacheDisk {
+		t.Errorf("report: %+v", report)
+	}
+	for _, r := range b.Runs() {
+		if r.End != RunCrashed {
+			t.Errorf("run: %+v", r)
+		}
+	}
+}
+
+// The engine dies in the middle of a load; nothing of the load is left.
+func TestCrashDuringLoad(t *testing.T) {
+	b := newBench(t, Settings{Restart: time.Millisecond})
+	b.SetFaults(Faults{CrashLoads: 1})
+	b.Order(loadOrder("o", "m", 10, time.Millisecond))
+	testutil.WaitFor(t, func() bool { return b.Usage().Crashes == 1 })
+	if held := b.Report().Held; len(held) != 0 {
+		t.Errorf("held: %+v", held)
+	}
+}
+
+func TestUnloadWaitsForRunningRequests(t *testing.T) {
+	b := newBench(t, Settings{TokenTime: time.Millisecond})
+	b.mustLoad(t, "m")
+	done := make(chan reply, 1)
+	go func() {
+		done <- b.call(context.Background(), CompletionsPath, `{"model":"m","prompt":"p","max_tokens":100,"stream":true}`, nil)
+	}()
+	testutil.WaitFor(t, func() bool { return b.Accounts()["depot"].GeneratedTokens > 0 })
+	b.Order(unloadOrder("m"))
+	if state := b.heldOf("m").State; state != message.Unloading {
+		t.Errorf("state %q", state)
+	}
+	if r := b.call(context.Background(), CompletionsPath, plainBody, nil); r.status != http.StatusServiceUnavailable {
+		t.Errorf("new call: %+v", r)
+	}
+	if r := <-done; !r.whole {
+		t.Errorf("running call: %+v", r)
+	}
+	testutil.WaitFor(t, func() bool { return len(b.Report().Held) == 0 })
+}
+
+func TestOrdersWithinMemory(t *testing.T) {
+	b := newBench(t, Settings{})
+	steps := []struct {
+		name   string
+		order  client.OrderRequest
+		status int
+		want   Violations
+	}{
+		{"first", loadOrder("1", "a", 60, long), http.StatusAccepted, Violations{}},
+		{"repeated", loadOrder("1", "a", 60, long), http.StatusAccepted, Violations{}},
+		{"same artifact, other order", loadOrder("2", "a", 60, long), http.StatusUnprocessableEntity, Violations{DoubleLoad: 1}},
+		{"beyond the memory", loadOrder("3", "b", 50, long), http.StatusUnprocessableEntity, Violations{DoubleLoad: 1, Overcommit: 1}},
+		{"fits exactly", loadOrder("4", "c", 40, long), http.StatusAccepted, Violations{DoubleLoad: 1, Overcommit: 1}},
+		{"unload ends a load", unloadOrder("a"), http.StatusAccepted, Violations{DoubleLoad: 1, Overcommit: 1}},
+		{"room again", loadOrder("5", "b", 50, long), http.StatusAccepted, Violations{DoubleLoad: 1, Overcommit: 1}},
+	}
+	for _, step := range steps {
+		if status, detail := b.Order(step.order); status != step.status || b.Violations() != step.want {
+			t.Fatalf("%s: %d %s, %+v", step.name, status, detail, b.Violations())
+		}
+	}
+}
+
+func TestCacheLevels(t *testing.T) {
+	b := newBench(t, Settings{Restart: time.Millisecond})
+	b.mustLoad(t, "m")
+	b.Order(unloadOrder("m"))
+	b.mustLoad(t, "m")
+	b.Crash()
+	b.mustLoad(t, "m")
+	want := map[message.CacheLevel]int{message.CacheRemote: 1, message.CacheMemory: 1, message.CacheDisk: 1}
+	if got := b.Usage().Loads; !maps.Equal(got, want) {
+		t.Errorf("loads from %v, want %v", got, want)
+	}
+}
+
+func TestKeyIsNoticedAnywhere(t *testing.T) {
+	b := newBench(t, Settings{})
+	ctx := context.Background()
+	b.call(ctx, CompletionsPath, `{"model":"odk_x","prompt":"p"}`, nil)
+	b.call(ctx, CompletionsPath+"?key=odk%5Fx", plainBody, nil)
+	b.call(ctx, CompletionsPath, plainBody, map[string]string{"X-Copy": "Bearer odk_x"})
+	b.call(ctx, CompletionsPath, plainBody, nil)
+	if v := b.Violations(); v.KeySeen != 3 {
+		t.Errorf("%+v", v)
+	}
+}
+
+func TestFaultsOverHTTP(t *testing.T) {
+	b := newBench(t, Settings{})
+	b.SetFaults(Faults{CrashMarker: "boom"})
+	post := func(body string) int {
+		resp, err := http.Post(b.url+"/faults", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	if status := post(`{"leaving": true, "slow": 5}`); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if status := post(`{"leaves": true}`); status != http.StatusBadRequest {
+		t.Errorf("unknown knob: status %d", status)
+	}
+	if f := b.Faults(); f != (Faults{CrashMarker: "boom", Leaving: true, Slow: 5}) {
+		t.Errorf("%+v", f)
+	}
+}
--- /dev/null
+++ b/oleander/standin/service/service_test.go
@@ -0,0 +1,134 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/internal/testutil"
+)
+
+func newBench(t *testing.T) (*Service, string) {
+	t.Helper()
+	l := testutil.Listen(t)
+	s := New()
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, "http://" + l.Addr().String()
+}
+
+func order(url, key string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, url+"/orders/release", strings.NewReader(`{"station":7}`))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(AccountHeader, "desk")
+	req.Header.Set(AttemptHeader, "attempt-1")
+	req.Header.Set(IdempotencyKeyHeader, key)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err == nil {
+		resp.Body.Close()
+	}
+	return resp, err
+}
+
+// A caller gives one order. Whether it was run can't be told from the lost
+// answer; the status path tells it in each case.
+func TestOrder(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults Faults
+		status int // 0: the connection breaks
+		runs   int
+	}{
+		{"whole", Faults{}, http.StatusOK, 1},
+		{"answer lost after the run", Faults{LoseAnswers: 1}, 0, 1},
+		{"request lost", Faults{LoseRequests: 1}, 0, 0},
+		{"died after the run", Faults{DieAfterRun: 1, Restart: 20 * time.Millisecond}, 0, 1},
+		{"down", Faults{Down: true}, 0, 0},
+		{"refused", Faults{Refuse: 1}, http.StatusServiceUnavailable, 0},
+		{"leaving", Faults{Leaving: true}, http.StatusServiceUnavailable, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, url := newBench(t)
+			s.SetFaults(test.faults)
+			resp, err := order(url, "key-1")
+			if (err != nil) != (test.status == 0) || (err == nil && resp.StatusCode != test.status) {
+				t.Errorf("%v, %v", resp, err)
+			}
+			if err == nil && (resp.Header.Get(LeavingHeader) == "true") != test.faults.Leaving {
+				t.Errorf("header %v", resp.Header)
+			}
+			s.SetFaults(Faults{})
+			want := StateNone
+			if test.runs > 0 {
+				want = StateDone
+			}
+			if got := status(t, url, "key-1"); got.State != want {
+				t.Errorf("status %+v, want %s", got, want)
+			}
+			if runs := s.Runs(); len(runs) != test.runs {
+				t.Errorf("runs %+v", runs)
+			}
+		})
+	}
+}
+
+// status asks until the service answers: it may be restarting.
+func status(t *testing.T, url, key string) Status {
+	t.Helper()
+	for end := time.Now().Add(testutil.Patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		resp, err := http.Get(url + "/status/" + key)
+		if err != nil {
+			continue
+		}
+		defer resp.Body.Close()
+		var s Status
+		if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	t.Fatal("service did not come back in time")
+	return Status{}
+}
+
+func TestRunsAreToldApart(t *testing.T) {
+	s, url := newBench(t)
+	for _, key := range []string{"key-1", "key-2", "key-1"} {
+		if _, err := order(url, key); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := map[string]int{}
+	for _, r := range s.Runs() {
+		n[r.IdempotencyKey]++
+		if r.Account != "desk" || r.Attempt != "attempt-1" || r.Path != "/orders/release" || len(r.Digest) != 64 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if n["key-1"] != 2 || n["key-2"] != 1 {
+		t.Errorf("%v", n)
+	}
+}
+
+func TestViolations(t *testing.T) {
+	s, url := newBench(t)
+	resp, err := http.Post(url+"/orders", "text/plain", strings.NewReader("my key is odk_secret"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if v := s.Violations(); v != (Violations{KeySeen: 1, AccountMissing: 1}) {
+		t.Errorf("%+v", v)
+	}
+}
--- a/oleander/standin/tablesvc/rows.go
+++ b/oleander/standin/tablesvc/rows.go
@@ -112,6 +112,9 @@
 	if n := t.knobs.Get().PageRows; n > 0 && len(keys) > n {
 		keys, left = keys[:n], keys[n:]
 	}
+	if fail := t.throttle(&t.reads, len(keys)); fail != nil {
+		return nil, nil, fail
+	}
 	at := t.readTime(ask.ConsistentRead)
 	seen := make(map[rowKey]struct{}, len(keys))
 	found = []item{}
@@ -147,7 +150,8 @@
 		}
 		after = k.id
 	}
-	return t.page(kind, prefix, after, t.readTime(in.ConsistentRead)), nil
+	out := t.page(kind, prefix, after, t.readTime(in.ConsistentRead))
+	return out, t.throttle(&t.reads, max(1, out.Count))
 }
 
 // page returns the rows after the ID after, up to a page.
@@ -195,6 +199,9 @@
 	if fail != nil {
 		return transactWriteOutput{}, fail
 	}
+	if fail := t.throttle(&t.writes, len(writes)); fail != nil {
+		return transactWriteOutput{}, fail
+	}
 	if fail := t.checkAll(writes); fail != nil {
 		return transactWriteOutput{}, fail
 	}
--- a/oleander/standin/tablesvc/tablesvc.go
+++ b/oleander/standin/tablesvc/tablesvc.go
@@ -51,6 +51,10 @@
 	LoseRequests int `json:"lose_requests"`
 	// Throttle counts the next operations that are refused as throttled.
 	Throttle int `json:"throttle"`
+	// WritesPerSecond and ReadsPerSecond refuse as throttled what goes beyond
+	// so many rows in a second, with a burst of one second; 0 means no limit.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
 	// InternalErrors counts the next operations that take effect and are
 	// answered with status 500.
 	InternalErrors int `json:"internal_errors"`
@@ -75,6 +79,7 @@
 	Writes       uint64 `json:"writes"`        // rows put or deleted by them
 	Conflicts    uint64 `json:"conflicts"`     // transactions refused by a condition
 	Inconsistent uint64 `json:"inconsistent"`  // reads that did not ask for consistency
+	Throttled    uint64 `json:"throttled"`     // operations beyond the rates per second
 	LostAnswers  uint64 `json:"lost_answers"`  // by LoseAnswers
 	LostRequests uint64 `json:"lost_requests"` // by LoseRequests
 }
@@ -88,6 +93,8 @@
 	mu     sync.Mutex
 	rows   map[rowKey]*history
 	counts Counts
+	reads  bucket
+	writes bucket
 }
 
 // New returns an empty table.
--- /dev/null
+++ b/proving/callers/callers_test.go
@@ -0,0 +1,334 @@
+package callers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"oleanderdale.org/oleander/process/dev"
+)
+
+// The ports that are tried for the deployment.
+const (
+	firstPort = 21000
+	lastPort  = 24000
+	portStep  = 100
+)
+
+var deployment *dev.Deployment
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	for port := firstPort; port < lastPort; port += portStep {
+		d, err := dev.Start(context.Background(), dev.Settings{Port: port, Instances: 1, Engines: 2, TokenTime: time.Millisecond})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		defer d.Close()
+		deployment = d
+		return m.Run()
+	}
+	fmt.Fprintln(os.Stderr, "no free ports for the deployment")
+	return 1
+}
+
+func base(n int) string { return "http://" + deployment.Instances[n].CallersAddress() }
+
+func client(n int, key string) openai.Client {
+	return openai.NewClient(option.WithBaseURL(base(n)+"/v1/"), option.WithAPIKey(key), option.WithMaxRetries(0))
+}
+
+func chat(model string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model: model, MaxTokens: openai.Int(7),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("door 7 jams")},
+	}
+}
+
+// TestOpenAIClient: a caller points a published client library at the base URL,
+// changes nothing else, and gets its answers: whole and streamed, of a model
+// and of an adapter.
+func TestOpenAIClient(t *testing.T) {
+	ctx := context.Background()
+	for n := range deployment.Instances {
+		c := client(n, deployment.Key)
+		for _, model := range []string{"fault-summary", "fault-summary:hospital-doors"} {
+			answer, err := c.Chat.Completions.New(ctx, chat(model))
+			if err != nil {
+				t.Fatalf("instance %d, %s: %v", n, model, err)
+			}
+			if got := len(strings.Fields(answer.Choices[0].Message.Content)); got != 7 || answer.Usage.CompletionTokens != 7 {
+				t.Errorf("instance %d, %s: %d words, usage %+v", n, model, got, answer.Usage)
+			}
+			if streamed := stream(t, c, model); streamed != answer.Choices[0].Message.Content {
+				t.Errorf("instance %d, %s: streamed %q, whole %q", n, model, streamed, answer.Choices[0].Message.Content)
+			}
+		}
+	}
+}
+
+func stream(t *testing.T, c openai.Client, model string) string {
+	t.Helper()
+	var b strings.Builder
+	s := c.Chat.Completions.NewStreaming(context.Background(), chat(model))
+	for s.Next() {
+		for _, choice := range s.Current().Choices {
+			b.WriteString(choice.Delta.Content)
+		}
+	}
+	if s.Err() != nil {
+		t.Fatal(s.Err())
+	}
+	return b.String()
+}
+
+func TestOpenAIClientCompletionsAndModels(t *testing.T) {
+	ctx := context.Background()
+	c := client(0, deployment.Key)
+	answer, err := c.Completions.New(ctx, openai.CompletionNewParams{
+		Model: "fault-summary", MaxTokens: openai.Int(4), Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("door 7")},
+	})
+	if err != nil || len(strings.Fields(answer.Choices[0].Text)) != 4 {
+		t.Errorf("completion %+v, %v", answer, err)
+	}
+	models, err := c.Models.List(ctx)
+	if err != nil || len(models.Data) != 3 {
+		t.Errorf("models %+v, %v", models, err)
+	}
+	model, err := c.Models.Get(ctx, "fault-summary:hospital-doors")
+	if err != nil || model.ID != "fault-summary:hospital-doors" {
+		t.Errorf("model %+v, %v", model, err)
+	}
+	if _, err := c.Models.Get(ctx, "no-such"); status(err) != http.StatusNotFound {
+		t.Errorf("unknown model: %v", err)
+	}
+}
+
+func status(err error) int {
+	if e, ok := err.(*openai.Error); ok {
+		return e.StatusCode
+	}
+	return 0
+}
+
+// says returns the sentence that the library shows of a refusal.
+func says(err error) string {
+	if e, ok := err.(*openai.Error); ok {
+		return e.Message
+	}
+	return ""
+}
+
+// TestOpenAIClientReadsRefusals: a wrong key and an unknown model are refused
+// with errors that the library understands, and it can show their words.
+func TestOpenAIClientReadsRefusals(t *testing.T) {
+	ctx := context.Background()
+	wrong := client(0, "odk_wrongwrongwrongwrongwrong")
+	if _, err := wrong.Chat.Completions.New(ctx, chat("fault-summary")); status(err) != http.StatusUnauthorized || !strings.Contains(says(err), "withdrawn") {
+		t.Errorf("wrong key: %v", err)
+	}
+	right := client(0, deployment.Key)
+	if _, err := right.Chat.Completions.New(ctx, chat("no-such")); status(err) != http.StatusNotFound || !strings.Contains(says(err), "No such model") {
+		t.Errorf("unknown model: %v", err)
+	}
+}
+
+// badCall is a call that is wrong in one way.
+type badCall struct {
+	name    string
+	method  string
+	path    string
+	headers map[string]string
+	body    string
+	status  int
+	says    string // part of the sentence in the answer
+}
+
+func badCalls(key string) []badCall {
+	const completions = "/v1/chat/completions"
+	const good = `{"model":"fault-summary","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
+	h := func(name, value string) map[string]string { return map[string]string{name: value} }
+	return []badCall{
+		{"no key", "POST", completions, h("Authorization", ""), good, 401, "Authorization: Bearer"},
+		{"another scheme", "POST", completions, h("Authorization", "Basic "+key), good, 401, "Authorization: Bearer"},
+		{"unknown path", "GET", "/v2/models", nil, "", 404, "nothing at this path"},
+		{"wrong method", "GET", completions, nil, "", 405, "GET"},
+		{"no JSON", "POST", completions, nil, "hello", 400, "byte 1"},
+		{"JSON that breaks off", "POST", completions, nil, `{"model":`, 400, "byte 9"},
+		{"JSON of another kind", "POST", completions, nil, `[]`, 400, "wrong type"},
+		{"a field of another type", "POST", completions, nil, `{"model":7}`, 400, "model"},
+		{"no model", "POST", completions, nil, `{"messages":[{}]}`, 400, "model"},
+		{"no messages", "POST", completions, nil, `{"model":"fault-summary"}`, 400, "messages"},
+		{"no prompt", "POST", "/v1/completions", nil, `{"model":"fault-summary"}`, 400, "prompt"},
+		{"several answers", "POST", completions, nil, strings.Replace(good, `"max_tokens":1`, `"n":2`, 1), 400, "takes 1 only"},
+		{"a limit of 0", "POST", completions, nil, strings.Replace(good, `"max_tokens":1`, `"max_tokens":0`, 1), 400, "max_tokens"},
+		{"a huge limit", "POST", completions, nil, strings.Replace(good, `"max_tokens":1`, `"max_tokens":99999999`, 1), 400, "max_tokens"},
+		{"an unknown model", "POST", completions, nil, strings.Replace(good, "fault-summary", "no-such", 1), 404, "No such model"},
+		{"a deadline in words", "POST", completions, h("Request-Timeout", "soon"), good, 400, "Request-Timeout"},
+		{"a deadline in the past", "POST", completions, h("Request-Timeout", "-1"), good, 400, "Request-Timeout"},
+		{"no number as a deadline", "POST", completions, h("Request-Timeout", "NaN"), good, 400, "Request-Timeout"},
+		{"a deadline next year", "POST", completions, h("Request-Timeout", "40000000"), good, 400, "Request-Timeout"},
+		{"a broken priority", "POST", completions, h("Priority", "u="), good, 400, "Priority"},
+		{"a priority out of range", "POST", completions, h("Priority", "u=9"), good, 400, "0 to 7"},
+		{"the key in the body", "POST", completions, nil, strings.Replace(good, `"x"`, `"`+key+`"`, 1), 400, "copy of the key"},
+		{"the key in the query", "POST", completions + "?key=" + key, nil, good, 400, "copy of the key"},
+		{"a body that is too large", "POST", completions, nil, good + strings.Repeat(" ", 5<<20), 413, "larger than"},
+		{"headers that are too large", "POST", completions, h("X-Filler", strings.Repeat("x", 37<<10)), good, 431, ""},
+		{"an unknown service", "POST", "/services/no-such/x", nil, "", 404, "service"},
+		{"a once-only call without a key", "POST", "/services/work-orders/x", nil, "", 400, "Idempotency-Key"},
+		{"a long idempotency key", "POST", "/services/work-orders/x", h("Idempotency-Key", strings.Repeat("k", 200)), "", 400, "128"},
+		{"an idempotency key with a slash", "POST", "/services/work-orders/x", h("Idempotency-Key", "a/b"), "", 400, "printable"},
+	}
+}
+
+// TestBadInput: each call is wrong in one way. The caller gets a 4xx with a
+// sentence that names what is wrong, and the next good call is answered.
+func TestBadInput(t *testing.T) {
+	for _, c := range badCalls(deployment.Key) {
+		t.Run(c.name, func(t *testing.T) {
+			resp := send(t, 0, c)
+			defer resp.Body.Close()
+			if c.status == http.StatusRequestHeaderFieldsTooLarge {
+				// net/http answers this one itself, and resets the connection
+				// behind the status line: there is no body to rely on.
+				if resp.StatusCode != c.status {
+					t.Errorf("status %d, want %d", resp.StatusCode, c.status)
+				}
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != c.status || !strings.Contains(string(body), c.says) {
+				t.Errorf("status %d, want %d; %s", resp.StatusCode, c.status, body)
+			}
+			if strings.Contains(string(body), deployment.Key) {
+				t.Error("the answer holds the key")
+			}
+			checkProblem(t, resp, body)
+		})
+	}
+	after := client(0, deployment.Key)
+	if _, err := after.Chat.Completions.New(context.Background(), chat("fault-summary")); err != nil {
+		t.Errorf("a good call after the bad ones: %v", err)
+	}
+}
+
+func send(t *testing.T, n int, c badCall) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(c.method, base(n)+c.path, strings.NewReader(c.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.Key)
+	for name, value := range c.headers {
+		if req.Header.Set(name, value); value == "" {
+			req.Header.Del(name)
+		}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// checkProblem checks the form of RFC 9457 and that the call was not run.
+func checkProblem(t *testing.T, resp *http.Response, body []byte) {
+	t.Helper()
+	var p struct {
+		Type, Title, Detail, Ran string
+		Status                   int
+	}
+	if err := json.Unmarshal(body, &p); err != nil {
+		t.Fatalf("%v: %s", err, body)
+	}
+	if got := resp.Header.Get("Content-Type"); got != "application/problem+json" {
+		t.Errorf("content type %s", got)
+	}
+	if p.Type == "" || p.Title == "" || p.Detail == "" || p.Status != resp.StatusCode || p.Ran != "not-run" {
+		t.Errorf("problem %+v", p)
+	}
+}
+
+// TestSlowSender: a caller sends its headers one byte at a time and never ends.
+// The instance closes the connection after its header timeout, so that slow
+// senders can't use up all connections.
+func TestSlowSender(t *testing.T) {
+	conn, err := net.Dial("tcp", deployment.Instances[0].CallersAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Slow: "); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	rest, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("the connection was still open after a minute: %v", err)
+	}
+	if strings.HasPrefix(string(rest), "HTTP/1.1 200") {
+		t.Errorf("got %q", rest)
+	}
+}
+
+// TestOrderOnce: a caller sends the same order through every instance. It runs
+// once; each repeat gets the first answer and is marked as a replay. The same
+// key with another body is refused.
+func TestOrderOnce(t *testing.T) {
+	order := func(n int, body string) (int, string, string) {
+		resp := send(t, n, badCall{method: "POST", path: "/services/work-orders/orders", body: body, headers: map[string]string{"Idempotency-Key": "callers-1"}})
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(b), resp.Header.Get("Idempotent-Replayed")
+	}
+	code, first, replay := order(0, `{"door":7}`)
+	if code != http.StatusOK || replay != "" {
+		t.Fatalf("first: %d %s", code, first)
+	}
+	for n := range deployment.Instances {
+		if code, again, replay := order(n, `{"door":7}`); code != http.StatusOK || again != first || replay != "true" {
+			t.Errorf("repeat at instance %d: %d %s %q", n, code, again, replay)
+		}
+	}
+	if code, body, _ := order(0, `{"door":8}`); code != http.StatusUnprocessableEntity {
+		t.Errorf("another body: %d %s", code, body)
+	}
+	runs := 0
+	for _, z := range deployment.Backends {
+		for _, s := range z.Services {
+			for _, r := range s.Runs() {
+				if r.IdempotencyKey == "callers-1" {
+					runs++
+				}
+			}
+			if v := s.Violations(); v.KeySeen > 0 || v.AccountMissing > 0 {
+				t.Errorf("violations %+v", v)
+			}
+		}
+	}
+	if runs != 1 {
+		t.Errorf("the order ran %d times", runs)
+	}
+}
