--- /dev/null
+++ b/oleander/process/burn/burn_test.go
@@ -0,0 +1,67 @@
+package burn
+
+import (
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/oleander/request/front"
+)
+
+// at returns a Recorder whose clock the test moves.
+func at() (*Recorder, *time.Time) {
+	now := time.Unix(1_000_000, 0)
+	r := New()
+	r.now = func() time.Time { return now }
+	return r, &now
+}
+
+func TestWindows(t *testing.T) {
+	r, now := at()
+	bad := front.Outcome{Account: "a", Class: config.Interactive, Reason: event.ReasonDeadline}
+	good := front.Outcome{Account: "a", Class: config.Interactive, Good: true}
+	for range 98 {
+		r.Observe(good)
+	}
+	r.Observe(bad)
+	r.Observe(bad)
+	rows := r.Snapshot()
+	if len(rows) != 1 || rows[0].Short != (Count{100, 2}) || rows[0].Short.Burn() != 2 {
+		t.Fatalf("at once: %+v", rows)
+	}
+	*now = now.Add(ShortWindow)
+	if rows := r.Snapshot(); rows[0].Short.Calls != 0 || rows[0].Long.Calls != 100 {
+		t.Errorf("after the short window: %+v", rows)
+	}
+	r.Observe(good)
+	*now = now.Add(LongWindow - ShortWindow)
+	if rows := r.Snapshot(); rows[0].Long != (Count{1, 0}) {
+		t.Errorf("after the long window of the first: %+v", rows)
+	}
+	*now = now.Add(LongWindow)
+	if rows := r.Snapshot(); len(rows) != 0 {
+		t.Errorf("long after: %+v", rows)
+	}
+}
+
+// TestLateIsBad: an answer that came whole, but after the time that its class
+// allows, has left the technician standing; it counts as bad.
+func TestLateIsBad(t *testing.T) {
+	r, _ := at()
+	r.Observe(front.Outcome{Account: "a", Class: config.Urgent, Good: true, Took: InTime[config.Urgent] + 1})
+	r.Observe(front.Outcome{Account: "a", Class: config.Batch, Good: true, Took: time.Hour})
+	rows := r.Snapshot()
+	if rows[0].Class != config.Batch || rows[0].Short.Bad != 0 || rows[1].Short.Bad != 1 {
+		t.Errorf("%+v", rows)
+	}
+}
+
+func TestMerge(t *testing.T) {
+	one := []Row{{Account: "a", Class: config.Urgent, Short: Count{1, 1}, Long: Count{2, 1}}}
+	two := []Row{{Account: "a", Class: config.Urgent, Short: Count{3, 0}, Long: Count{4, 0}}, {Account: "b", Class: config.Urgent}}
+	rows := Merge(one, two)
+	if len(rows) != 2 || rows[0].Short != (Count{4, 1}) || rows[0].Long != (Count{6, 1}) {
+		t.Errorf("%+v", rows)
+	}
+}
--- a/oleander/process/daemon/tls.go
+++ b/oleander/process/daemon/tls.go
@@ -6,12 +6,11 @@
 	"os"
 
 	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/process/certs"
 )
 
-// peerTLS returns the TLS settings for both directions between instances. Each
-// side proves with a certificate of the deployment's own authority that it
-// belongs to it; names and addresses are not checked, since instances are
-// replaced at any time and talk by IP number.
+// peerTLS reads the files for the traffic between instances.
 func peerTLS(ca, cert, key string) (server, client *tls.Config, err error) {
 	pem, err := os.ReadFile(ca)
 	if err != nil {
@@ -25,37 +24,6 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "daemon: load the certificate")
 	}
-	server, client = PeerTLS(pool, pair)
+	server, client = certs.TLS(pool, pair)
 	return server, client, nil
 }
-
-// PeerTLS builds the two TLS settings from an authority and a certificate.
-func PeerTLS(authority *x509.CertPool, pair tls.Certificate) (server, client *tls.Config) {
-	server = &tls.Config{
-		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair},
-		ClientCAs: authority, ClientAuth: tls.RequireAndVerifyClientCert,
-	}
-	client = &tls.Config{
-		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair}, RootCAs: authority,
-		// The standard check would compare host names, which instances don't
-		// have. VerifyConnection does the rest of it: the chain.
-		InsecureSkipVerify: true,
-		VerifyConnection:   func(c tls.ConnectionState) error { return verifyChain(c, authority) },
-	}
-	return server, client
-}
-
-func verifyChain(c tls.ConnectionState, authority *x509.CertPool) error {
-	if len(c.PeerCertificates) == 0 {
-		return errors.New("daemon: the other instance showed no certificate")
-	}
-	between := x509.NewCertPool()
-	for _, cert := range c.PeerCertificates[1:] {
-		between.AddCert(cert)
-	}
-	_, err := c.PeerCertificates[0].Verify(x509.VerifyOptions{
-		Roots: authority, Intermediates: between,
-		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
-	})
-	return errors.Wrap(err, "daemon: the other instance's certificate")
-}
