--- /dev/null
+++ b/oleander/request/front/front_test.go
@@ -0,0 +1,340 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/connection/upstream"
+)
+
+const testKey = "odk_testtesttesttesttest"
+
+// script plays the core: it sends each call to the servers in turn, and refuses
+// it when they have run out.
+type script struct {
+	front   *Front
+	servers []string
+	once    bool
+
+	mu     sync.Mutex
+	next   int
+	events []event.Event
+	ended  chan event.AttemptEnded
+	gone   chan struct{}
+	silent bool // gives no commands
+}
+
+func (s *script) Post(e event.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, e)
+	switch e := e.(type) {
+	case event.CallArrived:
+		s.send(e.Call.Request)
+	case event.AttemptEnded:
+		s.ended <- e
+		switch {
+		case e.Result == event.AttemptWhole && s.once:
+			s.front.Deliver(e.Request, event.Answer{Request: e.Request, Status: e.Status, Type: e.Type, Body: e.Body})
+		case e.Result != event.AttemptWhole && e.Result != event.AttemptCancelled:
+			s.send(e.Request)
+		}
+	case event.CallerGone:
+		close(s.gone)
+	}
+}
+
+func (s *script) send(r id.Request) {
+	if s.silent {
+		return
+	}
+	if s.next == len(s.servers) {
+		s.front.Deliver(r, event.Refuse{Request: r, Refusal: event.Refusal{Reason: event.ReasonBroken, Ran: event.RanUnknown, RetryAfter: 1500 * time.Millisecond}})
+		return
+	}
+	s.next++
+	s.front.Deliver(r, event.Dispatch{
+		Request: r, Attempt: id.Attempt(fmt.Sprint("attempt", s.next)), Address: s.servers[s.next-1],
+		Account: "a", Once: s.once, Deadline: clock.Never,
+	})
+}
+
+// engineFunc answers one attempt.
+type engineFunc func(w http.ResponseWriter, r *http.Request)
+
+// setup runs a front before engines that are scripted too.
+func setup(t *testing.T, resumes bool, engines ...engineFunc) (*script, string) {
+	t.Helper()
+	c := &config.Config{
+		Groups:    map[id.Group]config.Group{"g": {Name: "g", Resumes: resumes}},
+		Artifacts: map[id.Artifact]config.Artifact{"m": {Name: "m", Group: "g"}},
+	}
+	s := &script{ended: make(chan event.AttemptEnded, 10), gone: make(chan struct{})}
+	for _, e := range engines {
+		server := httptest.NewServer(http.HandlerFunc(e))
+		t.Cleanup(server.Close)
+		s.servers = append(s.servers, strings.TrimPrefix(server.URL, "http://"))
+	}
+	settings := DefaultSettings()
+	settings.Instance = "i.1"
+	s.front = New(settings, s, upstream.New(), func() *config.Config { return c }, nil, zerolog.Nop())
+	server := httptest.NewServer(s.front.Handler())
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+// tokens writes the tokens from first to before last.
+func tokens(w io.Writer, first, last int) {
+	for n := first; n < last; n++ {
+		fmt.Fprintf(w, "id: %d\ndata: {\"n\":%d}\n\n", n, n)
+	}
+}
+
+func end(w io.Writer) { _, _ = io.WriteString(w, "data: [DONE]\n\n") }
+
+func cutOff(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func call(t *testing.T, ctx context.Context, url, path, body string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Idempotency-Key", "k1")
+	r.Header.Set("Cookie", "session="+testKey)
+	r.Header.Set("X-Api-Key", testKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+const (
+	streamBody = `{"model":"m","stream":true,"prompt":"x"}`
+	wholeBody  = `{"model":"m","prompt":"x"}`
+)
+
+// seen lists the tokens of a stream, and how it ended.
+func seen(t *testing.T, resp *http.Response) (got []string, last string) {
+	t.Helper()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		switch l := lines.Text(); {
+		case strings.HasPrefix(l, "data: {\"n\""):
+			got = append(got, strings.TrimSuffix(strings.TrimPrefix(l, "data: {\"n\":"), "}"))
+		case l == "data: [DONE]", strings.HasPrefix(l, "event: error"):
+			last = l
+		}
+	}
+	return got, last
+}
+
+// TestStreams: what a caller reads of a stream when its engines break off, send
+// parts twice or leave some out. It gets each token once and in order, and an
+// explicit error in place of the end marker if the answer is not whole.
+func TestStreams(t *testing.T) {
+	whole := func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 4); end(w) }
+	for name, c := range map[string]struct {
+		resumes bool
+		engines []engineFunc
+		tokens  string
+		last    string
+	}{
+		"whole": {engines: []engineFunc{whole}, tokens: "0 1 2 3", last: "data: [DONE]"},
+		"breaks off and is resumed at its offset": {resumes: true, tokens: "0 1 2 3", last: "data: [DONE]", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 2); cutOff(w) },
+			func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Resume-Offset") != "2" {
+					http.Error(w, "wrong offset "+r.Header.Get("Resume-Offset"), http.StatusBadRequest)
+					return
+				}
+				tokens(w, 2, 4)
+				end(w)
+			},
+		}},
+		"resumed from further back": {resumes: true, tokens: "0 1 2 3", last: "data: [DONE]", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 2); cutOff(w) },
+			whole,
+		}},
+		"breaks off on an engine that can't resume": {tokens: "0 1", last: "event: error", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 2); cutOff(w) },
+		}},
+		"ends without its end marker": {tokens: "0 1 2 3", last: "event: error", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 4) },
+		}},
+		"sends parts twice": {tokens: "0 1 2 3", last: "data: [DONE]", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 3); tokens(w, 1, 4); end(w) },
+		}},
+		"leaves a part out": {tokens: "0 1", last: "event: error", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { tokens(w, 0, 2); tokens(w, 3, 4); end(w) },
+		}},
+		"breaks before the first token and runs anew": {tokens: "0 1 2 3", last: "data: [DONE]", engines: []engineFunc{
+			func(w http.ResponseWriter, _ *http.Request) { cutOff(w) },
+			whole,
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, url := setup(t, c.resumes, c.engines...)
+			got, last := seen(t, call(t, t.Context(), url, "/v1/completions", streamBody))
+			if strings.Join(got, " ") != c.tokens || last != c.last {
+				t.Errorf("tokens %v, then %q; want %s, then %q", got, last, c.tokens, c.last)
+			}
+		})
+	}
+}
+
+// TestTruncatedWholeAnswer: an engine breaks off an answer that does not
+// stream. Nothing has reached the caller, so it is run again elsewhere; when
+// no server is left, the caller gets a refusal that says "unknown".
+func TestTruncatedWholeAnswer(t *testing.T) {
+	broken := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"half":`); cutOff(w) }
+	good := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentJSON)
+		_, _ = io.WriteString(w, `{"usage":{"completion_tokens":3}}`)
+	}
+	s, url := setup(t, false, broken, good)
+	resp := call(t, t.Context(), url, "/v1/completions", wholeBody)
+	if b, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || !strings.Contains(string(b), "usage") {
+		t.Errorf("%d %s %v", resp.StatusCode, b, err)
+	}
+	if e := <-s.ended; e.Result != event.AttemptBroken || e.Answered {
+		t.Errorf("first attempt %+v", e)
+	}
+	if e := <-s.ended; e.Result != event.AttemptWhole || e.Generated != 3 {
+		t.Errorf("second attempt %+v", e)
+	}
+	_, url = setup(t, false, broken)
+	resp = call(t, t.Context(), url, "/v1/completions", wholeBody)
+	if b, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusBadGateway || resp.Header.Get("Retry-After") != "2" || !strings.Contains(string(b), `"ran":"unknown"`) {
+		t.Errorf("%d, Retry-After %q, %s", resp.StatusCode, resp.Header.Get("Retry-After"), b)
+	}
+}
+
+// endless streams until its caller goes, and then says so.
+func endless(gone chan<- struct{}) engineFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for n := 0; r.Context().Err() == nil; n++ {
+			tokens(w, n, n+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(time.Millisecond)
+		}
+		close(gone)
+	}
+}
+
+// TestCallerGoneCancelsTheEngine: a caller closes its connection in the middle
+// of a stream. The engine's work ends too, and the core hears of it, so that
+// the turn and the tokens are free for others.
+func TestCallerGoneCancelsTheEngine(t *testing.T) {
+	gone := make(chan struct{})
+	s, url := setup(t, true, endless(gone))
+	ctx, cancel := context.WithCancel(t.Context())
+	resp := call(t, ctx, url, "/v1/completions", streamBody)
+	if _, err := bufio.NewReader(resp.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	await(t, gone, "the engine goes on")
+	if e := <-s.ended; e.Result != event.AttemptCancelled || !e.Answered {
+		t.Errorf("attempt %+v", e)
+	}
+}
+
+// TestCancelEndsAStream: the key is withdrawn while its caller reads a stream.
+// The stream ends with an explicit error, and the engine's work ends.
+func TestCancelEndsAStream(t *testing.T) {
+	gone := make(chan struct{})
+	s, url := setup(t, true, endless(gone))
+	resp := call(t, t.Context(), url, "/v1/completions", streamBody)
+	r := id.Request(resp.Header.Get(headerRequest))
+	s.front.Deliver(r, event.Cancel{Request: r, Attempt: "attempt1", Refusal: event.Refusal{Reason: event.ReasonKey, Ran: event.RanUnknown}})
+	if _, last := seen(t, resp); last != "event: error" {
+		t.Errorf("the stream ended with %q", last)
+	}
+	await(t, gone, "the engine goes on")
+}
+
+func await(t *testing.T, c <-chan struct{}, otherwise string) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(30 * time.Second):
+		t.Error(otherwise)
+	}
+}
+
+// TestSilentCoreDoesNotHangCallers: the core gives no answer at all. The front
+// refuses the call itself a moment after the deadline, and does not claim that
+// it was not run.
+func TestSilentCoreDoesNotHangCallers(t *testing.T) {
+	s, url := setup(t, false)
+	s.silent = true
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/completions", strings.NewReader(wholeBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set(headerDeadline, "0.05")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if b, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(b), `"ran":"unknown"`) {
+		t.Errorf("%d %s", resp.StatusCode, b)
+	}
+	await(t, s.gone, "the core was not told")
+}
+
+// TestNoKeyReachesABackend: the caller's key stands in the Authorization
+// header, a cookie and a header of the caller's own. No backend server sees it,
+// of a model or of a service.
+func TestNoKeyReachesABackend(t *testing.T) {
+	var mu sync.Mutex
+	headers := make(map[string]http.Header)
+	record := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		headers[r.URL.Path] = r.Header.Clone()
+		_, _ = io.WriteString(w, `{}`)
+	}
+	s, url := setup(t, false, record, record)
+	_, _ = io.ReadAll(call(t, t.Context(), url, "/v1/completions", wholeBody).Body)
+	s.once = true
+	resp := call(t, t.Context(), url, "/services/orders/new/7", "{}")
+	if b, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK || string(b) != "{}" {
+		t.Errorf("%d %s", resp.StatusCode, b)
+	}
+	for _, path := range []string{"/v1/completions", "/new/7"} {
+		h := headers[path]
+		if h == nil {
+			t.Fatalf("no call of %s, only %v", path, headers)
+		}
+		if strings.Contains(fmt.Sprint(h), testKey) || h.Get("Client-Account") != "a" || h.Get("Attempt-Id") == "" {
+			t.Errorf("%s: headers %v", path, h)
+		}
+	}
+	if headers["/new/7"].Get("Idempotency-Key") != "k1" {
+		t.Errorf("the service did not get the idempotency key: %v", headers["/new/7"])
+	}
+}
