--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -153,6 +153,7 @@
 
 func (m *Membership) sendHeartbeats(out *event.Outbox) {
 	own, zones := m.targets()
+	m.own.Seq++
 	for _, to := range own {
 		out.Send(to, m.own)
 	}
@@ -200,6 +201,7 @@
 	p.alive, p.everSeen, p.leaving = true, true, leaving
 	p.heard, p.last = now, h
 	if h.Ask {
+		m.own.Seq++
 		out.Send(from, m.own)
 	}
 }
--- a/core/process/rate/account.go
+++ b/core/process/rate/account.go
@@ -38,6 +38,7 @@
 	demand    float64 // tokens a second, averaged, as of demandAt
 	demandAt  clock.Time
 	nextShare clock.Time
+	nextEven  clock.Time
 	wake      clock.Time // clock.Never: nothing pending
 }
 
@@ -162,11 +163,17 @@
 // slack is what floating-point sums may be off.
 func (a *account) slack() float64 { return a.burst * tolerance }
 
-// holdsInvariants asserts what must hold between any two steps.
+// holdsInvariants asserts what must hold between any two steps. The arguments
+// are only built for a violation: this runs at each spend.
 func (a *account) holdsInvariants(h *Holder) bool {
 	room := a.limits(h, a.at).burst
-	return h.check.Hold(a.balance >= -a.slack(), "rate-negative", "%s has %g tokens", a.name, a.balance) &&
-		h.check.Hold(a.balance <= room+a.slack(), "rate-over-burst", "%s has %g tokens and room for %g", a.name, a.balance, room)
+	switch {
+	case a.balance < -a.slack():
+		return h.check.Hold(false, "rate-negative", "%s has %g tokens", a.name, a.balance)
+	case a.balance > room+a.slack():
+		return h.check.Hold(false, "rate-over-burst", "%s has %g tokens and room for %g", a.name, a.balance, room)
+	}
+	return true
 }
 
 // noteDemand adds tokens to the averaged demand.
@@ -180,15 +187,6 @@
 	return a.demand * math.Exp(-now.Sub(a.demandAt).Seconds()/demandWindow.Seconds())
 }
 
-func (a *account) cancel(req id.Request) bool {
-	i := slices.IndexFunc(a.queue, func(w waiter) bool { return w.request == req })
-	if i < 0 {
-		return false
-	}
-	a.queue = slices.Delete(a.queue, i, i+1)
-	return true
-}
-
 func seconds(s float64) time.Duration {
 	if s > maxWait.Seconds() {
 		return maxWait
--- a/core/process/rate/draw.go
+++ b/core/process/rate/draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/event"
@@ -26,7 +27,7 @@
 	if now.Before(a.round.next) {
 		return
 	}
-	a.round = round{running: true}
+	a.round = round{running: true, tries: a.round.tries + 1}
 	if !h.sendDraws(now, a, missing, out) {
 		h.endHalf(now, a, missing, out)
 	}
@@ -43,7 +44,8 @@
 	}
 	a.round.running = false
 	wait := fillTime(a.queue[0].tokens-a.available(), a.reach(h))
-	a.round.next = now.Add(min(max(wait, retryMin), retryMax))
+	pause := max(wait, retryMin<<min(a.round.tries, maxDoublings))
+	a.round.next = now.Add(min(pause, retryMax))
 }
 
 // openDraws counts the draws that the running round still waits for.
@@ -71,17 +73,38 @@
 // sendDraws asks the holders of this half for what is missing, all at once;
 // what comes in excess is settled. It reports whether there was one to ask.
 func (h *Holder) sendDraws(now clock.Time, a *account, missing float64, out *event.Outbox) bool {
-	targets := h.directory.targets(now, h, a.round.far)
-	sent := 0
+	targets := h.askable(now, a, h.directory.targets(now, h, a.round.far), maxParallel)
 	for _, to := range targets {
-		if sent == maxParallel || now.Before(a.shun[to]) {
-			continue
-		}
-		sent++
 		h.sendDraw(now, a, &draw{to: to, tokens: missing, open: true}, out)
 	}
 	a.round.until = now.Add(h.set.DrawTimeout)
-	return sent > 0
+	return len(targets) > 0
+}
+
+// askable returns up to most of the targets, others each time, without those
+// that did not answer lately.
+func (h *Holder) askable(now clock.Time, a *account, targets []id.Instance, most int) []id.Instance {
+	targets = slices.DeleteFunc(targets, func(i id.Instance) bool { return now.Before(a.shun[i]) })
+	if len(targets) <= most {
+		return targets
+	}
+	first := int(h.lastDraw % uint64(len(targets)))
+	return append(targets[first:], targets[:first]...)[:most]
+}
+
+// evenOut draws tokens before they are short. A bucket elsewhere that is full
+// wastes what accrues to it, and the account's callers here miss it later.
+func (h *Holder) evenOut(now clock.Time, a *account, out *event.Outbox) {
+	room := a.limits(h, now).burst
+	if now.Before(a.nextEven) || len(a.queue) > 0 || room <= 0 || a.balance >= evenBelow*room {
+		return
+	}
+	a.nextEven = now.Add(evenEvery * time.Duration(1+len(h.members.Live())/evenFleet))
+	targets := append(h.directory.targets(now, h, false), h.directory.targets(now, h, true)...)
+	targets = h.askable(now, a, targets, evenParallel)
+	for _, to := range targets {
+		h.sendDraw(now, a, &draw{to: to, tokens: room - a.balance, room: room, among: len(targets)}, out)
+	}
 }
 
 func (h *Holder) sendDraw(now clock.Time, a *account, d *draw, out *event.Outbox) {
@@ -91,7 +114,11 @@
 	d.expires = now.Add(h.set.LoanTerm)
 	d.id = h.lastDraw
 	a.draws = append(a.draws, d)
-	out.Send(d.to, message.Draw{ID: h.lastDraw, Account: a.name, Tokens: d.tokens, WantRate: d.want})
+	out.Send(d.to, d.message(a))
+}
+
+func (d *draw) message(a *account) message.Draw {
+	return message.Draw{ID: d.id, Account: a.name, Tokens: d.tokens, WantRate: d.want, Room: d.room, Among: d.among}
 }
 
 // tickDraws repeats draws without an answer and forgets those that ran out.
@@ -100,7 +127,7 @@
 	for _, d := range a.draws {
 		if now.Reached(d.again) {
 			d.again = clock.Never
-			out.Send(d.to, message.Draw{ID: d.id, Account: a.name, Tokens: d.tokens, WantRate: d.want})
+			out.Send(d.to, d.message(a))
 		}
 	}
 }
@@ -142,7 +169,7 @@
 	a.dropDraw(m.ID)
 	delete(a.shun, from)
 	if d.want > 0 {
-		h.borrowShare(now, a, from, m, until)
+		h.borrowShare(now, a, from, m, until, out)
 	} else {
 		h.borrowTokens(a, from, m, until)
 		if d.open {
--- a/core/process/rate/handover.go
+++ b/core/process/rate/handover.go
@@ -28,10 +28,11 @@
 }
 
 // TakeOver begins to use slots that were handed over, and puts them on record.
-// A slot that comes again is left out. It reports false if this instance is
-// stopping itself and takes nothing.
+// A slot that comes again is left out. It reports false if this instance takes
+// nothing because it is stopping itself or its lease does not hold now: a
+// holder without a session row counts as ended.
 func (h *Holder) TakeOver(now clock.Time, all []message.HandoverSlot, out *event.Outbox) bool {
-	if h.closed {
+	if h.closed || !h.rights.Valid(now) {
 		return false
 	}
 	for _, m := range all {
--- a/core/process/rate/holder.go
+++ b/core/process/rate/holder.go
@@ -14,6 +14,7 @@
 package rate
 
 import (
+	"slices"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -59,6 +60,7 @@
 	directory directory
 	answers   answers
 	accounts  map[id.Account]*account
+	waiting   map[id.Request]*account
 	wakes     wakes
 	lastDraw  uint64
 	decisions []Decision
@@ -88,6 +90,7 @@
 		directory: make(directory),
 		answers:   newAnswers(),
 		accounts:  make(map[id.Account]*account),
+		waiting:   make(map[id.Request]*account),
 	}
 }
 
@@ -165,19 +168,23 @@
 	a.refill(h, now)
 	a.noteDemand(now, tokens)
 	a.queue = append(a.queue, waiter{request: req, tokens: tokens, deadline: deadline, asked: now})
+	h.waiting[req] = a
 	h.serve(now, a, out)
 	h.manageShares(now, a, out)
+	h.evenOut(now, a, out)
 	h.plan(now, a)
 }
 
 // Cancel withdraws a request that waits. Tokens already granted stay taken;
 // GiveBack returns them.
 func (h *Holder) Cancel(req id.Request) {
-	for _, name := range h.wakes.names(h.accounts) {
-		if h.accounts[name].cancel(req) {
-			return
-		}
+	a := h.waiting[req]
+	if a == nil {
+		return
 	}
+	delete(h.waiting, req)
+	a.queue = slices.DeleteFunc(a.queue, func(w waiter) bool { return w.request == req })
+	h.wake(a, a.at) // the next one may be granted now
 }
 
 // GiveBack returns tokens that were granted and not used. More than was taken,
@@ -198,6 +205,7 @@
 }
 
 func (h *Holder) refuse(req id.Request, why Reason, after time.Duration) {
+	delete(h.waiting, req)
 	h.decisions = append(h.decisions, Decision{Request: req, Reason: why, RetryAfter: after})
 }
 
--- a/core/process/rate/lend.go
+++ b/core/process/rate/lend.go
@@ -43,6 +43,9 @@
 // lendTokens gives what is asked for out of what nobody waits for here.
 func (h *Holder) lendTokens(now clock.Time, a *account, key loanKey, m message.Draw, l *message.Lent) {
 	give := min(m.Tokens, a.balance-a.need())
+	if m.Room > 0 {
+		give = min(give, evenOut(a.balance, a.limits(h, now).burst, m))
+	}
 	if room := a.own(h, now).burst - a.out().burst; give > room {
 		// The room of a borrowed share may be lent on while that share surely
 		// lasts; beyond it the first lender fills it again.
@@ -66,6 +69,13 @@
 	a.clip(h)
 }
 
+// evenOut returns what a bucket with so many tokens and so much room gives to
+// make all that take part in m equally full.
+func evenOut(tokens, room float64, m message.Draw) float64 {
+	missing := tokens*m.Room - (m.Room-m.Tokens)*room
+	return missing / (float64(max(1, m.Among))*room + m.Room)
+}
+
 // sharesLast returns how long the borrowed share that ends first lasts.
 func (a *account) sharesLast(now clock.Time) time.Duration {
 	if len(a.shares) == 0 {
@@ -122,7 +132,7 @@
 		a.lent = slices.Delete(a.lent, i, i+1)
 	} else if s := a.sharedTo(from); s != nil && s.id == m.ID {
 		back = min(m.Returned, s.burst())
-		a.lentTo = slices.DeleteFunc(a.lentTo, func(s *shareLent) bool { return s.to == from })
+		a.endShare(s, m.Keep)
 	}
 	a.balance += max(0, back)
 	a.clip(h)
@@ -131,6 +141,15 @@
 	}
 }
 
+// endShare ends a loan of rate, or the part of it that was lent before its
+// last extension and that the borrower no longer uses.
+func (a *account) endShare(s *shareLent, keep bool) {
+	s.old = part{}
+	if !keep {
+		a.lentTo = slices.DeleteFunc(a.lentTo, func(t *shareLent) bool { return t == s })
+	}
+}
+
 // answers keeps the answers to draws until their loans have run out.
 type answers struct {
 	byKey map[loanKey]message.Lent
--- a/core/process/rate/loan.go
+++ b/core/process/rate/loan.go
@@ -97,6 +97,8 @@
 	to      id.Instance
 	tokens  float64
 	want    float64 // rate; 0: a draw of tokens only
+	room    float64 // to even out among so many; 0: for what waits
+	among   int
 	sent    clock.Time
 	again   clock.Time // when to repeat it; clock.Never: it was
 	expires clock.Time // the loan would have run out
@@ -110,6 +112,7 @@
 	until   clock.Time // when it is over at the latest
 	reach   int        // slots of the holders that answered
 	next    clock.Time // earliest start of another round
+	tries   int        // rounds since a request last waited for nothing
 }
 
 // waiter is a request that waits for tokens.
--- a/core/process/rate/serve.go
+++ b/core/process/rate/serve.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"slices"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -22,7 +23,7 @@
 func (h *Holder) serve(now clock.Time, a *account, out *event.Outbox) {
 	h.grant(now, a, out)
 	if len(a.queue) == 0 {
-		a.round.running = false
+		a.round.running, a.round.tries = false, 0
 		h.settlePouch(a, out)
 		return
 	}
@@ -44,15 +45,17 @@
 		if !h.spend(a, w.tokens, out) {
 			return
 		}
-		a.queue = a.queue[1:]
+		a.queue = slices.Delete(a.queue, 0, 1)
+		delete(h.waiting, w.request)
+		a.round.tries = min(a.round.tries, triesAfterGrant)
 		h.decisions = append(h.decisions, Decision{Request: w.request, Granted: true})
 	}
 }
 
 // spend takes tokens, the borrowed ones first: they run out.
 func (h *Holder) spend(a *account, tokens float64, out *event.Outbox) bool {
-	if !h.check.Hold(a.available()+a.slack() >= tokens, "rate-overspent", "%s: %g of %g", a.name, tokens, a.available()) {
-		return false
+	if a.available()+a.slack() < tokens {
+		return h.check.Hold(false, "rate-overspent", "%s: %g of %g", a.name, tokens, a.available())
 	}
 	left := tokens
 	kept := a.pouch[:0]
--- a/core/process/rate/settings.go
+++ b/core/process/rate/settings.go
@@ -25,15 +25,30 @@
 	// keepHeadroom how much more than its own demand a lender keeps.
 	wantHeadroom = 1.3
 	keepHeadroom = 1.1
+	// shareTrigger is how far demand has to pass the own rate before rate is
+	// borrowed; the ups and downs of even traffic must not move shares around.
+	shareTrigger = 1.25
+	// evenEvery is the shortest time between two draws that even out buckets, in
+	// a fleet of up to evenFleet instances; it grows with the fleet. evenParallel
+	// is how many holders each asks, evenBelow how full the own bucket may be.
+	evenEvery    = 50 * time.Millisecond
+	evenFleet    = 16
+	evenParallel = 8
+	evenBelow    = 0.9
 	// shareEvery is the shortest time between two rounds of borrowing rate.
 	shareEvery = 200 * time.Millisecond
 	// retryMin and retryMax bound the time between two rounds of draws.
 	retryMin = 20 * time.Millisecond
-	retryMax = 250 * time.Millisecond
-	// maxParallel bounds the draws of one round.
+	retryMax = 500 * time.Millisecond
+	// maxParallel bounds the draws of each half of a round.
 	maxParallel = 16
 	// shunTime is how long a holder that left a draw unanswered is not asked.
 	shunTime = time.Second
+	// maxDoublings bounds how often the least time between two rounds doubles.
+	maxDoublings = 5
+	// triesAfterGrant is where the pause between rounds starts again when one
+	// brought enough for a request.
+	triesAfterGrant = 2
 	// maxInvalidWait is how long a request waits for the lease to hold again.
 	maxInvalidWait = 2 * time.Second
 	// tolerance is what floating-point sums may be off, relative to a burst.
--- a/core/process/rate/share.go
+++ b/core/process/rate/share.go
@@ -32,7 +32,7 @@
 		}
 	}
 	missing := want - have - a.rateAsked()
-	if missing > worthLending*a.rate/h.parts() {
+	if missing > worthLending*a.rate/h.parts() && a.demandNow(now) > shareTrigger*have {
 		h.askRate(now, a, missing, out)
 	}
 }
@@ -76,10 +76,14 @@
 
 // borrowShare takes in a part of a lender's share, in place of the part that
 // it lent before.
-func (h *Holder) borrowShare(now clock.Time, a *account, from id.Instance, m message.Lent, until clock.Time) {
-	if s := a.share(from); s != nil && s.id > m.ID {
+func (h *Holder) borrowShare(now clock.Time, a *account, from id.Instance, m message.Lent, until clock.Time, out *event.Outbox) {
+	old := a.share(from)
+	if old != nil && old.id > m.ID {
 		return
 	}
+	if m.Rate <= 0 && old != nil {
+		h.returnShare(now, a, old, out)
+	}
 	a.dropShare(from)
 	if m.Rate > 0 {
 		a.addShare(&shareLoan{from: from, id: m.ID, rate: m.Rate, burst: m.Burst, until: until})
@@ -87,8 +91,12 @@
 		a.noRate[from] = now.Add(noRateTime)
 	}
 	a.balance += m.Tokens
+	back := max(0, a.balance-a.limits(h, now).burst)
 	a.clip(h)
 	a.holdsInvariants(h)
+	if old != nil && m.Rate > 0 && (back > 0 || m.Burst < old.burst) {
+		out.Send(from, message.Settle{ID: m.ID, Account: a.name, Returned: back, Keep: true})
+	}
 }
 
 // returnShare ends a loan early and returns the tokens that there is no room
--- a/core/process/rate/wakes.go
+++ b/core/process/rate/wakes.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/id"
@@ -68,18 +67,6 @@
 	return a
 }
 
-// names returns the accounts with something pending, sorted.
-func (w *wakes) names(accounts map[id.Account]*account) []id.Account {
-	var names []id.Account
-	for _, e := range w.heap {
-		if accounts[e.name].wake == e.at {
-			names = append(names, e.name)
-		}
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
 // wake wants a tick of a at t, or at the time it has if that is earlier.
 func (h *Holder) wake(a *account, t clock.Time) {
 	if t >= a.wake {
--- a/core/process/session/confirm.go
+++ b/core/process/session/confirm.go
@@ -89,7 +89,7 @@
 // waits for Margin at least, in which instances that started during the pause
 // show themselves by their heartbeats.
 func (l *Lease) clearByConfirm(now clock.Time) {
-	if l.gap.taken || now.Sub(l.gap.found) < l.set.Margin {
+	if l.gap.taken || now.Sub(l.gap.found) < l.set.Margin || !l.vouches(now, l.zoneTableAge(now)) {
 		return
 	}
 	for _, ok := range l.gap.confirmed {
@@ -109,6 +109,8 @@
 	}
 	l.watch.hear(now, from)
 	switch m := m.(type) {
+	case message.Heartbeat:
+		l.noteTableAge(now, from, m)
 	case message.ConfirmAsk:
 		out.Send(from, l.confirm(now, from, m.Nonce))
 	case message.Confirm:
@@ -120,11 +122,39 @@
 	return message.Confirm{
 		Nonce:    nonce,
 		TakenBy:  l.watch.takerOf(from, l.set.Instance),
-		TableAge: l.TableAge(now),
+		TableAge: l.zoneTableAge(now),
 		Zone:     l.members.InZone(l.set.Zone),
 	}
 }
 
+// reached is when another instance of the zone last reached the table, at the
+// latest, by its heartbeat of number seq.
+type reached struct {
+	seq uint64
+	at  clock.Time
+}
+
+// noteTableAge remembers when an instance of the zone last reached the table.
+// It may have taken a session over and died before the holder asks about it. A
+// heartbeat that was late makes the time seem later than it was, which is safe,
+// until the next one; one that was overtaken would make it seem earlier.
+func (l *Lease) noteTableAge(now clock.Time, from id.Instance, m message.Heartbeat) {
+	if m.Zone != l.set.Zone || m.TableAge == never || m.Seq <= l.zoneReached[from].seq {
+		return
+	}
+	l.zoneReached[from] = reached{seq: m.Seq, at: now.Add(-m.TableAge)}
+}
+
+// zoneTableAge returns the time since any instance of the zone that was heard
+// last reached the table.
+func (l *Lease) zoneTableAge(now clock.Time) time.Duration {
+	age := l.TableAge(now)
+	for _, r := range l.zoneReached {
+		age = min(age, now.Sub(r.at))
+	}
+	return age
+}
+
 // confirmedBy takes in a Confirm. One that is late carries an old nonce, and a
 // doubled one changes nothing.
 func (l *Lease) confirmedBy(now clock.Time, from id.Instance, m message.Confirm) {
--- a/core/process/session/lease.go
+++ b/core/process/session/lease.go
@@ -61,6 +61,7 @@
 
 	tableReached bool
 	tableAt      clock.Time // when the last operation was answered
+	zoneReached  map[id.Instance]reached
 
 	gap     gap
 	watch   watchList
@@ -84,6 +85,8 @@
 		check:    check,
 		attempts: make(map[uint64]clock.Time),
 		watch:    newWatchList(),
+
+		zoneReached: make(map[id.Instance]reached),
 	}
 }
 
@@ -324,10 +327,9 @@
 		return
 	}
 	l.expiry = max(l.expiry, sent.Add(l.set.Term))
-	switch {
-	case l.phase == joining:
-		l.phase = held
-	case l.phase == suspect && sent.Reached(l.gap.found):
+	// One sent before a pause says nothing about the time since: the row may
+	// have been taken over while its answer waited here.
+	if (l.phase == joining || l.phase == suspect) && sent.Reached(l.listening) {
 		l.phase = held
 	}
 }
--- a/core/process/session/watch.go
+++ b/core/process/session/watch.go
@@ -194,6 +194,7 @@
 	l.watch.endedBy[i] = by
 	delete(l.watch.entries, i)
 	delete(l.watch.heard, i)
+	delete(l.zoneReached, i)
 	l.changed = append(l.changed, i)
 }
 
