Assemble answers by tokens, and make keys in one place

The assembly counted bytes, while engines give token offsets; the front stood in one byte for each token. Stream is now generic over what it counts: events in the front, bytes in its tests. Keys were made by twin code in two packages; the head of the two call handlers and the load of two process tests stood twice.

--- a/core/connection/stream.go
+++ b/core/connection/stream.go
@@ -9,10 +9,10 @@
 )
 
 // Part is a piece of an answer as an attempt delivered it.
-type Part struct {
+type Part[T any] struct {
 	Attempt id.Attempt
-	Offset  int64 // bytes of the answer before this part
-	Data    []byte
+	Offset  int64 // units of the answer before this part
+	Data    []T
 	End     bool // the answer is whole after this part
 }
 
@@ -26,28 +26,28 @@
 	Doubled       // dropped: all of it was there already
 )
 
-// GapError says that bytes are missing before a part. The attempt is of no
+// GapError says that something is missing before a part. The attempt is of no
 // more use; Break tells how to go on.
 type GapError struct {
 	Attempt    id.Attempt
-	Have, Want int64 // bytes
+	Have, Want int64 // units
 }
 
 // Error implements error.
 func (e *GapError) Error() string {
-	return fmt.Sprintf("attempt %s: part at byte %d, but only %d arrived", e.Attempt, e.Want, e.Have)
+	return fmt.Sprintf("attempt %s: part at %d, but only %d arrived", e.Attempt, e.Want, e.Have)
 }
 
 // LengthError says that an attempt went on past its own end marker, or ended
 // before what an earlier attempt had delivered.
 type LengthError struct {
 	Attempt id.Attempt
-	Length  int64 // bytes
+	Length  int64 // units
 }
 
 // Error implements error.
 func (e *LengthError) Error() string {
-	return fmt.Sprintf("attempt %s: inconsistent end at byte %d", e.Attempt, e.Length)
+	return fmt.Sprintf("attempt %s: inconsistent end at %d", e.Attempt, e.Length)
 }
 
 // Kind says how to go on after a break.
@@ -64,7 +64,7 @@
 // Decision says how to go on after a break.
 type Decision struct {
 	Kind   Kind
-	Offset int64 // bytes, for Resume
+	Offset int64 // units, for Resume
 }
 
 // Options say what may be done with a broken answer.
@@ -73,32 +73,33 @@
 	Repeatable bool // the call may run more than once
 }
 
-// Stream assembles one answer. It is used by one goroutine at a time.
-type Stream struct {
+// Stream assembles one answer from units of T: bytes, or events that carry a
+// token each. It is used by one goroutine at a time.
+type Stream[T any] struct {
 	opts    Options
 	current id.Attempt
 	running bool
-	pending []byte // arrived, not yet handed out
-	written int64  // bytes handed out to be written to the caller
+	pending []T   // arrived, not yet handed out
+	written int64 // units handed out to be written to the caller
 	whole   bool
 
 	mixAttempts bool // test hook: takes parts of any attempt
 }
 
 // New returns a Stream without an attempt.
-func New(opts Options) *Stream { return &Stream{opts: opts} }
+func New[T any](opts Options) *Stream[T] { return &Stream[T]{opts: opts} }
 
 // Begin makes a the current attempt. It must follow New, or a Break that said
 // Resume or Rerun; parts of all other attempts are dropped from now on.
-func (s *Stream) Begin(a id.Attempt) {
+func (s *Stream[T]) Begin(a id.Attempt) {
 	s.current, s.running = a, true
 }
 
 // Add takes a part in. Its data is copied. The error is a *GapError or a
 // *LengthError: call Break then.
-func (s *Stream) Add(p Part) (Taken, error) {
+func (s *Stream[T]) Add(p Part[T]) (Taken, error) {
 	// A part of an older attempt may come late, when its replacement has begun.
-	// Mixed in, the caller would get bytes of two different answers; the attempt
+	// Mixed in, the caller would get pieces of two different answers; the attempt
 	// id tells them apart whatever the order.
 	if !s.running || (p.Attempt != s.current && !s.mixAttempts) {
 		return Crossed, nil
@@ -122,7 +123,7 @@
 	return Used, nil
 }
 
-func (s *Stream) addAfterEnd(p Part, end int64) (Taken, error) {
+func (s *Stream[T]) addAfterEnd(p Part[T], end int64) (Taken, error) {
 	if end > s.received() {
 		return Used, &LengthError{Attempt: p.Attempt, Length: end}
 	}
@@ -131,7 +132,7 @@
 
 // Next hands out what may be written to the caller now, and counts it as
 // written. The slice is valid until the next Add.
-func (s *Stream) Next() []byte {
+func (s *Stream[T]) Next() []T {
 	b := s.pending
 	s.pending = s.pending[:0]
 	s.written += int64(len(b))
@@ -140,14 +141,14 @@
 
 // Whole reports whether the end marker arrived and all was handed out. Without
 // it the caller must be told that the answer broke off.
-func (s *Stream) Whole() bool { return s.whole && len(s.pending) == 0 }
+func (s *Stream[T]) Whole() bool { return s.whole && len(s.pending) == 0 }
 
-// Written returns the bytes handed out.
-func (s *Stream) Written() int64 { return s.written }
+// Written returns the units handed out.
+func (s *Stream[T]) Written() int64 { return s.written }
 
 // Break says how to go on after attempt a ended without its end marker. The
 // attempt's later parts are dropped.
-func (s *Stream) Break(a id.Attempt) Decision {
+func (s *Stream[T]) Break(a id.Attempt) Decision {
 	if !s.running || a != s.current || s.whole {
 		return Decision{Kind: Ignore}
 	}
@@ -165,4 +166,4 @@
 	}
 }
 
-func (s *Stream) received() int64 { return s.written + int64(len(s.pending)) }
+func (s *Stream[T]) received() int64 { return s.written + int64(len(s.pending)) }
--- a/core/connection/stream_test.go
+++ b/core/connection/stream_test.go
@@ -12,11 +12,11 @@
 
 // play feeds steps to a stream and returns what the caller gets, with what else
 // was decided in brackets.
-func play(s *Stream, steps ...any) string {
+func play(s *Stream[byte], steps ...any) string {
 	var got strings.Builder
 	for _, step := range steps {
 		switch step := step.(type) {
-		case Part:
+		case Part[byte]:
 			taken, err := s.Add(step)
 			var gap *GapError
 			var length *LengthError
@@ -49,8 +49,8 @@
 // A caller must get the whole answer to its own request, or an explicit error.
 // Each case gives the parts and breaks in the order in which they come.
 func TestStream(t *testing.T) {
-	part := func(attempt string, offset int64, data string, end bool) Part {
-		return Part{id.Attempt(attempt), offset, []byte(data), end}
+	part := func(attempt string, offset int64, data string, end bool) Part[byte] {
+		return Part[byte]{id.Attempt(attempt), offset, []byte(data), end}
 	}
 	for _, c := range []struct {
 		name  string
@@ -83,7 +83,7 @@
 		{"not run again if it may not be", Options{}, []any{"begin a", "break a"}, "[fail 0]"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := play(New(c.opts), c.steps...); got != c.want {
+			if got := play(New[byte](c.opts), c.steps...); got != c.want {
 				t.Errorf("got %s, want %s", got, c.want)
 			}
 		})
@@ -114,7 +114,7 @@
 // is wrong, or at the end.
 func shuffled(seed uint64, mix bool) (got string, ok bool) {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	s := New(Options{Resumes: true, Repeatable: true})
+	s := New[byte](Options{Resumes: true, Repeatable: true})
 	s.mixAttempts = mix
 	attempt := 0
 	s.Begin("0")
@@ -138,7 +138,7 @@
 
 // randomPart is a part of any attempt up to the current one; older ones worded
 // their answer differently.
-func randomPart(rng *rand.Rand, current int) Part {
+func randomPart(rng *rand.Rand, current int) Part[byte] {
 	a := rng.IntN(current + 1)
 	from := rng.IntN(len(answer))
 	to := from + rng.IntN(len(answer)-from) + 1
@@ -146,5 +146,5 @@
 	if a != current {
 		text = strings.ToUpper(text)
 	}
-	return Part{name(a), int64(from), []byte(text), to == len(answer)}
+	return Part[byte]{name(a), int64(from), []byte(text), to == len(answer)}
 }
--- a/oleander/process/dev/dev.go
+++ b/oleander/process/dev/dev.go
@@ -5,11 +5,7 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"crypto/sha256"
 	_ "embed"
-	"encoding/base32"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +28,7 @@
 	"oleanderdale.org/oleander/process/daemon"
 	"oleanderdale.org/oleander/standin/deployment"
 	"oleanderdale.org/oleander/standin/engine"
+	"oleanderdale.org/oleander/version/apikey"
 	"oleanderdale.org/oleander/version/configfile"
 	"oleanderdale.org/oleander/version/publish"
 )
@@ -51,7 +48,6 @@
 var devYAML []byte
 
 const (
-	keyBytes    = 20
 	certValid   = 24 * time.Hour
 	readyLimit  = 30 * time.Second
 	portsEach   = 10
@@ -146,13 +142,8 @@
 
 // devConfig returns a new key and the configuration that holds its digest.
 func devConfig() (string, *config.Config, error) {
-	b := make([]byte, keyBytes)
-	if _, err := rand.Read(b); err != nil {
-		return "", nil, errors.Wrap(err, "dev: no random numbers")
-	}
-	key := "odk_" + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b))
-	sum := sha256.Sum256([]byte(key))
-	doc := fmt.Sprintf("kind: key\ndigest: %s\naccount: technicians\nlabel: made by oleander dev\n", hex.EncodeToString(sum[:]))
+	key := apikey.New()
+	doc := fmt.Sprintf("kind: key\ndigest: %s\naccount: technicians\nlabel: made by oleander dev\n", apikey.Digest(key))
 	c, err := configfile.Parse([]configfile.File{{Name: "dev.yaml", Data: devYAML}, {Name: "key.yaml", Data: []byte(doc)}})
 	return key, c, errors.Wrap(err, "dev: configuration")
 }
--- a/oleander/process/operator/key.go
+++ b/oleander/process/operator/key.go
@@ -1,23 +1,14 @@
 package operator
 
 import (
-	"crypto/rand"
-	"crypto/sha256"
-	"encoding/base32"
-	"encoding/hex"
 	"fmt"
 	"os"
-	"strings"
 
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
 	"oleanderdale.org/core/id"
-)
-
-const (
-	keyPrefix = "odk_" // lets scanners of leaked secrets recognise a key
-	keyBytes  = 20     // 160 random bits; 32 digits of base32
+	"oleanderdale.org/oleander/version/apikey"
 )
 
 type keyCommands struct {
@@ -44,10 +35,9 @@
 	if c.Account == "" || c.Label == "" {
 		return errors.Wrap(errUsage, "account and label must not be empty")
 	}
-	key := newKey()
-	sum := sha256.Sum256([]byte(key))
+	key := apikey.New()
 	doc, err := yaml.Marshal(keyDocument{
-		Kind: "key", Account: c.Account, Label: c.Label, Digest: id.Digest(hex.EncodeToString(sum[:])),
+		Kind: "key", Account: c.Account, Label: c.Label, Digest: apikey.Digest(key),
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode key document")
@@ -64,12 +54,6 @@
 	return errors.Wrap(err, "print key")
 }
 
-func newKey() string {
-	var b [keyBytes]byte
-	rand.Read(b[:]) // never fails: see crypto/rand
-	return keyPrefix + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b[:]))
-}
-
 // writeNew writes a file that must not exist, so that no declared key is lost.
 func writeNew(name string, body []byte) error {
 	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
--- a/oleander/request/front/completion.go
+++ b/oleander/request/front/completion.go
@@ -23,12 +23,7 @@
 
 // completion serves the two kinds of completion.
 func (f *Front) completion(w http.ResponseWriter, r *http.Request) {
-	body, err := f.readBody(w, r)
-	if err != nil {
-		writeProblem(w, problemOf(err))
-		return
-	}
-	call, err := f.base(r, body)
+	body, call, err := f.read(w, r)
 	if err != nil {
 		writeProblem(w, problemOf(err))
 		return
@@ -43,7 +38,7 @@
 	x.stream = stream
 	x.run(w, r, &completion{
 		x: x, w: w, path: r.URL.Path, body: body,
-		parts: connection.New(connection.Options{Resumes: f.resumes(call), Repeatable: true}),
+		parts: connection.New[string](connection.Options{Resumes: f.resumes(call), Repeatable: true}),
 	})
 }
 
@@ -64,7 +59,7 @@
 	w      http.ResponseWriter
 	path   string
 	body   []byte
-	parts  *connection.Stream
+	parts  *connection.Stream[string]
 	resume connection.Decision // after the last break
 	tokens int
 }
@@ -134,18 +129,24 @@
 	}
 }
 
-// part takes one event. The assembly counts in tokens: the one byte that it
-// keeps stands for the token of the event.
+// part takes one event. Those that carry a token are assembled by its offset;
+// the others, such as the one with the usage, are passed on as they come.
 func (c *completion) part(d event.Dispatch, p upstream.Part) error {
 	if p.Offset < 0 {
 		return c.write("data: " + string(p.Data) + "\n\n")
 	}
-	taken, err := c.parts.Add(connection.Part{Attempt: d.Attempt, Offset: int64(p.Offset), Data: []byte{0}})
+	text := "id: " + strconv.Itoa(p.Offset) + "\ndata: " + string(p.Data) + "\n\n"
+	taken, err := c.parts.Add(connection.Part[string]{Attempt: d.Attempt, Offset: int64(p.Offset), Data: []string{text}})
 	if err != nil || taken != connection.Used {
 		return err
 	}
-	c.tokens += len(c.parts.Next())
-	return c.write("id: " + strconv.Itoa(p.Offset) + "\ndata: " + string(p.Data) + "\n\n")
+	for _, token := range c.parts.Next() {
+		c.tokens++
+		if err := c.write(token); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (c *completion) write(s string) error {
--- a/oleander/request/front/parse.go
+++ b/oleander/request/front/parse.go
@@ -19,6 +19,7 @@
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/oleander/process/boottime"
+	"oleanderdale.org/oleander/version/apikey"
 )
 
 // Header names of the callers' interface.
@@ -87,8 +88,17 @@
 		return "", "", &badCall{event.ReasonKey, "send your key as Authorization: Bearer KEY"}
 	}
 	key = strings.TrimSpace(authorization[len(bearer):])
-	sum := sha256.Sum256([]byte(key))
-	return key, id.Digest(hex.EncodeToString(sum[:])), nil
+	return key, apikey.Digest(key), nil
+}
+
+// read reads the body of a call and what all calls have in common.
+func (f *Front) read(w http.ResponseWriter, r *http.Request) ([]byte, event.Call, error) {
+	body, err := f.readBody(w, r)
+	if err != nil {
+		return nil, event.Call{}, err
+	}
+	call, err := f.base(r, body)
+	return body, call, err
 }
 
 // base reads what all calls have in common.
--- a/oleander/request/front/service.go
+++ b/oleander/request/front/service.go
@@ -20,12 +20,7 @@
 
 // service serves plain services.
 func (f *Front) service(w http.ResponseWriter, r *http.Request) {
-	body, err := f.readBody(w, r)
-	if err != nil {
-		writeProblem(w, problemOf(err))
-		return
-	}
-	call, err := f.base(r, body)
+	body, call, err := f.read(w, r)
 	if err != nil {
 		writeProblem(w, problemOf(err))
 		return
--- a/proving/processes/processes_test.go
+++ b/proving/processes/processes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -67,16 +68,9 @@
 // callers see no cut call and no refusal: the balancer sees the instance leave
 // before it stops taking calls, and its calls run to their end.
 func replaceAll(t *testing.T, c *Cluster) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	b := NewBalancer(context.Background(), c.Entries)
-	defer b.Close()
-	l := &Load{Callers: 12}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		l.Run(ctx, b, c.Key)
-	}()
+	ctx := context.Background()
+	l, stop := underLoad(c)
+	defer stop()
 	for _, e := range c.Entries {
 		if err := e.Terminate(); err != nil {
 			t.Errorf("%s: planned stop ended with %v", e.Name, err)
@@ -88,8 +82,7 @@
 			t.Fatal(err)
 		}
 	}
-	cancel()
-	<-done
+	stop()
 	report(t, l)
 	for _, cut := range l.Cuts() {
 		t.Error("cut:", cut)
@@ -104,16 +97,9 @@
 // itself may break; all others, also those that waited in queues that it
 // owned, are answered or refused, and an order sent again runs once.
 func killOne(t *testing.T, c *Cluster) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	b := NewBalancer(context.Background(), c.Entries)
-	defer b.Close()
-	l := &Load{Callers: 12}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		l.Run(ctx, b, c.Key)
-	}()
+	ctx := context.Background()
+	l, stop := underLoad(c)
+	defer stop()
 	time.Sleep(time.Second)
 	victim := c.Entries[4]
 	if err := victim.Kill(); err != nil {
@@ -126,8 +112,7 @@
 	if err := victim.AwaitReady(ctx); err != nil {
 		t.Error(err)
 	}
-	cancel()
-	<-done
+	stop()
 	report(t, l)
 	for _, cut := range l.Cuts() {
 		if !strings.HasPrefix(cut, victim.Name+" ") {
@@ -137,6 +122,24 @@
 	checkRuns(t, c)
 }
 
+// underLoad starts callers through a balancer. stop ends them and waits for
+// their last calls; it may be called twice.
+func underLoad(c *Cluster) (l *Load, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := NewBalancer(context.Background(), c.Entries)
+	l = &Load{Callers: 12}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx, b, c.Key)
+	}()
+	return l, sync.OnceFunc(func() {
+		cancel()
+		<-done
+		b.Close()
+	})
+}
+
 func report(t *testing.T, l *Load) {
 	t.Helper()
 	t.Logf("%d streams, %d orders, %d refused %v, %d cut", l.Streams.Load(), l.Orders.Load(), l.Refused.Load(), l.RefusedFor(), len(l.Cuts()))
