--- /dev/null
+++ b/core/process/keepalive/keepalive_test.go
@@ -0,0 +1,208 @@
+package keepalive
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/id"
+)
+
+// arrive records arrivals of a, gap by gap.
+func arrive(p Policy, a id.Artifact, gaps ...time.Duration) {
+	now := clock.Time(0)
+	p.Arrived(now, a)
+	for _, g := range gaps {
+		now = now.Add(g)
+		p.Arrived(now, a)
+	}
+}
+
+func TestKeepTimes(t *testing.T) {
+	each := func(d time.Duration, n int) []time.Duration { return slices.Repeat([]time.Duration{d}, n) }
+	item := Item{Artifact: "m", Bytes: 1, Share: 0.2, LoadCost: 20 * time.Second, Pressure: 0.9}
+	cheap := item
+	cheap.LoadCost = 100 * time.Millisecond
+	for name, tc := range map[string]struct {
+		gaps        []time.Duration
+		item        Item
+		least, most time.Duration
+	}{
+		"nothing known":               {nil, item, 10 * time.Minute, 10 * time.Minute},
+		"calls every few minutes":     {each(4*time.Minute, 5), item, 4 * time.Minute, 5 * time.Minute},
+		"the same, more than a few":   {each(4*time.Minute, 50), item, 4 * time.Minute, 6 * time.Minute},
+		"calls once a night":          {each(12*time.Hour, 20), item, 30 * time.Second, 30 * time.Second},
+		"a load that costs next to 0": {each(4*time.Minute, 50), cheap, 30 * time.Second, 30 * time.Second},
+		"a burst counts once":         {each(10*time.Millisecond, 50), item, 10 * time.Minute, 10 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := NewHistogram(Settings{})
+			arrive(h, "m", tc.gaps...)
+			if got := h.Keep(tc.item); got < tc.least || got > tc.most {
+				t.Errorf("keep %v, want %v to %v", got, tc.least, tc.most)
+			}
+		})
+	}
+}
+
+func TestEvictionTakesTheLeastExpectedLoss(t *testing.T) {
+	// Memory is short and one of two idle models must go. The one that is called
+	// every few minutes is about to be called again; the one that is called
+	// twice a day is not, though its last call was more recent.
+	h := NewHistogram(Settings{})
+	arrive(h, "often", slices.Repeat([]time.Duration{5 * time.Minute}, 20)...)
+	arrive(h, "rarely", slices.Repeat([]time.Duration{12 * time.Hour}, 20)...)
+	often := h.Loss(Item{Artifact: "often", Bytes: 10, LoadCost: 10 * time.Second, Idle: 4 * time.Minute})
+	rarely := h.Loss(Item{Artifact: "rarely", Bytes: 10, LoadCost: 10 * time.Second, Idle: time.Minute})
+	if often <= rarely {
+		t.Errorf("loss of often %g, of rarely %g", often, rarely)
+	}
+	costly := h.Loss(Item{Artifact: "rarely", Bytes: 10, LoadCost: time.Hour, Idle: time.Minute})
+	if costly <= rarely {
+		t.Errorf("a longer load counts %g, a shorter %g", costly, rarely)
+	}
+}
+
+// TestMemoryOfManyArtifacts is a measurement of bytes, not of time: 57,000
+// adapters that are all used often must stay within what an instance may use.
+func TestMemoryOfManyArtifacts(t *testing.T) {
+	const artifacts, limit = 57000, 40 << 20
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	h := NewHistogram(Settings{})
+	for i := range artifacts {
+		arrive(h, id.Artifact(fmt.Sprintf("m:%d", i)), slices.Repeat([]time.Duration{time.Minute}, 2*fewGaps)...)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := after.HeapAlloc - before.HeapAlloc
+	t.Logf("%d artifacts take %.1f MB", artifacts, float64(used)/(1<<20))
+	if used > limit || h.grown != 16384 {
+		t.Errorf("%d bytes, %d histograms", used, h.grown)
+	}
+	runtime.KeepAlive(h)
+}
+
+// workload is the calls of one artifact over some days, sorted.
+type workload struct {
+	item  Item
+	calls []time.Duration
+}
+
+const days = 7
+
+// workloads imitates the letter's deployments: most artifacts idle, some called
+// through working hours, some in bursts, some at a fixed time.
+func workloads() []workload {
+	dice := rand.New(rand.NewPCG(20261202, 3))
+	var all []workload
+	for i := range 110 {
+		item := Item{Artifact: id.Artifact(fmt.Sprint("a", i)), Bytes: 10 << 30, Share: 0.15, LoadCost: 20 * time.Second, Pressure: 0.7}
+		if i >= 50 { // adapters
+			item.Bytes, item.Share, item.LoadCost = 1<<30, 0.015, 3*time.Second
+		}
+		all = append(all, workload{item, calls(dice, i%4)})
+	}
+	return all
+}
+
+func calls(dice *rand.Rand, kind int) []time.Duration {
+	var all []time.Duration
+	mean := []time.Duration{4 * time.Hour, 6 * time.Minute, 90 * time.Minute, time.Hour}[kind]
+	for at := time.Duration(0); at < days*24*time.Hour; {
+		step := time.Duration(float64(mean) * -math.Log(1-dice.Float64()))
+		if kind == 3 { // by the clock
+			step = mean + time.Duration(dice.Int64N(int64(2*time.Minute)))
+		}
+		at += step
+		hour := int(at.Hours()) % 24
+		if kind == 1 && (hour < 7 || hour >= 17) {
+			continue // working hours
+		}
+		all = append(all, at)
+		if kind == 2 { // a technician asks several times
+			for range 1 + dice.IntN(5) {
+				at += time.Duration(dice.Int64N(int64(3 * time.Minute)))
+				all = append(all, at)
+			}
+		}
+	}
+	return all
+}
+
+// replay returns the cold starts, the idle hours of a whole backend server's
+// memory, and how long calls wait for a load on the average and at the 99th
+// percentile.
+func replay(p Policy, all []workload) (cold int, idle float64, mean, p99 time.Duration) {
+	var waits []time.Duration
+	for _, w := range all {
+		last, keep := time.Duration(-1), time.Duration(0)
+		for _, at := range w.calls {
+			wait := time.Duration(0)
+			if gap := at - last; last < 0 || gap > keep {
+				cold, wait = cold+1, w.item.LoadCost
+			}
+			if last >= 0 {
+				idle += min(at-last, keep).Hours() * w.item.Share
+			}
+			waits = append(waits, wait)
+			mean += wait
+			p.Arrived(clock.Time(at), w.item.Artifact)
+			last, keep = at, p.Keep(w.item)
+		}
+	}
+	slices.Sort(waits)
+	return cold, idle, mean / time.Duration(len(waits)), waits[len(waits)*99/100]
+}
+
+// BenchmarkPolicies reports what each policy costs on the same calls:
+//
+//	go test ./core/process/keepalive -bench Policies -benchtime 1x
+func BenchmarkPolicies(b *testing.B) {
+	all := workloads()
+	policies := map[string]func() Policy{}
+	for _, d := range []time.Duration{time.Minute, 5 * time.Minute, 10 * time.Minute, 20 * time.Minute, 30 * time.Minute, time.Hour, 2 * time.Hour} {
+		policies["fixed/"+d.String()] = func() Policy { return Fixed{For: d} }
+	}
+	for _, w := range []float64{5, 15, 30, 60, 120, 240} {
+		policies[fmt.Sprintf("histogram/%03.0f", w)] = func() Policy { return NewHistogram(Settings{WaitWeight: w}) }
+	}
+	names := make([]string, 0, len(policies))
+	for n := range policies {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		b.Run(n, func(b *testing.B) {
+			for b.Loop() {
+				cold, idle, mean, p99 := replay(policies[n](), all)
+				b.ReportMetric(float64(cold), "cold")
+				b.ReportMetric(idle, "idle-server-hours")
+				b.ReportMetric(mean.Seconds(), "mean-wait-s")
+				b.ReportMetric(p99.Seconds(), "p99-wait-s")
+			}
+		})
+	}
+}
+
+func BenchmarkKeep(b *testing.B) {
+	for _, n := range []int{6, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h := NewHistogram(Settings{})
+			dice := rand.New(rand.NewPCG(1, 1))
+			for range n {
+				arrive(h, "m", time.Duration(dice.Int64N(int64(4*time.Hour))))
+			}
+			item := Item{Artifact: "m", Bytes: 1, Share: 0.2, LoadCost: 20 * time.Second, Pressure: 0.5}
+			for b.Loop() {
+				h.Keep(item)
+			}
+		})
+	}
+}
--- a/core/process/placement/commit.go
+++ b/core/process/placement/commit.go
@@ -216,6 +216,9 @@
 
 // applied takes a write into use that is known to have taken effect.
 func (p *Placement) applied(o *owned, now clock.Time, w *op) {
+	if w.row.Fencing > o.row.Fencing {
+		o.unloadAgain(now)
+	}
 	o.row, o.version, o.changed = w.row, w.expect+1, true
 	o.doubted, o.writing = false, nil
 	for _, r := range w.also {
--- a/core/process/placement/demand.go
+++ b/core/process/placement/demand.go
@@ -71,9 +71,9 @@
 // those loaded have room for the requests that wait.
 func (p *Placement) enough(now clock.Time, d *demand, c config.Artifact, m Demand) bool {
 	count, room, loading := 0, 0, false
-	for _, v := range p.sorted {
+	for _, v := range p.holders[c.Name] {
 		h := v.held[c.Name]
-		if h.State == Cold || !v.usable() {
+		if !v.usable() {
 			continue
 		}
 		count++
--- a/core/process/placement/estimate.go
+++ b/core/process/placement/estimate.go
@@ -57,7 +57,7 @@
 }
 
 // readyIn is how long until c is expected to be loaded on v.
-func (p *Placement) readyIn(v *view, c config.Artifact, queue time.Duration) time.Duration {
+func (p *Placement) readyIn(v *view, c config.Artifact) time.Duration {
 	switch v.held[c.Name].State {
 	case message.Loaded:
 		return 0
@@ -68,17 +68,17 @@
 	}
 	t := p.loadTime(c, v.level(c.Name))
 	if v.level(c.Name) == message.CacheRemote {
-		t += queue
+		t += p.queue
 	}
 	return t
 }
 
 // storeQueue is how long a load waits for the weight store: the loads beyond
 // what it runs at once, at the rate at which it starts them.
-func (p *Placement) storeQueue() time.Duration {
+func (p *Placement) storeQueue(mine message.LoadsInTransit) time.Duration {
 	s := &p.store
 	others, _ := s.others(p.now)
-	over := p.inTransit(p.now).Models + others.Models + 1 - s.models
+	over := mine.Models + others.Models + 1 - s.models
 	if s.models == 0 || s.perSecond <= 0 || over <= 0 {
 		return 0
 	}
@@ -94,10 +94,9 @@
 	if !ok {
 		return best
 	}
-	queue := p.storeQueue()
 	for _, v := range p.sorted {
 		if v.group.Name == c.Group && v.usable() {
-			best = min(best, p.readyIn(v, c, queue))
+			best = min(best, p.readyIn(v, c))
 		}
 	}
 	return best
--- a/core/process/placement/load.go
+++ b/core/process/placement/load.go
@@ -17,15 +17,28 @@
 // wantFresh is how long a Want counts that is not repeated.
 const wantFresh = 2 * time.Second
 
+// gateFresh is some ticks: a want that only the weight store holds up asks it
+// again with each.
+const gateFresh = 3 * tickEvery
+
 // want is a load that a queue owner asks for.
 type want struct {
 	artifact  id.Artifact
 	class     config.Class
 	deadline  clock.Time
 	waiting   int
+	since     clock.Time
 	until     clock.Time
 	forwarded bool
-	gated     bool // nothing but the weight store keeps it waiting
+	forBase   bool       // wanted only for the sake of an adapter
+	gatedAt   clock.Time // when nothing but the weight store kept it waiting
+}
+
+// gated reports whether w waits for nothing but the weight store. One that is
+// held up by something else since, as a table that does not answer, must not
+// hold up others.
+func (w *want) gated(now clock.Time) bool {
+	return w.gatedAt != 0 && now.Sub(w.gatedAt) <= gateFresh && now.Before(w.until)
 }
 
 // urgency numbers the classes, the most urgent 0.
@@ -60,18 +73,18 @@
 	p.arrived(now, m.Artifact)
 	w := o.wants[m.Artifact]
 	if w == nil {
-		w = &want{artifact: m.Artifact}
+		w = &want{artifact: m.Artifact, since: now}
 		o.wants[m.Artifact] = w
 	}
 	w.class, w.deadline, w.waiting = m.Class, now.Add(m.Within), m.Waiting
-	w.until, w.forwarded = now.Add(wantFresh), m.Forwarded
+	w.until, w.forwarded, w.forBase = now.Add(wantFresh), m.Forwarded, false
 	p.advance(o, now, out)
 }
 
 // sortedWants drops the wants that are over, and returns the others.
 func (o *owned) sortedWants(now clock.Time) []*want {
 	for a, w := range o.wants {
-		if now.Reached(w.until) || o.held[a].State == message.Loaded {
+		if now.Reached(w.until) || o.held[a].State == message.Loaded || now.Before(o.refused[a]) {
 			delete(o.wants, a)
 		}
 	}
@@ -87,6 +100,10 @@
 		if o.works[w.artifact] != nil || o.held[w.artifact].State != Cold {
 			continue
 		}
+		if !p.baseHere(o, w.artifact) {
+			p.wantBase(o, w)
+			continue
+		}
 		p.decideLoad(o, d, w, now, out)
 		if d.changed || len(d.missing) > 0 {
 			return
@@ -104,14 +121,12 @@
 		return
 	}
 	if p.elsewhere(o, w, r.row) || !p.allowed(r.row, o.name, c) {
-		p.denied(o, d, w, r, out)
+		p.denied(o, d, w, r, now, out)
 		return
 	}
 	if !p.fits(d.row, c.Bytes) {
-		w.gated = false
-		if !p.makeRoom(o, d, c, now) {
-			p.yield(o, d, c.Name, now)
-		}
+		w.gatedAt = 0
+		p.findRoom(o, d, w, r, c, now)
 		return
 	}
 	if !p.store.mayStart(p, o, w, now) {
@@ -120,22 +135,46 @@
 	p.addLoad(o, d, r, c)
 }
 
+// yieldAfter is how long a want must be without room before the standby right is
+// given up: what was just loaded is not in the report yet, and can't be evicted.
+const yieldAfter = time.Second
+
+// findRoom makes room for c: in the pool if that has room, else by evictions. If
+// there is none for a while, c must go elsewhere.
+func (p *Placement) findRoom(o *owned, d *draft, w *want, r replicaRow, c config.Artifact, now clock.Time) {
+	switch {
+	case p.poolHas(o, r, c, false, now):
+		p.addStandby(o, d, c.Name)
+	case p.makeRoom(o, d, c, now):
+	case p.poolHas(o, r, c, true, now):
+		p.addStandby(o, d, c.Name)
+	case now.Sub(w.since) >= yieldAfter:
+		p.yield(o, d, c.Name, now)
+		p.baseDenied(o, d, c.Name, now)
+	}
+}
+
 // addLoad writes the decision into the draft. Both limits are asserted where
 // they are written; the transaction holds only if nobody changed the rows.
 func (p *Placement) addLoad(o *owned, d *draft, r replicaRow, c config.Artifact) {
-	d.row.Reservations = append(d.row.Reservations, table.Reservation{
+	row := cloneRow(d.row)
+	row.Reservations = append(row.Reservations, table.Reservation{
 		Artifact: c.Name, Order: o.newOrder(), Bytes: c.Bytes, State: table.Decided,
 	})
 	if !slices.Contains(r.row.Decided, o.name) {
 		r.row.Decided = append(r.row.Decided, o.name)
 	}
-	memory := p.check.Hold(reservedBytes(d.row) <= d.row.Bytes, "memory-overcommitted",
-		"%s at %s: %d of %d bytes", c.Name, o.name, reservedBytes(d.row), d.row.Bytes)
+	memory := p.check.Hold(reservedBytes(row) <= row.Bytes, "memory-overcommitted",
+		"%s at %s: %d of %d bytes", c.Name, o.name, reservedBytes(row), row.Bytes)
 	count := p.check.Hold(len(places(r.row)) <= maxReplicas(c), "too-many-replicas",
 		"%s: %v", c.Name, places(r.row))
 	if memory && count {
+		d.row = row
 		d.writeReplica(r)
 	}
+	if p.unsafe.noCommit {
+		o.works[c.Name] = &work{artifact: c.Name, bytes: c.Bytes}
+	}
 }
 
 // places returns where a replica may be loaded; the standby counts as decided.
@@ -152,7 +191,10 @@
 // allowed reports whether one more replica at b is within the limit.
 func (p *Placement) allowed(r table.Replica, b id.Backend, c config.Artifact) bool {
 	all := places(r)
-	return slices.Contains(all, b) || len(all) < maxReplicas(c) || p.unsafe.noReplicas
+	if !slices.Contains(all, b) {
+		all = append(all, b)
+	}
+	return len(all) <= maxReplicas(c) || p.unsafe.noReplicas
 }
 
 func (p *Placement) fits(row table.Backend, bytes int64) bool {
@@ -177,12 +219,15 @@
 // changed it; else it passes the want on to the owners of the places that it
 // names. That also tells an instance of a backend server that has gone, and
 // whose decisions nobody gave up.
-func (p *Placement) denied(o *owned, d *draft, w *want, r replicaRow, out *event.Outbox) {
-	if p.now.Sub(r.readAt) > replicaFresh {
+func (p *Placement) denied(o *owned, d *draft, w *want, r replicaRow, now clock.Time, out *event.Outbox) {
+	if now.Sub(r.readAt) > replicaFresh {
 		d.missing = append(d.missing, w.artifact)
 		return
 	}
 	delete(o.wants, w.artifact)
+	if w.forBase {
+		p.baseDenied(o, d, w.artifact, now)
+	}
 	for _, b := range places(r.row) {
 		if b == o.name || w.forwarded {
 			continue
--- a/core/process/placement/own.go
+++ b/core/process/placement/own.go
@@ -26,12 +26,14 @@
 
 	works   map[id.Artifact]*work
 	wants   map[id.Artifact]*want
-	counter uint64 // of orders, for their ids
+	refused map[id.Artifact]clock.Time // by the engine: no load before
+	counter uint64                     // of orders, for their ids
 
 	report   message.Report
 	held     map[id.Artifact]message.Held
 	asked    clock.Time // when report was asked for
 	known    bool       // report was read since the take
+	takenAt  clock.Time
 	askAt    clock.Time
 	fenceAt  clock.Time // no fence order before
 	lastGood clock.Time
@@ -46,10 +48,11 @@
 	poolKnown bool
 	poolQuiet clock.Time
 
-	seq     uint64
-	stateAt clock.Time
-	changed bool
-	toldRow uint64
+	seq        uint64
+	stateAt    clock.Time
+	changed    bool
+	toldRow    uint64
+	toldCached []message.Cached
 }
 
 // moveAfter is how long another instance must rank first before a backend
@@ -74,9 +77,13 @@
 	}
 }
 
-// shouldOwn reports whether this instance ranks first for v. A backend server
-// that left the list is still owned, to give up what was decided there.
+// shouldOwn reports whether this instance ranks first for v, or the row may name
+// it without its knowing: nobody else could take it then. A backend server that
+// left the list is still owned, to give up what was decided there.
 func (p *Placement) shouldOwn(v *view) bool {
+	if _, unsure := p.unsure[v.name]; unsure {
+		return true
+	}
 	return (!v.gone || v.rowVersion > 0 || v.named) && p.ownerByRank(v.name) == p.set.Instance
 }
 
@@ -95,10 +102,9 @@
 			continue
 		}
 		row, present := read[v.name]
-		if !present && v.gone {
-			continue
+		if present || !v.gone {
+			p.acquire(now, v, row, out)
 		}
-		p.acquire(now, v, row, out)
 	}
 }
 
@@ -106,6 +112,10 @@
 // ended. A row that names this instance is one whose take had a lost answer.
 func (p *Placement) acquire(now clock.Time, v *view, r table.Row, out *event.Outbox) {
 	row, _ := r.Body.(table.Backend)
+	if expect, unsure := p.unsure[v.name]; unsure && r.Version > expect && row.Owner != p.set.Instance {
+		delete(p.unsure, v.name) // somebody else's write came first
+		return
+	}
 	free := row.Owner == "" || row.Owner == p.set.Instance || p.rights.Ended(row.Owner)
 	if !free || p.handedOn(now, v, row) {
 		return
@@ -120,9 +130,10 @@
 }
 
 // handedOn reports whether another instance acts as owner though the row does
-// not name it: its owner handed it over while the table was down for them.
+// not name it: its owner handed it over while the table was down for them. A
+// released row was given up by whoever acted on it before.
 func (p *Placement) handedOn(now clock.Time, v *view, row table.Backend) bool {
-	return v.owner != "" && v.owner != p.set.Instance && v.owner != row.Owner &&
+	return row.Owner != "" && v.owner != "" && v.owner != p.set.Instance && v.owner != row.Owner &&
 		v.fencing >= row.Fencing && now.Sub(v.heardAt) < viewFresh && !p.rights.Ended(v.owner)
 }
 
@@ -135,13 +146,19 @@
 	return false
 }
 
-// acquired handles the answer to an acquire. After anything but Done the row is
-// read again in its turn: it then shows whether the write took effect.
+// acquired handles the answer to an acquire. Without a known outcome the row is
+// read again until it shows whose write came first.
 func (p *Placement) acquired(now clock.Time, done *op, r event.TableResult, out *event.Outbox) {
+	switch r.Outcome {
+	case table.Unknown:
+		p.unsure[done.backend] = done.expect
+	case table.Done:
+		delete(p.unsure, done.backend)
+	}
 	if r.Outcome != table.Done || p.given || p.owned[done.backend] != nil {
 		return
 	}
-	o := p.take(now, done.row, done.expect+1)
+	o := p.take(now, done.row, done.expect+1, false)
 	p.askReport(o, now, out)
 	p.fence(o, now, out)
 	p.advance(o, now, out)
@@ -149,11 +166,12 @@
 
 // take starts to own a row. Orders of an earlier owner may still be under way:
 // whatever it reserved counts as ordered until the quiet time is over.
-func (p *Placement) take(now clock.Time, row table.Backend, version uint64) *owned {
+func (p *Placement) take(now clock.Time, row table.Backend, version uint64, claim bool) *owned {
 	o := &owned{
-		name: row.Name, row: row, version: version,
-		works: map[id.Artifact]*work{}, wants: map[id.Artifact]*want{}, held: map[id.Artifact]message.Held{},
-		askAt: now, lastGood: now, poolQuiet: now.Add(p.maxOrderTime(row.Name)), changed: true,
+		name: row.Name, row: row, version: version, claim: claim,
+		works: map[id.Artifact]*work{}, wants: map[id.Artifact]*want{},
+		refused: map[id.Artifact]clock.Time{}, held: map[id.Artifact]message.Held{},
+		takenAt: now, askAt: now, lastGood: now, poolQuiet: now.Add(p.maxOrderTime(row.Name)), changed: true,
 	}
 	p.owned[row.Name] = o
 	p.sync()
--- a/core/process/placement/pick.go
+++ b/core/process/placement/pick.go
@@ -12,15 +12,15 @@
 	artifact  config.Artifact
 	group     id.Group
 	usable    bool
-	avoid     bool // was asked before and did not start the load
-	standby   bool // the artifact is pre-authorised there
-	base      bool // the adapter's model is loaded there
+	avoid     bool    // was asked before and did not start the load
+	standby   bool    // the artifact is pre-authorised there
+	base      float64 // 1: the adapter's model is there; 0.5: pre-authorised there
+	bytes     int64   // to load, with the adapter's model if it is not there
 	level     message.CacheLevel
 	state     message.LoadState
 	free      int64 // bytes
 	evictable int64 // bytes of artifacts that run nothing, or go already
 	running   int
-	slots     int // requests at a time
 }
 
 // filter says whether a candidate can be used at all.
@@ -47,16 +47,16 @@
 	filterFunc(func(c candidate) bool { return c.group == c.artifact.Group }),
 	filterFunc(func(c candidate) bool { return c.usable }),
 	filterFunc(func(c candidate) bool { return c.state == Cold }),
-	filterFunc(func(c candidate) bool { return c.standby || c.free+c.evictable >= c.artifact.Bytes }),
+	filterFunc(func(c candidate) bool { return c.standby || c.free+c.evictable >= c.bytes }),
 }
 
-// The weights make each scorer outweigh all that follow it, but for the last
-// two.
+// The weights make each scorer outweigh those that follow it. The adapter's
+// model counts before its own place: loading a model takes much longer.
 var scorers = []weighted{
 	{scorerFunc(scoreFresh), 32},
-	{scorerFunc(scoreStandby), 16},
-	{scorerFunc(scoreCache), 8},
-	{scorerFunc(scoreBase), 4},
+	{scorerFunc(scoreBase), 16},
+	{scorerFunc(scoreStandby), 6},
+	{scorerFunc(scoreCache), 3},
 	{scorerFunc(scoreFree), 1},
 	{scorerFunc(scoreLoad), 1},
 }
@@ -67,9 +67,9 @@
 
 func scoreCache(c candidate) float64 { return float64(2-levelRank(c.level)) / 2 }
 
-func scoreBase(c candidate) float64 { return one(c.base) }
+func scoreBase(c candidate) float64 { return c.base }
 
-func scoreFree(c candidate) float64 { return one(c.free >= c.artifact.Bytes) }
+func scoreFree(c candidate) float64 { return one(c.free >= c.bytes) }
 
 func scoreLoad(c candidate) float64 { return 1 / float64(1+max(c.running, 0)) }
 
@@ -115,16 +115,32 @@
 }
 
 func (p *Placement) candidate(v *view, c config.Artifact, avoid id.Backend) candidate {
-	one := candidate{
+	base, bytes := p.baseAt(v, c)
+	free := v.free
+	if p.standbys[c.Name] == "" {
+		free = max(free, v.poolFree()) // it can get its standby right there
+	}
+	return candidate{
 		backend: v.name, artifact: c, group: v.group.Name, usable: v.usable(), avoid: v.name == avoid,
 		standby: p.standbys[c.Name] == v.name, level: v.level(c.Name), state: v.held[c.Name].State,
-		base: c.Name.IsAdapter() && v.held[c.Name.Model()].State == message.Loaded,
-		free: v.free, running: v.report.Running, slots: v.group.Concurrency,
+		base: base, bytes: bytes,
+		free: free, evictable: v.idle, running: v.report.Running,
 	}
-	for _, h := range v.report.Held {
-		if h.State == message.Unloading || (h.State == message.Loaded && h.Running == 0) {
-			one.evictable += h.Bytes
-		}
+}
+
+// baseAt scores v by the model that c needs, and returns the bytes that a load
+// of c there takes.
+func (p *Placement) baseAt(v *view, c config.Artifact) (score float64, bytes int64) {
+	m, needed := p.base(c.Name)
+	switch {
+	case !needed:
+		return 0, c.Bytes
+	case v.held[m].State == message.Loaded || v.held[m].State == message.Loading:
+		return 1, c.Bytes
+	}
+	bytes = c.Bytes + p.cfg.Artifacts[m].Bytes
+	if p.standbys[m] == v.name {
+		return 0.5, bytes
 	}
-	return one
+	return 0, bytes
 }
--- a/core/process/placement/placement.go
+++ b/core/process/placement/placement.go
@@ -92,6 +92,7 @@
 	views    map[id.Backend]*view
 	sorted   []*view // by name
 	standbys map[id.Artifact]id.Backend
+	holders  map[id.Artifact][]*view // that hold something of it, by name
 	demands  map[id.Artifact]*demand
 
 	owned    map[id.Backend]*owned
@@ -100,16 +101,22 @@
 	lastOp   uint64
 	replicas map[id.Artifact]replicaRow
 	used     map[id.Artifact]clock.Time // last arrival seen here
+	usedAt   clock.Time                 // when used is cleared of old ones
 
 	store weightStore
 	times loadTimes
+	queue time.Duration // that a load waits for the weight store, at the last tick
 
 	now     clock.Time // of the last input
 	tickAt  clock.Time
+	viewsAt clock.Time // when the instance list is looked at
 	ownAt   clock.Time
 	ownRead bool // a read of rows to own is out
-	given   bool // everything was handed over: nothing is taken any more
-	unsafe  unsafe
+	// unsure holds the row versions on which an acquire without a known
+	// outcome is conditional.
+	unsure map[id.Backend]uint64
+	given  bool // everything was handed over: nothing is taken any more
+	unsafe unsafe
 }
 
 // unsafe switches safeguards off, so that a test can show that the checks and
@@ -135,9 +142,11 @@
 		policy:   s.Policy,
 		views:    map[id.Backend]*view{},
 		standbys: map[id.Artifact]id.Backend{},
+		holders:  map[id.Artifact][]*view{},
 		demands:  map[id.Artifact]*demand{},
 		owned:    map[id.Backend]*owned{},
 		ops:      map[uint64]*op{},
+		unsure:   map[id.Backend]uint64{},
 		replicas: map[id.Artifact]replicaRow{},
 		used:     map[id.Artifact]clock.Time{},
 		store:    newWeightStore(),
@@ -167,8 +176,12 @@
 		return
 	}
 	p.now, p.tickAt = now, now.Add(tickEvery)
-	p.refreshViews(now)
+	if now.Reached(p.viewsAt) {
+		p.viewsAt = now.Add(p.set.ReportEvery)
+		p.refreshViews(now)
+	}
 	p.expireDemands(now)
+	p.expireUsed(now)
 	p.own(now, out)
 	for _, b := range p.names {
 		o := p.owned[b]
@@ -229,13 +242,15 @@
 // others it takes through the table once the giver's session has ended.
 func (p *Placement) TakeOver(now clock.Time, given []message.OwnedBackend, out *event.Outbox) {
 	p.now = now
+	if p.cfg == nil {
+		return
+	}
 	for _, g := range given {
 		v := p.views[g.Backend]
 		if v == nil || v.rowVersion != g.Row || p.owned[g.Backend] != nil {
 			continue
 		}
-		o := p.take(now, v.row, g.Row)
-		o.claim = true
+		o := p.take(now, v.row, g.Row, true)
 		p.advance(o, now, out)
 	}
 }
--- a/core/process/placement/plan.go
+++ b/core/process/placement/plan.go
@@ -43,7 +43,7 @@
 // plan makes the next write to o's row. What frees something goes first.
 func (p *Placement) plan(o *owned, now clock.Time, out *event.Outbox) {
 	steps := []func(*owned, *draft, clock.Time, *event.Outbox){
-		p.planClaim, p.planRelease, p.planGiveUp, p.planRemove, p.planWithdraw, p.planResize, p.planLoad, p.planStandby,
+		p.planClaim, p.planRelease, p.planGiveUp, p.planRemove, p.planWithdraw, p.planFence, p.planResize, p.planLoad, p.planStandby,
 	}
 	for _, step := range steps {
 		d := &draft{row: cloneRow(o.row)}
@@ -96,12 +96,17 @@
 
 func (d *draft) full() bool { return len(d.also)+len(d.missing) >= maxBatch }
 
-// planClaim puts this instance's name on a row that was handed over.
+// planClaim puts this instance's name on a row that was handed over. It also
+// overtakes an engine that saw a larger number than the row has, though the row
+// is ours: one that outlived a row which was lost would refuse all orders.
 func (p *Placement) planClaim(o *owned, d *draft, now clock.Time, out *event.Outbox) {
 	if o.claim {
 		d.row.Owner, d.changed = p.set.Instance, true
 		d.row.Fencing++
 	}
+	if seen := o.report.Fencing; p.checksFencing(o.name) && seen > d.row.Fencing {
+		d.row.Fencing, d.changed = seen+1, true
+	}
 }
 
 // planRelease gives the row up once all orders are answered.
@@ -178,6 +183,20 @@
 	return true
 }
 
+// planFence raises the fencing number for a withdrawn pre-authorised replica, so
+// that a checking engine shuts out its load orders. Without the table its memory
+// is counted until they can't be under way any more, which may take minutes.
+func (p *Placement) planFence(o *owned, d *draft, now clock.Time, out *event.Outbox) {
+	if !p.checksFencing(o.name) {
+		return
+	}
+	for _, w := range o.works {
+		if w.pool && w.withdrawn && w.loadFence >= o.row.Fencing && now.Before(w.quietAt) {
+			d.row.Fencing, d.changed = o.row.Fencing+1, true
+		}
+	}
+}
+
 // refence sends the fence again until a report shows that it was seen.
 func (p *Placement) refence(o *owned, now clock.Time, out *event.Outbox) {
 	if o.known && !o.poolKnown && o.report.Fencing < o.row.Fencing && now.Reached(o.fenceAt) {
--- a/core/process/placement/report.go
+++ b/core/process/placement/report.go
@@ -36,7 +36,7 @@
 func (p *Placement) Report(now clock.Time, r event.BackendReport, out *event.Outbox) {
 	p.now = now
 	o := p.owned[r.Backend]
-	if o == nil || !r.OK || (o.known && r.Asked.Before(o.asked)) {
+	if o == nil || !r.OK || (o.known && r.Asked.Before(o.asked) && !p.unsafe.staleReport) {
 		return
 	}
 	p.learn(o, now, r.Report)
--- a/core/process/placement/standby.go
+++ b/core/process/placement/standby.go
@@ -16,10 +16,11 @@
 
 // Limits of the assignment of standby replicas. The table service can't carry
 // one for each of tens of thousands of adapters at once: then only those used
-// within the last day get one.
+// here within the last day get one.
 const (
 	standbyEvery = 2 * time.Second // a write per backend server at most
 	standbyAll   = 400             // configured artifacts that all get one
+	standbyMost  = 256             // on one backend server: its row must stay small
 	standbyUsed  = 24 * time.Hour
 	yieldPause   = 30 * time.Second // none is assigned after one was given up
 )
@@ -66,7 +67,7 @@
 	return &work{
 		artifact: h.Artifact, bytes: h.Bytes, pool: true, sent: true, answered: now,
 		withdrawn: !slices.Contains(o.row.Standby, h.Artifact),
-		quietAt:   now, level: message.CacheDisk,
+		quietAt:   now, loadFence: o.earlierFence(), level: message.CacheDisk,
 	}
 }
 
@@ -78,22 +79,19 @@
 		return
 	}
 	for _, w := range o.sortedWants(now) {
-		if o.works[w.artifact] == nil && o.held[w.artifact].State == Cold &&
-			o.mayStandby(w.artifact) && !o.writes(w.artifact) {
-			p.poolLoad(o, w, now)
+		// A reservation for it may be under way to the table, for as long as the
+		// table is down: that must not hold the load up. If it is found to have
+		// taken effect, the one replica here counts to it.
+		if o.works[w.artifact] == nil && o.held[w.artifact].State == Cold && o.mayStandby(w.artifact) {
+			if p.baseHere(o, w.artifact) {
+				p.poolLoad(o, w, now)
+			} else {
+				p.wantBase(o, w)
+			}
 		}
 	}
 }
 
-// writes reports whether a write under way reserves memory for a.
-func (o *owned) writes(a id.Artifact) bool {
-	if o.writing == nil {
-		return false
-	}
-	_, ok := reservation(o.writing.row, a)
-	return ok
-}
-
 // clearPool removes what is unloaded, also what the engine lost.
 func (p *Placement) clearPool(o *owned) {
 	for a, w := range o.works {
@@ -109,7 +107,7 @@
 		return
 	}
 	if lack := o.poolUsed() + c.Bytes - o.row.StandbyBytes; lack > 0 {
-		w.gated = false
+		w.gatedAt = 0
 		chosen, _ := p.victims(o, lack, true, now)
 		for _, victim := range chosen {
 			p.withdraw(o, nil, victim, now)
@@ -137,6 +135,20 @@
 	return ok
 }
 
+// poolHas reports whether an artifact without a standby right anywhere could get
+// it here and be loaded into the pool, with evictions or without.
+func (p *Placement) poolHas(o *owned, r replicaRow, c config.Artifact, evict bool, now clock.Time) bool {
+	if r.row.Standby != "" || len(r.row.Decided) > 0 || !o.poolKnown || len(o.row.Standby) >= standbyMost {
+		return false
+	}
+	lack := o.poolUsed() + c.Bytes - o.row.StandbyBytes
+	if lack <= 0 || !evict || c.Bytes > o.row.StandbyBytes {
+		return lack <= 0
+	}
+	_, ok := p.victims(o, lack, true, now)
+	return ok
+}
+
 // planStandby assigns the standby right of a few artifacts to o, and gives up
 // that of artifacts which are not configured any more.
 func (p *Placement) planStandby(o *owned, d *draft, now clock.Time, out *event.Outbox) {
@@ -144,7 +156,7 @@
 		return
 	}
 	o.standbyAt = now.Add(standbyEvery)
-	p.dropStandbys(o, d)
+	p.dropStandbys(o, d, now)
 	for _, a := range p.standbyCandidates(o, now) {
 		if d.full() {
 			break
@@ -156,10 +168,16 @@
 	}
 }
 
-func (p *Placement) dropStandbys(o *owned, d *draft) {
+// dropStandbys gives up the rights that are of no more use. The pool must be
+// known, or an earlier owner's order could carry such a right out later.
+func (p *Placement) dropStandbys(o *owned, d *draft, now clock.Time) {
+	if !o.poolKnown {
+		return
+	}
 	for _, a := range o.row.Standby {
 		_, configured := p.artifact(a)
-		if configured || o.works[a] != nil || d.full() {
+		unused := !p.fewArtifacts() && now.Sub(max(p.used[a], o.takenAt)) > standbyUsed
+		if (configured && !unused) || o.works[a] != nil || d.full() {
 			continue
 		}
 		if p.undecide(o, d, a) {
@@ -184,9 +202,8 @@
 		p.standbys[a] = cmp.Or(r.row.Standby, p.standbys[a])
 		return
 	}
-	r.row.Standby = o.name
-	if !p.check.Hold(len(places(r.row)) <= maxReplicas(c), "too-many-replicas", "%s: %v", a, places(r.row)) {
-		return
+	if r.row.Standby = o.name; len(places(r.row)) > maxReplicas(c) {
+		return // fewer are configured than were decided before
 	}
 	d.row.Standby = append(d.row.Standby, a)
 	d.writeReplica(r)
@@ -200,9 +217,10 @@
 		return nil
 	}
 	var found []id.Artifact
-	for _, a := range p.standbySource(now) {
+	for _, a := range p.standbySource(o) {
 		c, ok := p.artifact(a)
-		if !ok || c.Group != v.group.Name || c.Bytes > o.row.StandbyBytes || p.standbys[a] != "" {
+		if !ok || c.Group != v.group.Name || c.Bytes > o.row.StandbyBytes || p.standbys[a] != "" ||
+			len(o.row.Standby)+len(found) >= standbyMost {
 			continue
 		}
 		if w := o.works[a]; (w != nil && !w.pool) || (w == nil && p.bestStandby(c) == o.name) {
@@ -212,21 +230,37 @@
 	return found
 }
 
-func (p *Placement) standbySource(now clock.Time) []id.Artifact {
-	if len(p.cfg.Artifacts) <= standbyAll {
+// standbySource returns the artifacts that may get a standby: all of a few, of
+// many those that are loaded here.
+func (p *Placement) standbySource(o *owned) []id.Artifact {
+	if p.fewArtifacts() {
 		return slices.Sorted(maps.Keys(p.cfg.Artifacts))
 	}
+	return o.sortedWorks()
+}
+
+func (p *Placement) fewArtifacts() bool { return len(p.cfg.Artifacts) <= standbyAll }
+
+// expireUsed forgets the artifacts that were not used for long.
+func (p *Placement) expireUsed(now clock.Time) {
+	if now.Before(p.usedAt) {
+		return
+	}
+	p.usedAt = now.Add(standbyUsed / 24)
 	for a, at := range p.used {
 		if now.Sub(at) > standbyUsed {
 			delete(p.used, a)
 		}
 	}
-	return slices.Sorted(maps.Keys(p.used))
 }
 
 // bestStandby returns the backend server with the nearest cached checkpoint.
-// Among equals it is one by rendezvous, which spreads the rights evenly.
+// Among equals it is one by rendezvous, which spreads the rights evenly. An
+// adapter goes with its model.
 func (p *Placement) bestStandby(c config.Artifact) id.Backend {
+	if m, needed := p.base(c.Name); needed {
+		return p.standbys[m]
+	}
 	var equals []id.Instance
 	least := levelRank(message.CacheRemote)
 	for _, v := range p.sorted {
--- a/core/process/placement/store.go
+++ b/core/process/placement/store.go
@@ -74,12 +74,12 @@
 	if p.levelAt(o.name, w.artifact) != message.CacheRemote {
 		return true
 	}
-	w.gated = true
+	w.gatedAt = now
 	others, busy := s.others(now)
-	if now.Before(s.nextStart) || p.outranked(w, others.Urgent) || !s.slot(p, w, others, now) {
+	if now.Before(s.nextStart) || p.outranked(w, others.Urgent, now) || !s.slot(p, w, others, now) {
 		return false
 	}
-	w.gated = false
+	w.gatedAt = 0
 	if s.perSecond > 0 {
 		pause := time.Duration(float64(time.Second) / s.perSecond * float64(busy+1))
 		s.nextStart = now.Add(max(pause, leastPerLoad))
@@ -99,13 +99,13 @@
 // outranked reports whether a more urgent load waits for the weight store, here
 // or at an instance that said so. A batch load must not slow one that a
 // technician waits for.
-func (p *Placement) outranked(w *want, elsewhere config.Class) bool {
+func (p *Placement) outranked(w *want, elsewhere config.Class, now clock.Time) bool {
 	if elsewhere != "" && urgency(elsewhere) < urgency(w.class) {
 		return true
 	}
 	for _, b := range p.names {
 		for _, other := range p.owned[b].wants {
-			if other != w && other.gated && compareWants(other, w) < 0 {
+			if other != w && other.gated(now) && compareWants(other, w) < 0 {
 				return true
 			}
 		}
@@ -129,7 +129,7 @@
 			}
 		}
 		for _, w := range o.wants {
-			if w.gated && (sum.Urgent == "" || urgency(w.class) < urgency(sum.Urgent)) {
+			if w.gated(now) && (sum.Urgent == "" || urgency(w.class) < urgency(sum.Urgent)) {
 				sum.Urgent = w.class
 			}
 		}
@@ -148,6 +148,7 @@
 func (p *Placement) tellLoads(now clock.Time, out *event.Outbox) {
 	s := &p.store
 	m := p.inTransit(now)
+	p.queue = p.storeQueue(m)
 	if now.Before(s.tellAt) || (m == s.told && m == message.LoadsInTransit{}) {
 		return
 	}
--- a/core/process/placement/unload.go
+++ b/core/process/placement/unload.go
@@ -8,7 +8,6 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
-	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
 	"oleanderdale.org/core/process/keepalive"
 	"oleanderdale.org/core/table"
@@ -59,10 +58,13 @@
 	if o.wants[w.artifact] != nil {
 		return false
 	}
+	if p.baseLost(o, w, now) {
+		return true
+	}
 	if o.known && o.held[w.artifact].State == Cold && w.answered != 0 && o.asked.Reached(w.quietAt) {
 		return true // lost with a restart of the engine, and nobody waits for it
 	}
-	if !p.evictable(o, w, now) {
+	if !p.evictable(o, w, now) || len(o.dependents(w.artifact)) > 0 {
 		return false
 	}
 	it := p.item(o, w, now)
@@ -78,20 +80,7 @@
 	case h.Uses == 0 && now.Before(w.loadedAt.Add(firstUse)):
 		return false
 	}
-	return !o.baseInUse(w.artifact)
-}
-
-// baseInUse reports whether an adapter of a is on the engine.
-func (o *owned) baseInUse(a id.Artifact) bool {
-	if a.IsAdapter() {
-		return false
-	}
-	for _, h := range o.report.Held {
-		if h.Artifact.IsAdapter() && h.Artifact.Model() == a {
-			return true
-		}
-	}
-	return false
+	return true
 }
 
 // item describes w to the policy.
@@ -125,32 +114,53 @@
 	return ok
 }
 
+// victim is a replica that may be unloaded, with the adapters that can't run
+// without it.
+type victim struct {
+	works []*work
+	loss  float64
+}
+
+// victim reports false if something of it is in use.
+func (p *Placement) victim(o *owned, w *work, now clock.Time) (victim, bool) {
+	v := victim{works: append(o.dependents(w.artifact), w)}
+	for _, one := range v.works {
+		if one.pool != w.pool || !p.evictable(o, one, now) {
+			return v, false
+		}
+		v.loss += p.policy.Loss(p.item(o, one, now))
+	}
+	return v, true
+}
+
 // victims returns what must be withdrawn, beside what is on its way out, to
 // free lack bytes. It reports false if that can't be had.
 func (p *Placement) victims(o *owned, lack int64, pool bool, now clock.Time) ([]*work, bool) {
-	type candidate struct {
-		w    *work
-		loss float64
-	}
-	var all []candidate
+	var all []victim
 	for _, a := range o.sortedWorks() {
 		w := o.works[a]
 		switch {
 		case w.pool != pool:
 		case w.withdrawn:
 			lack -= w.bytes
-		case p.evictable(o, w, now):
-			all = append(all, candidate{w, p.policy.Loss(p.item(o, w, now))})
+		default:
+			if v, ok := p.victim(o, w, now); ok {
+				all = append(all, v)
+			}
 		}
 	}
-	slices.SortStableFunc(all, func(x, y candidate) int { return cmp.Compare(x.loss, y.loss) })
+	slices.SortStableFunc(all, func(x, y victim) int { return cmp.Compare(x.loss, y.loss) })
 	var chosen []*work
-	for _, c := range all {
+	for _, v := range all {
 		if lack <= 0 {
 			break
 		}
-		chosen = append(chosen, c.w)
-		lack -= c.w.bytes
+		for _, w := range v.works {
+			if !slices.Contains(chosen, w) {
+				chosen = append(chosen, w)
+				lack -= w.bytes
+			}
+		}
 	}
 	if lack > 0 {
 		return nil, false
--- a/core/process/placement/view.go
+++ b/core/process/placement/view.go
@@ -39,6 +39,7 @@
 	seq     uint64
 	report  message.Report
 	free    int64
+	idle    int64 // bytes of artifacts that run nothing, or go already
 	held    map[id.Artifact]message.Held
 	cached  map[id.Artifact]message.CacheLevel
 
@@ -85,6 +86,17 @@
 // before what was decided there is given up.
 const goneAfter = 10 * time.Second
 
+// poolFree is the memory of the standby pool that nothing is held in, in bytes.
+func (v *view) poolFree() int64 {
+	free := v.row.StandbyBytes
+	for _, h := range v.report.Held {
+		if _, reserved := reservation(v.row, h.Artifact); !reserved {
+			free -= h.Bytes
+		}
+	}
+	return free
+}
+
 // left reports whether the backend server has gone for good.
 func (v *view) left(now clock.Time) bool {
 	return v.leaving || (v.gone && v.goneAt != clock.Never && now.Sub(v.goneAt) >= goneAfter)
@@ -97,7 +109,7 @@
 	v := &view{name: b, gone: true, goneAt: clock.Never}
 	p.views[b] = v
 	p.sorted = append(p.sorted, v)
-	slices.SortFunc(p.sorted, func(x, y *view) int { return strings.Compare(string(x.name), string(y.name)) })
+	slices.SortFunc(p.sorted, compareViews)
 	return v
 }
 
@@ -109,9 +121,12 @@
 		return
 	}
 	v.owner, v.heardAt, v.fencing, v.seq = from, now, m.Fencing, m.Seq
+	if m.SameCached {
+		m.Report.Cached = v.report.Cached
+	}
 	v.report, v.free, v.down = m.Report, m.Free, m.Down
 	v.leaving = v.leaving || m.Report.Leaving
-	v.index()
+	p.reindex(v)
 	if m.Row != nil {
 		p.viewRow(v, *m.Row, m.RowVersion)
 	}
@@ -122,10 +137,36 @@
 	}
 }
 
+// reindex follows v's report in the indices that are looked up by artifact.
+func (p *Placement) reindex(v *view) {
+	before := v.held
+	v.index()
+	for a := range before {
+		if _, still := v.held[a]; !still {
+			p.holders[a] = slices.DeleteFunc(p.holders[a], func(h *view) bool { return h == v })
+			if len(p.holders[a]) == 0 {
+				delete(p.holders, a)
+			}
+		}
+	}
+	for a := range v.held {
+		if _, already := before[a]; !already {
+			p.holders[a] = append(p.holders[a], v)
+			slices.SortFunc(p.holders[a], compareViews)
+		}
+	}
+}
+
+func compareViews(x, y *view) int { return strings.Compare(string(x.name), string(y.name)) }
+
 func (v *view) index() {
+	v.idle = 0
 	v.held = make(map[id.Artifact]message.Held, len(v.report.Held))
 	for _, h := range v.report.Held {
 		v.held[h.Artifact] = h
+		if h.State == message.Unloading || (h.State == message.Loaded && h.Running == 0) {
+			v.idle += h.Bytes
+		}
 	}
 	v.cached = make(map[id.Artifact]message.CacheLevel, len(v.report.Cached))
 	for _, c := range v.report.Cached {
@@ -173,17 +214,33 @@
 		return nil
 	}
 	all := make([]Replica, 0, len(p.sorted))
-	queue := p.storeQueue()
 	for _, v := range p.sorted {
 		if v.gone || v.group.Name != c.Group {
 			continue
 		}
-		all = append(all, p.replica(v, c, queue))
+		all = append(all, p.replica(v, c))
 	}
 	return all
 }
 
-func (p *Placement) replica(v *view, c config.Artifact, queue time.Duration) Replica {
+// Held returns a on the backend servers that hold something of it, sorted by
+// name. It is Snapshot without the cold ones, at a cost that does not grow with
+// the zone.
+func (p *Placement) Held(a id.Artifact) []Replica {
+	c, ok := p.artifact(a)
+	if !ok || len(p.holders[a]) == 0 {
+		return nil
+	}
+	all := make([]Replica, 0, len(p.holders[a]))
+	for _, v := range p.holders[a] {
+		if !v.gone && v.group.Name == c.Group {
+			all = append(all, p.replica(v, c))
+		}
+	}
+	return all
+}
+
+func (p *Placement) replica(v *view, c config.Artifact) Replica {
 	return Replica{
 		Backend:     v.name,
 		Address:     v.address,
@@ -195,7 +252,7 @@
 		Cached:      v.level(c.Name),
 		Leaving:     v.leaving,
 		Down:        v.down || v.dropped,
-		ReadyIn:     p.readyIn(v, c, queue),
+		ReadyIn:     p.readyIn(v, c),
 	}
 }
 
@@ -219,11 +276,18 @@
 		Backend: o.name, Fencing: o.row.Fencing, Seq: o.seq,
 		Report: p.shown(o), Free: o.free(), Down: o.down, RowVersion: o.version,
 	}
-	if o.toldRow != o.version || o.seq%rowEvery == 0 {
+	p.state(now, p.set.Instance, m)
+	whole := o.seq%rowEvery == 0
+	if whole || o.toldRow != o.version {
 		row := o.row
 		m.Row, o.toldRow = &row, o.version
+		p.viewRow(p.viewOf(o.name), row, o.version)
+	}
+	if !whole && slices.Equal(o.toldCached, m.Report.Cached) {
+		m.Report.Cached, m.SameCached = nil, true
+	} else {
+		o.toldCached = m.Report.Cached
 	}
-	p.state(now, p.set.Instance, m)
 	for _, i := range p.members.InZone(p.set.Zone) {
 		if i != p.set.Instance {
 			out.Send(i, m)
@@ -231,8 +295,8 @@
 	}
 }
 
-// rowEvery is how many states go without the row while it stays the same; an
-// instance that missed it learns it then.
+// rowEvery is how many states go without the row and the cached checkpoints
+// while they stay the same; an instance that missed them learns them then.
 const rowEvery = 10
 
 // shown is the report with what was ordered since: a replica whose unload is
@@ -241,6 +305,7 @@
 	r := o.report
 	r.Held = slices.Clone(r.Held)
 	for i, h := range r.Held {
+		r.Held[i].State = p.runnable(o, h)
 		if w := o.works[h.Artifact]; w != nil && w.withdrawn {
 			r.Held[i].State = message.Unloading
 		}
--- a/core/process/placement/work.go
+++ b/core/process/placement/work.go
@@ -17,6 +17,8 @@
 	orderPatience = 2 * time.Second
 	// orderRetry is the pause before an order that shows no effect goes again.
 	orderRetry = time.Second
+	// refusedPause is how long a load is not tried again that the engine refused.
+	refusedPause = 10 * time.Second
 	// defaultOrderTime is used for a group that names no MaxOrderTime.
 	defaultOrderTime = 30 * time.Second
 )
@@ -28,7 +30,7 @@
 	bytes     int64
 	pool      bool // pre-authorised: no reservation of its own
 	withdrawn bool
-	fence     id.Fencing // orders to load it carried a smaller number, if withdrawn
+	loadFence id.Fencing // no order to load it carried a larger number
 
 	order    id.Order           // the last one sent
 	fencing  id.Fencing         // that it carried
@@ -65,7 +67,7 @@
 		if w == nil {
 			w = &work{artifact: r.Artifact, first: r.Order}
 			if foreign {
-				w.sent = true
+				w.sent, w.loadFence = true, o.earlierFence()
 				w.quietAt = now.Add(p.maxOrderTime(o.name))
 			}
 			w.level = p.levelAt(o.name, r.Artifact)
@@ -73,7 +75,7 @@
 		}
 		w.bytes, w.pool = r.Bytes, false
 		if r.State == table.Withdrawn && !w.withdrawn {
-			w.withdrawn, w.fence, w.retryAt = true, o.row.Fencing, now
+			w.withdrawn, w.retryAt = true, now
 		}
 	}
 	for a, w := range o.works {
@@ -114,6 +116,10 @@
 	if o.held[w.artifact].State != Cold || w.refused || o.leaving {
 		return
 	}
+	if c, _ := p.artifact(w.artifact); c.Bytes > w.bytes {
+		w.refused = true // it grew since: the reservation does not cover it
+		return
+	}
 	if w.first == "" {
 		w.first = o.newOrder()
 	}
@@ -131,21 +137,40 @@
 		w.sent, w.sentAt, o.changed = true, now, true
 	}
 	w.answered = 0
-	w.quietAt = w.retryAt
+	w.quietAt, w.loadFence = w.retryAt, o.row.Fencing
 }
 
 // carryUnload orders an unload while the report shows something, or while a
 // checking engine has not seen the number that shuts out older load orders.
 func (p *Placement) carryUnload(o *owned, w *work, now clock.Time, out *event.Outbox) {
-	unseen := p.checksFencing(o.name) && o.report.Fencing < w.fence
+	unseen := p.checksFencing(o.name) && o.report.Fencing <= w.loadFence && w.loadFence < o.row.Fencing
 	h := o.held[w.artifact]
-	if !o.known || h.Running > 0 || (h.State == Cold && !unseen) {
+	going := h.State == Cold || h.State == message.Unloading
+	if !o.known || h.Running > 0 || (going && !unseen) {
 		return
 	}
 	w.order = o.newOrder()
 	p.send(o, w, event.OrderUnload, now, out)
 }
 
+// earlierFence is the largest number that an earlier owner's orders can carry. A
+// row that was handed over and is not claimed yet still has the giver's.
+func (o *owned) earlierFence() id.Fencing {
+	if o.claim {
+		return o.row.Fencing
+	}
+	return o.row.Fencing - 1
+}
+
+// unloadAgain lets unload orders go again at once, with a larger number.
+func (o *owned) unloadAgain(now clock.Time) {
+	for _, w := range o.works {
+		if w.withdrawn {
+			w.retryAt = now
+		}
+	}
+}
+
 func (o *owned) newOrder() id.Order {
 	o.counter++
 	return id.Order(fmt.Sprintf("%s/%d/%d", o.name, o.row.Fencing, o.counter))
@@ -229,6 +254,7 @@
 		w.retryAt = now
 	case r.Result == event.OrderRefused && !w.withdrawn:
 		w.refused = true
+		o.refused[w.artifact] = now.Add(refusedPause)
 	}
 }
 
@@ -241,7 +267,7 @@
 	if !o.known || o.held[w.artifact].State != Cold {
 		return false
 	}
-	fenced := p.checksFencing(o.name) && w.fence > 0 && o.report.Fencing >= w.fence
+	fenced := p.checksFencing(o.name) && o.report.Fencing > w.loadFence
 	return fenced || o.asked.Reached(w.quietAt) || p.unsafe.noQuiet
 }
 
