Store the outcome of an order that comes after it was given up

Cause: a process frozen after it sent an order finds its timers before the answer in its buffers; it stored "unknown", dropped the answer, and each repeat was told for ever that nobody knows (TestOutcomeInHandAfterPause in proving/fleet, which failed before and passes now). Change: attempts that have not ended are remembered, bounded in number and time, and a whole answer takes the place of "unknown". Nothing is sent again. Ruled out: letting timers wait for buffered events, which no program can know of.

--- a/core/request/once/ended.go
+++ b/core/request/once/ended.go
@@ -12,7 +12,15 @@
 // the caller gets the true outcome, and storing goes on.
 func (o *Calls) Ended(now clock.Time, e event.AttemptEnded, out *event.Outbox) {
 	c := o.calls[e.Request]
+	answers := e.Result == event.AttemptWhole && c != nil && c.held != nil && c.held.row.Attempt == e.Attempt
+	if answers && c.phase == asking {
+		// The service is being asked for what has just come by itself.
+		o.dropLate(e.Attempt)
+		o.outcome(now, c, Status{Known: true, Status: e.Status, Type: e.Type, Body: e.Body}, out)
+		return
+	}
 	if c == nil || c.phase != running {
+		o.endedLate(now, e, out)
 		return
 	}
 	switch e.Result {
--- a/core/request/once/once.go
+++ b/core/request/once/once.go
@@ -166,6 +166,8 @@
 	times     due.Times[id.Request]
 	held      map[id.Attempt]*held
 	heldTimes due.Times[id.Attempt]
+	late      map[id.Attempt]lateCall
+	lateTimes due.Times[id.Attempt]
 	ops       map[uint64]op
 	opTimes   due.Times[uint64]
 	nextOp    uint64
@@ -187,6 +189,7 @@
 		set: set.withDefaults(), members: members, check: check,
 		calls: make(map[id.Request]*call),
 		held:  make(map[id.Attempt]*held),
+		late:  make(map[id.Attempt]lateCall),
 		ops:   make(map[uint64]op),
 	}
 }
@@ -233,11 +236,12 @@
 
 // Next implements process.Machine.
 func (o *Calls) Next() clock.Time {
-	return clock.Earliest(o.times.Next(), o.heldTimes.Next(), o.opTimes.Next())
+	return clock.Earliest(o.times.Next(), o.heldTimes.Next(), o.opTimes.Next(), o.lateTimes.Next())
 }
 
 // Tick implements process.Machine.
 func (o *Calls) Tick(now clock.Time, out *event.Outbox) {
+	o.expireLate(now)
 	for {
 		n, ok := o.opTimes.Pop(now)
 		if !ok {
@@ -268,6 +272,7 @@
 		o.giveUpInsert(now, c, event.ReasonTable, out)
 	case running:
 		// The attempt should have ended at the deadline; nobody knows of it.
+		o.expectLate(now, c)
 		o.outcomeUnknown(now, c, out)
 	case storing:
 		o.answer(c, c.held.row, false)
