--- a/core/instance/flight.go
+++ b/core/instance/flight.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -13,8 +14,10 @@
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
 	"oleanderdale.org/core/process/rate"
+	"oleanderdale.org/core/process/session"
 	"oleanderdale.org/core/process/suspect"
 	"oleanderdale.org/core/request/once"
+	"oleanderdale.org/core/request/queue"
 	"oleanderdale.org/core/request/turn"
 )
 
@@ -89,6 +92,9 @@
 	if now.Reached(c.Deadline) {
 		return nil, notRun(event.ReasonDeadline, 0, "the deadline had passed when the call arrived")
 	}
+	if f.once && i.tableSilent(now) {
+		return nil, notRun(event.ReasonTable, backLater, "the call can't be recorded now, so it was not sent")
+	}
 	f.class = lessUrgent(account.Class, c.Class)
 	v := i.suspects.Check(now, i.digest(f))
 	if v.Kind == suspect.Refuse {
@@ -98,6 +104,14 @@
 	return f, nil
 }
 
+// tableSilent reports whether the table has not answered for a whole term of
+// the lease, within which it is asked several times. A call that needs it would
+// wait for operations that time out one after the other, and be refused only
+// then; its caller could have gone elsewhere long before.
+func (i *Instance) tableSilent(now clock.Time) bool {
+	return i.lease.TableAge(now) > cmp.Or(i.set.LeaseTerm, session.DefaultTerm)
+}
+
 // admitTarget checks what is called and sets the cost.
 func (i *Instance) admitTarget(f *flight) *event.Refusal {
 	if f.call.Service != "" {
@@ -160,7 +174,17 @@
 	return event.Refusal{Reason: r, Ran: ran, RetryAfter: after, Detail: detail}
 }
 
+// passing are the reasons that go away by themselves. A caller that is not told
+// when to come back takes the refusal as lasting, and gives up.
+var passing = map[event.Reason]bool{
+	event.ReasonDeadline: true, event.ReasonQueueFull: true, event.ReasonNoBackend: true, event.ReasonTable: true,
+	event.ReasonRunning: true, event.ReasonStopping: true, event.ReasonIsolated: true, event.ReasonBroken: true,
+}
+
 func (i *Instance) refuseCall(r id.Request, refusal event.Refusal) {
+	if refusal.RetryAfter == 0 && passing[refusal.Reason] {
+		refusal.RetryAfter = backLater
+	}
 	i.effects = append(i.effects, event.Refuse{Request: r, Refusal: refusal})
 }
 
@@ -194,10 +218,31 @@
 	f.stage = atTurn
 	i.turns.Request(now, turn.Ask{
 		Call: f.call, Account: f.account, Class: f.class, Cost: int(f.cost),
-		Alone: f.alone, Avoid: f.avoid, Ran: f.ran,
+		Alone: f.alone, Avoid: i.toAvoid(f), Ran: f.ran,
 	}, &i.out)
 }
 
+// toAvoid returns the servers that a request failed on, if another one has its
+// target. Where there is a single replica, a request that avoids its server for
+// good waits out its deadline while the server is back and serves the others.
+// Until then the server is kept out as down, which the failure showed.
+func (i *Instance) toAvoid(f *flight) []id.Backend {
+	if len(f.avoid) == 0 {
+		return nil
+	}
+	view := servers{i}
+	replicas := view.Servers(f.call.Service)
+	if f.call.Service == "" {
+		replicas = view.Snapshot(f.call.Artifact)
+	}
+	for _, r := range replicas {
+		if !r.Down && !r.Leaving && r.State != queue.Cold && !slices.Contains(f.avoid, r.Backend) {
+			return f.avoid
+		}
+	}
+	return nil
+}
+
 // turnDecided takes a turn or a refusal of one.
 func (i *Instance) turnDecided(now clock.Time, d turn.Decision) {
 	f := i.flights[d.Request]
@@ -230,6 +275,9 @@
 		i.end(now, f, *r)
 		return
 	}
+	if i.askAlone(now, f) {
+		return
+	}
 	f.stage, f.sentAt = atServer, now
 	f.tries++
 	f.crowd = i.running[f.backend] > 0
@@ -250,17 +298,27 @@
 		return &r
 	}
 	v := i.suspects.Check(now, i.digest(f))
-	switch {
-	case v.Kind == suspect.Refuse:
+	if v.Kind == suspect.Refuse {
 		r := f.refusal(event.ReasonCrash, v.RetryAfter, "backend servers crashed while they ran it")
 		return &r
-	case v.Kind == suspect.Alone && !f.alone:
-		r := f.refusal(event.ReasonCrash, backLater, "a backend server crashed while it ran the same request")
-		return &r
 	}
 	return nil
 }
 
+// askAlone gives back the turn of a request that became a suspect while it
+// waited, and asks for one away from others' work. It reports whether it did.
+func (i *Instance) askAlone(now clock.Time, f *flight) bool {
+	if f.alone || i.suspects.Check(now, i.digest(f)).Kind != suspect.Alone {
+		return false
+	}
+	if f.once {
+		i.once.Abandon(now, f.call.Request, &i.out)
+	}
+	f.alone = true
+	i.askTurn(now, f)
+	return true
+}
+
 // withdrawn reports why a request has lost its right, nil if it has not.
 func (i *Instance) withdrawn(f *flight) *event.Refusal {
 	key, ok := i.cfg.Keys[f.call.KeyDigest]
@@ -286,7 +344,8 @@
 	for _, f := range i.sortedFlights() {
 		r := i.withdrawn(f)
 		switch {
-		case r == nil:
+		case r == nil || (f.stage == atOnce && f.ran):
+			// A call that has run only waits for its outcome to be recorded.
 		case f.stage != atServer:
 			i.end(now, f, *r)
 		case !f.once:
@@ -326,31 +385,45 @@
 }
 
 // askOutcome asks a server of the service what came of a call. Any of them
-// may answer; the one that ran it is asked if it is still there.
+// may answer; the one that ran it is asked if it is still there, and one of
+// another zone if none of this one is: where a zone has a single server, its
+// death would make each outcome unknown that the service could still tell.
 func (i *Instance) askOutcome(now clock.Time, f *flight) {
 	s := i.cfg.Services[f.call.Service]
-	address := ""
-	for _, r := range (&servers{i}).Servers(f.call.Service) {
-		if !r.Down && (address == "" || r.Backend == f.backend) {
-			address = r.Address
-		}
-	}
+	address := i.statusAddress(now, f, s.Group)
 	if s.StatusPath == "" || address == "" {
 		i.once.StatusTold(now, f.call.Request, once.Status{}, &i.out)
 		return
 	}
 	i.effects = append(i.effects, event.AskOutcome{
-		Request: f.call.Request, Address: address, Path: s.StatusPath + f.call.IdempotencyKey, Account: f.account,
+		Request: f.call.Request, Address: address, Path: strings.TrimSuffix(s.StatusPath, "/") + "/" + f.call.IdempotencyKey, Account: f.account,
 	})
 }
 
+// statusAddress returns the address of the server to be asked for the outcome
+// of a call, "" if there is none.
+func (i *Instance) statusAddress(now clock.Time, f *flight, g id.Group) string {
+	own, other := "", ""
+	for _, m := range i.members.Backends() {
+		b := id.Backend(m.Name)
+		switch {
+		case m.Group != g || i.members.Down(now, b):
+		case b == f.backend:
+			return m.Address
+		case m.Zone == i.set.Zone:
+			own = cmp.Or(own, m.Address)
+		default:
+			other = cmp.Or(other, m.Address)
+		}
+	}
+	return cmp.Or(own, other)
+}
+
 func (i *Instance) sendOnce(now clock.Time, f *flight) {
 	if !i.check.Hold(f.stage == atOnce && !f.ran, "once-single-send", "%s may have run, and is to be sent again", f.call.Request) {
 		return
 	}
-	if r := i.recheck(now, f); r != nil {
-		i.once.Abandon(now, f.call.Request, &i.out)
-		i.end(now, f, *r)
+	if !i.once.MaySend(f.call.Request) {
 		return
 	}
 	i.dispatch(now, f)
@@ -358,7 +431,9 @@
 
 // end refuses a request and forgets it.
 func (i *Instance) end(now clock.Time, f *flight, r event.Refusal) {
-	i.check.Hold(r.Ran != event.NotRun || !f.ran, "not-run-true", "%s may have run, refused with %s", f.call.Request, r.Reason)
+	if !i.check.Hold(r.Ran != event.NotRun || !f.ran, "not-run-true", "%s may have run, refused with %s", f.call.Request, r.Reason) {
+		r.Ran = event.RanUnknown
+	}
 	i.refuseCall(f.call.Request, r)
 	i.finish(now, f, !f.ran)
 }
@@ -370,6 +445,11 @@
 	if f.stage == atRate {
 		i.rates.Cancel(r)
 	}
+	if f.stage == atOnce && !f.ran {
+		// Its record would else be taken for a call that was sent, and each
+		// repeat would be told that nobody knows.
+		i.once.Abandon(now, r, &i.out)
+	}
 	if f.stage == atTurn || f.stage == atOnce {
 		i.turns.Cancel(now, r, &i.out)
 	}
@@ -388,9 +468,7 @@
 	f.gone = true
 	switch {
 	case f.stage == atServer: // AttemptEnded follows
-	case f.stage == atOnce:
-		i.once.Abandon(now, r, &i.out)
-		i.finish(now, f, true)
+	case f.stage == atOnce && f.ran: // its outcome is being recorded
 	default:
 		i.finish(now, f, true)
 	}
@@ -406,7 +484,13 @@
 // another backend server.
 func (i *Instance) attemptEnded(now clock.Time, e event.AttemptEnded) {
 	f := i.flights[e.Request]
-	if f == nil || f.stage != atServer || f.attempt != e.Attempt {
+	if f == nil {
+		// The answer to a non-idempotent call may come after the call was given
+		// up, as in a process that was frozen: its record still wants it.
+		i.once.Ended(now, e, &i.out)
+		return
+	}
+	if f.stage != atServer || f.attempt != e.Attempt {
 		return
 	}
 	i.leaveServer(now, f, e)
@@ -450,7 +534,7 @@
 	broken := e.Result == event.AttemptCrashed || e.Result == event.AttemptNotSent
 	i.turns.Done(now, message.TurnDone{
 		Request: f.call.Request, Backend: f.backend, Broken: broken, Leaving: e.Leaving,
-		Service: now.Sub(f.sentAt), Generated: e.Generated,
+		Service: serviceTime(now, f, e), Generated: e.Generated,
 	}, &i.out)
 	i.serverSeen(now, f.backend, broken, e.Leaving)
 	if e.Result == event.AttemptCrashed {
@@ -460,9 +544,19 @@
 	}
 }
 
+// serviceTime is what the queue's owner learns from: only a whole run tells how
+// long one takes.
+func serviceTime(now clock.Time, f *flight, e event.AttemptEnded) time.Duration {
+	if e.Result != event.AttemptWhole {
+		return 0
+	}
+	return now.Sub(f.sentAt)
+}
+
 // serverSeen notes what a request found out about a backend server.
 func (i *Instance) serverSeen(now clock.Time, b id.Backend, broken, leaving bool) {
 	if leaving {
+		clear(i.zones)
 		i.members.MarkLeaving(b)
 		i.places.Drop(now, b)
 	}
--- /dev/null
+++ b/core/instance/flight_test.go
@@ -0,0 +1,101 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/invariant"
+)
+
+// reporting returns an instance without a configuration that notes violations.
+func reporting() (*Instance, *[]string) {
+	seen := new([]string)
+	return testInstance(invariant.Reporting(func(v invariant.Violation) { *seen = append(*seen, v.Name) })), seen
+}
+
+// TestFalseNotRunIsSeen shows that the check of refusals can fail: a request that
+// may have run is refused as not run. The caller would send it again as if nothing
+// had happened. It is told that nobody knows.
+func TestFalseNotRunIsSeen(t *testing.T) {
+	i, seen := reporting()
+	f := &flight{call: event.Call{Request: "r"}, stage: atServer, ran: true}
+	i.end(1, f, *notRun(event.ReasonNoBackend, backLater, ""))
+	if fmt.Sprint(*seen) != "[not-run-true]" {
+		t.Errorf("violations %v, want not-run-true", *seen)
+	}
+	refusal, ok := i.effects[0].(event.Refuse)
+	if !ok || refusal.Refusal.Ran != event.RanUnknown {
+		t.Errorf("told the caller %+v", i.effects[0])
+	}
+}
+
+// TestSecondSendIsSeen shows that the check of non-idempotent calls can fail: one
+// that may have run is about to be sent again. It is not sent.
+func TestSecondSendIsSeen(t *testing.T) {
+	i, seen := reporting()
+	i.cfg = &config.Config{}
+	f := &flight{call: event.Call{Request: "r"}, stage: atOnce, once: true, ran: true}
+	i.sendOnce(1, f)
+	if fmt.Sprint(*seen) != "[once-single-send]" {
+		t.Errorf("violations %v, want once-single-send", *seen)
+	}
+	for _, e := range i.effects {
+		if _, sent := e.(event.Dispatch); sent {
+			t.Errorf("sent: %+v", e)
+		}
+	}
+}
+
+// TestPassingTroubleSaysWhenToComeBack: callers take a refusal without a time to
+// come back as lasting, and gave up on calls that could have been served a second
+// later. Each reason that passes has a time now; the others have none.
+func TestPassingTroubleSaysWhenToComeBack(t *testing.T) {
+	tests := []struct {
+		reason event.Reason
+		back   bool
+	}{
+		{event.ReasonDeadline, true},
+		{event.ReasonQueueFull, true},
+		{event.ReasonNoBackend, true},
+		{event.ReasonTable, true},
+		{event.ReasonRunning, true},
+		{event.ReasonStopping, true},
+		{event.ReasonIsolated, true},
+		{event.ReasonBroken, true},
+		{event.ReasonKey, false},
+		{event.ReasonApproval, false},
+		{event.ReasonNoTarget, false},
+		{event.ReasonKeyReuse, false},
+		{event.ReasonKeyMissing, false},
+		{event.ReasonOutcome, false},
+		{event.ReasonRate, false}, // larger than the burst: never
+	}
+	for _, test := range tests {
+		i, _ := reporting()
+		i.refuseCall("r", event.Refusal{Reason: test.reason, Ran: event.NotRun})
+		if got := i.effects[0].(event.Refuse).Refusal.RetryAfter > 0; got != test.back {
+			t.Errorf("%s: told when to come back %t, want %t", test.reason, got, test.back)
+		}
+	}
+}
+
+// TestOrderRefusedAtOnceWhileTableIsSilent: the table has never answered, or not
+// for a term of the lease. An order was sent to it all the same, and refused only
+// after three operations had timed out, six seconds later.
+func TestOrderRefusedAtOnceWhileTableIsSilent(t *testing.T) {
+	i, _ := reporting()
+	const digest = "d"
+	i.cfg = &config.Config{
+		Keys:      map[id.Digest]config.Key{digest: {Digest: digest, Account: "a"}},
+		Accounts:  map[id.Account]config.Account{"a": {Name: "a"}},
+		Services:  map[id.Service]config.Service{"s": {Name: "s"}},
+		Approvals: map[config.Approval]struct{}{{Account: "a", Service: "s"}: {}},
+	}
+	_, refusal := i.admit(1, event.Call{Request: "r", KeyDigest: digest, Service: "s", IdempotencyKey: "k", Deadline: 10})
+	if refusal == nil || refusal.Reason != event.ReasonTable || refusal.Ran != event.NotRun {
+		t.Errorf("got %+v, want a refusal for the table, not run", refusal)
+	}
+}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -73,8 +73,9 @@
 	effects  []event.Effect // of the event that is being handled
 	cfg      *config.Config
 	flights  map[id.Request]*flight
-	running  map[id.Backend]int // attempts of this instance on a server
-	live     []id.Instance      // as last seen
+	running  map[id.Backend]int     // attempts of this instance on a server
+	zones    map[id.Group][]id.Zone // that have servers of a group; see servers.Zones
+	live     []id.Instance          // as last seen
 	started  clock.Time
 	begun    bool
 	ready    bool
@@ -89,7 +90,7 @@
 func New(s Settings, check *invariant.Checker) *Instance {
 	i := &Instance{
 		set: s, check: check,
-		flights: make(map[id.Request]*flight), running: make(map[id.Backend]int),
+		flights: make(map[id.Request]*flight), running: make(map[id.Backend]int), zones: make(map[id.Group][]id.Zone),
 		taken: make(map[handoverKey]bool),
 	}
 	i.members = member.New(member.Settings{Instance: s.Instance, Zone: s.Zone, Address: s.Address}, check)
@@ -150,6 +151,7 @@
 		i.follower.Encoded(now, e, &i.out)
 	case event.ListRead:
 		i.members.List(now, e)
+		clear(i.zones)
 		i.queue.Changed(now, &i.out)
 	case event.CallArrived:
 		i.arrive(now, e.Call)
@@ -301,6 +303,7 @@
 // inForce swaps the configuration, and checks every open call against it.
 func (i *Instance) inForce(now clock.Time, c *config.Config) {
 	i.cfg = c
+	clear(i.zones)
 	i.rates.Configure(now, c)
 	i.places.Configure(now, c, &i.out)
 	i.queue.Configure(now, c)
--- a/core/instance/servers.go
+++ b/core/instance/servers.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
+	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
@@ -13,17 +15,32 @@
 // servers shows the backend servers to the queues and to those who ask them.
 type servers struct{ i *Instance }
 
-// Snapshot implements queue.Replicas.
+// Snapshot implements queue.Replicas. Where the artifact is loaded, the servers
+// without it are left out: with hundreds of engines in a zone, listing them all
+// for each turn took most of the time of a request.
 func (s *servers) Snapshot(a id.Artifact) []queue.Replica {
-	placed := s.i.places.Snapshot(a)
+	held := s.replicas(s.i.places.Held(a))
+	if slices.ContainsFunc(held, func(r queue.Replica) bool { return r.State == queue.Loaded && !r.Down && !r.Leaving }) {
+		return held
+	}
+	return s.replicas(s.i.places.Snapshot(a))
+}
+
+func (s *servers) replicas(placed []placement.Replica) []queue.Replica {
 	list := make([]queue.Replica, 0, len(placed))
 	for _, r := range placed {
-		list = append(list, replicaOf(r))
+		list = append(list, replicaOf(s.i.now, r))
 	}
 	return list
 }
 
-func replicaOf(r placement.Replica) queue.Replica {
+// staleReport is when a count of running requests is too old to count. Nobody
+// reports for a server whose owner has gone; the last count would keep a full
+// server full for ever, and its waiting requests with it. The turns granted
+// here still bound what is sent there.
+const staleReport = 5 * time.Second
+
+func replicaOf(now clock.Time, r placement.Replica) queue.Replica {
 	state := queue.Cold
 	switch r.State {
 	case message.Loaded:
@@ -31,8 +48,12 @@
 	case message.Loading:
 		state = queue.Loading
 	}
+	running := r.Running
+	if now.Sub(r.Reported) > staleReport {
+		running = 0
+	}
 	return queue.Replica{
-		Backend: r.Backend, Address: r.Address, State: state, Running: r.Running, Reported: r.Reported,
+		Backend: r.Backend, Address: r.Address, State: state, Running: running, Reported: r.Reported,
 		Concurrency: r.Concurrency, Leaving: r.Leaving, Down: r.Down, ReadyIn: r.ReadyIn,
 	}
 }
@@ -61,21 +82,33 @@
 // Estimate implements queue.Replicas.
 func (s *servers) Estimate(a id.Artifact) time.Duration { return s.i.places.Estimate(a) }
 
-// Zones implements turn.Targets: the own zone first, then the others by name.
+// Zones implements turn.Targets: the own zone first, then the others in the
+// order of the configuration.
 func (s *servers) Zones(t queue.Target) []id.Zone {
 	c := s.i.cfg
 	if c == nil {
 		return nil
 	}
 	group := groupOf(c, t)
+	zones, ok := s.i.zones[group]
+	if !ok {
+		zones = s.zonesOf(c, group)
+		s.i.zones[group] = zones
+	}
+	return zones
+}
+
+// zonesOf walks the whole list of servers; Instance.zones keeps what it found
+// until the list or the configuration changes.
+func (s *servers) zonesOf(c *config.Config, group id.Group) []id.Zone {
 	own := s.i.set.Zone
-	var zones []id.Zone
 	has := make(map[id.Zone]bool)
 	for _, m := range s.i.members.Backends() {
 		if m.Group == group && !m.Leaving {
 			has[m.Zone] = true
 		}
 	}
+	var zones []id.Zone
 	if has[own] {
 		zones = append(zones, own)
 	}
--- a/core/instance/stop.go
+++ b/core/instance/stop.go
@@ -107,7 +107,10 @@
 // offers them to one instance of the zone. It is one and stays the same: an
 // offer to a second one could be taken by both.
 func (i *Instance) beginHandover(now clock.Time) {
-	if len(i.flights) > 0 && !now.Reached(i.stop.until) {
+	// An outcome that is not recorded yet would be lost with this process, and
+	// each repeat of its order would be told that nobody knows.
+	open := len(i.flights) > 0 || i.once.Held() > 0
+	if open && !now.Reached(i.stop.until) {
 		return
 	}
 	i.refuseAll(now)
--- a/core/request/queue/ask.go
+++ b/core/request/queue/ask.go
@@ -40,7 +40,7 @@
 func (o *Owner) enter(now clock.Time, from id.Instance, m message.TurnAsk, out *event.Outbox) {
 	e := &entry{ask: m, from: from, level: levelOf(m.Class), deadline: now.Add(m.Within), heard: now, entered: now}
 	e.queue = o.queue(Target{Artifact: m.Artifact, Service: m.Service})
-	if o.draining {
+	if o.draining && !o.lastResort(from) {
 		o.answerRefused(e, ReasonMoved, 0, out)
 		return
 	}
@@ -238,3 +238,9 @@
 		Request: e.ask.Request, Backend: e.server.name, Address: e.address, Turn: e.ask.Turn,
 	})
 }
+
+// lastResort reports whether a draining owner still has to take a request: its
+// own, when no other instance of the zone could.
+func (o *Owner) lastResort(from id.Instance) bool {
+	return from == o.set.Instance && len(o.members.InZone(o.set.Zone)) == 0
+}
--- a/core/request/turn/choose.go
+++ b/core/request/turn/choose.go
@@ -12,11 +12,22 @@
 	"oleanderdale.org/core/request/queue"
 )
 
+// owners returns who may own queues in a zone. When all instances of the own
+// zone are leaving, this one owns its own: its callers would else wait for an
+// owner that never comes, and be refused when the grace time ends.
+func (t *Entry) owners(zone id.Zone) []id.Instance {
+	in := t.members.InZone(zone)
+	if len(in) == 0 && zone == t.members.Zone() {
+		return []id.Instance{t.members.Self()}
+	}
+	return in
+}
+
 // choose returns the owner to ask in the zone that is asked: the first in rank
 // that was not tried yet, "" if none is left.
 func (t *Entry) choose(c *call) id.Instance {
 	zone := c.zones[c.at]
-	in := t.members.InZone(zone)
+	in := t.owners(zone)
 	if len(c.tried) == 0 {
 		return rendezvous.Owner(c.target.Key(zone), in)
 	}
--- a/core/request/turn/turn.go
+++ b/core/request/turn/turn.go
@@ -133,7 +133,7 @@
 		t.refuse(now, c, refusal(queue.ReasonDeadline, 0), out)
 		return
 	}
-	if !slices.ContainsFunc(c.zones, func(z id.Zone) bool { return len(t.members.InZone(z)) > 0 }) {
+	if !slices.ContainsFunc(c.zones, func(z id.Zone) bool { return len(t.owners(z)) > 0 }) {
 		t.refuse(now, c, refusal(queue.ReasonNoServer, 0), out)
 		return
 	}
--- a/proving/fleet/call.go
+++ b/proving/fleet/call.go
@@ -59,6 +59,9 @@
 // Lost reports whether the connection broke because the instance ended.
 func (c *Call) Lost() bool { return c.lost }
 
+// Runs returns how often a backend server began to run it.
+func (c *Call) Runs() int { return c.runs }
+
 // Took returns the time to the final answer.
 func (c *Call) Took() time.Duration { return c.EndedAt.Sub(c.Arrived) }
 
@@ -167,6 +170,9 @@
 	if c.Final() {
 		f.fault("%s was dispatched after its final answer", e.Request)
 	}
+	if f.OnDispatch != nil {
+		f.OnDispatch(n, c)
+	}
 	r := &run{call: c, attempt: e.Attempt, once: e.Once, node: n, owner: n.ID, server: s}
 	n.attempts[e.Attempt] = r
 	f.after(f.jitter(toBackend), r.arrive)
@@ -185,6 +191,7 @@
 		r.end(event.AttemptEnded{Result: event.AttemptNotSent})
 		return
 	case s.leaving:
+		s.noteOffer()
 		r.end(event.AttemptEnded{Result: event.AttemptRefused, Leaving: true})
 		return
 	}
@@ -198,8 +205,8 @@
 		return
 	}
 	r.begin()
-	if r.call.Crashes {
-		s.Crash()
+	if s.RunsRefused {
+		r.end(event.AttemptEnded{Result: event.AttemptRefused})
 		return
 	}
 	s.noteIdleOf(h)
@@ -208,6 +215,10 @@
 	h.uses++
 	s.runs[r] = true
 	r.started, r.from = f.now, r.call.got
+	if r.call.Crashes {
+		s.Crash()
+		return
+	}
 	f.after(f.TokenTime, r.first)
 	f.after(time.Duration(r.call.Tokens-r.from)*f.TokenTime, r.whole)
 }
@@ -339,3 +350,16 @@
 		n.postTo(run, told)
 	})
 }
+
+// ending shows how a call ended.
+func (c *Call) ending() string {
+	switch {
+	case c.lost:
+		return "a lost connection"
+	case c.Refusal != nil:
+		return fmt.Sprintf("refusal %s/%s after %s", c.Refusal.Reason, c.Refusal.Ran, c.Took())
+	case c.Whole:
+		return fmt.Sprintf("answer (replay %t) after %s", c.Replay, c.Took())
+	}
+	return "nothing"
+}
--- /dev/null
+++ b/proving/fleet/config_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+)
+
+// behind lists the nodes that do not have the newest configuration in force.
+func (f *Fleet) behind(nodes []*Node) []string {
+	var late []string
+	for _, n := range nodes {
+		if n.Running() && (n.Config == nil || n.Config.Version != f.Config.Version) {
+			late = append(late, n.Name)
+		}
+	}
+	return late
+}
+
+func (f *Fleet) wantInForce(t *testing.T, nodes []*Node) {
+	t.Helper()
+	if late := f.behind(nodes); len(late) > 0 {
+		t.Errorf("version %d is not in force at %v", f.Config.Version, late)
+	}
+}
+
+// publishNext puts a configuration with one more model into force.
+func (f *Fleet) publishNext() {
+	c := Clone(f.Config)
+	name := id.Artifact(fmt.Sprint("extra", c.Version))
+	c.Artifacts[name] = config.Artifact{Name: name, Group: "workers", Bytes: gib, LoadTime: time.Second, MaxReplicas: 1, MaxTokens: 100}
+	f.Publish(c)
+}
+
+// TestConfigurationSpreads: operators apply version after version while messages
+// get lost, instances are replaced, or the table answers slowly or not at all in
+// parts. Each version is in force at every instance that a path leads to within
+// seconds, and no instance ever goes back (the fakes check that throughout).
+func TestConfigurationSpreads(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		begin  func(f *Fleet)
+		within time.Duration
+	}{
+		{"no faults", func(*Fleet) {}, time.Second},
+		{"lossy net", func(f *Fleet) { f.Net.Lose, f.Net.Double, f.Net.Late = 0.3, 0.3, 0.3 }, inForceWithin},
+		{"a zone cut from the platform", func(f *Fleet) { f.Net.CutPlatform("za", true) }, inForceWithin},
+		{"two zones cut from the platform", func(f *Fleet) { f.Net.CutPlatform("za", true); f.Net.CutPlatform("zb", true) }, inForceWithin},
+		{"zones cut from each other", func(f *Fleet) {
+			f.Net.Cut("za", "zb", true)
+			f.Net.Cut("zb", "zc", true)
+			f.Net.Cut("za", "zc", true)
+		}, inForceWithin},
+		{"readers killed", func(f *Fleet) {
+			for z := range 3 {
+				f.after(time.Duration(z+1)*time.Second, f.Nodes[3*z].Kill)
+				f.after(time.Duration(z+1)*1500*time.Millisecond, f.Nodes[3*z+1].Kill)
+			}
+		}, 5 * time.Second},
+		{"table loses answers", func(f *Fleet) { f.Table.LoseAnswers, f.Table.LoseRequests = 0.2, 0.2 }, 6 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := ready(t, 101, nil)
+			test.begin(f)
+			f.Run(2 * time.Second)
+			for range 25 {
+				f.publishNext()
+				f.Run(test.within)
+				f.wantInForce(t, f.Nodes)
+			}
+			noFaults(t, f)
+		})
+	}
+}
+
+// TestConfigurationTableDownAfterCommit: the table commits a version and goes
+// down. Where one instance has read it, all get it from each other, over all
+// zones. Where none has, it is in force within seconds of the table's return.
+func TestConfigurationTableDownAfterCommit(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 102, nil)
+	f.publishNext()
+	f.until(t, "one instance has read it", 3*time.Second, func() bool { return len(f.behind(f.Nodes)) < len(f.Nodes) })
+	f.Table.Down = true
+	f.Run(inForceWithin)
+	f.wantInForce(t, f.Nodes)
+	f.publishNext()
+	f.Run(20 * time.Second)
+	f.Table.Down = false
+	f.Run(5 * time.Second)
+	f.wantInForce(t, f.Nodes)
+	noFaults(t, f)
+}
+
+// TestConfigurationStartsInOutage: an instance starts while the table is down, or
+// while its zone is cut from the platform. It takes the newest version from other
+// instances, and is not ready before it has one. Alone, it is not ready. It has
+// no session before the table is back, so it can't spend tokens, and tells its
+// callers that others can.
+func TestConfigurationStartsInOutage(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 103, nil)
+	for range 3 {
+		f.publishNext()
+		f.Run(2 * time.Second)
+	}
+	f.Table.Down = true
+	f.Run(10 * time.Second)
+	n := f.Nodes[0]
+	n.Kill()
+	n.Restart()
+	early := false
+	f.until(t, "it has a version", 10*time.Second, func() bool {
+		early = early || n.Ready && n.Config == nil
+		return n.Config != nil
+	})
+	if early {
+		t.Error("ready before it had a version")
+	}
+	f.wantInForce(t, f.Nodes)
+	f.Run(8 * time.Second)
+	if !n.Ready {
+		t.Error("not ready with a version")
+	}
+	c := f.Call(n, model("", "x"))
+	f.Run(3 * time.Second)
+	wantRefused(t, c, event.ReasonStopping, event.NotRun)
+	f.Table.Down = false
+	f.Run(8 * time.Second)
+	c = f.Call(n, model("", "x"))
+	f.Run(25 * time.Second)
+	wantWhole(t, c)
+	noFaults(t, f)
+
+	f = ready(t, 104, nil)
+	f.Table.Down = true
+	for _, n := range f.Nodes {
+		n.Kill()
+	}
+	f.Nodes[0].Restart()
+	f.Run(30 * time.Second)
+	if f.Nodes[0].Ready {
+		t.Error("ready without a version")
+	}
+	f.Table.Down = false
+	f.Run(10 * time.Second)
+	if !f.Nodes[0].Ready {
+		t.Error("not ready after the table is back")
+	}
+	noFaults(t, f)
+}
+
+// TestConfigurationAfterPause: an instance is frozen while versions are applied,
+// and resumes with old messages and an old answer of the table in hand. It never
+// goes back, and has the newest version within seconds. The same for a zone that
+// was cut off.
+func TestConfigurationAfterPause(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 105, nil)
+	f.Nodes[2].Pause(12 * time.Second)
+	f.Net.Isolate("zc", true)
+	for range 11 {
+		f.publishNext()
+		f.Run(time.Second)
+	}
+	f.Net.Heal()
+	f.Run(time.Second + inForceWithin)
+	f.wantInForce(t, f.Nodes)
+	for _, n := range f.Nodes {
+		for k := 1; k < len(n.Versions); k++ {
+			if n.Versions[k] <= n.Versions[k-1] {
+				t.Errorf("%s went through the versions %v", n.Name, n.Versions)
+			}
+		}
+	}
+	noFaults(t, f)
+}
+
+// TestConfigurationCheckFires shows that the checks can fail: a version that
+// comes into force after a newer one is a fault, and an instance without a path
+// is found to be behind.
+func TestConfigurationCheckFires(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 106, nil)
+	old := f.Nodes[0].Config
+	f.publishNext()
+	f.Run(inForceWithin)
+	f.Nodes[0].inForce(old)
+	wantFault(t, f, "an old version came into force")
+
+	f = ready(t, 107, nil)
+	f.Net.Isolate("za", true)
+	f.publishNext()
+	f.Run(inForceWithin)
+	if late := f.behind(f.Nodes); len(late) != 3 {
+		t.Errorf("behind are %v, want the three of the cut-off zone", late)
+	}
+}
--- /dev/null
+++ b/proving/fleet/deadline_test.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+)
+
+// pairFault is one of the faults that are tried two at a time.
+type pairFault struct {
+	name  string
+	begin func(f *Fleet)
+}
+
+// pairFaults end with Fleet.Heal.
+var pairFaults = []pairFault{
+	{"table down", func(f *Fleet) { f.Table.Down = true }},
+	{"table slow", func(f *Fleet) { f.Table.Slow = 1500 * time.Millisecond }},
+	{"table loses answers", func(f *Fleet) { f.Table.LoseAnswers, f.Table.LoseRequests = 0.4, 0.2 }},
+	{"zone isolated", func(f *Fleet) { f.Net.Isolate("za", true) }},
+	{"zones cut", func(f *Fleet) { f.Net.Cut("za", "zb", true); f.Net.Cut("zb", "zc", true) }},
+	{"lossy net", func(f *Fleet) { f.Net.Lose, f.Net.Double, f.Net.Late = 0.3, 0.3, 0.3 }},
+	{"instances killed", func(f *Fleet) { f.Nodes[1].Kill(); f.Nodes[4].Kill() }},
+	{"instance paused", func(f *Fleet) { f.Nodes[0].Pause(8 * time.Second) }},
+	{"instance stopped", func(f *Fleet) { f.Nodes[3].Stop() }},
+	{"engines crash", func(f *Fleet) {
+		for n, s := range f.Servers {
+			f.after(time.Duration(n)*700*time.Millisecond, s.Crash)
+		}
+	}},
+	{"orders lost", func(f *Fleet) {
+		for _, s := range f.Servers {
+			s.LoseOrders, s.LoseAnswers, s.LateOrders, s.LateBy = 0.3, 0.3, 0.3, 4*time.Second
+		}
+	}},
+	{"slow weight store", func(f *Fleet) { f.Store.Slow = 8 }},
+	{"engines leave", func(f *Fleet) {
+		for _, z := range f.zones {
+			f.zoneServers(z, "workers")[0].Leave()
+		}
+	}},
+}
+
+// TestDeadlinesUnderTwoFaults: calls to cold and warm models, orders and lookups,
+// with short and long deadlines, wait at all instances while two faults begin at
+// once. Each caller gets one final answer by its deadline; each refusal that says
+// "not run" is true and, if it is for a passing trouble, says when to come back.
+func TestDeadlinesUnderTwoFaults(t *testing.T) {
+	t.Parallel()
+	for a := range pairFaults {
+		for b := range a {
+			x, y := pairFaults[a], pairFaults[b]
+			t.Run(x.name+" and "+y.name, func(t *testing.T) {
+				t.Parallel()
+				f := ready(t, uint64(1000+a*len(pairFaults)+b), nil)
+				mixed := func(n int) {
+					within := []time.Duration{time.Second, 4 * time.Second, 15 * time.Second}[n%3]
+					at := f.Nodes[n%9]
+					s := callFor(id.Artifact(fmt.Sprint("m", n%4)), n)
+					s.Within = within
+					f.Call(at, s)
+					o := order([]id.Service{Orders, Desk}[n%2], fmt.Sprint("pair", n/2), "one")
+					o.Within = within
+					f.Call(at, o)
+					l := lookup("a", n)
+					l.Within = within
+					f.Call(at, l)
+				}
+				f.every(200*time.Millisecond, 2*time.Second, mixed)
+				x.begin(f)
+				y.begin(f)
+				f.every(200*time.Millisecond, 10*time.Second, func(n int) { mixed(10 + n) })
+				f.Run(15*time.Second + 2*lateness)
+				noFaults(t, f)
+			})
+		}
+	}
+}
+
+// TestInstanceKilledWhileCallsWait: calls wait at all instances for a cold model,
+// and an instance of each zone dies, which may own the zone's queue or the engine
+// that loads. The entries still have their calls and ask the next owner; each call
+// of a living instance is answered.
+func TestInstanceKilledWhileCallsWait(t *testing.T) {
+	t.Parallel()
+	for k := range 3 {
+		t.Run(fmt.Sprint(k), func(t *testing.T) {
+			t.Parallel()
+			f := ready(t, 130, func(s *Settings) {
+				m := s.Config.Artifacts["m1"]
+				m.LoadTime = 6 * time.Second
+				s.Config.Artifacts["m1"] = m
+			})
+			for n, node := range f.Nodes {
+				f.Call(node, callFor("m1", n))
+			}
+			f.Run(3 * time.Second)
+			for z := range 3 {
+				f.Nodes[3*z+k].Kill()
+			}
+			f.Run(26 * time.Second)
+			for _, c := range f.Calls {
+				if !c.Lost() {
+					wantWhole(t, c)
+				}
+			}
+			noFaults(t, f)
+		})
+	}
+}
+
+// TestRefusedAtOnce: a call can't be served by its deadline, as its model takes
+// longer to load, or no engine is left. It is refused when that is known, not
+// when its deadline has come, and is told when to come back.
+func TestRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 121, func(s *Settings) {
+		m := s.Config.Artifacts["m1"]
+		m.LoadTime = 10 * time.Second
+		s.Config.Artifacts["m1"] = m
+	})
+	s := callFor("m1", 1)
+	s.Within = 4 * time.Second
+	c := f.Call(f.Nodes[0], s)
+	f.Run(5 * time.Second)
+	wantRefused(t, c, event.ReasonDeadline, event.NotRun)
+	if c.Took() > 200*time.Millisecond {
+		t.Errorf("refused after %s", c.Took())
+	}
+	noFaults(t, f)
+}
+
+// TestServedWhenItComesBack: a caller that is told to come back later does so, and
+// is then served: the time that it was told was no idle promise.
+func TestServedWhenItComesBack(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 122, func(s *Settings) {
+		m := s.Config.Artifacts["m1"]
+		m.LoadTime = 8 * time.Second
+		s.Config.Artifacts["m1"] = m
+	})
+	f.Run(8 * time.Second) // until the engines have their owners
+	long, short := callFor("m1", 1), callFor("m1", 2)
+	long.Within, short.Within = 25*time.Second, 3*time.Second
+	first := f.Call(f.Nodes[0], long)
+	refused := f.Call(f.Nodes[1], short)
+	f.Run(4 * time.Second)
+	if refused.Refusal == nil {
+		t.Fatalf("want a refusal, got %s", refused.ending())
+	}
+	f.Run(max(refused.Refusal.RetryAfter-f.now.Sub(refused.EndedAt), 0))
+	again := f.Call(f.Nodes[1], short)
+	f.Run(20 * time.Second)
+	wantWhole(t, first, again)
+	noFaults(t, f)
+}
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -21,29 +21,42 @@
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/instance"
 	"oleanderdale.org/core/invariant"
+	"oleanderdale.org/core/process/keepalive"
 	"oleanderdale.org/core/process/placement"
 )
 
 // Settings of a Fleet.
 type Settings struct {
-	Seed     uint64
-	Config   *config.Config
-	PerZone  int // entry instances
-	Engines  int // in each zone
-	Services int // in each zone
+	Seed    uint64
+	Config  *config.Config
+	PerZone int // entry instances in each zone
+	// ZoneInstances, if set, is the number of entry instances by zone.
+	ZoneInstances []int
+	Engines       int // in each zone
+	Services      int // in each zone
 
 	LeaseTerm  time.Duration
 	DrainDelay time.Duration
 	Grace      time.Duration
 	Placement  placement.Settings
+	// Policy, if set, makes the keep-alive policy of each instance.
+	Policy func() keepalive.Policy
 
 	TokenTime time.Duration // of the engines
 	// NoFencing makes engines ignore fencing numbers, whatever the group says.
 	NoFencing bool
+	// ClocksStop makes the clock of a paused node stand still, as one does that
+	// leaves out the time for which its machine is suspended.
+	ClocksStop bool
+	// Replace is after how long the platform starts an instance anew that ended
+	// by itself without being asked to; 0: never.
+	Replace time.Duration
 	// Trace is told every event and effect, if set.
 	Trace func(line string)
 	// Check is used by the cores; nil panics on a violation.
 	Check *invariant.Checker
+	// OnDispatch, if set, is told of each attempt before it is under way.
+	OnDispatch func(n *Node, c *Call)
 }
 
 // Latencies of the fakes.
@@ -60,23 +73,25 @@
 // Fleet is the whole run.
 type Fleet struct {
 	Settings
-	now     clock.Time
-	random  *rand.Rand
-	queue   agenda
-	seq     uint64
-	Nodes   []*Node
-	Table   *Table
-	Net     *Network
-	Servers []*Server
-	Store   *WeightStore
-	Calls   []*Call
-	byID    map[id.Request]*Call
-	faults  []string
-	zones   []id.Zone
-	objects map[id.Digest][]byte
-	boots   int
-	rates   []config.Account // that accounts had during the run
-	Steps   int
+	now       clock.Time
+	random    *rand.Rand
+	queue     agenda
+	seq       uint64
+	Nodes     []*Node
+	Table     *Table
+	Net       *Network
+	Servers   []*Server
+	byBackend map[id.Backend]*Server
+	Store     *WeightStore
+	Calls     []*Call
+	byID      map[id.Request]*Call
+	byName    map[id.Instance]*Node // by the names of machines and of runs
+	faults    []string
+	zones     []id.Zone
+	objects   map[id.Digest][]byte
+	boots     int
+	rates     []config.Account // that accounts had during the run
+	Steps     int
 }
 
 // task is something that happens at a time.
@@ -111,7 +126,7 @@
 func New(s Settings) *Fleet {
 	f := &Fleet{
 		Settings: s, random: rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15)),
-		byID: make(map[id.Request]*Call), zones: s.Config.Fleet.Zones, objects: make(map[id.Digest][]byte),
+		byID: make(map[id.Request]*Call), byName: make(map[id.Instance]*Node), byBackend: make(map[id.Backend]*Server), zones: s.Config.Fleet.Zones, objects: make(map[id.Digest][]byte),
 	}
 	f.Table = newTable(f)
 	f.Net = newNetwork(f)
@@ -121,8 +136,12 @@
 	for _, name := range slices.Sorted(maps.Keys(s.Config.Accounts)) {
 		f.rates = append(f.rates, s.Config.Accounts[name])
 	}
-	for _, z := range f.zones {
-		for n := range s.PerZone {
+	for k, z := range f.zones {
+		count := s.PerZone
+		if k < len(s.ZoneInstances) {
+			count = s.ZoneInstances[k]
+		}
+		for n := range count {
 			f.Nodes = append(f.Nodes, &Node{fleet: f, Name: fmt.Sprintf("%s-%d", z, n+1), Zone: z})
 		}
 	}
@@ -191,8 +210,23 @@
 
 // core builds the core of one run of a node.
 func (f *Fleet) core(n *Node) *instance.Instance {
+	p := f.Placement
+	if f.Policy != nil {
+		p.Policy = f.Policy()
+	}
 	return instance.New(instance.Settings{
 		Instance: n.ID, Zone: n.Zone, Address: n.Name,
-		LeaseTerm: f.LeaseTerm, DrainDelay: f.DrainDelay, Grace: f.Grace, Placement: f.Placement,
+		LeaseTerm: f.LeaseTerm, DrainDelay: f.DrainDelay, Grace: f.Grace, Placement: p,
 	}, f.Check)
 }
+
+// zoneNodes returns the nodes of a zone.
+func (f *Fleet) zoneNodes(z id.Zone) []*Node {
+	var all []*Node
+	for _, n := range f.Nodes {
+		if n.Zone == z {
+			all = append(all, n)
+		}
+	}
+	return all
+}
--- a/proving/fleet/network.go
+++ b/proving/fleet/network.go
@@ -5,16 +5,24 @@
 
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/message"
 )
 
 // Network carries messages between instances. It loses, doubles and delays
 // them as told.
 type Network struct {
-	fleet    *Fleet
-	Lose     float64       // share of messages lost
-	Double   float64       // share of messages doubled
-	Late     float64       // share of messages that come up to LateBy late
-	LateBy   time.Duration // for Late
+	fleet  *Fleet
+	Lose   float64       // share of messages lost
+	Double float64       // share of messages doubled
+	Late   float64       // share of messages that come up to LateBy late
+	LateBy time.Duration // for Late
+	// OnSend, if set, is told of each message that an instance sends.
+	OnSend func(from *Node, e event.SendPeer)
+	// Alter, if set, replaces each message on its way; it stands for a sender
+	// that says something else than what it did.
+	Alter func(m message.Message) message.Message
+	// Drop, if set, says which messages are never delivered.
+	Drop     func(m message.Message) bool
 	cuts     map[[2]id.Zone]bool
 	platform map[id.Zone]bool // cut from the platform
 }
@@ -54,17 +62,24 @@
 
 // node finds an instance by the name of its run or of its machine.
 func (w *Network) node(to id.Instance) *Node {
-	for _, n := range w.fleet.Nodes {
-		if n.core != nil && (n.ID == to || n.Name == string(to)) {
-			return n
-		}
+	if n := w.fleet.byName[to]; n != nil && n.core != nil && (n.ID == to || n.Name == string(to)) {
+		return n
 	}
 	return nil
 }
 
 func (w *Network) send(from *Node, e event.SendPeer) {
 	f := w.fleet
+	if w.OnSend != nil {
+		w.OnSend(from, e)
+	}
+	if w.Alter != nil {
+		e.Message = w.Alter(e.Message)
+	}
 	to := w.node(e.To)
+	if w.Drop != nil && w.Drop(e.Message) {
+		return
+	}
 	if to == nil || w.cut(from.Zone, to.Zone) || f.random.Float64() < w.Lose {
 		return
 	}
--- a/proving/fleet/node.go
+++ b/proving/fleet/node.go
@@ -21,13 +21,17 @@
 	Zone  id.Zone
 	ID    id.Instance // of the current run
 
-	core    *instance.Instance // nil: not running
-	offset  clock.Time         // of its clock
-	timer   uint64             // number of the newest timer
-	paused  bool
-	held    []event.Event // arrived while paused
-	Ready   bool
-	Stopped bool // ended by itself
+	core   *instance.Instance // nil: not running
+	offset clock.Time         // of its clock
+	timer  uint64             // number of the newest timer
+	paused bool
+	// pausedAt is when the latest pause began.
+	pausedAt clock.Time
+	held     []event.Event // arrived while paused
+	Ready    bool
+	Stopped  bool // ended by itself
+	asked    bool // to stop
+	again    bool // start anew after that
 	// everPaused says that the current run was paused once.
 	everPaused bool
 	attempts   map[id.Attempt]*run
@@ -42,19 +46,24 @@
 	f := n.fleet
 	f.boots++
 	n.ID = id.Instance(fmt.Sprintf("%s.%d", n.Name, f.boots))
+	f.byName[n.ID], f.byName[id.Instance(n.Name)] = n, n
 	n.offset = clock.Time(f.random.Int64N(int64(time.Hour)))
 	n.core = f.core(n)
+	n.asked, n.again = false, false
 	n.paused, n.everPaused, n.held, n.Ready, n.Stopped, n.Config, n.Versions = false, false, nil, false, false, nil, nil
 	n.attempts = make(map[id.Attempt]*run)
 	n.handle(event.Woken{})
 	n.readList()
 }
 
-// Restart starts a node that was killed or has stopped.
+// Restart starts a node that was killed or has stopped, or will do so once it
+// has stopped.
 func (n *Node) Restart() {
 	if n.core == nil {
 		n.start()
+		return
 	}
+	n.again = n.asked
 }
 
 // Running reports whether the node runs an instance.
@@ -87,7 +96,7 @@
 		return
 	}
 	n.fleet.trace("%s paused", n.ID)
-	n.paused, n.everPaused = true, true
+	n.paused, n.everPaused, n.pausedAt = true, true, n.fleet.now
 	was := n.ID
 	n.fleet.after(d, func() {
 		if n.ID == was && n.paused {
@@ -99,6 +108,9 @@
 func (n *Node) resume() {
 	n.fleet.trace("%s resumed", n.ID)
 	n.paused = false
+	if n.fleet.ClocksStop {
+		n.offset -= clock.Time(n.fleet.now.Sub(n.pausedAt))
+	}
 	held := n.held
 	n.held = nil
 	for _, e := range held {
@@ -107,7 +119,10 @@
 }
 
 // Stop asks for a graceful shutdown.
-func (n *Node) Stop() { n.post(event.StopRequested{}) }
+func (n *Node) Stop() {
+	n.asked = true
+	n.post(event.StopRequested{})
+}
 
 // post hands in an event, or keeps it while the node is paused.
 func (n *Node) post(e event.Event) {
@@ -196,6 +211,9 @@
 	case event.Stopped:
 		n.Stopped = true
 		n.end()
+		if n.again || f.Replace > 0 && !n.asked {
+			f.after(f.Replace, n.Restart)
+		}
 	default:
 		n.outward(e)
 	}
--- a/proving/fleet/random_test.go
+++ b/proving/fleet/random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,6 +41,7 @@
 // in time; orders run once; rates, memory and replicas hold; afterwards all is
 // well again.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := Scenarios().Draw(t, "scenario")
 		if faults := NewRunner(s, nil).Play(s); len(faults) > 0 {
@@ -48,18 +50,40 @@
 	})
 }
 
-// longFor is the environment variable with the length of the long run.
-const longFor = "OLEANDERDALE_LONG"
+// uniformRuns is how many scenarios of Uniform are played in CI.
+const uniformRuns = 24
+
+// TestUniformFaults plays scenarios with longer and stronger faults.
+func TestUniformFaults(t *testing.T) {
+	t.Parallel()
+	for number := range uint64(uniformRuns) {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			t.Parallel()
+			s := Uniform(number)
+			for _, fault := range NewRunner(s, nil).Play(s) {
+				t.Error(fault)
+			}
+		})
+	}
+}
+
+// Environment variables of the long run.
+const (
+	longFor  = "OLEANDERDALE_LONG"      // how long it takes
+	longFrom = "OLEANDERDALE_LONG_FROM" // number of the scenario before its first
+)
 
 // TestLongRun plays scenarios on all cores for the time given in the
 // environment, and reports what it tried. A scenario that shows a fault is
-// named by its number: Scenarios().Example(number) is it.
+// named by its number; scenarioOf(number) is it.
 func TestLongRun(t *testing.T) {
 	limit, err := time.ParseDuration(os.Getenv(longFor))
 	if err != nil {
 		t.Skip("set " + longFor + "=20m to play scenarios for twenty minutes")
 	}
 	var next, steps atomic.Int64
+	from, _ := strconv.ParseInt(os.Getenv(longFrom), 10, 64)
+	next.Store(from)
 	var mu sync.Mutex
 	done := make(map[string]int)
 	end := time.Now().Add(limit)
@@ -85,7 +109,7 @@
 		})
 	}
 	wg.Wait()
-	t.Logf("%d scenarios, %d steps of the fakes, steps by kind %v", next.Load(), steps.Load(), done)
+	t.Logf("%d scenarios, %d steps of the fakes, steps by kind %v", next.Load()-from, steps.Load(), done)
 }
 
 // playNumber plays the scenario of that number; a panic counts as a fault.
@@ -95,7 +119,16 @@
 			faults = append(faults, fmt.Sprint(v))
 		}
 	}()
-	s := Scenarios().Example(number)
+	s := scenarioOf(number)
 	r = NewRunner(s, nil)
 	return r, r.Play(s)
 }
+
+// scenarioOf returns the scenario of a number of the long run: those with small
+// values and those with even ones in turn.
+func scenarioOf(number int) Scenario {
+	if number%2 == 0 {
+		return Uniform(uint64(number))
+	}
+	return Scenarios().Example(number)
+}
--- /dev/null
+++ b/proving/fleet/regress_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/table"
+)
+
+// The tests in this file each show one fault that a run found, in as few steps
+// as it takes.
+
+// TestOutcomeInHandAfterPause: an instance is frozen right after it sent an order
+// to a service that can't be asked. The service answers; the answer waits in the
+// frozen process. When it resumes, its timers come first: the order's deadline has
+// passed, and it stores that the outcome is unknown. Then it reads the answer, and
+// must store that instead: a repeat is told what really happened.
+func TestOutcomeInHandAfterPause(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 18, nil)
+	f.OnDispatch = func(n *Node, _ *Call) {
+		f.OnDispatch = nil
+		f.after(5*time.Millisecond, func() { n.Pause(15 * time.Second) })
+	}
+	f.Call(f.Nodes[0], order(Desk, "k", "one"))
+	f.Run(30 * time.Second)
+	repeat := f.Call(f.Nodes[8], order(Desk, "k", "one"))
+	f.Run(12 * time.Second)
+	wantWhole(t, repeat)
+	noFaults(t, f)
+}
+
+// TestCutDuringDecision: a zone is cut off from the table in the moment in which
+// the owner of an engine writes the decision to load a model there. The write has
+// no answer. The model has its pre-authorised place on the same engine, which
+// needs no table; callers in the zone must get it, however long the cut lasts.
+func TestCutDuringDecision(t *testing.T) {
+	t.Parallel()
+	for _, fate := range []Fate{RequestLost, AnswerLost} {
+		t.Run(fate.String(), func(t *testing.T) {
+			f := ready(t, 24, func(s *Settings) { ignoreFencing(s, true) })
+			f.Run(4100 * time.Millisecond)
+			f.decisions(func(n *Node) Fate {
+				if n.Zone != "za" {
+					return CarriedOut
+				}
+				f.Table.OnCommit = nil
+				f.Net.Isolate("za", true)
+				return fate
+			})
+			nodes := f.zoneNodes("za")
+			f.every(time.Second, 20*time.Second, func(n int) { f.Call(nodes[n%3], callFor("m3", n)) })
+			f.Run(26 * time.Second)
+			wantWhole(t, f.Calls...)
+			f.Heal()
+			f.Run(20 * time.Second)
+			noFaults(t, f)
+		})
+	}
+}
+
+// TestCutZoneServesThreeModels: three models have their pre-authorised places on
+// one engine of a cut-off zone, which holds one of them at a time, and all three
+// are called now and then. They take turns. A model whose callers have waited
+// longest must come next, or its callers are all refused at their deadlines for
+// as long as the cut lasts.
+func TestCutZoneServesThreeModels(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 24, nil)
+	f.Run(10 * time.Second)
+	f.Net.Isolate("za", true)
+	nodes := f.zoneNodes("za")
+	whole := make(map[id.Artifact]int)
+	f.every(300*time.Millisecond, 90*time.Second, func(n int) {
+		f.Call(nodes[n%3], callFor(id.Artifact(fmt.Sprint("m", n/6%3)), n))
+	})
+	f.Run(26 * time.Second)
+	for _, c := range f.Calls {
+		if c.Whole {
+			whole[c.Artifact]++
+		}
+	}
+	for _, a := range []id.Artifact{"m0", "m1", "m2"} {
+		if whole[a] < len(f.Calls)/6 {
+			t.Errorf("%s: %d of about %d calls were answered", a, whole[a], len(f.Calls)/3)
+		}
+	}
+	noFaults(t, f)
+}
+
+// TestStopOfAllWithCallsWaiting: all instances are stopped in the same moment
+// while more calls wait for engines than these take at once. Each owner of a queue
+// sends what waits to the next owner, and there is none. The calls have to be
+// served all the same within the grace time: no planned stop cuts a call.
+func TestStopOfAllWithCallsWaiting(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 92, nil)
+	f.steady(12*time.Second, 50*time.Millisecond)
+	f.Run(10 * time.Second)
+	for _, n := range f.Nodes {
+		n.Stop()
+	}
+	for _, n := range f.Nodes {
+		f.stopped(t, n)
+	}
+	wantWhole(t, f.Calls...)
+	noFaults(t, f)
+}
+
+// TestReleasedEngineIsTaken: an engine moves from one owner to another of its
+// zone, as when instances are replaced one after the other. Between the release
+// and the take nobody can order a load, and callers of cold models wait. It must
+// be taken within a reading of the table or two.
+func TestReleasedEngineIsTaken(t *testing.T) {
+	t.Parallel()
+	const most = 2500 * time.Millisecond
+	f := small(t, 24, nil)
+	released := make(map[string]time.Duration)
+	f.Table.OnCommit = func(_ *Node, writes []table.Write) Fate {
+		for _, w := range writes {
+			body, ok := w.Body.(table.Backend)
+			if !ok {
+				continue
+			}
+			at, was := released[w.Key.ID]
+			if was && body.Owner != "" {
+				if free := f.Now() - at; free > most {
+					t.Errorf("%s belonged to nobody for %s", w.Key.ID, free)
+				}
+				delete(released, w.Key.ID)
+			}
+			if body.Owner == "" {
+				released[w.Key.ID] = f.Now()
+			}
+		}
+		return CarriedOut
+	}
+	f.Run(20 * time.Second)
+	for name, at := range released {
+		t.Errorf("%s was released at %s and not taken", name, at)
+	}
+}
--- a/proving/fleet/scenario.go
+++ b/proving/fleet/scenario.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 )
 
@@ -72,10 +74,23 @@
 		v := r.anyServer(s)
 		r.during(s, func(on bool) { v.LateOrders, v.LateBy = share(s, on), 4*time.Second })
 	}},
-	{"server-leaves", (*Runner).leave},
+	{"server-leaves", func(r *Runner, s Step) { r.takeAway(s, (*Server).Leave) }},
+	{"server-reclaimed", func(r *Runner, s Step) { r.takeAway(s, (*Server).Reclaim) }},
 	{"slow-store", func(r *Runner, s Step) { r.during(s, func(on bool) { r.Store.Slow = 10 * share(s, on) }) }},
 	{"change-rate", (*Runner).changeRate},
 	{"withdraw-key", (*Runner).withdrawKey},
+	{"withdraw-approval", (*Runner).withdrawApproval},
+	{"orders-doubled", func(r *Runner, s Step) {
+		v := r.anyServer(s)
+		r.during(s, func(on bool) { v.DoubleOrders, v.LateBy = share(s, on), 4*time.Second })
+	}},
+	{"kill-zone", func(r *Runner, s Step) { r.bounceZone(s, (*Node).Kill) }},
+	{"stop-zone", func(r *Runner, s Step) { r.bounceZone(s, (*Node).Stop) }},
+	{"pause-zone", func(r *Runner, s Step) {
+		for _, n := range r.zoneNodes(r.zone(s.Which)) {
+			n.Pause(s.For)
+		}
+	}},
 }
 
 func share(s Step, on bool) float64 {
@@ -121,6 +136,25 @@
 	})
 }
 
+// Uniform returns the scenario of that number, with steps and values drawn
+// evenly. Scenarios prefers small values, which shrink well, and so tries few
+// runs with long or strong faults.
+func Uniform(number uint64) Scenario {
+	r := rand.New(rand.NewPCG(number, stepsMost))
+	s := Scenario{Seed: r.Uint64()}
+	for range stepsMost/4 + r.IntN(stepsMost) {
+		s.Steps = append(s.Steps, Step{
+			Kind:  kinds[r.IntN(len(kinds))].name,
+			After: time.Duration(r.IntN(1500)) * time.Millisecond,
+			Which: r.IntN(1000),
+			Other: r.IntN(1000),
+			For:   100*time.Millisecond + time.Duration(r.Int64N(int64(longestFor))),
+			Share: 0.6 * r.Float64(),
+		})
+	}
+	return s
+}
+
 // Runner carries out a Scenario.
 type Runner struct {
 	*Fleet
@@ -135,17 +169,34 @@
 	set := Settings{
 		Seed: s.Seed, Config: SmallConfig(), PerZone: 3, Engines: 2, Services: 1,
 		LeaseTerm: 6 * time.Second, DrainDelay: time.Second, Grace: 10 * time.Second, TokenTime: 10 * time.Millisecond,
+		Replace: time.Second,
+	}
+	s.vary(&set)
+	if change != nil {
+		change(&set)
 	}
+	return &Runner{Fleet: New(set), Done: make(map[string]int)}
+}
+
+// vary makes the fleets of scenarios differ: whether engines check fencing
+// numbers, whether memory is tight, and how many replicas may be decided.
+func (s Scenario) vary(set *Settings) {
+	c := set.Config
 	set.NoFencing = s.Seed%2 == 0
 	if set.NoFencing {
-		g := set.Config.Groups["workers"]
+		g := c.Groups["workers"]
 		g.ChecksFencing = false
-		set.Config.Groups["workers"] = g
+		c.Groups["workers"] = g
 	}
-	if change != nil {
-		change(&set)
+	if s.Seed/2%2 == 1 {
+		set.Engines = 1
+	}
+	if s.Seed/4%2 == 1 {
+		for name, a := range c.Artifacts {
+			a.MaxReplicas = 2
+			c.Artifacts[name] = a
+		}
 	}
-	return &Runner{Fleet: New(set), Done: make(map[string]int)}
 }
 
 // Play carries out the steps, ends all faults, and waits until every call must
@@ -160,6 +211,7 @@
 	r.Heal()
 	r.Run(coolDown)
 	r.checkWell()
+	r.checkOrders()
 	return r.Faults()
 }
 
@@ -194,6 +246,28 @@
 	}
 }
 
+// checkOrders: after all faults have ended, each order is sent once more. The
+// outcome of one that ran at a service that tells outcomes can be known, so that
+// "unknown" is not true of it; an order of which no record stands runs now.
+func (r *Runner) checkOrders() {
+	runs := make(map[string]int)
+	for _, c := range r.Calls {
+		runs[c.Key] += c.runs
+	}
+	first := len(r.Calls)
+	for number := 1; number <= r.orders; number++ {
+		r.sendOrder(Step{Which: number, For: longestFor}, number)
+	}
+	r.Run(longestFor)
+	for _, c := range r.Calls[first:] {
+		unknown := c.Refusal != nil && c.Refusal.Reason == event.ReasonOutcome
+		known := c.Service == Orders && runs[c.Key] > 0
+		if !c.Whole && (!unknown || known) {
+			r.fault("after all faults ended, order %s of %s, which had run %d times, got %s", c.Key, c.Service, runs[c.Key], c.ending())
+		}
+	}
+}
+
 func (r *Runner) node(s Step) *Node        { return r.Nodes[s.Which%len(r.Nodes)] }
 func (r *Runner) zone(n int) id.Zone       { return r.zones[n%len(r.zones)] }
 func (r *Runner) anyServer(s Step) *Server { return r.Servers[s.Which%len(r.Servers)] }
@@ -261,21 +335,30 @@
 	r.after(s.For, n.Restart)
 }
 
+// bounceZone ends all nodes of a zone and starts them again later.
+func (r *Runner) bounceZone(s Step, end func(*Node)) {
+	for _, n := range r.zoneNodes(r.zone(s.Which)) {
+		end(n)
+		r.after(s.For, n.Restart)
+	}
+}
+
 func (r *Runner) dieAfterRun(s Step) {
 	if v := r.anyServer(s); v.Group.Kind == config.GroupServices {
 		v.DieAfterRun++
 	}
 }
 
-// leave makes an engine leave, as long as each zone keeps one.
-func (r *Runner) leave(s Step) {
+// takeAway makes an engine leave, with or without notice, as long as each zone
+// keeps one.
+func (r *Runner) takeAway(s Step, away func(*Server)) {
 	v := r.anyServer(s)
-	if v.Group.Kind == config.GroupServices || v.leaving {
+	if v.Group.Kind == config.GroupServices || v.leaving || v.removed {
 		return
 	}
 	for _, other := range r.Servers {
-		if other != v && other.Zone == v.Zone && other.Group.Name == v.Group.Name && !other.leaving {
-			v.Leave()
+		if other != v && other.Zone == v.Zone && other.Group.Name == v.Group.Name && !other.leaving && !other.removed {
+			away(v)
 			return
 		}
 	}
@@ -294,6 +377,20 @@
 	r.Publish(c)
 }
 
+// withdrawApproval withdraws the approval of account b for the lookups, and
+// gives it back later.
+func (r *Runner) withdrawApproval(s Step) {
+	c := Clone(r.Config)
+	approval := config.Approval{Account: "b", Service: Lookup}
+	delete(c.Approvals, approval)
+	r.Publish(c)
+	r.after(s.For, func() {
+		c := Clone(r.Config)
+		c.Approvals[approval] = struct{}{}
+		r.Publish(c)
+	})
+}
+
 // withdrawKey withdraws the key of account a, and gives it back later.
 func (r *Runner) withdrawKey(s Step) {
 	key, ok := r.Config.Keys[KeyOf("a")]
--- a/proving/fleet/table.go
+++ b/proving/fleet/table.go
@@ -21,9 +21,30 @@
 	LoseAnswers  float64
 	LoseRequests float64
 
+	// OnCommit, if set, decides what becomes of each transaction as it reaches
+	// the table.
+	OnCommit func(n *Node, writes []table.Write) Fate
+	// IgnoreConditions makes it a broken table that carries out every write.
+	IgnoreConditions bool
+
 	Reads, Writes int
 }
 
+// Fate is what becomes of one transaction.
+type Fate int
+
+// What may become of a transaction.
+const (
+	CarriedOut  Fate = iota
+	AnswerLost       // it takes effect and its answer is lost
+	RequestLost      // it does not take effect, and there is no answer
+)
+
+// String names the fate.
+func (f Fate) String() string {
+	return [...]string{"carried-out", "answer-lost", "request-lost"}[f]
+}
+
 const tableTimeout = 2 * time.Second
 
 func newTable(f *Fleet) *Table {
@@ -34,7 +55,7 @@
 func (t *Table) Heal() { t.Down, t.Slow, t.LoseAnswers, t.LoseRequests = false, 0, 0, 0 }
 
 // operation carries out do at the table and answers n.
-func (t *Table) operation(n *Node, op event.Op, do func() (table.Outcome, []table.Row)) {
+func (t *Table) operation(n *Node, op event.Op, fate func() Fate, do func() (table.Outcome, []table.Row)) {
 	f, run := t.fleet, n.ID
 	unknown := func() {
 		n.postTo(run, event.TableResult{Op: op, Outcome: table.Unknown})
@@ -50,12 +71,13 @@
 	}
 	lost := f.random.Float64()
 	f.after(f.jitter(toTable/2)+t.Slow, func() {
-		if t.Down || lost < t.LoseRequests {
+		special := fate()
+		if t.Down || lost < t.LoseRequests || special == RequestLost {
 			f.after(tableTimeout, unknown)
 			return
 		}
 		outcome, rows := do()
-		if lost < t.LoseRequests+t.LoseAnswers {
+		if lost < t.LoseRequests+t.LoseAnswers || special == AnswerLost {
 			f.after(tableTimeout, unknown)
 			return
 		}
@@ -66,7 +88,7 @@
 }
 
 func (t *Table) read(n *Node, e event.TableRead) {
-	t.operation(n, e.Op, func() (table.Outcome, []table.Row) {
+	t.operation(n, e.Op, usual, func() (table.Outcome, []table.Row) {
 		t.Reads += len(e.Keys)
 		var rows []table.Row
 		for _, k := range e.Keys {
@@ -79,7 +101,7 @@
 }
 
 func (t *Table) scan(n *Node, e event.TableScan) {
-	t.operation(n, e.Op, func() (table.Outcome, []table.Row) {
+	t.operation(n, e.Op, usual, func() (table.Outcome, []table.Row) {
 		rows := t.withPrefix(e.Kind, e.Prefix)
 		t.Reads += len(rows)
 		return table.Done, rows
@@ -99,14 +121,23 @@
 
 func (t *Table) commit(n *Node, e event.TableCommit) {
 	writes := slices.Clone(e.Writes)
-	t.operation(n, e.Op, func() (table.Outcome, []table.Row) { return t.apply(writes), nil })
+	fate := func() Fate {
+		if t.OnCommit == nil {
+			return CarriedOut
+		}
+		return t.OnCommit(n, writes)
+	}
+	t.operation(n, e.Op, fate, func() (table.Outcome, []table.Row) { return t.apply(writes), nil })
 }
 
+// usual is the fate of an operation that no test looks at.
+func usual() Fate { return CarriedOut }
+
 // apply carries out a transaction: all of it or nothing.
 func (t *Table) apply(writes []table.Write) table.Outcome {
 	t.Writes += len(writes)
 	for _, w := range writes {
-		if t.rows[w.Key].Version != w.Expect {
+		if !t.IgnoreConditions && t.rows[w.Key].Version != w.Expect {
 			return table.Conflict
 		}
 	}
@@ -116,7 +147,7 @@
 		case w.Delete:
 			delete(t.rows, w.Key)
 		default:
-			t.rows[w.Key] = table.Row{Key: w.Key, Version: w.Expect + 1, Body: w.Body}
+			t.rows[w.Key] = table.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Body: w.Body}
 		}
 	}
 	return table.Done
