Evict what has been idle longest

Cause: under pressure, eviction by expected loss took the replica of a burst whose next calls were on their way. Change: EvictOldest over the histogram's keep times; the histogram keeps its own order, and its test, for whoever measures again.

--- a/core/process/placement/placement.go
+++ b/core/process/placement/placement.go
@@ -32,7 +32,8 @@
 type Settings struct {
 	Instance id.Instance
 	Zone     id.Zone
-	// Policy decides how long idle artifacts stay; default keepalive.Histogram.
+	// Policy decides how long idle artifacts stay; default
+	// keepalive.EvictOldest over keepalive.Histogram.
 	Policy keepalive.Policy
 	// ReportEvery is how often an owner reads an engine's report; 500 ms.
 	ReportEvery time.Duration
@@ -71,7 +72,7 @@
 		s.StandbyShare = 0.5
 	}
 	if s.Policy == nil {
-		s.Policy = keepalive.NewHistogram(keepalive.Settings{})
+		s.Policy = keepalive.EvictOldest{Policy: keepalive.NewHistogram(keepalive.Settings{})}
 	}
 	return s
 }
