--- a/oleander/process/dev/dev.go
+++ b/oleander/process/dev/dev.go
@@ -42,6 +42,7 @@
 	Verbose   bool          `help:"Show the instances' logs." env:"OLEANDER_DEV_VERBOSE"`
 
 	Out io.Writer `kong:"-"` // where the addresses and the key are printed; standard output if nil
+	Log io.Writer `kong:"-"` // where the instances log, at debug level; nil: to standard error if Verbose
 }
 
 //go:embed dev.yaml
@@ -209,11 +210,7 @@
 	if err := s.Validate(); err != nil {
 		return err
 	}
-	log := zerolog.Nop()
-	if d.settings.Verbose {
-		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
-	}
-	i, err := daemon.New(s, log)
+	i, err := daemon.New(s, d.logger())
 	if err != nil {
 		return err
 	}
@@ -232,6 +229,16 @@
 	return nil
 }
 
+func (d *Deployment) logger() zerolog.Logger {
+	switch {
+	case d.settings.Log != nil:
+		return zerolog.New(zerolog.SyncWriter(d.settings.Log)).With().Timestamp().Logger()
+	case d.settings.Verbose:
+		return zerolog.New(os.Stderr).With().Timestamp().Logger()
+	}
+	return zerolog.Nop()
+}
+
 func (d *Deployment) instanceSettings(name string, z id.Zone, port int) daemon.Settings {
 	at := func(offset int) string { return net.JoinHostPort(loopback, strconv.Itoa(port+offset)) }
 	return daemon.Settings{
--- a/oleander/request/front/front_test.go
+++ b/oleander/request/front/front_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -338,3 +339,56 @@
 		t.Errorf("the service did not get the idempotency key: %v", headers["/new/7"])
 	}
 }
+
+// TestConnectionsAreBounded: one caller opens more connections than an instance
+// takes. Those beyond wait until one of the others is closed, in place of using
+// up the instance's memory; then they are served.
+func TestConnectionsAreBounded(t *testing.T) {
+	s, _ := setup(t, false)
+	settings := DefaultSettings()
+	settings.MaxConnections = 2
+	f := New(settings, s, upstream.New(), func() *config.Config { return nil }, nil, zerolog.Nop())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = f.Serve(l) }()
+	defer f.Server().Close()
+	first, second, third := request(t, l.Addr()), request(t, l.Addr()), request(t, l.Addr())
+	if status(t, first) != 404 || status(t, second) != 404 {
+		t.Error("the first connections were not served")
+	}
+	_ = third.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	if n, err := third.Read(make([]byte, 1)); err == nil {
+		t.Errorf("the third connection got %d bytes while two are open", n)
+	}
+	_ = first.Close()
+	_ = third.SetReadDeadline(time.Now().Add(30 * time.Second))
+	if status(t, third) != 404 {
+		t.Error("the third connection was not served after the first had closed")
+	}
+}
+
+// request opens a connection and asks for a path that is not there.
+func request(t *testing.T, to net.Addr) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func status(t *testing.T, c net.Conn) int {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/proving/callers/callers_test.go
+++ b/proving/callers/callers_test.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,7 +9,9 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +19,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"oleanderdale.org/oleander/process/dev"
+	"oleanderdale.org/oleander/version/apikey"
 )
 
 // The ports that are tried for the deployment.
@@ -25,7 +29,28 @@
 	portStep  = 100
 )
 
-var deployment *dev.Deployment
+var (
+	deployment *dev.Deployment
+	logged     buffer // all that the instances log
+)
+
+// buffer is a bytes.Buffer that several instances may write to.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
 
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
@@ -33,7 +58,7 @@
 
 func run(m *testing.M) int {
 	for port := firstPort; port < lastPort; port += portStep {
-		d, err := dev.Start(context.Background(), dev.Settings{Port: port, Instances: 1, Engines: 2, TokenTime: time.Millisecond})
+		d, err := dev.Start(context.Background(), dev.Settings{Port: port, Instances: 1, Engines: 2, TokenTime: time.Millisecond, Log: &logged})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			continue
@@ -332,3 +357,37 @@
 		t.Errorf("the order ran %d times", runs)
 	}
 }
+
+// logLine is how each line of a log begins its message: with the part that
+// speaks.
+var logLine = regexp.MustCompile(`"message":"(daemon|front|peer|loop): `)
+
+// TestLogsHoldNoSecrets: calls that are answered, refused and broken in every
+// way leave lines in the logs. None of them holds a key, a digest of one, or the
+// text of a prompt; each begins with the part that speaks.
+func TestLogsHoldNoSecrets(t *testing.T) {
+	const prompt = "the-door-of-ward-9-does-not-close"
+	for _, body := range []string{
+		`{"model":"fault-summary","max_tokens":2,"messages":[{"role":"user","content":"` + prompt + `"}]}`,
+		`{"model":"no-such","messages":[{"role":"user","content":"` + prompt + `"}]}`,
+		`{"model":"` + prompt,
+	} {
+		resp := send(t, 0, badCall{method: "POST", path: "/v1/chat/completions", body: body})
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	text := logged.String()
+	if text == "" {
+		t.Fatal("nothing was logged")
+	}
+	for _, secret := range []string{deployment.Key, string(apikey.Digest(deployment.Key)), prompt, "door 7 jams"} {
+		if strings.Contains(text, secret) {
+			t.Errorf("the logs hold %q", secret)
+		}
+	}
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		if !logLine.MatchString(line) {
+			t.Errorf("no part is named in %s", line)
+		}
+	}
+}
