Learn load times without pauses, and ask a zone again whose server just broke

Cause 1: the time of a pause counted as the time of a load. What is learned is bounded by what the weight store's accounting already takes for stuck. Cause 2: "no server" struck the zone off a call's list for good. A call that has run asks the zone again in the next round; others hear at once. Ruled out: longer waits for all, which would hold back refusals that are due.

--- a/core/process/placement/estimate.go
+++ b/core/process/placement/estimate.go
@@ -47,7 +47,12 @@
 		return
 	}
 	part := p.times.part(w.level)
-	*part += newWeight * (float64(now.Sub(w.sentAt))/float64(c.LoadTime) - *part)
+	took := now.Sub(w.sentAt)
+	// The end of a load is seen by a process that may have been frozen, or late
+	// by a report. Learned as it is, that would have calls for cold models refused
+	// that there is time for.
+	took = min(took, slowLoad*max(c.LoadTime, time.Second))
+	*part += newWeight * (float64(took)/float64(max(c.LoadTime, time.Second)) - *part)
 	w.sentAt = 0
 }
 
--- a/core/request/turn/choose.go
+++ b/core/request/turn/choose.go
@@ -107,10 +107,11 @@
 	t.times.Drop(r)
 }
 
-// late reports whether a zone refused it for lack of time, and none has taken
-// it in since.
+// late reports whether a zone refused it, and none has taken it in since. One
+// that has run is refused only for lack of time: that it found no server may
+// mean that its server has just broken, and is back in a moment.
 func (c *call) late() bool {
-	return c.refusal != nil && c.refusal.Reason == event.ReasonDeadline
+	return c.refusal != nil && (c.refusal.Reason == event.ReasonDeadline || !c.ask.Ran)
 }
 
 // keep remembers the refusal of one zone until all have been asked; that of a
--- a/core/request/turn/turn.go
+++ b/core/request/turn/turn.go
@@ -288,7 +288,13 @@
 	case queue.ReasonDeadline, queue.ReasonNoServer:
 		// Another zone may have it loaded, or have a server at all.
 		c.keep(refusal(r, m.RetryAfter))
-		c.zones = slices.Delete(c.zones, c.at, c.at+1)
+		if r == queue.ReasonNoServer && c.ask.Ran {
+			// Its server has just broken, and is back in a moment: the zone is
+			// asked again in the next round.
+			c.at++
+		} else {
+			c.zones = slices.Delete(c.zones, c.at, c.at+1)
+		}
 		c.tried = nil
 		t.askNext(now, c, out)
 	default:
--- a/proving/fleet/regress_test.go
+++ b/proving/fleet/regress_test.go
@@ -200,7 +200,8 @@
 		number int
 		cause  string
 	}{
-		{200270, "the time of a pause was learned as the time of loads"},
+		{200270, "a turn of an instance that died while it was leaving stayed in use"},
+		{301900, "a turn of an instance that died while it was leaving stayed in use"},
 		{201583, "the time of a pause was learned as the time of loads"},
 	}
 	for _, test := range tests {
