--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -75,7 +75,6 @@
 	effects  []event.Effect // of the event that is being handled
 	cfg      *config.Config
 	flights  map[id.Request]*flight
-	running  map[id.Backend]int         // attempts of this instance on a server
 	zones    map[id.Group][]id.Zone     // that have servers of a group; see servers.Zones
 	live     []id.Instance              // as last seen
 	askers   map[id.Instance]clock.Time // of turns here: when last heard
@@ -94,7 +93,7 @@
 func New(s Settings, check *invariant.Checker) *Instance {
 	i := &Instance{
 		set: s, check: check,
-		flights: make(map[id.Request]*flight), running: make(map[id.Backend]int), zones: make(map[id.Group][]id.Zone),
+		flights: make(map[id.Request]*flight), zones: make(map[id.Group][]id.Zone),
 		taken: make(map[handoverKey]bool), askers: make(map[id.Instance]clock.Time),
 	}
 	i.members = member.New(member.Settings{Instance: s.Instance, Zone: s.Zone, Address: s.Address}, check)
