--- /dev/null
+++ b/core/instance/recheck_test.go
@@ -0,0 +1,139 @@
+package instance
+
+import (
+	"testing"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/id"
+)
+
+const (
+	testKey    = id.Digest("digest")
+	testLong   = clock.Time(1 << 40)
+	testModel  = id.Artifact("m")
+	testClient = id.Account("a")
+)
+
+// permitted returns a configuration in which the test's account may call its
+// model with its key.
+func permitted() *config.Config {
+	return &config.Config{
+		Version:   2,
+		Artifacts: map[id.Artifact]config.Artifact{testModel: {Name: testModel}},
+		Accounts:  map[id.Account]config.Account{testClient: {Name: testClient}},
+		Keys:      map[id.Digest]config.Key{testKey: {Digest: testKey, Account: testClient}},
+		Approvals: map[config.Approval]struct{}{{Account: testClient, Model: testModel}: {}},
+	}
+}
+
+func withoutKey() *config.Config {
+	c := permitted()
+	c.Keys = nil
+	return c
+}
+
+func withoutApproval() *config.Config {
+	c := permitted()
+	c.Approvals = nil
+	return c
+}
+
+func withKeyOfAnother() *config.Config {
+	c := permitted()
+	c.Keys = map[id.Digest]config.Key{testKey: {Digest: testKey, Account: "b"}}
+	return c
+}
+
+func openFlight(i *Instance, s stage) *flight {
+	f := &flight{
+		call:    event.Call{Request: "r", KeyDigest: testKey, Artifact: testModel, Deadline: testLong},
+		account: testClient, stage: s, attempt: "r/1",
+	}
+	i.flights["r"] = f
+	return f
+}
+
+// sole returns the one effect of an instance, nil if there is none.
+func sole(t *testing.T, i *Instance) event.Effect {
+	t.Helper()
+	switch len(i.effects) {
+	case 0:
+		return nil
+	case 1:
+		return i.effects[0]
+	}
+	t.Fatalf("effects %+v, want one", i.effects)
+	return nil
+}
+
+// TestWithdrawnBeforeTheSend: a call has its turn, and in that moment its key or
+// approval is gone, its key belongs to another account, or its deadline has
+// passed. It must not reach a backend server, and its caller hears that it was
+// not run.
+func TestWithdrawnBeforeTheSend(t *testing.T) {
+	for name, c := range map[string]struct {
+		cfg    *config.Config
+		now    clock.Time
+		reason event.Reason
+	}{
+		"key withdrawn":      {withoutKey(), 1, event.ReasonKey},
+		"key given away":     {withKeyOfAnother(), 1, event.ReasonKey},
+		"approval withdrawn": {withoutApproval(), 1, event.ReasonApproval},
+		"deadline passed":    {permitted(), testLong, event.ReasonDeadline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := testInstance(nil)
+			i.cfg = c.cfg
+			i.dispatch(c.now, openFlight(i, atTurn))
+			r, ok := sole(t, i).(event.Refuse)
+			if !ok || r.Refusal.Reason != c.reason || r.Refusal.Ran != event.NotRun {
+				t.Errorf("got %+v, want a refusal for %s, not run", i.effects, c.reason)
+			}
+		})
+	}
+	i := testInstance(nil)
+	i.cfg = permitted()
+	i.dispatch(1, openFlight(i, atTurn))
+	if _, ok := sole(t, i).(event.Dispatch); !ok {
+		t.Errorf("nothing was withdrawn, and got %+v", i.effects)
+	}
+}
+
+// TestWithdrawnMeanwhile: a new configuration withdraws a key. What waits is
+// refused at once as not run; a stream is ended with an error that does not claim
+// so; an order that was sent runs to its end, as breaking it off would only lose
+// its outcome.
+func TestWithdrawnMeanwhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		stage stage
+		once  bool
+		ran   bool
+		check func(e event.Effect) bool
+	}{
+		"waits for tokens": {stage: atRate, check: refusedNotRun},
+		"waits for a turn": {stage: atTurn, check: refusedNotRun},
+		"streams": {stage: atServer, check: func(e event.Effect) bool {
+			x, ok := e.(event.Cancel)
+			return ok && x.Attempt == "r/1" && x.Refusal.Ran == event.RanUnknown && x.Refusal.Reason == event.ReasonKey
+		}},
+		"order sent":                      {stage: atServer, once: true, check: func(e event.Effect) bool { return e == nil }},
+		"order run, outcome being stored": {stage: atOnce, once: true, ran: true, check: func(e event.Effect) bool { return e == nil }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := testInstance(nil)
+			f := openFlight(i, c.stage)
+			f.once, f.ran = c.once, c.ran
+			i.inForce(1, withoutKey())
+			if e := sole(t, i); !c.check(e) {
+				t.Errorf("got %+v", e)
+			}
+		})
+	}
+}
+
+func refusedNotRun(e event.Effect) bool {
+	r, ok := e.(event.Refuse)
+	return ok && r.Refusal.Ran == event.NotRun && r.Refusal.Reason == event.ReasonKey
+}
