--- a/proving/processes/cluster.go
+++ b/proving/processes/cluster.go
@@ -123,9 +123,6 @@
 	})
 }
 
-// TableURL returns the URL of the table service stand-in.
-func (c *Cluster) TableURL() string { return c.urls["table"] }
-
 // prepare makes the certificates and a key, and applies the configuration.
 func (c *Cluster) prepare(ctx context.Context, config string) error {
 	if _, err := c.Oleander(ctx, "tls", "new", c.Dir); err != nil {
@@ -275,8 +272,23 @@
 // Resume ends a Pause.
 func (e *Entry) Resume() error { return e.proc.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Ended reports whether the process has ended by itself.
+func (e *Entry) Ended() bool {
+	select {
+	case <-e.proc.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// readyTimeout is when an instance that says nothing counts as not ready.
+const readyTimeout = time.Second
+
 // Ready reports whether the instance says that it takes calls.
 func (e *Entry) Ready(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin+"/readyz", nil)
 	if err != nil {
 		return false
--- a/proving/processes/processes_test.go
+++ b/proving/processes/processes_test.go
@@ -61,6 +61,7 @@
 	})
 	t.Run("planned stops of all instances cut nothing", func(t *testing.T) { replaceAll(t, c) })
 	t.Run("a killed instance leaves no call without an end", func(t *testing.T) { killOne(t, c) })
+	t.Run("a frozen instance does nothing twice when it resumes", func(t *testing.T) { freezeOne(t, c) })
 	checkBackends(t, c)
 }
 
@@ -140,6 +141,55 @@
 	})
 }
 
+// freezeOne: one instance is frozen under load for longer than its lease lasts,
+// while others of its zone take over what it owned. Its own callers wait. When
+// it resumes it must not act on what it owned: no order runs twice, no server is
+// ordered into memory that is taken. Having lost its session it may end by
+// itself, as a planned stop; the platform starts it again.
+func freezeOne(t *testing.T, c *Cluster) {
+	ctx := context.Background()
+	l, stop := underLoad(c)
+	defer stop()
+	time.Sleep(time.Second)
+	victim := c.Entries[7]
+	if err := victim.Pause(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(frozenFor)
+	if err := victim.Resume(); err != nil {
+		t.Fatal(err)
+	}
+	// For a moment it may still say that it takes calls: it learns from the
+	// table that its session has ended.
+	for end := time.Now().Add(settleFor); !victim.Ended() && time.Now().Before(end); {
+		time.Sleep(pollEvery)
+	}
+	if victim.Ended() {
+		t.Log("the instance had lost its session and ended by itself")
+		if err := c.StartEntry(victim); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := victim.AwaitReady(ctx); err != nil {
+		t.Error(err)
+	}
+	stop()
+	report(t, l)
+	for _, cut := range l.Cuts() {
+		if !strings.HasPrefix(cut, victim.Name+" ") {
+			t.Error("cut:", cut)
+		}
+	}
+	checkRuns(t, c)
+}
+
+// frozenFor is longer than the lease and the margin that a taker waits.
+const frozenFor = 12 * time.Second
+
+// settleFor is enough for a resumed instance to learn that it lost its session,
+// and to end its calls.
+const settleFor = 15 * time.Second
+
 func report(t *testing.T, l *Load) {
 	t.Helper()
 	t.Logf("%d streams, %d orders, %d refused %v, %d cut", l.Streams.Load(), l.Orders.Load(), l.Refused.Load(), l.RefusedFor(), len(l.Cuts()))
