--- a/proving/fleet/stop_test.go
+++ b/proving/fleet/stop_test.go
@@ -210,3 +210,23 @@
 		t.Error("a kill cut no call: the tests above show nothing")
 	}
 }
+
+// TestCallsBeforeTheBalancerSees: an instance is told to stop. For a moment the
+// balancer, which looks at it now and then, still sends it calls. They are
+// answered as any others; only one that comes long after is refused, as not run
+// and with a time to come back.
+func TestCallsBeforeTheBalancerSees(t *testing.T) {
+	t.Parallel()
+	f := ready(t, 93, nil)
+	n := f.Nodes[0]
+	n.Stop()
+	f.Run(f.DrainDelay / 2)
+	early := f.Call(n, Spec{Account: "a", Service: Lookup, Within: 5 * time.Second, Body: "early"})
+	long := f.Call(n, model("", "long"))
+	f.Run(f.DrainDelay)
+	late := f.Call(n, Spec{Account: "a", Service: Lookup, Within: 5 * time.Second, Body: "late"})
+	f.stopped(t, n)
+	wantWhole(t, early, long)
+	wantRefused(t, late, event.ReasonStopping, event.NotRun)
+	noFaults(t, f)
+}
