Measure against first come, first served and a random replica

Both are settings of the queue that only the measurement sets; the picker of replicas can be given from outside. The shipped policy is unchanged.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -42,6 +42,8 @@
 
 	// Placement tunes the loads and unloads; its names are filled in.
 	Placement placement.Settings
+	// Queue tunes the queues; its names are filled in.
+	Queue queue.Settings
 }
 
 const (
@@ -106,7 +108,9 @@
 	p := s.Placement
 	p.Instance, p.Zone = s.Instance, s.Zone
 	i.places = placement.New(p, i.lease, i.members, check)
-	i.queue = queue.New(queue.Settings{Instance: s.Instance, Zone: s.Zone}, i.members, &servers{i}, check)
+	q := s.Queue
+	q.Instance, q.Zone = s.Instance, s.Zone
+	i.queue = queue.New(q, i.members, &servers{i}, check)
 	i.turns = turn.New(turn.Settings{}, i.members, &servers{i}, check)
 	i.once = once.New(once.Settings{}, i.members, check)
 	i.suspects = suspect.New(suspect.Settings{}, i.members, check)
--- a/core/request/queue/ask.go
+++ b/core/request/queue/ask.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
@@ -38,6 +39,9 @@
 }
 
 func (o *Owner) enter(now clock.Time, from id.Instance, m message.TurnAsk, out *event.Outbox) {
+	if o.set.FirstCome {
+		m.Account, m.Class = "", config.Interactive
+	}
 	e := &entry{ask: m, from: from, level: levelOf(m.Class), deadline: now.Add(m.Within), heard: now, entered: now}
 	e.queue = o.queue(Target{Artifact: m.Artifact, Service: m.Service})
 	if o.draining && !o.lastResort(from) {
--- a/core/request/queue/grant.go
+++ b/core/request/queue/grant.go
@@ -147,7 +147,7 @@
 	if len(cs) == 0 {
 		return false
 	}
-	i := o.picker.Pick(&e.ask, cs)
+	i := o.set.Picker.Pick(&e.ask, cs)
 	if o.hooks.ignoreConcurrency && i < 0 {
 		i = 0
 	}
--- a/core/request/queue/queue.go
+++ b/core/request/queue/queue.go
@@ -63,6 +63,11 @@
 	// MissedFor is how long a request that was refused because its target is
 	// not loaded goes on counting as a demand.
 	MissedFor time.Duration
+	// Picker chooses among the servers; default DefaultPicker().
+	Picker Picker
+	// FirstCome is a baseline for measurements: one line for all accounts and
+	// classes, by arrival.
+	FirstCome bool
 }
 
 func (s Settings) withDefaults() Settings {
@@ -75,6 +80,9 @@
 	s.BrokenHold = cmp.Or(s.BrokenHold, DefaultBrokenHold)
 	s.AloneGap = cmp.Or(s.AloneGap, DefaultAloneGap)
 	s.MissedFor = cmp.Or(s.MissedFor, DefaultMissedFor)
+	if s.Picker == nil {
+		s.Picker = DefaultPicker()
+	}
 	return s
 }
 
@@ -131,8 +139,8 @@
 	set      Settings
 	members  process.Members
 	replicas Replicas
-	picker   Picker
-	check    *invariant.Checker
+
+	check *invariant.Checker
 
 	weights  map[id.Account]float64
 	queues   map[Target]*targetQueue
@@ -163,7 +171,7 @@
 func New(set Settings, members process.Members, replicas Replicas, check *invariant.Checker) *Owner {
 	return &Owner{
 		set: set.withDefaults(), members: members, replicas: replicas, check: check,
-		picker:  DefaultPicker(),
+
 		weights: make(map[id.Account]float64),
 		queues:  make(map[Target]*targetQueue),
 		entries: make(map[id.Request]*entry),
--- a/proving/fleet/fleet.go
+++ b/proving/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"oleanderdale.org/core/invariant"
 	"oleanderdale.org/core/process/keepalive"
 	"oleanderdale.org/core/process/placement"
+	"oleanderdale.org/core/request/queue"
 )
 
 // Settings of a Fleet.
@@ -39,6 +40,7 @@
 	DrainDelay time.Duration
 	Grace      time.Duration
 	Placement  placement.Settings
+	Queue      queue.Settings
 	// Policy, if set, makes the keep-alive policy of each instance.
 	Policy func() keepalive.Policy
 
@@ -216,7 +218,7 @@
 	}
 	return instance.New(instance.Settings{
 		Instance: n.ID, Zone: n.Zone, Address: n.Name,
-		LeaseTerm: f.LeaseTerm, DrainDelay: f.DrainDelay, Grace: f.Grace, Placement: p,
+		LeaseTerm: f.LeaseTerm, DrainDelay: f.DrainDelay, Grace: f.Grace, Placement: p, Queue: f.Queue,
 	}, f.Check)
 }
 
--- a/proving/measure/measure.go
+++ b/proving/measure/measure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 	"oleanderdale.org/core/message"
 	"oleanderdale.org/core/process/keepalive"
 	"oleanderdale.org/core/process/placement"
+	"oleanderdale.org/core/request/queue"
 	"oleanderdale.org/oleander/version/configfile"
 	"oleanderdale.org/proving/fleet"
 )
@@ -30,6 +32,11 @@
 	// Split leaves each instance alone with its equal part of the rates: no
 	// tokens and no rate are lent.
 	Split bool
+	// FirstCome serves requests in the order in which they come, whoever sent
+	// them.
+	FirstCome bool
+	// Random sends each request to any replica that has room.
+	Random bool
 }
 
 // Shipped is the core as it ships.
@@ -38,7 +45,7 @@
 // Result holds the measures of one run.
 type Result struct {
 	Policy    string
-	Split     bool
+	KeepAlive bool // differs from the shipped policy in the keep-alive only, or not at all
 	Calls     int
 	Cold      *hdrhistogram.Histogram // time to the first token of cold calls, in ms
 	All       *hdrhistogram.Histogram // of all calls of models, in ms; refused ones count their whole deadline
@@ -122,6 +129,10 @@
 		TokenTime: time.Duration(w.TokenTime * float64(time.Second)),
 	}
 	set.ZoneInstances = w.PerZone
+	set.Queue.FirstCome = p.FirstCome
+	if p.Random {
+		set.Queue.Picker = randomPicker(seed)
+	}
 	if p.Fixed > 0 {
 		set.Policy = func() keepalive.Policy { return keepalive.Fixed{For: p.Fixed} }
 	}
@@ -129,7 +140,7 @@
 	r := &run{
 		Fleet: fleet.New(set), workload: w, buckets: make(map[id.Account]*bucket),
 		result: &Result{
-			Policy: p.Name, Split: p.Split, Cold: hdrhistogram.New(1, coldMost, digits), All: hdrhistogram.New(1, coldMost, digits), Wrongful: make(map[event.Reason]int),
+			Policy: p.Name, KeepAlive: !p.Split && !p.FirstCome && !p.Random, Cold: hdrhistogram.New(1, coldMost, digits), All: hdrhistogram.New(1, coldMost, digits), Wrongful: make(map[event.Reason]int),
 			Refused: make(map[event.Reason]int), Accounts: make(map[id.Account]*AccountResult),
 		},
 	}
@@ -142,6 +153,21 @@
 	return r
 }
 
+// randomPicker picks any server that may be picked.
+func randomPicker(seed uint64) queue.Picker {
+	c := queue.DefaultPicker()
+	c.Scorers = []queue.Scorer{anyScore{rand.New(rand.NewPCG(seed, seed))}}
+	return c
+}
+
+// anyScore gives each candidate a score at random.
+type anyScore struct{ random *rand.Rand }
+
+// Score implements queue.Scorer.
+func (a anyScore) Score(*message.TurnAsk, *queue.Candidate, []queue.Candidate) float64 {
+	return a.random.Float64()
+}
+
 // isLending reports whether a message belongs to the lending of shares.
 func isLending(m message.Message) bool {
 	switch m.(type) {
--- a/proving/measure/report.go
+++ b/proving/measure/report.go
@@ -33,7 +33,8 @@
 // each account alone, atOnce runs at a time.
 func Make(w *Workload, seed uint64, atOnce int) (*Report, error) {
 	r := &Report{Workload: w, Seed: seed, Alone: make(map[id.Account]*Result)}
-	policies := []Policy{Shipped, {Name: "equal split, nothing lent", Split: true}}
+	policies := []Policy{Shipped, {Name: "equal split, nothing lent", Split: true},
+		{Name: "first come, first served", FirstCome: true}, {Name: "random replica", Random: true}}
 	for _, t := range fixedTimes {
 		policies = append(policies, Policy{Name: "fixed keep-alive " + t.String(), Fixed: t})
 	}
@@ -138,8 +139,8 @@
 	p.Y.Label.Text = "p99 of the time to the first token, all calls, s"
 	p.Add(plotter.NewGrid())
 	for n, run := range r.Runs {
-		if run.Split {
-			continue // differs in the rates only
+		if !run.KeepAlive {
+			continue // the plot is about keep-alive times
 		}
 		at := plotter.XYs{{X: run.IdleHours, Y: seconds(run.All.ValueAtQuantile(99))}}
 		s, err := plotter.NewScatter(at)
