--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -111,23 +111,23 @@
 
 // Tick sends the heartbeats that are due and finds the dead.
 func (m *Membership) Tick(now clock.Time, out *event.Outbox) {
-	m.excusePause(now)
+	m.allowForPause(now)
 	m.ticked, m.tick = true, now
 	if now.Before(m.due) {
 		return
 	}
 	m.due = now.Add(m.set.Period)
-	m.buryDead(now)
+	m.removeDead(now)
 	m.sendHeartbeats(out)
 }
 
 // Next returns when the next heartbeat is due.
 func (m *Membership) Next() clock.Time { return m.due }
 
-// excusePause gives every living peer two periods to be heard again after this
+// allowForPause gives every living peer two periods to be heard again after this
 // instance itself was paused. Without it a resumed instance takes all others
 // for dead and, alone in its view, claims what is theirs.
-func (m *Membership) excusePause(now clock.Time) {
+func (m *Membership) allowForPause(now clock.Time) {
 	if !m.ticked || now.Sub(m.tick) <= 2*m.set.Period {
 		return
 	}
@@ -139,7 +139,7 @@
 	}
 }
 
-func (m *Membership) buryDead(now clock.Time) {
+func (m *Membership) removeDead(now clock.Time) {
 	for name, p := range m.peers {
 		if p.alive && now.Sub(p.heard) >= m.set.DeadAfter {
 			p.alive = false
--- a/core/process/rate/account.go
+++ b/core/process/rate/account.go
@@ -24,13 +24,13 @@
 	taken   float64    // granted and not given back
 
 	// All in a fixed order: sums of floating-point numbers depend on it.
-	pouch  []pouchLoan  // tokens borrowed for what waits, the first to run out first
-	shares []*shareLoan // borrowed rate and burst, by lender
-	lent   []tokenLent  // tokens lent
-	lentTo []*shareLent // rate and burst lent, by borrower
-	draws  []*draw      // sent, by ID
+	borrowed []tokenLoan  // tokens borrowed for what waits, the first to run out first
+	shares   []*shareLoan // borrowed rate and burst, by lender
+	lent     []tokenLent  // tokens lent
+	lentTo   []*shareLent // rate and burst lent, by borrower
+	draws    []*draw      // sent, by ID
 
-	shun   map[id.Instance]clock.Time // holders that did not answer, until
+	avoid  map[id.Instance]clock.Time // holders that did not answer, until
 	noRate map[id.Instance]clock.Time // holders that had no rate to lend, until
 	round  round
 	queue  []waiter
@@ -49,7 +49,7 @@
 		burst:    c.Burst,
 		at:       now,
 		demandAt: now,
-		shun:     make(map[id.Instance]clock.Time),
+		avoid:    make(map[id.Instance]clock.Time),
 		noRate:   make(map[id.Instance]clock.Time),
 		wake:     clock.Never,
 	}
@@ -134,7 +134,7 @@
 	a.shares = slices.DeleteFunc(a.shares, func(s *shareLoan) bool { return t.Reached(s.until) })
 	a.lentTo = slices.DeleteFunc(a.lentTo, func(s *shareLent) bool { return s.runOut(t) })
 	a.lent = slices.DeleteFunc(a.lent, func(l tokenLent) bool { return t.Reached(l.until) })
-	a.pouch = slices.DeleteFunc(a.pouch, func(p pouchLoan) bool { return t.Reached(p.until) })
+	a.borrowed = slices.DeleteFunc(a.borrowed, func(p tokenLoan) bool { return t.Reached(p.until) })
 }
 
 // clip drops what the bucket has no room for.
@@ -145,7 +145,7 @@
 // available returns the tokens that can be spent now.
 func (a *account) available() float64 {
 	t := a.balance
-	for _, p := range a.pouch {
+	for _, p := range a.borrowed {
 		t += p.tokens
 	}
 	return t
--- a/core/process/rate/draw.go
+++ b/core/process/rate/draw.go
@@ -35,7 +35,7 @@
 
 // endHalf ends the first or the second half of a round.
 func (h *Holder) endHalf(now clock.Time, a *account, missing float64, out *event.Outbox) {
-	a.shunSilent(now)
+	a.avoidSilent(now)
 	if !a.round.far {
 		a.round.far = true
 		if h.sendDraws(now, a, missing, out) {
@@ -59,13 +59,13 @@
 	return n
 }
 
-// shunSilent lets the next rounds pass over holders that did not answer, so
+// avoidSilent lets the next rounds pass over holders that did not answer, so
 // that an unreachable zone costs one timeout, not one a round.
-func (a *account) shunSilent(now clock.Time) {
+func (a *account) avoidSilent(now clock.Time) {
 	for _, d := range a.draws {
 		if d.open {
 			d.open = false
-			a.shun[d.to] = now.Add(shunTime)
+			a.avoid[d.to] = now.Add(avoidFor)
 		}
 	}
 }
@@ -84,7 +84,7 @@
 // askable returns up to most of the targets, others each time, without those
 // that did not answer lately.
 func (h *Holder) askable(now clock.Time, a *account, targets []id.Instance, most int) []id.Instance {
-	targets = slices.DeleteFunc(targets, func(i id.Instance) bool { return now.Before(a.shun[i]) })
+	targets = slices.DeleteFunc(targets, func(i id.Instance) bool { return now.Before(a.avoid[i]) })
 	if len(targets) <= most {
 		return targets
 	}
@@ -167,7 +167,7 @@
 	}
 	a.refill(h, now)
 	a.dropDraw(m.ID)
-	delete(a.shun, from)
+	delete(a.avoid, from)
 	if d.want > 0 {
 		h.borrowShare(now, a, from, m, until, out)
 	} else {
@@ -184,6 +184,6 @@
 	if m.Tokens <= 0 {
 		return
 	}
-	a.pouch = append(a.pouch, pouchLoan{from: from, id: m.ID, tokens: m.Tokens, until: until})
-	slices.SortStableFunc(a.pouch, func(p, q pouchLoan) int { return int(p.until.Sub(q.until)) })
+	a.borrowed = append(a.borrowed, tokenLoan{from: from, id: m.ID, tokens: m.Tokens, until: until})
+	slices.SortStableFunc(a.borrowed, func(p, q tokenLoan) int { return int(p.until.Sub(q.until)) })
 }
--- a/core/process/rate/loan.go
+++ b/core/process/rate/loan.go
@@ -15,8 +15,8 @@
 	id uint64
 }
 
-// pouchLoan is tokens borrowed for requests that wait here.
-type pouchLoan struct {
+// tokenLoan is tokens borrowed for requests that wait here.
+type tokenLoan struct {
 	from   id.Instance
 	id     uint64
 	tokens float64
--- a/core/process/rate/serve.go
+++ b/core/process/rate/serve.go
@@ -24,7 +24,7 @@
 	h.grant(now, a, out)
 	if len(a.queue) == 0 {
 		a.round.running, a.round.tries = false, 0
-		h.settlePouch(a, out)
+		h.settleBorrowed(a, out)
 		return
 	}
 	h.drawRound(now, a, out)
@@ -66,8 +66,8 @@
 		return h.check.Hold(false, "rate-overspent", "%s: %g of %g", a.name, tokens, a.available())
 	}
 	left := tokens
-	kept := a.pouch[:0]
-	for _, p := range a.pouch {
+	kept := a.borrowed[:0]
+	for _, p := range a.borrowed {
 		used := min(p.tokens, left)
 		p.tokens -= used
 		left -= used
@@ -77,21 +77,21 @@
 		}
 		out.Send(p.from, message.Settle{ID: p.id, Account: a.name})
 	}
-	a.pouch = kept
+	a.borrowed = kept
 	a.balance = max(0, a.balance-left)
 	a.taken += tokens
 	return a.holdsInvariants(h)
 }
 
-// settlePouch puts borrowed tokens that nobody waits for into the bucket as far
+// settleBorrowed puts borrowed tokens that nobody waits for into the bucket as far
 // as it has room, and returns the rest.
-func (h *Holder) settlePouch(a *account, out *event.Outbox) {
-	for _, p := range a.pouch {
+func (h *Holder) settleBorrowed(a *account, out *event.Outbox) {
+	for _, p := range a.borrowed {
 		kept := max(0, min(p.tokens, a.limits(h, a.at).burst-a.balance))
 		a.balance += kept
 		out.Send(p.from, message.Settle{ID: p.id, Account: a.name, Returned: p.tokens - kept})
 	}
-	a.pouch = nil
+	a.borrowed = nil
 	a.holdsInvariants(h)
 }
 
--- a/core/process/rate/settings.go
+++ b/core/process/rate/settings.go
@@ -42,8 +42,8 @@
 	retryMax = 500 * time.Millisecond
 	// maxParallel bounds the draws of each half of a round.
 	maxParallel = 16
-	// shunTime is how long a holder that left a draw unanswered is not asked.
-	shunTime = time.Second
+	// avoidFor is how long a holder that left a draw unanswered is not asked.
+	avoidFor = time.Second
 	// maxDoublings bounds how often the least time between two rounds doubles.
 	maxDoublings = 5
 	// triesAfterGrant is where the pause between rounds starts again when one
--- a/core/process/rate/share.go
+++ b/core/process/rate/share.go
@@ -44,7 +44,7 @@
 		if missing <= 0 {
 			return
 		}
-		if a.share(to) != nil || a.asksRate(to) || now.Before(a.noRate[to]) || now.Before(a.shun[to]) {
+		if a.share(to) != nil || a.asksRate(to) || now.Before(a.noRate[to]) || now.Before(a.avoid[to]) {
 			continue
 		}
 		want := min(missing, a.rate/h.parts()*float64(h.directory.slotsOf(to)))
