--- a/proving/processes/processes_test.go
+++ b/proving/processes/processes_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -59,12 +60,30 @@
 		}
 		checkRuns(t, c)
 	})
+	t.Run("an apply is confirmed by every zone", func(t *testing.T) { applyChange(t, c) })
 	t.Run("planned stops of all instances cut nothing", func(t *testing.T) { replaceAll(t, c) })
 	t.Run("a killed instance leaves no call without an end", func(t *testing.T) { killOne(t, c) })
 	t.Run("a frozen instance does nothing twice when it resumes", func(t *testing.T) { freezeOne(t, c) })
 	checkBackends(t, c)
 }
 
+// applyChange: an operator changes a rate in a file and applies it while all runs.
+// The command waits until each availability zone has the new version, and says so.
+func applyChange(t *testing.T, c *Cluster) {
+	path := c.configPath()
+	changed := strings.Replace(readFile(path), "rate: 200000", "rate: 210000", 1)
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := c.Apply(context.Background())
+	if err != nil || !strings.Contains(out, "applied as version 2") || !strings.Contains(out, "in force in every availability zone") {
+		t.Errorf("apply printed %q, %v", out, err)
+	}
+	if out, err := c.Apply(context.Background()); err != nil || !strings.Contains(out, "nothing to change") {
+		t.Errorf("the same apply again printed %q, %v", out, err)
+	}
+}
+
 // replaceAll: each instance gets SIGTERM under load and is started again. The
 // callers see no cut call and no refusal: the balancer sees the instance leave
 // before it stops taking calls, and its calls run to their end.
