--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -332,7 +332,7 @@
 // noteLost tells the queues about instances that are gone.
 func (i *Instance) noteLost(now clock.Time) {
 	live := i.members.Live()
-	if same(live, i.live) {
+	if slices.Equal(live, i.live) {
 		return
 	}
 	present := make(map[id.Instance]bool, len(live))
@@ -346,7 +346,7 @@
 			i.queue.Lost(now, was, &i.out)
 		}
 	}
-	i.live = append(i.live[:0:0], live...)
+	i.live = slices.Clone(live)
 }
 
 // silentAsker is how long an instance that asked for turns may be unheard before
@@ -374,18 +374,6 @@
 	}
 }
 
-func same(a, b []id.Instance) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for n := range a {
-		if a[n] != b[n] {
-			return false
-		}
-	}
-	return true
-}
-
 // checkReady tells the program when calls can be taken.
 func (i *Instance) checkReady(now clock.Time) {
 	able := i.lease.Valid(now) && i.rates.Informed()
--- a/core/process/member/member.go
+++ b/core/process/member/member.go
@@ -8,6 +8,7 @@
 package member
 
 import (
+	"cmp"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -42,20 +43,14 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Period, DefaultPeriod)
-	setDefault(&s.DeadAfter, DefaultDeadAfter)
-	setDefault(&s.ForgetAfter, DefaultForgetAfter)
-	setDefault(&s.BackendRetry, DefaultBackendRetry)
-	setDefault(&s.PeersPerZone, DefaultPeersPerZone)
+	s.Period = cmp.Or(s.Period, DefaultPeriod)
+	s.DeadAfter = cmp.Or(s.DeadAfter, DefaultDeadAfter)
+	s.ForgetAfter = cmp.Or(s.ForgetAfter, DefaultForgetAfter)
+	s.BackendRetry = cmp.Or(s.BackendRetry, DefaultBackendRetry)
+	s.PeersPerZone = cmp.Or(s.PeersPerZone, DefaultPeersPerZone)
 	return s
 }
 
-func setDefault[T ~int | ~int64](v *T, value T) {
-	if *v == 0 {
-		*v = value
-	}
-}
-
 // peer is another instance.
 type peer struct {
 	zone     id.Zone
--- a/core/process/rate/settings.go
+++ b/core/process/rate/settings.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"cmp"
 	"time"
 
 	"oleanderdale.org/core/id"
@@ -80,19 +81,13 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.DrawTimeout, DefaultDrawTimeout)
-	setDefault(&s.LoanTerm, DefaultLoanTerm)
-	setDefault(&s.LoanMargin, DefaultLoanMargin)
-	setDefault(&s.ReadEvery, DefaultReadEvery)
-	setDefault(&s.HeldEvery, DefaultHeldEvery)
-	setDefault(&s.ClaimWait, DefaultClaimWait)
-	setDefault(&s.GiveTimeout, DefaultGiveTimeout)
-	setDefault(&s.OpTimeout, DefaultOpTimeout)
+	s.DrawTimeout = cmp.Or(s.DrawTimeout, DefaultDrawTimeout)
+	s.LoanTerm = cmp.Or(s.LoanTerm, DefaultLoanTerm)
+	s.LoanMargin = cmp.Or(s.LoanMargin, DefaultLoanMargin)
+	s.ReadEvery = cmp.Or(s.ReadEvery, DefaultReadEvery)
+	s.HeldEvery = cmp.Or(s.HeldEvery, DefaultHeldEvery)
+	s.ClaimWait = cmp.Or(s.ClaimWait, DefaultClaimWait)
+	s.GiveTimeout = cmp.Or(s.GiveTimeout, DefaultGiveTimeout)
+	s.OpTimeout = cmp.Or(s.OpTimeout, DefaultOpTimeout)
 	return s
 }
-
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/core/process/session/settings.go
+++ b/core/process/session/settings.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"cmp"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -56,19 +57,13 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Term, DefaultTerm)
-	setDefault(&s.RenewEvery, DefaultRenewEvery)
-	setDefault(&s.Margin, DefaultMargin)
-	setDefault(&s.MaxGap, DefaultMaxGap)
+	s.Term = cmp.Or(s.Term, DefaultTerm)
+	s.RenewEvery = cmp.Or(s.RenewEvery, DefaultRenewEvery)
+	s.Margin = cmp.Or(s.Margin, DefaultMargin)
+	s.MaxGap = cmp.Or(s.MaxGap, DefaultMaxGap)
 	return s
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Members is what the lease needs of the membership.
 type Members interface {
 	process.Members
--- a/core/version/follower.go
+++ b/core/version/follower.go
@@ -1,6 +1,7 @@
 package version
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -64,24 +65,17 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Poll, defaultPoll)
-	setDefault(&s.Readers, defaultReaders)
-	setDefault(&s.Retry, defaultRetry)
-	setDefault(&s.TableWait, defaultTableWait)
-	setDefault(&s.Settle, defaultSettle)
-	setDefault(&s.CatchUp, defaultCatchUp)
-	setDefault(&s.Keep, defaultKeep)
-	setDefault(&s.Push, defaultPush)
+	s.Poll = cmp.Or(s.Poll, defaultPoll)
+	s.Readers = cmp.Or(s.Readers, defaultReaders)
+	s.Retry = cmp.Or(s.Retry, defaultRetry)
+	s.TableWait = cmp.Or(s.TableWait, defaultTableWait)
+	s.Settle = cmp.Or(s.Settle, defaultSettle)
+	s.CatchUp = cmp.Or(s.CatchUp, defaultCatchUp)
+	s.Keep = cmp.Or(s.Keep, defaultKeep)
+	s.Push = cmp.Or(s.Push, defaultPush)
 	return s
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Follower keeps the newest configuration of one instance. It implements
 // process.Machine; every method is to be called from one goroutine.
 type Follower struct {
--- a/oleander/connection/upstream/upstream.go
+++ b/oleander/connection/upstream/upstream.go
@@ -24,12 +24,11 @@
 )
 
 const (
-	dialTimeout     = time.Second
-	probeTimeout    = 500 * time.Millisecond
-	idlePerServer   = 64
-	idleTimeout     = 30 * time.Second
-	maxHeaderBytes  = 64 << 10
-	headerTimeLimit = 0 // a cold engine may think for long; the deadline ends it
+	dialTimeout    = time.Second
+	probeTimeout   = 500 * time.Millisecond
+	idlePerServer  = 64
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 64 << 10
 )
 
 // Error says how an attempt failed, and what that means for a repeat.
@@ -54,9 +53,11 @@
 // New returns a Client.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	// No limit on the time to the headers: a cold engine may take long, and the
+	// deadline ends it.
 	shared := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes, ResponseHeaderTimeout: headerTimeLimit, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true,
 	}
 	// net/http repeats a request by itself when a reused connection breaks
 	// and the request looks idempotent; an Idempotency-Key header makes any
