--- /dev/null
+++ b/core/gateway/directory/directory.go
@@ -0,0 +1,296 @@
+// Package directory is what one instance believes about the backend servers:
+// who is there, what each holds, how busy each is and how its answers were.
+// It chooses the server for a request by filter, score and pick.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+// Holding is a model that is resident on a backend server.
+type Holding struct {
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+// Entry is what a backend server says of itself.
+type Entry struct {
+	ID       string
+	Address  string
+	Zone     string
+	Group    string
+	Born     int64 // tells two lives under one id apart
+	Slots    int
+	Draining bool
+	// Remaining is how long a server that is reclaimed still has; 0 if it
+	// does not say.
+	Remaining time.Duration
+	Sequence  int64 // orders accepted in this life
+	Holdings  []Holding
+	InMemory  []string // models of which a copy lies in the server's memory
+	OnDisk    []string
+}
+
+// Holds returns what the entry says of a model.
+func (e *Entry) Holds(model string) (Holding, bool) {
+	for _, h := range e.Holdings {
+		if h.Model == model {
+			return h, true
+		}
+	}
+	return Holding{}, false
+}
+
+const (
+	// failureWeight is the weight of one answer in the rate of failures. About
+	// ten answers tell a server that fails two in five from a sound one.
+	failureWeight = 0.15
+	// failureHigh is the rate from which a server is suspected; a single
+	// failure stays below it.
+	failureHigh = 0.22
+	// failureFactor is how much worse than its group a server must be: when
+	// all fail alike, the cause is the requests, and none is set aside.
+	failureFactor = 2.0
+	// probation is how long a suspected server gets requests only if there is
+	// no other; afterwards its rate starts anew at half of failureHigh.
+	probation = 3 * time.Second
+	// unreachableFor is how long a server is left out that could not be
+	// connected to.
+	unreachableFor = time.Second
+	// staleAfter is when what another instance said of its requests no longer
+	// counts.
+	staleAfter = 1500 * time.Millisecond
+)
+
+// Server is a backend server and what was seen of it.
+type Server struct {
+	Entry
+	own         map[string]int // requests of this instance, by model
+	peers       map[string]peerLoad
+	failures    float64
+	suspected   clock.Time // until when
+	unreachable clock.Time
+	lastUsed    clock.Time
+}
+
+type peerLoad struct {
+	running map[string]int
+	heard   clock.Time
+}
+
+// Running is the number of requests of all instances that run on the server.
+func (s *Server) Running(now clock.Time) int {
+	n := sum(s.own)
+	for _, p := range s.peers {
+		if now.Sub(p.heard) < staleAfter {
+			n += sum(p.running)
+		}
+	}
+	return n
+}
+
+// RunningModel is the number of them that use a model.
+func (s *Server) RunningModel(now clock.Time, model string) int {
+	n := s.own[model]
+	for _, p := range s.peers {
+		if now.Sub(p.heard) < staleAfter {
+			n += p.running[model]
+		}
+	}
+	return n
+}
+
+func sum(counts map[string]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// Directory holds all servers. It is not safe for concurrent use.
+type Directory struct {
+	servers map[string]*Server
+}
+
+// New returns an empty Directory.
+func New() *Directory {
+	return &Directory{servers: make(map[string]*Server)}
+}
+
+// Get returns a server, or nil.
+func (d *Directory) Get(id string) *Server { return d.servers[id] }
+
+// All returns the servers of a group by id.
+func (d *Directory) All(group string) []*Server {
+	var all []*Server
+	for _, s := range d.servers {
+		if s.Group == group {
+			all = append(all, s)
+		}
+	}
+	slices.SortFunc(all, func(a, b *Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Put takes a newer entry. A new life starts with a clean record.
+func (d *Directory) Put(e Entry) {
+	s := d.servers[e.ID]
+	if s == nil || s.Born != e.Born {
+		d.servers[e.ID] = &Server{Entry: e, own: make(map[string]int), peers: make(map[string]peerLoad)}
+		return
+	}
+	if e.Sequence < s.Sequence {
+		e.Sequence, e.Holdings = s.Sequence, s.Holdings
+	}
+	// A leaving server never comes back in the same life.
+	e.Draining = e.Draining || s.Draining
+	s.Entry = e
+}
+
+// Remove drops a server that left.
+func (d *Directory) Remove(id string) { delete(d.servers, id) }
+
+// Keep drops the servers that are not in ids.
+func (d *Directory) Keep(ids map[string]bool) {
+	for id := range d.servers {
+		if !ids[id] {
+			delete(d.servers, id)
+		}
+	}
+}
+
+// SetHoldings takes what the owner of the orders says a server holds, if that
+// is not older than what is known.
+func (d *Directory) SetHoldings(id string, born, sequence int64, holdings []Holding) {
+	s := d.servers[id]
+	if s == nil || s.Born != born || sequence < s.Sequence {
+		return
+	}
+	s.Sequence, s.Holdings = sequence, holdings
+}
+
+// Lacks records that a server refused a request since it does not hold what
+// the request needs.
+func (d *Directory) Lacks(id, model, adapter string) {
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	holdings := slices.Clone(s.Holdings)
+	for i, h := range holdings {
+		if h.Model != model {
+			continue
+		}
+		if adapter == "" {
+			s.Holdings = slices.Delete(holdings, i, i+1)
+			return
+		}
+		h.Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool { return a == adapter })
+		holdings[i] = h
+		s.Holdings = holdings
+		return
+	}
+}
+
+// Started counts a request for a model that was sent to a server.
+func (d *Directory) Started(now clock.Time, id, model string) {
+	if s := d.servers[id]; s != nil {
+		s.own[model]++
+		s.lastUsed = now
+	}
+}
+
+// Outcome says how a request ended, as far as it speaks for or against a
+// server.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered Outcome = iota
+	Failed           // broke off, was spoiled, silent or a failure of the server
+	Neutral          // says nothing of the server: the caller left, or it was full
+)
+
+// Ended counts the end of a request.
+func (d *Directory) Ended(now clock.Time, id, model string, o Outcome) {
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	if s.own[model]--; s.own[model] <= 0 {
+		delete(s.own, model)
+	}
+	switch o {
+	case Answered:
+		s.failures *= 1 - failureWeight
+	case Failed:
+		s.failures += failureWeight * (1 - s.failures)
+		if s.failures > failureHigh && s.failures > failureFactor*d.groupFailures(s) {
+			s.suspected = now.Add(probation)
+			s.failures = failureHigh / 2
+		}
+	}
+}
+
+// groupFailures is the mean rate of failures of the others in the group.
+func (d *Directory) groupFailures(of *Server) float64 {
+	sum, n := 0.0, 0
+	for _, s := range d.servers {
+		if s != of && s.Group == of.Group {
+			sum += s.failures
+			n++
+		}
+	}
+	if n == 0 {
+		return 1 // the only one is never set aside
+	}
+	return sum / float64(n)
+}
+
+// Unreachable records that a server could not be connected to.
+func (d *Directory) Unreachable(now clock.Time, id string) {
+	if s := d.servers[id]; s != nil {
+		s.unreachable = now.Add(unreachableFor)
+	}
+}
+
+// HeardRunning takes how many requests another instance has on each server.
+func (d *Directory) HeardRunning(now clock.Time, peer string, running map[string]map[string]int) {
+	for id, s := range d.servers {
+		if n := running[id]; len(n) > 0 {
+			s.peers[peer] = peerLoad{running: n, heard: now}
+		} else {
+			delete(s.peers, peer)
+		}
+	}
+}
+
+// OwnRunning returns how many requests this instance has on each server.
+func (d *Directory) OwnRunning() map[string]map[string]int {
+	own := make(map[string]map[string]int)
+	for id, s := range d.servers {
+		if len(s.own) > 0 {
+			own[id] = maps.Clone(s.own)
+		}
+	}
+	return own
+}
+
+// Usable reports whether new requests may go to the server at all.
+func (s *Server) Usable(now clock.Time) bool {
+	return !s.Draining && !now.Before(s.unreachable)
+}
+
+// IDs returns the ids of all servers.
+func (d *Directory) IDs() []string { return slices.Sorted(maps.Keys(d.servers)) }
--- /dev/null
+++ b/core/gateway/directory/pick.go
@@ -0,0 +1,139 @@
+package directory
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderdale.org/core/clock"
+)
+
+// Need is what a request needs of a backend server.
+type Need struct {
+	Group   string
+	Model   string // "" for a plain service
+	Adapter string
+	// Affinity is the hash of the prompt parts that requests share. Requests
+	// with equal affinity go to the same server as long as its load allows, so
+	// that its prompt cache is used. 0: none.
+	Affinity uint64
+	Zone     string // of the instance
+	Exclude  map[string]bool
+}
+
+const (
+	// loadSpread and loadSlack bound the load of the server that affinity
+	// chooses: it may have a quarter more than the mean, and a few. More, and
+	// the wait there costs more than reading the shared parts anew.
+	loadSpread = 1.25
+	loadSlack  = 3
+	// remotePenalty is the load that the way to another zone is worth, in
+	// requests. A millisecond is little, but bytes between zones are paid.
+	remotePenalty = 0.6
+	// fullFactor of the slots is what a plain service is given before its
+	// queue counts as full.
+	fullFactor = 2
+)
+
+// Holds reports whether the server has what a request needs.
+func (s *Server) holds(n Need) bool {
+	if n.Model == "" {
+		return true
+	}
+	h, ok := s.Holds(n.Model)
+	if !ok || n.Adapter == "" {
+		return ok
+	}
+	for _, a := range h.Adapters {
+		if a == n.Adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// Candidates returns the servers that can run a request now: those that hold
+// what it needs, without the suspected ones unless there is no other.
+func (d *Directory) Candidates(now clock.Time, n Need) []*Server {
+	var sound, suspected []*Server
+	for _, s := range d.All(n.Group) {
+		if !s.Usable(now) || n.Exclude[s.ID] || !s.holds(n) {
+			continue
+		}
+		if now.Before(s.suspected) {
+			suspected = append(suspected, s)
+		} else {
+			sound = append(sound, s)
+		}
+	}
+	if len(sound) == 0 {
+		return suspected
+	}
+	return sound
+}
+
+// Pick chooses a server, or returns nil if none can run the request. Full says
+// that there are some, but none with room.
+func (d *Directory) Pick(now clock.Time, n Need) (chosen *Server, full bool) {
+	candidates := d.Candidates(now, n)
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	if n.Affinity != 0 {
+		if s := pickAffine(now, candidates, n); s != nil {
+			return s, false
+		}
+	}
+	s := pickLeast(now, candidates, n)
+	if n.Model == "" && s.Slots > 0 && s.Running(now) >= fullFactor*s.Slots {
+		return nil, true
+	}
+	return s, false
+}
+
+// pickAffine returns the first server in the order of the affinity's hash
+// whose load is near the mean.
+func pickAffine(now clock.Time, candidates []*Server, n Need) *Server {
+	total := 0
+	for _, s := range candidates {
+		total += s.Running(now)
+	}
+	bound := loadSpread*float64(total)/float64(len(candidates)) + loadSlack
+	var best *Server
+	var most uint64
+	for _, s := range candidates {
+		if float64(s.Running(now)) > bound {
+			continue
+		}
+		if w := weight(n.Affinity, s.ID); best == nil || w > most {
+			best, most = s, w
+		}
+	}
+	return best
+}
+
+// pickLeast returns the server with the least load, the own zone's first.
+func pickLeast(now clock.Time, candidates []*Server, n Need) *Server {
+	var best *Server
+	var least float64
+	for _, s := range candidates {
+		load := float64(s.Running(now))
+		if s.Zone != n.Zone {
+			load += remotePenalty
+		}
+		if best == nil || load < least || load == least && s.lastUsed < best.lastUsed {
+			best, least = s, load
+		}
+	}
+	return best
+}
+
+func weight(affinity uint64, id string) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], affinity)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
--- /dev/null
+++ b/core/gateway/leader/leader.go
@@ -0,0 +1,246 @@
+// Package leader decides which instance gives orders to the backend servers.
+//
+// One row of the platform's table holds the lease: its holder and a fencing
+// number that grows with each takeover. The holder renews the row all the
+// time; its right ends on its own clock, counted from before the last renewal
+// that succeeded was sent. A candidate reads the row, waits until the row has
+// stood unchanged for longer than the term, and replaces it only if it is
+// still unchanged. So two instances never hold the right at once, whatever
+// their clocks say and however late a write is carried out: a late renewal
+// changes the row's version, and the candidate's conditional write fails.
+//
+// Some backend servers don't check fencing numbers, and an order may be on its
+// way when the right of its sender ends. The new holder therefore gives no
+// order before the quiet time has passed since the old one's last chance.
+package leader
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+// rankDelay is the time by which candidates of one rank are ahead of the next:
+// longer than a read and a write of the row take.
+const rankDelay = 150 * time.Millisecond
+
+// Settings of a Lease.
+type Settings struct {
+	Self string
+	// Term is how long a renewal is good for.
+	Term time.Duration
+	// RenewEvery is the time between renewals.
+	RenewEvery time.Duration
+	// Margin is added to the term by a candidate, for clocks that run apart.
+	Margin time.Duration
+	// Quiet is the time without orders between two holders.
+	Quiet time.Duration
+	// Silence is how long the holder is not heard before a candidate looks at
+	// the row.
+	Silence time.Duration
+}
+
+// Record is the row of the lease.
+type Record struct {
+	Holder      string
+	Incarnation uint64
+	Fencing     int64
+}
+
+// Action is what is to be done with the row.
+type Action int
+
+// The actions.
+const (
+	None  Action = iota
+	Read         // read the row and report it with Seen
+	Write        // replace version Expect of the row by Record, and report with Written
+)
+
+// Step is one action on the row.
+type Step struct {
+	Action Action
+	Record Record
+	Expect int64 // version of the row; 0: it must not exist
+}
+
+// Result says what became of a write.
+type Result int
+
+// The results of a write.
+const (
+	Done     Result = iota
+	Conflict        // the row has another version
+	Unknown         // it may be carried out, now or later
+)
+
+// Lease is the view of one instance. It is not safe for concurrent use.
+type Lease struct {
+	set         Settings
+	incarnation uint64
+
+	busy   bool       // an action is under way
+	sentAt clock.Time // of the action under way
+	next   clock.Time // no action before
+
+	row       Record
+	version   int64
+	firstSeen clock.Time // of version
+	seen      bool
+
+	heldUntil  clock.Time // own right
+	ordersFrom clock.Time // no order before
+	holding    bool
+
+	heard   clock.Time // a message of the holder
+	resting bool       // gave the lease up; does not want it
+}
+
+// New returns the Lease of an instance that has seen nothing.
+func New(s Settings, incarnation uint64, now clock.Time) *Lease {
+	return &Lease{set: s, incarnation: incarnation, heard: now.Add(-s.Silence)}
+}
+
+// Holds reports whether the right is this instance's at now.
+func (l *Lease) Holds(now clock.Time) bool { return l.holding && now.Before(l.heldUntil) }
+
+// MayOrder reports whether an order may be sent at now.
+func (l *Lease) MayOrder(now clock.Time) bool {
+	return l.Holds(now) && now.Reached(l.ordersFrom)
+}
+
+// Fencing returns the number that the orders of this holder carry.
+func (l *Lease) Fencing() int64 { return l.row.Fencing }
+
+// HeldUntil returns when the right ends unless it is renewed.
+func (l *Lease) HeldUntil() clock.Time { return l.heldUntil }
+
+// HeardHolder records a message of an instance that holds the lease under a
+// fencing number.
+func (l *Lease) HeardHolder(now clock.Time, fencing int64) {
+	if fencing >= l.row.Fencing {
+		l.heard = now
+	}
+}
+
+// Next returns the next action, if one is due. rank orders the candidates: one
+// of a higher rank waits longer, so that one of them takes over and the others
+// hear of it.
+func (l *Lease) Next(now clock.Time, rank int) Step {
+	switch {
+	case l.busy || now.Before(l.next) || l.resting:
+		return Step{}
+	case !l.holding && !l.wanted(now, rank):
+		l.seen = false
+		return Step{}
+	case !l.seen:
+		return l.begin(now, Step{Action: Read})
+	case l.holding:
+		return l.begin(now, Step{Action: Write, Expect: l.version, Record: l.row})
+	case l.version == 0 || l.own() || l.row.Holder == "" || now.Sub(l.firstSeen) > l.set.Term+l.set.Margin:
+		return l.begin(now, Step{Action: Write, Expect: l.version, Record: Record{
+			Holder: l.set.Self, Incarnation: l.incarnation, Fencing: l.row.Fencing + 1,
+		}})
+	}
+	return Step{}
+}
+
+// wanted reports whether a candidate should look at the row.
+func (l *Lease) wanted(now clock.Time, rank int) bool {
+	return now.Sub(l.heard) >= l.set.Silence+time.Duration(rank)*rankDelay
+}
+
+// own reports whether the row names this incarnation as the holder.
+func (l *Lease) own() bool {
+	return l.version != 0 && l.row.Holder == l.set.Self && l.row.Incarnation == l.incarnation
+}
+
+func (l *Lease) begin(now clock.Time, s Step) Step {
+	l.busy, l.sentAt = true, now
+	return s
+}
+
+// Seen takes the row as read; version 0 says that there is none. ok is false
+// if it could not be read.
+func (l *Lease) Seen(now clock.Time, r Record, version int64, ok bool) {
+	l.busy, l.next = false, now.Add(l.set.RenewEvery)
+	if !ok {
+		return
+	}
+	if version != l.version || l.firstSeen == 0 {
+		l.firstSeen, l.version, l.row = now, version, r
+	}
+	l.seen = true
+	switch {
+	case l.own() || version == 0 || r.Holder == "":
+		l.next = now
+	case l.holding:
+		l.lose()
+	default:
+		l.next = l.firstSeen.Add(l.set.Term + l.set.Margin)
+	}
+}
+
+// Written takes the result of a write; version is the row's new version.
+func (l *Lease) Written(now clock.Time, s Step, res Result, version int64) {
+	l.busy, l.next = false, now.Add(l.set.RenewEvery)
+	switch res {
+	case Done:
+		l.written(now, s, version)
+	case Conflict:
+		// An earlier write of ours was carried out after all, or somebody
+		// took over, which they can only after our right has ended. The row
+		// tells; until then the right holds to its end.
+		l.seen, l.next = false, now
+	case Unknown:
+		l.seen, l.next = false, now.Add(l.set.RenewEvery/2)
+	}
+}
+
+func (l *Lease) written(now clock.Time, s Step, version int64) {
+	if !l.holding {
+		l.holding, l.ordersFrom = true, now
+		// If the row was ours all the time, nobody else held the right since.
+		switch {
+		case s.Expect == 0 || l.own():
+		case l.row.Holder == "": // released before it was seen
+			l.ordersFrom = l.firstSeen.Add(l.set.Quiet)
+		default:
+			l.ordersFrom = l.firstSeen.Add(l.set.Term + l.set.Quiet)
+		}
+	}
+	l.row, l.version, l.seen, l.firstSeen = s.Record, version, true, now
+	l.heldUntil = l.sentAt.Add(l.set.Term)
+}
+
+func (l *Lease) lose() {
+	l.holding = false
+	l.heldUntil = 0
+}
+
+// Lapsed ends a right that ran out. It reports whether that happened now.
+func (l *Lease) Lapsed(now clock.Time) bool {
+	if !l.holding || now.Before(l.heldUntil) {
+		return false
+	}
+	l.lose()
+	l.seen = false
+	l.heard = now.Add(-l.set.Silence)
+	return true
+}
+
+// Release gives the right up for good, before a planned stop. The step, if it
+// is not empty, tells the others so in the row; they need not wait for the
+// term to pass.
+func (l *Lease) Release(now clock.Time) Step {
+	held := l.Holds(now) && !l.busy
+	l.resting = true
+	l.lose()
+	if !held {
+		return Step{}
+	}
+	return Step{Action: Write, Expect: l.version, Record: Record{Fencing: l.row.Fencing}}
+}
+
+// HolderLeft records that the holder said it stops.
+func (l *Lease) HolderLeft(now clock.Time) { l.heard = now.Add(-l.set.Silence) }
--- /dev/null
+++ b/core/gateway/members/members.go
@@ -0,0 +1,96 @@
+// Package members keeps which other instances there are, from the rows that
+// each writes at its start and from their messages.
+package members
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const (
+	// heardWithin is how long an instance counts as heard: five of its
+	// messages may be lost.
+	heardWithin = time.Second
+	// forgetAfter is when a silent instance is no longer written to. A zone
+	// that is cut off for longer is found again through the rows.
+	forgetAfter = 45 * time.Second
+)
+
+// Member is another instance.
+type Member struct {
+	Name        string
+	Address     string
+	Zone        string
+	Incarnation uint64
+	Heard       clock.Time // 0: never
+	known       clock.Time
+}
+
+// Set is the set of the other instances. It is not safe for concurrent use.
+type Set struct {
+	self    string
+	members map[string]*Member
+}
+
+// New returns the set of an instance that knows no other.
+func New(self string) *Set { return &Set{self: self, members: make(map[string]*Member)} }
+
+// Listed takes an instance from its row.
+func (s *Set) Listed(now clock.Time, name, address, zone string) {
+	if name == s.self {
+		return
+	}
+	m := s.members[name]
+	if m == nil {
+		s.members[name] = &Member{Name: name, Address: address, Zone: zone, known: now}
+		return
+	}
+	// What it says itself goes before its row.
+	if now.Sub(m.Heard) > heardWithin && m.Address != address {
+		m.Address, m.known = address, now
+	}
+}
+
+// Heard takes a message. It reports whether the instance has started anew.
+func (s *Set) Heard(now clock.Time, name, address, zone string, incarnation uint64) (restarted bool) {
+	if name == s.self {
+		return false
+	}
+	m := s.members[name]
+	if m == nil {
+		m = &Member{Name: name}
+		s.members[name] = m
+	}
+	restarted = m.Incarnation != 0 && m.Incarnation != incarnation
+	m.Address, m.Zone, m.Incarnation, m.Heard, m.known = address, zone, incarnation, now, now
+	return restarted
+}
+
+// Left drops an instance that said that it stops.
+func (s *Set) Left(name string) { delete(s.members, name) }
+
+// All returns the instances that are written to, by name.
+func (s *Set) All(now clock.Time) []*Member {
+	var all []*Member
+	for name, m := range s.members {
+		if now.Sub(m.known) > forgetAfter {
+			delete(s.members, name)
+			continue
+		}
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b *Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Get returns an instance, or nil.
+func (s *Set) Get(name string) *Member { return s.members[name] }
+
+// Live reports whether an instance was heard of late.
+func (m *Member) Live(now clock.Time) bool { return m.Heard != 0 && now.Sub(m.Heard) <= heardWithin }
+
+// Count returns the number of instances, this one included.
+func (s *Set) Count() int { return len(s.members) + 1 }
--- /dev/null
+++ b/core/gateway/placer/lane.go
@@ -0,0 +1,263 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
+)
+
+// lane is one engine as the placer sees it.
+type lane struct {
+	id, address, group, zone string
+	born                     int64
+	engine                   *manifest.Engine
+	server                   *directory.Server
+	leaving                  bool
+
+	known    bool // sequence and holdings can be relied on
+	sequence int64
+	models   map[string]*resident
+	inMemory []string
+	onDisk   []string
+
+	pending   *pending // an order without a final answer
+	loading   *loading // an accepted load of a model
+	conflicts int
+	mustAsk   bool
+	askedAt   clock.Time
+	retryAt   clock.Time
+}
+
+type resident struct {
+	adapters map[string]*adapter
+	loadedAt clock.Time
+	usedAt   clock.Time
+}
+
+type adapter struct {
+	readyAt clock.Time
+	usedAt  clock.Time
+}
+
+type pending struct {
+	order  Order
+	sentAt clock.Time
+	flying bool // sent, and neither answered nor timed out
+	again  bool // sent more than once
+}
+
+type loading struct {
+	model    string
+	began    clock.Time
+	expected clock.Time
+	store    bool // from the weight store
+}
+
+func newLane(s *directory.Server, now clock.Time) *lane {
+	return &lane{
+		id: s.ID, address: s.Address, group: s.Group, zone: s.Zone, born: s.Born,
+		models: make(map[string]*resident), sequence: -1,
+	}
+}
+
+// sync takes the engine's entry.
+func (l *lane) sync(now clock.Time, s *directory.Server, e *manifest.Engine) {
+	l.server, l.engine, l.address, l.leaving = s, e, s.Address, s.Draining
+	l.inMemory, l.onDisk = s.InMemory, s.OnDisk
+	if s.Sequence > l.sequence && l.pending == nil && l.loading == nil {
+		l.adopt(now, s.Sequence, s.Holdings)
+	}
+	if l.loading != nil && s.Sequence >= l.sequence {
+		if _, ok := s.Holds(l.loading.model); ok {
+			l.loaded(now)
+		}
+	}
+	for name, m := range l.models {
+		if s.RunningModel(now, name) > 0 {
+			m.usedAt = now
+		}
+	}
+}
+
+// adopt replaces what the lane believes by what the engine said.
+func (l *lane) adopt(now clock.Time, sequence int64, holdings []directory.Holding) {
+	before := l.models
+	l.known, l.sequence = true, sequence
+	l.models = make(map[string]*resident, len(holdings))
+	for _, h := range holdings {
+		m := before[h.Model]
+		if m == nil {
+			m = &resident{loadedAt: now, usedAt: now}
+		}
+		adapters := make(map[string]*adapter, len(h.Adapters))
+		for _, a := range h.Adapters {
+			if adapters[a] = m.adapters[a]; adapters[a] == nil {
+				adapters[a] = &adapter{readyAt: now, usedAt: now}
+			}
+		}
+		m.adapters = adapters
+		l.models[h.Model] = m
+	}
+}
+
+// loaded ends a load that took effect.
+func (l *lane) loaded(now clock.Time) {
+	l.models[l.loading.model] = &resident{adapters: make(map[string]*adapter), loadedAt: now, usedAt: now}
+	l.loading = nil
+}
+
+// usable returns the models and adapters that requests may use.
+func (l *lane) usable(now clock.Time) []directory.Holding {
+	var holdings []directory.Holding
+	for _, name := range sortedKeys(l.models) {
+		h := directory.Holding{Model: name}
+		m := l.models[name]
+		for _, a := range sortedKeys(m.adapters) {
+			if now.Reached(m.adapters[a].readyAt) {
+				h.Adapters = append(h.Adapters, a)
+			}
+		}
+		holdings = append(holdings, h)
+	}
+	return holdings
+}
+
+// free reports whether the lane can take an order now.
+func (l *lane) free(now clock.Time) bool {
+	return l.known && !l.leaving && !l.mustAsk && l.pending == nil && l.loading == nil && now.Reached(l.retryAt)
+}
+
+// askDue reports whether the engine must be asked what it holds.
+func (l *lane) askDue(now clock.Time) bool {
+	if now.Sub(l.askedAt) < askAgain && l.askedAt != 0 {
+		return false
+	}
+	return l.mustAsk || !l.known || l.loading != nil && now.Reached(l.loading.expected.Add(loadSlack))
+}
+
+func (l *lane) reported(now, asked clock.Time, r Report) {
+	if l.pending != nil || r.Sequence < l.sequence {
+		return // from before an order of ours
+	}
+	l.mustAsk, l.conflicts = false, 0
+	if l.loading == nil {
+		l.adopt(now, r.Sequence, r.Holdings)
+		l.mustAsk = r.Busy
+		return
+	}
+	for _, h := range r.Holdings {
+		if h.Model == l.loading.model {
+			l.loaded(now)
+			l.adopt(now, r.Sequence, r.Holdings)
+			return
+		}
+	}
+	overdue := now.Sub(l.loading.began) > loadOverdue*l.loading.expected.Sub(l.loading.began)
+	if overdue && !r.Busy {
+		l.loading = nil
+		l.adopt(now, r.Sequence, r.Holdings)
+	}
+}
+
+// send makes o the pending order.
+func (l *lane) send(now clock.Time, o Order) Order {
+	l.pending = &pending{order: o, sentAt: now, flying: true}
+	return o
+}
+
+// answered takes the answer to the pending order.
+func (l *lane) answered(now clock.Time, o Order, a Answer) {
+	switch a {
+	case Accepted:
+		l.pending, l.conflicts = nil, 0
+		l.sequence++
+		l.apply(now, o)
+	case Holds:
+		l.pending, l.conflicts = nil, 0
+		if o.Adapter != "" && o.Kind == Unload {
+			l.sequence++ // carried out at once
+		}
+		l.apply(now, o)
+		if l.loading != nil {
+			l.loaded(now)
+		}
+	case Busy:
+		again := l.pending.again
+		l.pending = nil
+		l.retryAt = now.Add(busyRepeat)
+		if l.conflicts++; l.conflicts >= conflictLimit || o.Adapter != "" || again {
+			l.mustAsk = true
+		}
+	case Silent:
+		l.pending.flying = false
+	case Fenced, Misplaced, Impossible:
+		l.pending = nil
+		l.known = a == Impossible
+	}
+}
+
+// apply records an order that is being carried out.
+func (l *lane) apply(now clock.Time, o Order) {
+	m := l.models[o.Model]
+	switch {
+	case o.Adapter != "" && m == nil:
+		l.mustAsk = true
+	case o.Adapter != "" && o.Kind == Load:
+		m.adapters[o.Adapter] = &adapter{readyAt: now.Add(adapterLoad), usedAt: now}
+	case o.Adapter != "":
+		delete(m.adapters, o.Adapter)
+	case o.Kind == Load:
+		took, store := l.loadTime(o.Model)
+		l.loading = &loading{model: o.Model, began: now, expected: now.Add(took), store: store}
+	default:
+		delete(l.models, o.Model)
+	}
+}
+
+// loadTime returns how long a load of a model takes here, and whether it comes
+// from the weight store.
+func (l *lane) loadTime(model string) (took time.Duration, store bool) {
+	m := l.engine.Models[model]
+	switch {
+	case slices.Contains(l.inMemory, model):
+		return m.FromMemory, false
+	case slices.Contains(l.onDisk, model):
+		return m.FromDisk, false
+	}
+	return m.FromStore, true
+}
+
+// usedMB is the memory that models and adapters take, with what an order may
+// still bring.
+func (l *lane) usedMB() float64 {
+	total := 0.0
+	for name, m := range l.models {
+		spec := l.engine.Models[name]
+		total += spec.MB + float64(len(m.adapters))*spec.AdapterMB
+	}
+	if l.loading != nil {
+		total += l.engine.Models[l.loading.model].MB
+	}
+	return total
+}
+
+// adapterCount counts the adapters of all models.
+func (l *lane) adapterCount() int {
+	n := 0
+	for _, m := range l.models {
+		n += len(m.adapters)
+	}
+	return n
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/core/gateway/placer/placer.go
@@ -0,0 +1,268 @@
+// Package placer decides which model and adapter each engine holds, over the
+// whole fleet. It runs at the instance that holds the lease on orders.
+//
+// There are more models than places. A request for one that is not resident
+// waits for a swap: an idle model is unloaded from an engine, and the wanted one
+// loaded where that is fastest. A copy in an engine's memory or on its disk is
+// there in about a second, one from the weight store takes far longer and is
+// rationed. Each engine carries out one order at a time (its lane); busy
+// models get as many engines as their arrivals need.
+//
+// Each order names the number of orders that the engine has accepted, so an
+// order that is carried out late, after newer ones, does nothing. An order
+// without an answer is sent again as it was: of the two, one takes effect.
+package placer
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/invariant"
+)
+
+const (
+	// arrivalsPerReplica is the rate, in requests a second, that one engine is
+	// given of one model. A prompt of 650 tokens takes 17 ms of an engine's
+	// time, so 14 a second leave three quarters of it for generating and for
+	// bursts.
+	arrivalsPerReplica = 14.0
+	// rateWindow is the time constant of the arrival rates: a model whose
+	// demand jumps gets its second replica within two seconds.
+	rateWindow = 1500 * time.Millisecond
+	// busyRate is the rate from which a model is kept on two engines, so that
+	// the loss of one leaves its callers served.
+	busyRate = 3.0
+	// storeAtOnce is how many loads from the weight store run at full speed;
+	// more only slow each other.
+	storeAtOnce = 4
+	// storeBurst is how many loads may begin at once under the store's rate.
+	storeBurst = 2.0
+	// orderRepeat is when an order without an answer is sent again.
+	orderRepeat = 300 * time.Millisecond
+	// busyRepeat is when an order is tried again that met another one under
+	// way; an idle model is dropped within some milliseconds.
+	busyRepeat = 25 * time.Millisecond
+	// conflictLimit is how many refusals in a row are met by trying again;
+	// then the engine is asked what it holds.
+	conflictLimit = 6
+	// adapterLoad is when an adapter can be used after its order was accepted;
+	// 10 ms is the longest load while the way from the store is free.
+	adapterLoad = 12 * time.Millisecond
+	// askAgain is the time between two questions to an engine.
+	askAgain = 150 * time.Millisecond
+	// loadSlack is how long after its expected end a load is asked for.
+	loadSlack = 20 * time.Millisecond
+	// loadOverdue times the expected time is when a load is given up.
+	loadOverdue = 4
+	// settledFor is how long a model stays at least after its load, for the
+	// requests that it was loaded for.
+	settledFor = 700 * time.Millisecond
+)
+
+// Key names a model or an adapter of it.
+type Key struct {
+	Group   string
+	Model   string
+	Adapter string // "": the model itself
+}
+
+// Want is what waits for a key over all instances.
+type Want struct {
+	Requests int
+	Since    clock.Time // of the oldest
+	Priority int        // of the most urgent; 0 goes first
+}
+
+// OrderKind says what an order does.
+type OrderKind string
+
+// The kinds of order.
+const (
+	Load   OrderKind = "load"
+	Unload OrderKind = "unload"
+)
+
+// Order is an order to one engine. Precondition is the number of orders that
+// the engine must have accepted before.
+type Order struct {
+	Server       string
+	Address      string
+	Born         int64
+	Kind         OrderKind
+	Model        string
+	Adapter      string
+	Precondition int64
+}
+
+// Answer is what an engine said to an order.
+type Answer int
+
+// The answers.
+const (
+	Accepted   Answer = iota // it is being carried out
+	Holds                    // nothing is left to do
+	Busy                     // another order is under way, or the precondition fails
+	Fenced                   // a higher fencing number was seen
+	Misplaced                // the server at the address is another one
+	Impossible               // there is no such model or adapter
+	Silent                   // no answer: it may be carried out, now or later
+)
+
+// Report is what an engine says of itself when asked.
+type Report struct {
+	Sequence int64
+	Busy     bool
+	Holdings []directory.Holding // with adapters that are on their way
+}
+
+// Placer holds the view of all engines. It is not safe for concurrent use.
+type Placer struct {
+	check    *invariant.Checker
+	lanes    map[string]*lane
+	wants    map[Key]Want
+	rates    map[string]*rate // by model
+	tokens   float64          // loads from the weight store that may begin
+	tokensAt clock.Time
+	refused  map[Key]clock.Time
+}
+
+type rate struct {
+	perSecond float64
+	updated   clock.Time
+	last      clock.Time // arrival
+}
+
+// New returns a Placer that knows no engine.
+func New(check *invariant.Checker) *Placer {
+	return &Placer{
+		check: check, lanes: make(map[string]*lane), wants: make(map[Key]Want),
+		rates: make(map[string]*rate), refused: make(map[Key]clock.Time),
+	}
+}
+
+// Arrived counts requests for a model.
+func (p *Placer) Arrived(now clock.Time, model string, n int) {
+	r := p.rate(now, model)
+	r.perSecond += float64(n) / rateWindow.Seconds()
+	r.last = now
+}
+
+// rate returns the rate of a model's arrivals, decayed to now.
+func (p *Placer) rate(now clock.Time, model string) *rate {
+	r := p.rates[model]
+	if r == nil {
+		r = &rate{updated: now}
+		p.rates[model] = r
+	}
+	if past := now.Sub(r.updated); past > 0 {
+		r.perSecond /= 1 + past.Seconds()/rateWindow.Seconds()
+		r.updated = now
+	}
+	return r
+}
+
+// SetWants replaces what waits.
+func (p *Placer) SetWants(wants map[Key]Want) { p.wants = wants }
+
+// replicas is the number of engines that a model's arrivals need.
+func (p *Placer) replicas(now clock.Time, model string) int {
+	perSecond := p.rate(now, model).perSecond
+	if perSecond < busyRate {
+		return 0
+	}
+	return max(2, int(perSecond/arrivalsPerReplica)+1)
+}
+
+// Sync takes the newest entries of the engines of a group.
+func (p *Placer) Sync(now clock.Time, servers []*directory.Server, groups map[string]*manifest.Group) {
+	present := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		g := groups[s.Group]
+		if g == nil || g.Engine == nil {
+			continue
+		}
+		present[s.ID] = true
+		l := p.lanes[s.ID]
+		if l == nil || l.born != s.Born {
+			l = newLane(s, now)
+			p.lanes[s.ID] = l
+		}
+		l.sync(now, s, g.Engine)
+	}
+	for id := range p.lanes {
+		if !present[id] {
+			delete(p.lanes, id)
+		}
+	}
+}
+
+// Holdings returns what an engine holds that requests may use now.
+func (p *Placer) Holdings(now clock.Time, server string) (born, sequence int64, holdings []directory.Holding, ok bool) {
+	l := p.lanes[server]
+	if l == nil || !l.known {
+		return 0, 0, nil, false
+	}
+	return l.born, l.sequence, l.usable(now), true
+}
+
+// Asks returns the engines that have to be asked what they hold, and marks
+// them as asked.
+func (p *Placer) Asks(now clock.Time) []string {
+	var ids []string
+	for _, l := range p.sorted() {
+		if l.askDue(now) {
+			l.askedAt = now
+			ids = append(ids, l.id)
+		}
+	}
+	return ids
+}
+
+// Reported takes an engine's answer to a question that was sent at asked.
+func (p *Placer) Reported(now clock.Time, server string, born int64, asked clock.Time, r Report) {
+	if l := p.lanes[server]; l != nil && l.born == born {
+		l.reported(now, asked, r)
+	}
+}
+
+// Answered takes the answer to an order.
+func (p *Placer) Answered(now clock.Time, o Order, a Answer) {
+	l := p.lanes[o.Server]
+	if l == nil || l.born != o.Born || l.pending == nil || l.pending.order != o {
+		return
+	}
+	if a == Impossible {
+		p.refused[Key{Group: l.group, Model: o.Model, Adapter: o.Adapter}] = now
+	}
+	l.answered(now, o, a)
+}
+
+// refuseFor is how long an order that an engine called impossible is not given
+// again; a new configuration may have made it possible.
+const refuseFor = 5 * time.Second
+
+func (p *Placer) impossible(now clock.Time, k Key) bool {
+	at, ok := p.refused[k]
+	return ok && now.Sub(at) < refuseFor
+}
+
+// Active reports whether something waits or an order is under way, so that
+// Plan should be called again soon.
+func (p *Placer) Active() bool {
+	if len(p.wants) > 0 {
+		return true
+	}
+	for _, l := range p.lanes {
+		if l.pending != nil || l.loading != nil || l.mustAsk || !l.known {
+			return true
+		}
+	}
+	return false
+}
+
+// String names an answer for logs and metrics.
+func (a Answer) String() string {
+	return [...]string{"accepted", "holds", "busy", "fenced", "misplaced", "impossible", "silent"}[a]
+}
--- /dev/null
+++ b/core/gateway/placer/plan.go
@@ -0,0 +1,385 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+// Plan returns the orders to send now. Each is pending until Answered.
+func (p *Placer) Plan(now clock.Time) []Order {
+	orders := p.repeat(now)
+	for _, k := range p.wanted(now) {
+		if o, ok := p.serve(now, k); ok {
+			orders = append(orders, o)
+		}
+	}
+	if o, ok := p.fill(now); ok {
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// repeat sends orders again that got no answer.
+func (p *Placer) repeat(now clock.Time) []Order {
+	var orders []Order
+	for _, l := range p.sorted() {
+		if q := l.pending; q != nil && !q.flying && now.Sub(q.sentAt) >= orderRepeat {
+			q.sentAt, q.flying, q.again = now, true, true
+			orders = append(orders, q.order)
+		}
+	}
+	return orders
+}
+
+// wanted returns the keys that need an order, the most urgent first: what
+// waits, then busy models with too few engines.
+func (p *Placer) wanted(now clock.Time) []Key {
+	var keys []Key
+	for k := range p.wants {
+		if !p.impossible(now, k) {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		x, y := p.wants[a], p.wants[b]
+		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Since, y.Since), compareKeys(a, b))
+	})
+	for _, model := range sortedKeys(p.rates) {
+		for _, group := range p.groupsOf(model) {
+			k := Key{Group: group, Model: model}
+			if _, waits := p.wants[k]; !waits && p.replicas(now, model) > 0 && !p.impossible(now, k) {
+				keys = append(keys, k)
+			}
+		}
+	}
+	return keys
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(strings.Compare(a.Group, b.Group), strings.Compare(a.Model, b.Model), strings.Compare(a.Adapter, b.Adapter))
+}
+
+// groupsOf returns the groups whose engines know a model.
+func (p *Placer) groupsOf(model string) []string {
+	var groups []string
+	for _, l := range p.sorted() {
+		if _, ok := l.engine.Models[model]; ok && !slices.Contains(groups, l.group) {
+			groups = append(groups, l.group)
+		}
+	}
+	return groups
+}
+
+// serve returns the next order that brings a key nearer to being served.
+func (p *Placer) serve(now clock.Time, k Key) (Order, bool) {
+	holders, coming := p.holders(k)
+	if k.Adapter != "" && len(holders) > 0 {
+		return p.serveAdapter(now, k, holders)
+	}
+	need := p.replicas(now, k.Model)
+	if _, waits := p.wants[k]; waits {
+		need = max(1, need)
+	}
+	if k.Adapter != "" {
+		need = 1
+	}
+	if len(holders)+coming >= need {
+		return Order{}, false
+	}
+	return p.place(now, k, len(holders)+coming == 0)
+}
+
+// holders returns the engines that hold a key's model and stay, and how many
+// more are loading it or have the order.
+func (p *Placer) holders(k Key) (holders []*lane, coming int) {
+	for _, l := range p.sorted() {
+		switch {
+		case l.group != k.Group || l.leaving:
+		case l.models[k.Model] != nil:
+			holders = append(holders, l)
+		case l.loading != nil && l.loading.model == k.Model:
+			coming++
+		case l.pending != nil && l.pending.order.Kind == Load && l.pending.order.Model == k.Model:
+			coming++
+		}
+	}
+	return holders, coming
+}
+
+// option is one way to load a model.
+type option struct {
+	lane   *lane
+	victim string // to be unloaded first; "": there is room
+	ready  time.Duration
+	store  bool
+	idle   time.Duration // of the victim
+}
+
+// place orders a load of a model where it is ready first, or makes room there.
+// first says that no engine has it yet.
+func (p *Placer) place(now clock.Time, k Key, first bool) (Order, bool) {
+	var options []option
+	for _, l := range p.sorted() {
+		if o, ok := p.option(now, l, k, first); ok {
+			options = append(options, o)
+		}
+	}
+	if len(options) == 0 {
+		return Order{}, false
+	}
+	best := slices.MinFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(b.idle, a.idle), strings.Compare(a.lane.id, b.lane.id))
+	})
+	switch {
+	case !best.lane.free(now):
+		return Order{}, false // its lane is free soon, and waiting is faster
+	case best.victim != "":
+		return p.order(now, best.lane, Unload, best.victim, "")
+	case best.store && !p.storeRoom(now, best.lane):
+		return Order{}, false
+	}
+	return p.order(now, best.lane, Load, k.Model, "")
+}
+
+// unloadTime is what an unload adds to a load, measured over loopback.
+const unloadTime = 40 * time.Millisecond
+
+// option says how soon a lane could have a model.
+func (p *Placer) option(now clock.Time, l *lane, k Key, first bool) (option, bool) {
+	spec, knows := l.engine.Models[k.Model]
+	if l.group != k.Group || l.leaving || !l.known || !knows || l.models[k.Model] != nil {
+		return option{}, false
+	}
+	o := option{lane: l, idle: time.Hour}
+	o.ready, o.store = l.loadTime(k.Model)
+	if o.store {
+		o.ready = max(o.ready, time.Duration(float64(o.ready)*float64(p.storeLoads()+1)/storeAtOnce))
+	}
+	if l.usedMB()+spec.MB > l.engine.MemoryMB {
+		v, ok := p.victim(now, l, first)
+		if !ok {
+			return option{}, false
+		}
+		o.victim, o.idle = v, now.Sub(l.models[v].usedAt)
+		o.ready += unloadTime
+	}
+	if l.loading != nil {
+		o.ready += max(0, l.loading.expected.Sub(now))
+	}
+	// A load slows what runs beside it little, but its own first tokens wait
+	// behind them: prefer the engine with less to do.
+	o.ready += time.Duration(l.server.Running(now)) * time.Millisecond
+	return o, true
+}
+
+// victim returns the model that an engine misses least: idle, waited for by
+// nobody, and unused for longest. Engines of a busy model above its need come
+// first. If first is false, the load is for speed only, and takes nothing that
+// was used of late.
+func (p *Placer) victim(now clock.Time, l *lane, first bool) (string, bool) {
+	const quiet = 4 * time.Second
+	best, bestIdle := "", time.Duration(-1)
+	for _, name := range sortedKeys(l.models) {
+		m := l.models[name]
+		if l.server.RunningModel(now, name) > 0 || now.Sub(m.loadedAt) < settledFor || p.waits(l.group, name) {
+			continue
+		}
+		if holders, _ := p.holders(Key{Group: l.group, Model: name}); len(holders) <= p.replicas(now, name) {
+			continue
+		}
+		idle := now.Sub(m.usedAt)
+		if !first && idle < quiet {
+			continue
+		}
+		if idle > bestIdle {
+			best, bestIdle = name, idle
+		}
+	}
+	return best, best != ""
+}
+
+// waits reports whether a request waits for a model or one of its adapters.
+func (p *Placer) waits(group, model string) bool {
+	for k := range p.wants {
+		if k.Group == group && k.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// order makes the next order of a lane, if it keeps what must hold.
+func (p *Placer) order(now clock.Time, l *lane, kind OrderKind, model, adapter string) (Order, bool) {
+	spec := l.engine.Models[model]
+	if kind == Load {
+		size := spec.MB
+		if adapter != "" {
+			size = spec.AdapterMB
+		}
+		if !p.check.Hold(l.usedMB()+size <= l.engine.MemoryMB, "engine-memory",
+			"%s: %.0f MB in use and %.0f more of %.0f", l.id, l.usedMB(), size, l.engine.MemoryMB) {
+			return Order{}, false
+		}
+		if adapter != "" && !p.check.Hold(l.adapterCount() < l.engine.AdapterPlaces, "adapter-places",
+			"%s: %d adapters of %d", l.id, l.adapterCount(), l.engine.AdapterPlaces) {
+			return Order{}, false
+		}
+		if _, store := l.loadTime(model); store && adapter == "" {
+			p.tokens--
+		}
+	}
+	return l.send(now, Order{
+		Server: l.id, Address: l.address, Born: l.born, Kind: kind,
+		Model: model, Adapter: adapter, Precondition: l.sequence,
+	}), true
+}
+
+// serveAdapter loads an adapter on an engine that holds its model.
+func (p *Placer) serveAdapter(now clock.Time, k Key, holders []*lane) (Order, bool) {
+	var best *lane
+	for _, l := range holders {
+		if _, ok := l.models[k.Model].adapters[k.Adapter]; ok {
+			return Order{}, false
+		}
+		if q := l.pending; q != nil && q.order.Adapter == k.Adapter && q.order.Model == k.Model {
+			return Order{}, false
+		}
+		if l.free(now) && (best == nil || l.adapterCount() < best.adapterCount()) {
+			best = l
+		}
+	}
+	if best == nil {
+		return Order{}, false
+	}
+	spec := best.engine.Models[k.Model]
+	if best.adapterCount() < best.engine.AdapterPlaces && best.usedMB()+spec.AdapterMB <= best.engine.MemoryMB {
+		return p.order(now, best, Load, k.Model, k.Adapter)
+	}
+	model, adapter, ok := p.adapterVictim(now, best)
+	if !ok {
+		return Order{}, false
+	}
+	return p.order(now, best, Unload, model, adapter)
+}
+
+// adapterVictim returns the adapter that was loaded or wanted longest ago.
+func (p *Placer) adapterVictim(now clock.Time, l *lane) (model, adapter string, ok bool) {
+	oldest := now
+	for _, m := range sortedKeys(l.models) {
+		for _, a := range sortedKeys(l.models[m].adapters) {
+			if _, waits := p.wants[Key{Group: l.group, Model: m, Adapter: a}]; waits {
+				continue
+			}
+			if at := l.models[m].adapters[a].usedAt; at < oldest {
+				model, adapter, ok, oldest = m, a, true, at
+			}
+		}
+	}
+	return model, adapter, ok
+}
+
+// AdapterUsed records the use of an adapter.
+func (p *Placer) AdapterUsed(now clock.Time, server, model, name string) {
+	if l := p.lanes[server]; l != nil && l.models[model] != nil {
+		if a := l.models[model].adapters[name]; a != nil {
+			a.usedAt = now
+		}
+	}
+}
+
+// fill loads a model that no engine holds onto an engine with room, when
+// nothing waits: a new engine starts empty, and its memory is of no use until
+// somebody asks for what is not there.
+func (p *Placer) fill(now clock.Time) (Order, bool) {
+	if len(p.wants) > 0 || p.lanesLoading() > 0 {
+		return Order{}, false
+	}
+	for _, l := range p.sorted() {
+		if !l.free(now) {
+			continue
+		}
+		if model, ok := p.missing(now, l); ok {
+			return p.order(now, l, Load, model, "")
+		}
+	}
+	return Order{}, false
+}
+
+// missing returns the model that fits into an engine's free memory, is held
+// nowhere and was asked for last.
+func (p *Placer) missing(now clock.Time, l *lane) (string, bool) {
+	best, found := "", false
+	var last clock.Time
+	for _, name := range sortedKeys(l.engine.Models) {
+		spec := l.engine.Models[name]
+		k := Key{Group: l.group, Model: name}
+		if l.usedMB()+spec.MB > l.engine.MemoryMB || p.impossible(now, k) {
+			continue
+		}
+		if holders, coming := p.holders(k); len(holders)+coming > 0 {
+			continue
+		}
+		if _, store := l.loadTime(name); store && !p.storeRoom(now, l) {
+			continue
+		}
+		var at clock.Time
+		if r := p.rates[name]; r != nil {
+			at = r.last
+		}
+		if !found || at > last {
+			best, found, last = name, true, at
+		}
+	}
+	return best, found
+}
+
+// storeLoads counts the loads from the weight store under way.
+func (p *Placer) storeLoads() int {
+	n := 0
+	for _, l := range p.lanes {
+		if l.loading != nil && l.loading.store {
+			n++
+		}
+		if q := l.pending; q != nil && q.order.Kind == Load && q.order.Adapter == "" {
+			if _, store := l.loadTime(q.order.Model); store {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (p *Placer) lanesLoading() int {
+	n := 0
+	for _, l := range p.lanes {
+		if l.loading != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// storeRoom reports whether a load from the weight store may begin: within its
+// rate, and no more at once than run at full speed.
+func (p *Placer) storeRoom(now clock.Time, l *lane) bool {
+	const share = 0.9 // of the rate; the rest covers a holder that was replaced
+	if p.tokensAt == 0 {
+		p.tokens = storeBurst
+	} else {
+		p.tokens = min(storeBurst, p.tokens+now.Sub(p.tokensAt).Seconds()*l.engine.LoadsPerSecond*share)
+	}
+	p.tokensAt = now
+	return p.tokens >= 1 && p.storeLoads() < storeAtOnce
+}
+
+func (p *Placer) sorted() []*lane {
+	lanes := make([]*lane, 0, len(p.lanes))
+	for _, id := range sortedKeys(p.lanes) {
+		lanes = append(lanes, p.lanes[id])
+	}
+	return lanes
+}
--- /dev/null
+++ b/core/gateway/poison/poison.go
@@ -0,0 +1,107 @@
+// Package poison recognizes a request that crashes each backend server that
+// runs it. Its caller sends it again and again; without a register, every
+// instance would pass it on once and the whole fleet would go down in turn.
+//
+// A request whose connection broke while it ran is a suspect, known by the
+// digest of account, method, path and body. Others that ran on the same server
+// are suspects too, once. Only the one that was there at several crashes is
+// refused.
+package poison
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const (
+	// crashLimit is how many broken runs make a request poisonous. Two happen
+	// to an innocent request by chance on days with many crashes.
+	crashLimit = 3
+	// keep is how long a broken run counts.
+	keep = 60 * time.Second
+	// maxSuspects bounds the memory; the oldest are dropped.
+	maxSuspects = 4096
+)
+
+// Digest names a request that may come again.
+type Digest uint64
+
+type suspect struct {
+	last  clock.Time
+	own   uint32
+	peers map[string]uint32
+}
+
+// Register counts broken runs. It is not safe for concurrent use.
+type Register struct {
+	suspects map[Digest]*suspect
+}
+
+// New returns an empty Register.
+func New() *Register { return &Register{suspects: make(map[Digest]*suspect)} }
+
+// Broke records that a run of d broke off here.
+func (r *Register) Broke(now clock.Time, d Digest) { r.at(now, d).own++ }
+
+// Heard records what another instance counted for d.
+func (r *Register) Heard(now clock.Time, peer string, d Digest, count uint32) {
+	s := r.at(now, d)
+	if s.peers == nil {
+		s.peers = make(map[string]uint32)
+	}
+	s.peers[peer] = count
+}
+
+// Refused reports whether d must not be sent to a backend server any more.
+func (r *Register) Refused(now clock.Time, d Digest) bool {
+	s, ok := r.suspects[d]
+	if !ok || now.Sub(s.last) > keep {
+		return false
+	}
+	total := s.own
+	for _, n := range s.peers {
+		total += n
+	}
+	return total >= crashLimit
+}
+
+// Own returns what this instance counted not longer than age ago.
+func (r *Register) Own(now clock.Time, age time.Duration) map[Digest]uint32 {
+	own := make(map[Digest]uint32)
+	for d, s := range r.suspects {
+		if s.own > 0 && now.Sub(s.last) <= age {
+			own[d] = s.own
+		}
+	}
+	return own
+}
+
+func (r *Register) at(now clock.Time, d Digest) *suspect {
+	s, ok := r.suspects[d]
+	if !ok {
+		r.shrink(now)
+		s = &suspect{}
+		r.suspects[d] = s
+	}
+	s.last = now
+	return s
+}
+
+func (r *Register) shrink(now clock.Time) {
+	if len(r.suspects) < maxSuspects {
+		return
+	}
+	var oldest Digest
+	at := clock.Never
+	for d, s := range r.suspects {
+		if now.Sub(s.last) > keep {
+			delete(r.suspects, d)
+		} else if s.last < at {
+			oldest, at = d, s.last
+		}
+	}
+	if len(r.suspects) >= maxSuspects {
+		delete(r.suspects, oldest)
+	}
+}
--- /dev/null
+++ b/core/gateway/quota/quota.go
@@ -0,0 +1,174 @@
+// Package quota keeps each client account within its rate and burst over all
+// instances together.
+//
+// Every instance keeps the whole bucket of each account. It takes from it what
+// it admits itself at once, and what the others say they admitted as it hears
+// of it. Instances overdraw only what they admit within the delay of their
+// messages, and pay it back since the bucket may go below zero. An instance
+// that is not heard is taken to spend an equal share of the rate, so two sides
+// of a network partition together stay within it.
+package quota
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/manifest"
+)
+
+const (
+	// silentAfter is when an instance counts as not heard: five of its
+	// messages are missing.
+	silentAfter = time.Second
+	// forgottenAfter is when an instance that is not heard is taken to be gone
+	// and its share is the others'. Partitions end sooner as a rule.
+	forgottenAfter = 30 * time.Second
+	// debtLimit bounds, in seconds of the rate, how far a bucket may be below
+	// zero, so that a wrong message can't shut an account out for long.
+	debtLimit = 3.0
+	// startFraction of the burst is in a bucket at the start: after all
+	// instances were replaced at once, the burst must not be had twice.
+	startFraction = 0.5
+)
+
+type bucket struct {
+	level   float64
+	updated clock.Time
+	spent   uint64 // by this instance, ever
+	started bool
+}
+
+type peer struct {
+	incarnation uint64
+	heard       clock.Time
+	spent       map[string]uint64
+}
+
+// Meter meters all accounts. It is not safe for concurrent use.
+type Meter struct {
+	accounts map[string]*manifest.Account
+	buckets  map[string]*bucket
+	peers    map[string]*peer
+}
+
+// New returns a Meter without accounts.
+func New() *Meter {
+	return &Meter{buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+}
+
+// Configure takes the accounts of a configuration version.
+func (m *Meter) Configure(accounts map[string]*manifest.Account) { m.accounts = accounts }
+
+// Take spends cost of an account. If it may not, wait says when enough will
+// have accrued.
+func (m *Meter) Take(now clock.Time, account string, cost float64) (ok bool, wait time.Duration) {
+	b, a := m.refill(now, account)
+	if a == nil || a.Rate <= 0 {
+		return true, 0
+	}
+	// A request larger than the burst passes on a full bucket, or it never could.
+	need := min(cost, a.Burst)
+	if b.level < need {
+		return false, time.Duration((need - b.level) / a.Rate * float64(time.Second))
+	}
+	b.level -= cost
+	b.spent += uint64(cost)
+	return true, 0
+}
+
+// Refund gives back what was taken for a request that did not run.
+func (m *Meter) Refund(now clock.Time, account string, cost float64) {
+	b, a := m.refill(now, account)
+	if a == nil || a.Rate <= 0 {
+		return
+	}
+	b.level = min(b.level+cost, a.Burst)
+	b.spent -= min(b.spent, uint64(cost))
+}
+
+// Spent returns what this instance has spent, ever, by account.
+func (m *Meter) Spent() map[string]uint64 {
+	spent := make(map[string]uint64, len(m.buckets))
+	for name, b := range m.buckets {
+		if b.spent > 0 {
+			spent[name] = b.spent
+		}
+	}
+	return spent
+}
+
+// Heard takes what another instance says it has spent in this incarnation.
+func (m *Meter) Heard(now clock.Time, name string, incarnation uint64, spent map[string]uint64) {
+	p, known := m.peers[name]
+	if known {
+		m.settle(now)
+	}
+	if !known || p.incarnation != incarnation {
+		m.peers[name] = &peer{incarnation: incarnation, heard: now, spent: spent}
+		return
+	}
+	silent := now.Sub(p.heard) > silentAfter
+	p.heard = now
+	for account, total := range spent {
+		before := p.spent[account]
+		p.spent[account] = total
+		// What it spent unheard was already taken as its share.
+		if total > before && !silent {
+			m.debit(now, account, float64(total-before))
+		}
+	}
+}
+
+// Forget drops an instance that left as planned.
+func (m *Meter) Forget(name string) { delete(m.peers, name) }
+
+func (m *Meter) debit(now clock.Time, account string, amount float64) {
+	b, a := m.refill(now, account)
+	if a == nil || a.Rate <= 0 {
+		return
+	}
+	b.level = max(b.level-amount, -debtLimit*a.Rate)
+}
+
+// settle brings all buckets up to now.
+func (m *Meter) settle(now clock.Time) {
+	for account := range m.accounts {
+		m.refill(now, account)
+	}
+}
+
+func (m *Meter) refill(now clock.Time, account string) (*bucket, *manifest.Account) {
+	b := m.buckets[account]
+	if b == nil {
+		b = &bucket{updated: now}
+		m.buckets[account] = b
+	}
+	a := m.accounts[account]
+	if a == nil {
+		return b, nil
+	}
+	if !b.started {
+		b.started, b.level = true, a.Burst*startFraction
+	}
+	b.level += a.Rate * now.Sub(b.updated).Seconds() * m.heardShare(now)
+	b.level = min(b.level, a.Burst)
+	b.updated = now
+	return b, a
+}
+
+// heardShare is the part of the rate that is not set aside for instances
+// that are not heard.
+func (m *Meter) heardShare(now clock.Time) float64 {
+	all, silent := 1, 0
+	for _, p := range m.peers {
+		quiet := now.Sub(p.heard)
+		if quiet > forgottenAfter {
+			continue
+		}
+		all++
+		if quiet > silentAfter {
+			silent++
+		}
+	}
+	return float64(all-silent) / float64(all)
+}
--- a/oleander/cmd/oleanderd/main.go
+++ b/oleander/cmd/oleanderd/main.go
@@ -12,17 +12,30 @@
 	"github.com/rs/zerolog"
 
 	"oleanderdale.org/oleander/process/daemon"
+	"oleanderdale.org/platform"
 )
 
 // exitFailed is the exit code of an instance that could not start or go on.
 const exitFailed = 1
 
+// commands of oleanderd; without a name, it serves its own interface.
+type commands struct {
+	Serve    daemon.Settings `cmd:"" default:"withargs" help:"Serve oleanderdale's own interface."`
+	Platform struct{}        `cmd:"" help:"Serve on the users' machines, as their settings file says."`
+}
+
 func main() {
-	var s daemon.Settings
-	kong.Parse(&s, kong.Name("oleanderd"),
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("oleanderd"),
 		kong.Description("Entry instance of oleanderdale: serves rarely used models and the plain services beside them."),
 		kong.UsageOnError())
-	if err := run(s); err != nil {
+	var err error
+	if parsed.Command() == "platform" {
+		err = platform.Run(zerolog.New(os.Stdout).With().Timestamp().Logger())
+	} else {
+		err = run(c.Serve)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "oleanderd:", err)
 		os.Exit(exitFailed)
 	}
--- /dev/null
+++ b/oleander/gateway/beat.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// beatEvery is the time between the messages of an instance; they grow
+	// rarer with their number, so that all of them together cost an instance
+	// at most some hundred datagrams a second.
+	beatEvery     = 200 * time.Millisecond
+	beatPerMember = 8 * time.Millisecond
+	// brokenFor is how long a broken run is told of.
+	brokenFor = 5 * time.Second
+	// stateEvery is how often the holder repeats an unchanged state.
+	stateEvery = 500 * time.Millisecond
+	// holdingsPerState bounds one datagram.
+	holdingsPerState = 24
+)
+
+// beat builds this instance's message. The caller holds mu.
+func (g *Gateway) beat(now clock.Time) packet {
+	b := &beatMsg{
+		Name: g.set.Name, Incarnation: g.incarnation, Address: g.set.Peer, Zone: g.set.Zone,
+		Leaving: g.stopping.Load(), Spent: g.quota.Spent(), Arrived: g.arrivedOfLate(now),
+		Running: g.dir.OwnRunning(), Broken: g.poison.Own(now, brokenFor),
+		StoreDown: g.storeDown != 0 && now.Sub(g.storeDown) < leaseTerm,
+	}
+	if m := g.manifest.Load(); m != nil {
+		b.Manifest = m.Version
+	}
+	if g.lease.Holds(now) {
+		b.Fencing, b.Holder = g.lease.Fencing(), g.set.Name
+	} else if now.Sub(g.holder.heard) < leaseSilence {
+		b.Holder = g.holder.name
+	}
+	for k, w := range g.waits {
+		b.Wants = append(b.Wants, wantMsg{
+			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.requests,
+			WaitedMS: now.Sub(w.since).Milliseconds(), Priority: w.priority,
+		})
+	}
+	return packet{Beat: b}
+}
+
+// arrivedFor is how long after an arrival its counter is told: ten messages.
+const arrivedFor = 2 * time.Second
+
+// arrivedOfLate returns the counters that changed of late. The caller holds mu.
+func (g *Gateway) arrivedOfLate(now clock.Time) map[string]uint64 {
+	late := make(map[string]uint64)
+	for model, a := range g.arrived {
+		if now.Sub(a.last) < arrivedFor {
+			late[model] = a.count
+		}
+	}
+	return late
+}
+
+// sendBeat tells all others, or only the holder of the lease.
+func (g *Gateway) sendBeat(onlyHolder bool) {
+	g.mu.Lock()
+	now := boottime.Now()
+	m := g.beat(now)
+	var to []string
+	for _, o := range g.members.All(now) {
+		if !onlyHolder || o.Name == g.holder.name {
+			to = append(to, o.Address)
+		}
+	}
+	// The message holds maps that go on changing.
+	body, err := cbor.Marshal(m)
+	g.mu.Unlock()
+	if err != nil {
+		g.log.Error().Err(err).Msg("peers: message not encoded")
+		return
+	}
+	g.peers.send(body, to)
+}
+
+// takePacket takes a message of another instance.
+func (g *Gateway) takePacket(m packet) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	switch {
+	case m.Beat != nil:
+		g.takeBeat(now, m.Beat)
+	case m.State != nil:
+		g.takeState(now, m.State)
+	}
+}
+
+func (g *Gateway) takeBeat(now clock.Time, b *beatMsg) {
+	if b.Name == g.set.Name {
+		return
+	}
+	if b.Leaving {
+		if g.holder.name == b.Name {
+			g.lease.HolderLeft(now)
+		}
+	}
+	g.members.Heard(now, b.Name, b.Address, b.Zone, b.Incarnation)
+	g.quota.Heard(now, b.Name, b.Incarnation, b.Spent)
+	g.dir.HeardRunning(now, b.Name, b.Running)
+	for d, n := range b.Broken {
+		g.poison.Heard(now, b.Name, d, n)
+	}
+	g.hearHolder(now, b)
+	g.countArrivals(now, b)
+	if m := g.manifest.Load(); m == nil && b.Manifest > 0 || m != nil && b.Manifest > m.Version {
+		g.behind(b.Name)
+	}
+	if len(b.Wants) > 0 && g.lease.Holds(now) {
+		g.poke()
+	}
+}
+
+func (g *Gateway) hearHolder(now clock.Time, b *beatMsg) {
+	if b.Fencing == 0 || b.Leaving || b.Fencing < g.holder.fencing {
+		return
+	}
+	if g.holder.name != b.Name || g.holder.fencing != b.Fencing {
+		g.log.Info().Str("holder", b.Name).Int64("fencing", b.Fencing).Msg("lease: another instance gives orders")
+	}
+	g.holder = holder{name: b.Name, fencing: b.Fencing, heard: now}
+	g.lease.HeardHolder(now, b.Fencing)
+}
+
+// countArrivals feeds the difference of another instance's counters.
+func (g *Gateway) countArrivals(now clock.Time, b *beatMsg) {
+	seen := g.peerSeen[b.Name]
+	fresh := seen == nil || seen.incarnation != b.Incarnation
+	if fresh {
+		seen = &peerSeen{incarnation: b.Incarnation, arrived: make(map[string]uint64)}
+		g.peerSeen[b.Name] = seen
+	}
+	for model, n := range b.Arrived {
+		before, known := seen.arrived[model]
+		if !known {
+			before = n - 1 // its count from before this instance listened is old
+		}
+		if n > before && !fresh {
+			g.placer.Arrived(now, model, int(n-before))
+		}
+		seen.arrived[model] = n
+	}
+	seen.wants, seen.heard, seen.hearsHolder = b.Wants, now, b.Holder != ""
+}
+
+// wants returns what waits at all instances. The caller holds mu.
+func (g *Gateway) wants(now clock.Time) map[placer.Key]placer.Want {
+	all := make(map[placer.Key]placer.Want)
+	add := func(k placer.Key, w placer.Want) {
+		old, ok := all[k]
+		if ok {
+			w.Requests += old.Requests
+			w.Since = min(w.Since, old.Since)
+			w.Priority = min(w.Priority, old.Priority)
+		}
+		all[k] = w
+	}
+	for k, w := range g.waits {
+		add(k, placer.Want{Requests: w.requests, Since: w.since, Priority: w.priority})
+	}
+	const fresh = time.Second
+	for _, s := range g.peerSeen {
+		if now.Sub(s.heard) > fresh {
+			continue
+		}
+		for _, w := range s.wants {
+			add(placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter}, placer.Want{
+				Requests: w.Requests, Since: s.heard.Add(-time.Duration(w.WaitedMS) * time.Millisecond), Priority: w.Priority,
+			})
+		}
+	}
+	return all
+}
+
+// takeState takes what the holder of the lease says of the engines.
+func (g *Gateway) takeState(now clock.Time, s *stateMsg) {
+	if s.Fencing < g.holder.fencing || s.Name == g.set.Name {
+		return
+	}
+	for _, h := range s.Holdings {
+		holdings := make([]directory.Holding, 0, len(h.Models))
+		for _, m := range h.Models {
+			holdings = append(holdings, directory.Holding{Model: m.Model, Adapters: m.Adapters})
+		}
+		g.dir.SetHoldings(h.Server, h.Born, h.Sequence, holdings)
+	}
+	if len(g.waits) > 0 {
+		g.wake()
+	}
+}
+
+// publish puts what the placer knows into the own directory, and tells all
+// others if it changed. The caller holds mu; the datagrams are returned.
+func (g *Gateway) publish(now clock.Time) [][]byte {
+	var all []holdingMsg
+	for _, s := range g.enginesOf() {
+		born, sequence, holdings, ok := g.placer.Holdings(now, s.ID)
+		if !ok {
+			continue
+		}
+		g.dir.SetHoldings(s.ID, born, sequence, holdings)
+		h := holdingMsg{Server: s.ID, Born: born, Sequence: sequence}
+		for _, m := range holdings {
+			h.Models = append(h.Models, modelMsg{Model: m.Model, Adapters: m.Adapters})
+		}
+		all = append(all, h)
+	}
+	var bodies [][]byte
+	hash := xxhash.New()
+	for len(all) > 0 {
+		n := min(len(all), holdingsPerState)
+		body, err := cbor.Marshal(packet{State: &stateMsg{Name: g.set.Name, Fencing: g.lease.Fencing(), Holdings: all[:n]}})
+		if err != nil {
+			g.log.Error().Err(err).Msg("peers: state not encoded")
+			return nil
+		}
+		_, _ = hash.Write(body)
+		bodies = append(bodies, body)
+		all = all[n:]
+	}
+	sum := hash.Sum64()
+	if sum == g.stateSum && now.Sub(g.stateSent) < stateEvery {
+		return nil
+	}
+	if sum != g.stateSum {
+		g.wake()
+	}
+	g.stateSum, g.stateSent = sum, now
+	return bodies
+}
+
+// enginesOf returns the servers that take orders. The caller holds mu.
+func (g *Gateway) enginesOf() []*directory.Server {
+	m := g.manifest.Load()
+	if m == nil {
+		return nil
+	}
+	var all []*directory.Server
+	for _, name := range sortedNames(m.Groups) {
+		if m.Groups[name].Engine != nil {
+			all = append(all, g.dir.All(name)...)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/oleander/gateway/choose.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// lookAgain is when a request that found all servers full looks again.
+	lookAgain = 20 * time.Millisecond
+	// lastMoment before its end a waiting request is refused: no answer could
+	// still be in time.
+	lastMoment = 150 * time.Millisecond
+	// stopMoment before the kill a stopping process refuses what waits, so
+	// that it is served elsewhere.
+	stopMoment = 3 * time.Second
+)
+
+// target is the server that was chosen for an attempt.
+type target struct {
+	id, address string
+}
+
+// choose waits for a server that can run the request and counts the request as
+// sent to it.
+func (x *exchange) choose() (target, *refusal) {
+	g := x.g
+	began := boottime.Now()
+	defer func() { x.queued += boottime.Now().Sub(began) }()
+	var key placer.Key
+	waiting := false
+	defer func() {
+		if waiting {
+			g.stopWaiting(key)
+		}
+	}()
+	for {
+		t, full, changed, ref := x.tryChoose()
+		if ref != nil || t.id != "" {
+			return t, ref
+		}
+		if !full && !waiting {
+			key, waiting = x.waitKey(), true
+			g.startWaiting(key, x.arrived, x.urgency())
+		}
+		if ref := x.wait(changed, full); ref != nil {
+			return target{}, ref
+		}
+	}
+}
+
+func (x *exchange) waitKey() placer.Key {
+	return placer.Key{Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter}
+}
+
+// tryChoose looks once. The configuration may have changed since the request
+// arrived: a key that was withdrawn or a route that moved counts now.
+func (x *exchange) tryChoose() (t target, full bool, changed <-chan struct{}, ref *refusal) {
+	g := x.g
+	if m := g.manifest.Load(); m != x.config {
+		if ref := x.resolve(); ref != nil {
+			return target{}, false, nil, ref
+		}
+		if x.ran == 0 && !x.started {
+			x.group = x.route.Pick(hashOf(x.call.ID))
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	s, full := g.dir.Pick(now, x.need())
+	if s != nil {
+		g.dir.Started(now, s.ID, x.call.Model)
+		g.placer.AdapterUsed(now, s.ID, x.call.Model, x.call.Adapter)
+		return target{id: s.ID, address: s.Address}, false, nil, nil
+	}
+	if !full && !x.possible(now) {
+		return target{}, false, nil, &refusal{http.StatusServiceUnavailable, reasonNoServer, comeBackLoad}
+	}
+	return target{}, full, g.changed, nil
+}
+
+// possible reports whether waiting can help: a server of the group could come
+// to hold the model. The caller holds mu.
+func (x *exchange) possible(now clock.Time) bool {
+	if x.call.Model == "" {
+		return false
+	}
+	for _, s := range x.g.dir.All(x.group) {
+		if s.Usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// wait waits for a change, or refuses when the time is up.
+func (x *exchange) wait(changed <-chan struct{}, full bool) *refusal {
+	left := x.end.Sub(boottime.Now()) - lastMoment
+	why := refusal{http.StatusServiceUnavailable, reasonNotLoaded, comeBackLoad}
+	if full {
+		why = refusal{http.StatusServiceUnavailable, reasonNoRoom, comeBack}
+	}
+	if left <= 0 {
+		return &why
+	}
+	if full {
+		left = min(left, lookAgain)
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-x.r.Context().Done():
+		return &refusal{http.StatusServiceUnavailable, reasonCallerGone, 0}
+	case <-x.g.refuseWaiting:
+		return &refusal{http.StatusServiceUnavailable, reasonStopping, comeBack}
+	}
+	return nil
+}
+
+// startWaiting tells the holder of the lease what is wanted.
+func (g *Gateway) startWaiting(k placer.Key, since clock.Time, priority int) {
+	g.mu.Lock()
+	w := g.waits[k]
+	first := w == nil
+	if first {
+		w = &waiting{since: since, priority: priority}
+		g.waits[k] = w
+	}
+	w.requests++
+	w.since = min(w.since, since)
+	w.priority = min(w.priority, priority)
+	own := g.lease.Holds(boottime.Now())
+	g.mu.Unlock()
+	switch {
+	case !first:
+	case own:
+		g.poke()
+	default:
+		g.sendBeat(true)
+	}
+}
+
+func (g *Gateway) stopWaiting(k placer.Key) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.waits[k]
+	if w == nil {
+		return
+	}
+	if w.requests--; w.requests <= 0 {
+		delete(g.waits, k)
+	}
+}
+
+// ended counts the end of an attempt.
+func (g *Gateway) ended(server, model string, o directory.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dir.Ended(boottime.Now(), server, model, o)
+}
--- /dev/null
+++ b/oleander/gateway/front.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// reason says why the gateway itself answered a request.
+type reason string
+
+// The reasons.
+const (
+	reasonNoConfig   reason = "no-config"
+	reasonNoRoute    reason = "no-route"
+	reasonKey        reason = "key"
+	reasonBody       reason = "body"
+	reasonTooLarge   reason = "too-large"
+	reasonQuota      reason = "quota"
+	reasonPoison     reason = "crashes-servers"
+	reasonNoServer   reason = "no-server"
+	reasonNoRoom     reason = "no-room"
+	reasonNotLoaded  reason = "not-loaded-in-time"
+	reasonRefused    reason = "refused-by-servers"
+	reasonStopping   reason = "stopping"
+	reasonBroken     reason = "broken"
+	reasonTimeout    reason = "timeout"
+	reasonBrokenOff  reason = "broken-off-midway"
+	reasonCallerGone reason = "caller-gone"
+	reasonAnswered   reason = "answered"
+)
+
+// refusal is an answer of the gateway's own. Statuses 429 and 503 promise that
+// the request has not run and will not.
+type refusal struct {
+	status     int
+	reason     reason
+	retryAfter time.Duration
+}
+
+const (
+	// comeBack is when a request may come again that another instance or a
+	// moment later can serve.
+	comeBack = 200 * time.Millisecond
+	// comeBackLoad is when a model that could not be loaded in time may be there.
+	comeBackLoad = time.Second
+)
+
+// exchange is one request of a caller.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	call    Call
+	route   *manifest.Route
+	group   string
+	account *manifest.Account
+	config  *manifest.Manifest
+	body    []byte
+	digest  poison.Digest
+	cost    float64
+
+	arrived  clock.Time
+	end      clock.Time // of the caller's patience or the route's timeout
+	sends    int
+	ran      int // sends that the server did not reject
+	excluded map[string]bool
+	server   string // of the last attempt
+	queued   time.Duration
+	started  bool // a byte of the answer was written
+	lastID   string
+	events   int
+}
+
+// ServeHTTP serves one request. No router stands before it: routers clean
+// paths and answer with redirects, and a path is forwarded as it is or refused.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{g: g, w: w, r: r, arrived: boottime.Now(), excluded: make(map[string]bool)}
+	x.call = g.dialect.ReadCall(r)
+	x.lastID = x.call.LastEventID
+	if ref := x.admit(); ref != nil {
+		x.refuse(*ref)
+		return
+	}
+	x.serve()
+}
+
+// admit finds the route and the account, reads the body, and spends the quota.
+func (x *exchange) admit() *refusal {
+	if ref := x.resolve(); ref != nil {
+		return ref
+	}
+	if ref := x.readBody(); ref != nil {
+		return ref
+	}
+	limit := x.route.Timeout
+	if x.call.Wait > 0 {
+		limit = min(limit, x.call.Wait)
+	}
+	x.end = x.arrived.Add(limit)
+	x.group = x.route.Pick(xxhash.Sum64String(x.call.ID))
+	x.digest = x.requestDigest()
+	return x.charge()
+}
+
+// resolve finds the route and the account in the configuration in force.
+func (x *exchange) resolve() *refusal {
+	m := x.g.manifest.Load()
+	if m == nil {
+		return &refusal{http.StatusServiceUnavailable, reasonNoConfig, comeBack}
+	}
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	route := m.Match(x.r.Host, path)
+	if route == nil {
+		return &refusal{http.StatusNotFound, reasonNoRoute, 0}
+	}
+	x.config, x.route, x.account = m, route, nil
+	if !m.NeedsKey(route) {
+		return nil
+	}
+	if x.account = m.Account(x.call.Key); x.account == nil {
+		return &refusal{http.StatusUnauthorized, reasonKey, 0}
+	}
+	return nil
+}
+
+func (x *exchange) readBody() *refusal {
+	limit := int64(maxBody)
+	if n := x.config.Limits.BodyBytes; n > 0 {
+		limit = n
+	}
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	if err != nil {
+		return &refusal{http.StatusBadRequest, reasonBody, 0}
+	}
+	if int64(len(body)) > limit {
+		return &refusal{http.StatusRequestEntityTooLarge, reasonTooLarge, 0}
+	}
+	x.body = body
+	return nil
+}
+
+// requestDigest names the request among those that come again, 0 if it has no
+// body: reads of one path are alike without being one request.
+func (x *exchange) requestDigest() poison.Digest {
+	if len(x.body) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	if x.account != nil {
+		_, _ = d.WriteString(x.account.Name)
+	}
+	_, _ = d.WriteString(x.r.Method + " " + x.r.RequestURI + "\n")
+	_, _ = d.Write(x.body)
+	return poison.Digest(d.Sum64())
+}
+
+// charge spends the quota and counts the request.
+func (x *exchange) charge() *refusal {
+	g := x.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.budget.Request(now, x.group)
+	if x.digest != 0 && g.poison.Refused(now, x.digest) {
+		return &refusal{http.StatusServiceUnavailable, reasonPoison, 0}
+	}
+	if x.account == nil {
+		return nil
+	}
+	x.cost = 1
+	if x.account.CountTokens {
+		x.cost = float64(x.call.Tokens)
+		if x.call.Tokens == 0 {
+			x.cost = float64(x.account.PlainCost)
+		}
+	}
+	if ok, wait := g.quota.Take(now, x.account.Name, x.cost); !ok {
+		x.cost = 0
+		return &refusal{http.StatusTooManyRequests, reasonQuota, max(wait, comeBack)}
+	}
+	return nil
+}
+
+// refund gives back the quota of a request that did not run.
+func (x *exchange) refund() {
+	if x.account == nil || x.cost == 0 || x.ran > 0 {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.quota.Refund(boottime.Now(), x.account.Name, x.cost)
+	x.cost = 0
+}
+
+// need says what the request needs of a backend server.
+func (x *exchange) need() directory.Need {
+	return directory.Need{
+		Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter,
+		Affinity: x.affinity(), Zone: x.g.set.Zone, Exclude: x.excluded,
+	}
+}
+
+// affinity is the hash of the prompt parts that other requests share, which
+// are all but the last.
+func (x *exchange) affinity() uint64 {
+	if x.call.Model == "" || len(x.call.Parts) < 2 {
+		return 0
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(x.call.Model + "/" + x.call.Adapter)
+	for _, p := range x.call.Parts[:len(x.call.Parts)-1] {
+		_, _ = d.WriteString(p.ID)
+		_, _ = d.Write(binary.LittleEndian.AppendUint32(nil, uint32(p.Tokens)))
+	}
+	return max(1, d.Sum64())
+}
+
+// urgency is the rank of the request at the backend server: the account's goes
+// before the route's.
+func (x *exchange) urgency() int {
+	if x.account != nil && x.account.Priority != manifest.NoPriority {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
+
+// refuse answers with a refusal; the request is over.
+func (x *exchange) refuse(ref refusal) {
+	if !x.started {
+		x.writeRefusal(ref)
+	}
+	x.refund()
+	x.finish(ref.status, ref.reason)
+}
+
+func (x *exchange) writeRefusal(ref refusal) {
+	h := x.w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	if ref.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	body, err := json.Marshal(map[string]any{"status": ref.status, "title": string(ref.reason)})
+	if err != nil {
+		x.g.log.Error().Err(err).Msg("front: refusal not encoded")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(ref.status)
+	_, _ = x.w.Write(body)
+}
+
+// finish logs and counts the outcome.
+func (x *exchange) finish(status int, why reason) {
+	total := boottime.Now().Sub(x.arrived)
+	x.g.metrics.request(why, total)
+	e := x.g.log.Info().Str("request", x.call.ID).Int("status", status).Str("reason", string(why))
+	if x.route != nil {
+		e = e.Str("route", x.route.Name).Uint64("config", x.config.Version)
+	}
+	if x.account != nil {
+		e = e.Str("account", x.account.Name)
+	}
+	if x.call.Model != "" {
+		e = e.Str("model", x.call.Model).Str("adapter", x.call.Adapter)
+	}
+	if x.sends > 0 {
+		e = e.Str("server", x.server).Int("sends", x.sends).Int("ran", x.ran)
+	}
+	if x.events > 0 {
+		e = e.Int("events", x.events)
+	}
+	e.Int64("queued_ms", x.queued.Milliseconds()).Int64("total_ms", total.Milliseconds()).Msg("front: request ended")
+}
--- /dev/null
+++ b/oleander/gateway/gateway.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/budget"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/members"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/core/gateway/quota"
+	"oleanderdale.org/core/invariant"
+	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// Settings of a Gateway.
+type Settings struct {
+	Name  string
+	Zone  string
+	Front string // address for callers
+	Ready string // address for the balancer's question
+	Peer  string // address for other instances, TCP and UDP; metrics too
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// OrderQuiet is the time without orders between two holders of the lease.
+	OrderQuiet time.Duration
+	Retry      budget.Settings
+}
+
+const (
+	// leaseTerm and leaseRenew: a holder that dies is replaced within some
+	// seconds, at two and a half writes a second for the whole fleet.
+	leaseTerm   = 1500 * time.Millisecond
+	leaseRenew  = 500 * time.Millisecond
+	leaseMargin = 300 * time.Millisecond
+	// leaseSilence is how long the holder is not heard before others look at
+	// the row: three of its messages.
+	leaseSilence = 700 * time.Millisecond
+	// orderSlack is added to the quiet time for orders that are on their way
+	// when the right of their sender ends.
+	orderSlack = 400 * time.Millisecond
+	// dialTimeout bounds connecting to a backend server, a millisecond away. A
+	// server that is cut off does not answer at all.
+	dialTimeout = 400 * time.Millisecond
+	// maxBody bounds a body while the configuration does not.
+	maxBody = 4 << 20
+)
+
+// Gateway is one entry instance.
+type Gateway struct {
+	set         Settings
+	incarnation uint64
+	log         zerolog.Logger
+	store       Store
+	engines     Engines
+	dialect     Dialect
+	pool        *rawhttp.Pool
+	peers       *peers
+	metrics     *instruments
+
+	manifest atomic.Pointer[manifest.Manifest]
+	raw      atomic.Pointer[[]byte] // the manifest in force, as stored
+	stopping atomic.Bool
+	active   atomic.Int64 // requests being served
+	kick     chan struct{}
+	fetching atomic.Bool
+	// refuseWaiting is closed when a stop is near its end.
+	refuseWaiting chan struct{}
+	ctx           context.Context
+	cancel        context.CancelFunc
+
+	mu        sync.Mutex
+	dir       *directory.Directory
+	members   *members.Set
+	quota     *quota.Meter
+	budget    *budget.Budget
+	poison    *poison.Register
+	lease     *leader.Lease
+	placer    *placer.Placer
+	waits     map[placer.Key]*waiting
+	arrived   map[string]arrivals // by model
+	peerSeen  map[string]*peerSeen
+	changed   chan struct{} // closed when a waiting request should look again
+	holder    holder
+	storeDown clock.Time // last failure of a call to the store
+	lapsed    map[string]clock.Time
+	stateSent clock.Time
+	stateSum  uint64
+}
+
+// holder is the instance that gives orders, as it says itself.
+type holder struct {
+	name    string
+	fencing int64
+	heard   clock.Time
+}
+
+// peerSeen is what the counters of another instance were.
+type peerSeen struct {
+	incarnation uint64
+	arrived     map[string]uint64
+	wants       []wantMsg
+	heard       clock.Time
+	hearsHolder bool
+}
+
+// arrivals counts the requests for a model since the start.
+type arrivals struct {
+	count uint64
+	last  clock.Time
+}
+
+// waiting is what waits here for a model or adapter.
+type waiting struct {
+	requests int
+	since    clock.Time
+	priority int
+}
+
+// New returns a Gateway that does not run yet.
+func New(s Settings, store Store, engines Engines, dialect Dialect, log zerolog.Logger) (*Gateway, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		set: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, log: log,
+		store: store, engines: engines, dialect: dialect, metrics: newMetrics(),
+		kick: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
+		dir: directory.New(), members: members.New(s.Name), quota: quota.New(),
+		budget: budget.New(s.Retry), poison: poison.New(),
+		waits: make(map[placer.Key]*waiting), arrived: make(map[string]arrivals),
+		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time),
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
+	g.placer = placer.New(invariant.Reporting(g.violated))
+	g.lease = leader.New(leader.Settings{
+		Self: s.Name, Term: leaseTerm, RenewEvery: leaseRenew, Margin: leaseMargin,
+		Quiet: s.OrderQuiet + orderSlack, Silence: leaseSilence,
+	}, g.incarnation, boottime.Now())
+	return g, nil
+}
+
+func (g *Gateway) violated(v invariant.Violation) {
+	g.metrics.violation(v.Name).Inc()
+	g.log.Error().Str("invariant", v.Name).Str("detail", v.Detail).Msg("placer: invariant violated, order not given")
+}
+
+// wake lets waiting requests look again. The caller holds mu.
+func (g *Gateway) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// poke lets the housekeeping run at once.
+func (g *Gateway) poke() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/oleander/gateway/peers.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/gateway/poison"
+)
+
+// maxDatagram is the largest that UDP carries.
+const maxDatagram = 64 << 10
+
+// wantMsg tells what waits at an instance for a model or adapter.
+type wantMsg struct {
+	_        struct{} `cbor:",toarray"`
+	Group    string
+	Model    string
+	Adapter  string
+	Requests int
+	WaitedMS int64
+	Priority int
+}
+
+// beatMsg is what an instance tells all others several times a second. Counters
+// count from its start, so a lost message loses nothing.
+type beatMsg struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
+	Address     string
+	Zone        string
+	Manifest    uint64
+	Leaving     bool
+	Holder      string // whom it hears as the holder of the lease
+	Fencing     int64  // of its own lease; 0 if it holds none
+	StoreDown   bool
+	Spent       map[string]uint64         // by account
+	Arrived     map[string]uint64         // by model, those that changed of late
+	Running     map[string]map[string]int // by backend server and model
+	Wants       []wantMsg
+	Broken      map[poison.Digest]uint32
+}
+
+// holdingMsg tells what one backend server holds.
+type holdingMsg struct {
+	_        struct{} `cbor:",toarray"`
+	Server   string
+	Born     int64
+	Sequence int64
+	Models   []modelMsg
+}
+
+type modelMsg struct {
+	_        struct{} `cbor:",toarray"`
+	Model    string
+	Adapters []string
+}
+
+// stateMsg is what the holder of the lease tells of the engines.
+type stateMsg struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Fencing  int64
+	Holdings []holdingMsg
+}
+
+// packet is one datagram; one of its fields is set.
+type packet struct {
+	Beat  *beatMsg  `cbor:"1,keyasint,omitempty"`
+	State *stateMsg `cbor:"2,keyasint,omitempty"`
+}
+
+// peers sends and receives datagrams between instances. They are small and
+// repeated, so a lost one does no harm; a connection to each instance would
+// cost more processor time than all they say.
+type peers struct {
+	conn *net.UDPConn
+}
+
+func newPeers(address string) (*peers, error) {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "gateway: peer address %q", address)
+	}
+	c, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return nil, errors.Wrapf(err, "gateway: listen on %s", address)
+	}
+	return &peers{conn: c}, nil
+}
+
+// send sends a message to each address. An error is a lost datagram.
+func (p *peers) send(body []byte, to []string) {
+	for _, address := range to {
+		a, err := netip.ParseAddrPort(address)
+		if err != nil {
+			continue // a row of an instance that can't be written to
+		}
+		_, _ = p.conn.WriteToUDPAddrPort(body, a)
+	}
+}
+
+// receive calls take for each packet until the socket is closed.
+func (p *peers) receive(take func(packet), bad func(error)) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			bad(err)
+			continue
+		}
+		var m packet
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+			bad(err)
+			continue
+		}
+		take(m)
+	}
+}
+
+func (p *peers) close() { _ = p.conn.Close() }
--- /dev/null
+++ b/oleander/gateway/ports.go
@@ -0,0 +1,112 @@
+// Package gateway is the entry instance on machines whose platform speaks its
+// own protocol: it takes callers' requests, forwards each to a backend server,
+// and carries out what the deciders of core/gateway decide. It knows no name of
+// any platform; what it needs of one stands in the interfaces of this file.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/placer"
+)
+
+// Errors of a Store.
+var (
+	// ErrHistory says that the changes asked for are no longer kept: read anew.
+	ErrHistory = errors.New("gateway: history is gone")
+	// ErrUnavailable says that the store did not answer, or did nothing.
+	ErrUnavailable = errors.New("gateway: store unavailable")
+)
+
+// Call is what the gateway needs to know of a request.
+type Call struct {
+	ID          string
+	Key         string
+	Wait        time.Duration // that the caller waits; 0: it does not say
+	Model       string        // "" if the request is for a plain service
+	Adapter     string
+	Tokens      int // of the prompt and at most of the answer; 0: unknown
+	Parts       []Part
+	LastEventID string // after which a stream goes on
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Attempt is what a backend server is told besides the caller's request.
+type Attempt struct {
+	Account     string
+	Server      string
+	Wait        time.Duration
+	Urgency     int // 0 is the most urgent
+	LastEventID string
+}
+
+// AnswerHead is what the headers of a backend server's answer say.
+type AnswerHead struct {
+	RequestID string
+	Signed    bool // carries the proof that it is the server's
+	NotRun    bool // the server says that it did not run the request
+	Server    string
+}
+
+// Dialect reads and writes the headers of callers and backend servers.
+type Dialect interface {
+	ReadCall(r *http.Request) Call
+	// Forward returns the headers for the backend server.
+	Forward(from http.Header, a Attempt) http.Header
+	ReadAnswer(status int, h http.Header) AnswerHead
+}
+
+// Peer is another instance, as its row names it.
+type Peer struct {
+	Name    string
+	Address string
+	Zone    string
+}
+
+// ServerChange is a change of one backend server's entry. Removed entries have
+// only an ID.
+type ServerChange struct {
+	Entry   directory.Entry
+	Removed bool
+}
+
+// Store is what lasts. Calls fail with ErrUnavailable or ErrHistory.
+type Store interface {
+	// Manifest returns the newest manifest, as stored, and the version of the
+	// store that it was read at. nil: there is none yet.
+	Manifest(ctx context.Context) (raw []byte, at int64, err error)
+	// WatchManifest waits for a manifest written after a version of the store.
+	// nil: there was none within wait.
+	WatchManifest(ctx context.Context, after int64, wait time.Duration) (raw []byte, at int64, err error)
+	// Decode decodes a manifest.
+	Decode(raw []byte) (*manifest.Manifest, error)
+	// Servers returns the entries of all backend servers.
+	Servers(ctx context.Context) (entries []directory.Entry, at int64, err error)
+	// WatchServers waits for changes after a version of the store.
+	WatchServers(ctx context.Context, after int64, wait time.Duration) (changes []ServerChange, at int64, err error)
+	// Peers returns the rows of all instances, Join writes one.
+	Peers(ctx context.Context) ([]Peer, error)
+	Join(ctx context.Context, p Peer) error
+	// Lease reads the row of the lease; version 0: there is none.
+	Lease(ctx context.Context) (leader.Record, int64, error)
+	// WriteLease replaces a version of the row.
+	WriteLease(ctx context.Context, r leader.Record, expect int64) (leader.Result, int64)
+}
+
+// Engines takes orders and tells what it holds.
+type Engines interface {
+	Order(ctx context.Context, o placer.Order, holder string, fencing int64) placer.Answer
+	Report(ctx context.Context, address, server string) (placer.Report, error)
+}
--- /dev/null
+++ b/oleander/gateway/relay.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// relay passes a stream on, one whole event at a time: a server may stop in the
+// middle of an event, and a stream that goes on elsewhere must not repeat half
+// of one.
+func (x *exchange) relay(t target, c *rawhttp.Conn, resp *http.Response) result {
+	var pending []byte
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := resp.Body.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		end := wholeEvents(pending)
+		if err == io.EOF && !x.route.Resumable {
+			end = len(pending)
+		}
+		if end > 0 {
+			if werr := x.forward(resp, pending[:end]); werr != nil {
+				c.Close()
+				x.g.ended(t.id, x.call.Model, directory.Neutral)
+				x.ran++
+				return x.callerGone()
+			}
+			pending = append(pending[:0], pending[end:]...)
+		}
+		switch {
+		case err == io.EOF && len(pending) > 0:
+			return x.broke(t, c, errors.New("stream ended in the middle of an event"))
+		case err == io.EOF:
+			return x.relayed(t, c, resp)
+		case err != nil:
+			return x.broke(t, c, err)
+		}
+		if x.impatient() {
+			pause := max(pauseLeast, pauseFactor*x.route.PauseObjective)
+			c.SetReadDeadline(deadlineAt(min(x.end.Add(answerSlack), boottime.Now().Add(pause))))
+		}
+	}
+}
+
+// relayed ends a stream that came whole.
+func (x *exchange) relayed(t target, c *rawhttp.Conn, resp *http.Response) result {
+	c.Release(resp)
+	x.g.ended(t.id, x.call.Model, directory.Answered)
+	x.ran++
+	if !x.started {
+		x.begin(resp)
+	}
+	x.finish(resp.StatusCode, reasonAnswered)
+	return resultDone
+}
+
+// begin writes the head of the answer, which stays that of the first server.
+func (x *exchange) begin(resp *http.Response) {
+	copyHeader(x.w.Header(), resp.Header)
+	x.started = true
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// forward writes whole events.
+func (x *exchange) forward(resp *http.Response, events []byte) error {
+	if !x.started {
+		x.begin(resp)
+	}
+	if _, err := x.w.Write(events); err != nil {
+		return errors.Wrap(err, "front: write")
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return errors.Wrap(err, "front: flush")
+	}
+	x.noteEvents(events)
+	return nil
+}
+
+// noteEvents remembers the id of the last event, at which the stream goes on
+// if it has to.
+func (x *exchange) noteEvents(events []byte) {
+	for _, line := range strings.Split(string(events), "\n") {
+		if id, ok := strings.CutPrefix(strings.TrimRight(line, "\r"), "id:"); ok {
+			x.lastID = strings.TrimSpace(id)
+			x.events++
+		}
+	}
+}
+
+// wholeEvents returns the length of the whole events at the start of b. An
+// event ends with an empty line.
+func wholeEvents(b []byte) int {
+	end := 0
+	for _, sep := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(b, sep); i >= 0 {
+			end = max(end, i+len(sep))
+		}
+	}
+	return end
+}
--- /dev/null
+++ b/oleander/gateway/run.go
@@ -0,0 +1,493 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// housekeepEvery is the time between two rounds of the housekeeping.
+	housekeepEvery = 50 * time.Millisecond
+	// placeEvery is the time between rounds while orders are under way.
+	placeEvery = 15 * time.Millisecond
+	// storeTimeout bounds a call to the store, which takes 4 ms as a rule.
+	storeTimeout = 1200 * time.Millisecond
+	// leaseTimeout bounds a call for the lease; a later answer is of no use.
+	leaseTimeout = 450 * time.Millisecond
+	// orderTimeout bounds an order and a question to an engine.
+	orderTimeout = 300 * time.Millisecond
+	// watchWait is how long the store holds a call that waits for changes. A
+	// connection that went silent is found out a second later.
+	watchWait = 4 * time.Second
+	// serversPause is the time between two calls for changes of the backend
+	// servers at an instance that hears the holder of the lease, which calls at
+	// once. A leaving server must be known two seconds after its entry.
+	serversPause = 700 * time.Millisecond
+	// retryPause is the time before a call to the store is made again.
+	retryPause = 250 * time.Millisecond
+	// peersEvery is the time between two readings of the instances' rows;
+	// peersEarly is the same shortly after the start, when all join at once.
+	peersEvery = 15 * time.Second
+	peersEarly = time.Second
+	earlyFor   = 4 * time.Second
+	// lapseGrace is how long an entry may be missing after the store was away
+	// before its server counts as gone.
+	lapseGrace = 2 * time.Second
+	// troubleFor is how long after a failed call the store counts as away.
+	troubleFor = 3 * time.Second
+)
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// sleep waits, or returns false when the gateway ends.
+func (g *Gateway) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-g.ctx.Done():
+		return false
+	}
+}
+
+// stored records whether a call to the store succeeded.
+func (g *Gateway) stored(what string, err error) {
+	g.metrics.storeCall(what, err == nil)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	if err == nil {
+		if g.storeDown != 0 && now.Sub(g.storeDown) >= troubleFor {
+			g.storeDown = 0
+			g.log.Info().Str("call", what).Msg("store: reached again")
+		}
+		return
+	}
+	if g.ctx.Err() != nil || errors.Is(err, ErrHistory) {
+		return
+	}
+	if g.storeDown == 0 {
+		g.log.Warn().Str("call", what).Err(err).Msg("store: lost")
+	}
+	g.storeDown = now
+}
+
+// followManifest keeps the newest manifest in force.
+func (g *Gateway) followManifest() {
+	at := int64(-1)
+	for g.ctx.Err() == nil {
+		raw, next, err := g.nextManifest(at)
+		g.stored("manifest", err)
+		switch {
+		case errors.Is(err, ErrHistory):
+			at = -1
+			continue
+		case err != nil:
+			at = -1
+			g.sleep(retryPause)
+			continue
+		case next < at:
+			at = -1 // an answer from the past
+			continue
+		}
+		at = next
+		if raw != nil {
+			g.adopt(raw, "store")
+		} else if g.manifest.Load() == nil {
+			g.sleep(retryPause)
+		}
+	}
+}
+
+func (g *Gateway) nextManifest(at int64) ([]byte, int64, error) {
+	if at < 0 {
+		ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+		defer cancel()
+		return g.store.Manifest(ctx)
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, watchWait+storeTimeout)
+	defer cancel()
+	return g.store.WatchManifest(ctx, at, watchWait)
+}
+
+// adopt puts a manifest in force if it is newer than the one that is.
+func (g *Gateway) adopt(raw []byte, source string) {
+	m, err := g.store.Decode(raw)
+	if err != nil {
+		g.log.Error().Err(err).Str("source", source).Msg("config: version not usable, the last one stays")
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// Two sources may bring versions in any order; an older one never returns.
+	if old := g.manifest.Load(); old != nil && old.Version >= m.Version {
+		return
+	}
+	g.manifest.Store(m)
+	g.raw.Store(&raw)
+	g.quota.Configure(m.Accounts)
+	g.wake()
+	g.metrics.configVersion.Store(m.Version)
+	g.log.Info().Uint64("version", m.Version).Str("source", source).Msg("config: version in force")
+}
+
+// followServers keeps the entries of the backend servers.
+func (g *Gateway) followServers() {
+	at := int64(-1)
+	for g.ctx.Err() == nil {
+		var err error
+		if at < 0 {
+			at, err = g.readServers()
+		} else {
+			at, err = g.watchServers(at)
+		}
+		g.stored("servers", err)
+		if err != nil {
+			at = -1
+			if !errors.Is(err, ErrHistory) {
+				g.sleep(retryPause)
+			}
+			continue
+		}
+		if g.hearsHolder() {
+			g.sleep(serversPause)
+		}
+	}
+}
+
+// hearsHolder reports whether another instance follows the engines closely.
+func (g *Gateway) hearsHolder() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	return !g.lease.Holds(now) && now.Sub(g.holder.heard) < leaseSilence
+}
+
+func (g *Gateway) readServers() (int64, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	entries, at, err := g.store.Servers(ctx)
+	if err != nil {
+		return -1, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.ID] = true
+		g.putServer(e)
+	}
+	for _, id := range g.dir.IDs() {
+		if !present[id] {
+			g.missing(now, id)
+		}
+	}
+	g.wake()
+	g.poke()
+	return at, nil
+}
+
+func (g *Gateway) watchServers(at int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, watchWait+storeTimeout)
+	defer cancel()
+	changes, next, err := g.store.WatchServers(ctx, at, watchWait)
+	if err != nil {
+		return -1, err
+	}
+	if next < at {
+		return -1, errors.Wrap(ErrUnavailable, "an answer from the past")
+	}
+	if len(changes) == 0 {
+		return next, nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range changes {
+		if c.Removed {
+			g.missing(boottime.Now(), c.Entry.ID)
+		} else {
+			g.putServer(c.Entry)
+		}
+	}
+	g.wake()
+	g.poke()
+	return next, nil
+}
+
+// putServer takes an entry. The caller holds mu.
+func (g *Gateway) putServer(e directory.Entry) {
+	delete(g.lapsed, e.ID)
+	old := g.dir.Get(e.ID)
+	if old == nil || old.Born != e.Born || old.Draining != e.Draining {
+		g.log.Info().Str("server", e.ID).Str("group", e.Group).Str("zone", e.Zone).
+			Bool("leaving", e.Draining).Dur("remaining", e.Remaining).Msg("servers: entry")
+	}
+	g.dir.Put(e)
+}
+
+// missing takes the lack of an entry: its server is gone, but for a moment
+// after the store was away, when entries that lapsed are still to come back.
+// The caller holds mu.
+func (g *Gateway) missing(now clock.Time, id string) {
+	s := g.dir.Get(id)
+	if s == nil {
+		return
+	}
+	if s.Draining || g.storeDown == 0 || now.Sub(g.storeDown) > troubleFor {
+		g.drop(id)
+		return
+	}
+	if _, ok := g.lapsed[id]; !ok {
+		g.lapsed[id] = now
+	}
+}
+
+func (g *Gateway) drop(id string) {
+	delete(g.lapsed, id)
+	g.dir.Remove(id)
+	g.log.Info().Str("server", id).Msg("servers: gone")
+}
+
+func (g *Gateway) dropLapsed(now clock.Time) {
+	for id, since := range g.lapsed {
+		if now.Sub(since) > lapseGrace && now.Sub(g.storeDown) > lapseGrace {
+			g.drop(id)
+		}
+	}
+}
+
+// followPeers writes this instance's row and reads the others'.
+func (g *Gateway) followPeers() {
+	started := boottime.Now()
+	joined := false
+	for {
+		if !joined {
+			joined = g.join()
+		}
+		g.readPeers()
+		pause := peersEvery
+		if !joined || boottime.Now().Sub(started) < earlyFor {
+			pause = peersEarly
+		}
+		if !g.sleep(pause) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) join() bool {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	err := g.store.Join(ctx, Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone})
+	g.stored("join", err)
+	return err == nil
+}
+
+func (g *Gateway) readPeers() {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	peers, err := g.store.Peers(ctx)
+	g.stored("peers", err)
+	if err != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	for _, p := range peers {
+		g.members.Listed(now, p.Name, p.Address, p.Zone)
+	}
+}
+
+// housekeep renews the lease, tells the others, and gives orders.
+func (g *Gateway) housekeep() {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	var nextBeat clock.Time
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-t.C:
+		case <-g.kick:
+		}
+		now := boottime.Now()
+		if now.Reached(nextBeat) {
+			g.sendBeat(false)
+			nextBeat = now.Add(g.beatInterval())
+		}
+		t.Reset(g.round())
+	}
+}
+
+func (g *Gateway) beatInterval() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(beatEvery, time.Duration(g.members.Count())*beatPerMember)
+}
+
+// round is one round of the housekeeping. It returns when the next is due.
+func (g *Gateway) round() time.Duration {
+	g.mu.Lock()
+	now := boottime.Now()
+	g.dropLapsed(now)
+	if g.lease.Lapsed(now) {
+		g.log.Warn().Msg("lease: lapsed, no more orders")
+	}
+	step := g.lease.Next(now, g.rank(now))
+	var orders []placer.Order
+	var asks []question
+	var state [][]byte
+	var to []string
+	pause := housekeepEvery
+	if g.lease.Holds(now) {
+		orders, asks = g.plan(now)
+		if state = g.publish(now); state != nil {
+			for _, m := range g.members.All(now) {
+				to = append(to, m.Address)
+			}
+		}
+		if g.placer.Active() {
+			pause = placeEvery
+		}
+	}
+	g.mu.Unlock()
+	g.leaseStep(step)
+	for _, body := range state {
+		g.peers.send(body, to)
+	}
+	for _, o := range orders {
+		go g.order(o)
+	}
+	for _, q := range asks {
+		go g.ask(q)
+	}
+	return pause
+}
+
+// rank is the place of this instance among the candidates for the lease.
+func (g *Gateway) rank(now clock.Time) int {
+	n := 0
+	for _, m := range g.members.All(now) {
+		if m.Live(now) && m.Name < g.set.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// question asks an engine what it holds.
+type question struct {
+	server, address string
+	born            int64
+}
+
+// plan asks the placer what to do. The caller holds mu.
+func (g *Gateway) plan(now clock.Time) ([]placer.Order, []question) {
+	m := g.manifest.Load()
+	if m == nil {
+		return nil, nil
+	}
+	g.placer.SetWants(g.wants(now))
+	g.placer.Sync(now, g.enginesOf(), m.Groups)
+	var orders []placer.Order
+	if g.lease.MayOrder(now) {
+		orders = g.placer.Plan(now)
+	}
+	var asks []question
+	for _, id := range g.placer.Asks(now) {
+		if s := g.dir.Get(id); s != nil {
+			asks = append(asks, question{server: id, address: s.Address, born: s.Born})
+		}
+	}
+	return orders, asks
+}
+
+// order gives one order, if the right to do so is still there.
+func (g *Gateway) order(o placer.Order) {
+	g.mu.Lock()
+	may, fencing := g.lease.MayOrder(boottime.Now()), g.lease.Fencing()
+	g.mu.Unlock()
+	answer := placer.Silent
+	if may {
+		ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+		answer = g.engines.Order(ctx, o, g.set.Name, fencing)
+		cancel()
+	}
+	g.metrics.order(string(o.Kind), answer)
+	g.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("model", o.Model).Str("adapter", o.Adapter).
+		Int64("precondition", o.Precondition).Int64("fencing", fencing).Bool("sent", may).Stringer("answer", answer).Msg("placer: order")
+	g.mu.Lock()
+	g.placer.Answered(boottime.Now(), o, answer)
+	g.mu.Unlock()
+	g.poke()
+}
+
+func (g *Gateway) ask(q question) {
+	asked := boottime.Now()
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	r, err := g.engines.Report(ctx, q.address, q.server)
+	g.metrics.report(err == nil)
+	if err != nil {
+		g.log.Warn().Err(err).Str("server", q.server).Msg("placer: engine did not tell what it holds")
+		return
+	}
+	g.mu.Lock()
+	g.placer.Reported(boottime.Now(), q.server, q.born, asked, r)
+	g.mu.Unlock()
+	g.poke()
+}
+
+// leaseStep carries out an action on the row of the lease.
+func (g *Gateway) leaseStep(step leader.Step) {
+	if step.Action == leader.None {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(g.ctx, leaseTimeout)
+		defer cancel()
+		switch step.Action {
+		case leader.Read:
+			record, version, err := g.store.Lease(ctx)
+			g.stored("lease-read", err)
+			g.mu.Lock()
+			g.lease.Seen(boottime.Now(), record, version, err == nil)
+			g.mu.Unlock()
+		case leader.Write:
+			result, version := g.store.WriteLease(ctx, step.Record, step.Expect)
+			g.wrote(step, result, version)
+		}
+		g.poke()
+	}()
+}
+
+func (g *Gateway) wrote(step leader.Step, result leader.Result, version int64) {
+	var err error
+	if result == leader.Unknown {
+		err = ErrUnavailable
+	}
+	g.stored("lease-write", err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	held := g.lease.Holds(now)
+	g.lease.Written(now, step, result, version)
+	if !held && g.lease.Holds(now) {
+		g.holder = holder{name: g.set.Name, fencing: g.lease.Fencing(), heard: now}
+		g.metrics.leaseTaken.Inc()
+		g.log.Info().Int64("fencing", g.lease.Fencing()).Msg("lease: taken, this instance gives orders")
+	}
+}
--- /dev/null
+++ b/oleander/gateway/serve.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	headerTimeout = 3 * time.Second
+	// idleTimeout bounds an idle connection of a caller.
+	idleTimeout = 16 * time.Second
+	maxHeader   = 64 << 10
+	// stopListening is how long after the signal to stop new connections are
+	// still taken: the balancer asks once a second and needs two refusals.
+	stopListening = 3500 * time.Millisecond
+	// stopMargin before the kill the last connections are closed.
+	stopMargin = 600 * time.Millisecond
+)
+
+// DropHopHeaders removes the headers that concern one connection only, and
+// those that Connection names.
+func DropHopHeaders(h http.Header) {
+	for _, v := range h.Values("Connection") {
+		for _, name := range strings.Split(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// Run serves until Stop has been carried out or ctx ends.
+func (g *Gateway) Run(ctx context.Context, stop <-chan struct{}) error {
+	defer g.cancel()
+	var err error
+	if g.peers, err = newPeers(g.set.Peer); err != nil {
+		return err
+	}
+	defer g.peers.close()
+	front := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		DisableGeneralOptionsHandler: true, ErrorLog: nil,
+	}
+	servers := []struct {
+		address string
+		server  *http.Server
+	}{
+		{g.set.Front, front},
+		{g.set.Ready, &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: headerTimeout}},
+		{g.set.Peer, &http.Server{Handler: g.internal(), ReadHeaderTimeout: headerTimeout}},
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return errors.Wrapf(err, "gateway: listen on %s", s.address)
+		}
+		defer func() { _ = s.server.Close() }()
+		go func() { failed <- s.server.Serve(l) }()
+	}
+	g.log.Info().Str("front", g.set.Front).Str("zone", g.set.Zone).Uint64("incarnation", g.incarnation).Msg("gateway: started")
+	g.start()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return errors.Wrap(err, "gateway: serve")
+	case <-stop:
+	}
+	g.shutdown(ctx, front)
+	return nil
+}
+
+// start starts what runs for the life of the process.
+func (g *Gateway) start() {
+	for _, f := range []func(){g.followManifest, g.followServers, g.followPeers, g.housekeep, g.receive} {
+		go f()
+	}
+}
+
+func (g *Gateway) receive() {
+	g.peers.receive(g.takePacket, func(err error) {
+		g.metrics.damaged.Inc()
+		g.log.Warn().Err(err).Msg("peers: message dropped")
+	})
+}
+
+// shutdown ends the process without cutting a request: the balancer is told,
+// open connections are served on, and what still waits near the end is sent
+// elsewhere.
+func (g *Gateway) shutdown(ctx context.Context, front *http.Server) {
+	g.log.Info().Int64("active", g.active.Load()).Msg("gateway: stop began")
+	g.stopping.Store(true)
+	began := time.Now()
+	g.releaseLease()
+	g.sendBeat(false)
+	end := began.Add(g.set.Grace - stopMargin)
+	refuse := time.AfterFunc(g.set.Grace-stopMoment, func() { close(g.refuseWaiting) })
+	defer refuse.Stop()
+	select {
+	case <-time.After(min(stopListening, g.set.Grace/2)):
+	case <-ctx.Done():
+		return
+	}
+	drain, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if err := front.Shutdown(drain); err != nil {
+		g.log.Warn().Err(err).Int64("active", g.active.Load()).Msg("gateway: requests cut at the end of the grace time")
+	}
+	g.log.Info().Msg("gateway: stopped")
+}
+
+// releaseLease lets another instance give orders without waiting for a term.
+func (g *Gateway) releaseLease() {
+	g.mu.Lock()
+	step := g.lease.Release(boottime.Now())
+	g.mu.Unlock()
+	if step.Action != leader.Write {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, leaseTimeout)
+	defer cancel()
+	result, _ := g.store.WriteLease(ctx, step.Record, step.Expect)
+	g.log.Info().Bool("done", result == leader.Done).Msg("lease: released")
+}
+
+// readiness answers the balancer.
+func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || g.manifest.Load() == nil || !g.knowsServers() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) knowsServers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.dir.IDs()) > 0
+}
+
+// Paths between instances.
+const (
+	pathManifest = "/manifest"
+	pathMetrics  = "/metrics"
+)
+
+// internal serves other instances and the metrics.
+func (g *Gateway) internal() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathManifest, func(w http.ResponseWriter, _ *http.Request) {
+		raw := g.raw.Load()
+		if raw == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(*raw)
+	})
+	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w, g) })
+	return mux
+}
+
+// behind fetches the manifest from an instance that has a newer one, when the
+// store did not bring it. The caller holds mu.
+func (g *Gateway) behind(from string) {
+	m := g.members.Get(from)
+	if m == nil || !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	address := m.Address
+	go func() {
+		defer g.fetching.Store(false)
+		if !g.sleep(fetchDelay) {
+			return
+		}
+		raw, err := g.fetch(address)
+		if err != nil {
+			g.log.Warn().Err(err).Str("from", from).Msg("config: not had from another instance")
+			return
+		}
+		g.adopt(raw, from)
+	}()
+}
+
+// fetchDelay lets the store bring a version first; a configuration must be in
+// force two seconds after it was accepted.
+const fetchDelay = 300 * time.Millisecond
+
+// fetchClient is only for manifests between instances.
+var fetchClient = sync.OnceValue(func() *http.Client {
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}}
+})
+
+func (g *Gateway) fetch(address string) ([]byte, error) {
+	resp, err := fetchClient().Get("http://" + address + pathManifest)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: fetch")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("gateway: fetch: status %d", resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	return slices.Clip(raw), errors.Wrap(err, "gateway: fetch")
+}
