Take the count of orders from engines' reports, not from their entries

Cause: an entry's field sequence counts writes of the entry; every order carried it as its precondition and was refused.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -30,7 +30,6 @@
 	// Remaining is how long a server that is reclaimed still has; 0 if it
 	// does not say.
 	Remaining time.Duration
-	Sequence  int64 // orders accepted in this life
 	Holdings  []Holding
 	InMemory  []string // models of which a copy lies in the server's memory
 	OnDisk    []string
@@ -62,6 +61,9 @@
 	// unreachableFor is how long a server is left out that could not be
 	// connected to.
 	unreachableFor = time.Second
+	// toldFor is how long what the owner of the orders said goes before the
+	// server's own entry: it is repeated twice a second.
+	toldFor = 2 * time.Second
 	// staleAfter is when what another instance said of its requests no longer
 	// counts.
 	staleAfter = 1500 * time.Millisecond
@@ -70,9 +72,11 @@
 // Server is a backend server and what was seen of it.
 type Server struct {
 	Entry
+	claimed     Entry          // as the server wrote it
 	own         map[string]int // requests of this instance, by model
 	peers       map[string]peerLoad
 	failures    float64
+	told        clock.Time // when the owner of the orders last told the holdings
 	suspected   clock.Time // until when
 	unreachable clock.Time
 	lastUsed    clock.Time
@@ -113,6 +117,9 @@
 	return n
 }
 
+// Claimed returns what the server last wrote of itself.
+func (s *Server) Claimed() *Entry { return &s.claimed }
+
 // Directory holds all servers. It is not safe for concurrent use.
 type Directory struct {
 	servers map[string]*Server
@@ -144,14 +151,16 @@
 }
 
 // Put takes a newer entry. A new life starts with a clean record.
-func (d *Directory) Put(e Entry) {
+func (d *Directory) Put(now clock.Time, e Entry) {
 	s := d.servers[e.ID]
 	if s == nil || s.Born != e.Born {
-		d.servers[e.ID] = &Server{Entry: e, own: make(map[string]int), peers: make(map[string]peerLoad)}
+		d.servers[e.ID] = &Server{Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad)}
 		return
 	}
-	if e.Sequence < s.Sequence {
-		e.Sequence, e.Holdings = s.Sequence, s.Holdings
+	s.claimed = e
+	// An entry lags; the owner of the orders knows sooner what it changed.
+	if s.told != 0 && now.Sub(s.told) < toldFor {
+		e.Holdings = s.Holdings
 	}
 	// A leaving server never comes back in the same life.
 	e.Draining = e.Draining || s.Draining
@@ -170,14 +179,13 @@
 	}
 }
 
-// SetHoldings takes what the owner of the orders says a server holds, if that
-// is not older than what is known.
-func (d *Directory) SetHoldings(id string, born, sequence int64, holdings []Holding) {
+// SetHoldings takes what the owner of the orders says a server holds.
+func (d *Directory) SetHoldings(now clock.Time, id string, born int64, holdings []Holding) {
 	s := d.servers[id]
-	if s == nil || s.Born != born || sequence < s.Sequence {
+	if s == nil || s.Born != born {
 		return
 	}
-	s.Sequence, s.Holdings = sequence, holdings
+	s.Holdings, s.told = holdings, now
 }
 
 // Lacks records that a server refused a request since it does not hold what
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -26,6 +26,7 @@
 	pending   *pending // an order without a final answer
 	loading   *loading // an accepted load of a model
 	conflicts int
+	changedAt clock.Time // the last change of the holdings by an order
 	mustAsk   bool
 	askedAt   clock.Time
 	retryAt   clock.Time
@@ -64,17 +65,17 @@
 }
 
 // sync takes the engine's entry.
-func (l *lane) sync(now clock.Time, s *directory.Server, e *manifest.Engine) {
+func (l *lane) sync(now clock.Time, s *directory.Server, entry *directory.Entry, e *manifest.Engine) {
 	l.server, l.engine, l.address, l.leaving = s, e, s.Address, s.Draining
 	l.inMemory, l.onDisk = s.InMemory, s.OnDisk
-	if s.Sequence > l.sequence && l.pending == nil && l.loading == nil {
-		l.adopt(now, s.Sequence, s.Holdings)
-	}
-	if l.loading != nil && s.Sequence >= l.sequence {
-		if _, ok := s.Holds(l.loading.model); ok {
+	if l.loading != nil && now.Reached(l.loading.expected) {
+		if _, ok := entry.Holds(l.loading.model); ok {
 			l.loaded(now)
 		}
 	}
+	if l.known && !l.mustAsk && l.pending == nil && l.loading == nil && now.Sub(l.changedAt) > entryLag && l.differs(entry) {
+		l.mustAsk, l.changedAt = true, now
+	}
 	for name, m := range l.models {
 		if s.RunningModel(now, name) > 0 {
 			m.usedAt = now
@@ -82,6 +83,19 @@
 	}
 }
 
+// entryLag is how long an engine's entry may lag behind its orders.
+const entryLag = 4 * time.Second
+
+// differs reports whether the engine's entry names other models than the lane.
+func (l *lane) differs(entry *directory.Entry) bool {
+	for _, h := range entry.Holdings {
+		if l.models[h.Model] == nil {
+			return true
+		}
+	}
+	return len(entry.Holdings) != len(l.models)
+}
+
 // adopt replaces what the lane believes by what the engine said.
 func (l *lane) adopt(now clock.Time, sequence int64, holdings []directory.Holding) {
 	before := l.models
@@ -105,6 +119,7 @@
 
 // loaded ends a load that took effect.
 func (l *lane) loaded(now clock.Time) {
+	l.changedAt = now
 	l.models[l.loading.model] = &resident{adapters: make(map[string]*adapter), loadedAt: now, usedAt: now}
 	l.loading = nil
 }
@@ -201,6 +216,7 @@
 
 // apply records an order that is being carried out.
 func (l *lane) apply(now clock.Time, o Order) {
+	l.changedAt = now
 	m := l.models[o.Model]
 	switch {
 	case o.Adapter != "" && m == nil:
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -189,7 +189,7 @@
 			l = newLane(s, now)
 			p.lanes[s.ID] = l
 		}
-		l.sync(now, s, g.Engine)
+		l.sync(now, s, s.Claimed(), g.Engine)
 	}
 	for id := range p.lanes {
 		if !present[id] {
@@ -199,12 +199,12 @@
 }
 
 // Holdings returns what an engine holds that requests may use now.
-func (p *Placer) Holdings(now clock.Time, server string) (born, sequence int64, holdings []directory.Holding, ok bool) {
+func (p *Placer) Holdings(now clock.Time, server string) (born int64, holdings []directory.Holding, ok bool) {
 	l := p.lanes[server]
 	if l == nil || !l.known {
-		return 0, 0, nil, false
+		return 0, nil, false
 	}
-	return l.born, l.sequence, l.usable(now), true
+	return l.born, l.usable(now), true
 }
 
 // Asks returns the engines that have to be asked what they hold, and marks
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -195,7 +195,7 @@
 		for _, m := range h.Models {
 			holdings = append(holdings, directory.Holding{Model: m.Model, Adapters: m.Adapters})
 		}
-		g.dir.SetHoldings(h.Server, h.Born, h.Sequence, holdings)
+		g.dir.SetHoldings(now, h.Server, h.Born, holdings)
 	}
 	if len(g.waits) > 0 {
 		g.wake()
@@ -207,12 +207,12 @@
 func (g *Gateway) publish(now clock.Time) [][]byte {
 	var all []holdingMsg
 	for _, s := range g.enginesOf() {
-		born, sequence, holdings, ok := g.placer.Holdings(now, s.ID)
+		born, holdings, ok := g.placer.Holdings(now, s.ID)
 		if !ok {
 			continue
 		}
-		g.dir.SetHoldings(s.ID, born, sequence, holdings)
-		h := holdingMsg{Server: s.ID, Born: born, Sequence: sequence}
+		g.dir.SetHoldings(now, s.ID, born, holdings)
+		h := holdingMsg{Server: s.ID, Born: born}
 		for _, m := range holdings {
 			h.Models = append(h.Models, modelMsg{Model: m.Model, Adapters: m.Adapters})
 		}
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -46,11 +46,10 @@
 
 // holdingMsg tells what one backend server holds.
 type holdingMsg struct {
-	_        struct{} `cbor:",toarray"`
-	Server   string
-	Born     int64
-	Sequence int64
-	Models   []modelMsg
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Born   int64
+	Models []modelMsg
 }
 
 type modelMsg struct {
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -234,7 +234,7 @@
 		g.log.Info().Str("server", e.ID).Str("group", e.Group).Str("zone", e.Zone).
 			Bool("leaving", e.Draining).Dur("remaining", e.Remaining).Msg("servers: entry")
 	}
-	g.dir.Put(e)
+	g.dir.Put(boottime.Now(), e)
 }
 
 // missing takes the lack of an entry: its server is gone, but for a moment
