Tell changes of the engines instead of everything, and index the placer

Change: changes are told every 100 ms, at once to who waits, everything every 2 s; counts are made once a plan; lanes are reserved for the model that room is made for; the strongest machine stands first for the lease; a request waits here when an engine's slots are taken. Ruled out: the store, whose answers took 4 ms all the time.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -75,6 +75,7 @@
 	claimed     Entry          // as the server wrote it
 	own         map[string]int // requests of this instance, by model
 	peers       map[string]peerLoad
+	running     int // of all instances
 	failures    float64
 	told        clock.Time // when the owner of the orders last told the holdings
 	suspected   clock.Time // until when
@@ -88,23 +89,13 @@
 }
 
 // Running is the number of requests of all instances that run on the server.
-func (s *Server) Running(now clock.Time) int {
-	n := sum(s.own)
-	for _, p := range s.peers {
-		if now.Sub(p.heard) < staleAfter {
-			n += sum(p.running)
-		}
-	}
-	return n
-}
+func (s *Server) Running() int { return s.running }
 
 // RunningModel is the number of them that use a model.
-func (s *Server) RunningModel(now clock.Time, model string) int {
+func (s *Server) RunningModel(model string) int {
 	n := s.own[model]
 	for _, p := range s.peers {
-		if now.Sub(p.heard) < staleAfter {
-			n += p.running[model]
-		}
+		n += p.running[model]
 	}
 	return n
 }
@@ -123,6 +114,7 @@
 // Directory holds all servers. It is not safe for concurrent use.
 type Directory struct {
 	servers map[string]*Server
+	groups  map[string][]*Server // sorted by id; nil after a change
 }
 
 // New returns an empty Directory.
@@ -133,26 +125,22 @@
 // Get returns a server, or nil.
 func (d *Directory) Get(id string) *Server { return d.servers[id] }
 
-// All returns the servers of a group by id.
+// All returns the servers of a group by id. The caller must not change it.
 func (d *Directory) All(group string) []*Server {
-	var all []*Server
-	for _, s := range d.servers {
-		if s.Group == group {
-			all = append(all, s)
+	if d.groups == nil {
+		d.groups = make(map[string][]*Server)
+		for _, id := range d.IDs() {
+			s := d.servers[id]
+			d.groups[s.Group] = append(d.groups[s.Group], s)
 		}
 	}
-	slices.SortFunc(all, func(a, b *Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return all
+	return d.groups[group]
 }
 
 // Put takes a newer entry. A new life starts with a clean record.
 func (d *Directory) Put(now clock.Time, e Entry) {
 	s := d.servers[e.ID]
+	d.groups = nil
 	if s == nil || s.Born != e.Born {
 		d.servers[e.ID] = &Server{Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad)}
 		return
@@ -168,15 +156,9 @@
 }
 
 // Remove drops a server that left.
-func (d *Directory) Remove(id string) { delete(d.servers, id) }
-
-// Keep drops the servers that are not in ids.
-func (d *Directory) Keep(ids map[string]bool) {
-	for id := range d.servers {
-		if !ids[id] {
-			delete(d.servers, id)
-		}
-	}
+func (d *Directory) Remove(id string) {
+	delete(d.servers, id)
+	d.groups = nil
 }
 
 // SetHoldings takes what the owner of the orders says a server holds.
@@ -215,6 +197,7 @@
 func (d *Directory) Started(now clock.Time, id, model string) {
 	if s := d.servers[id]; s != nil {
 		s.own[model]++
+		s.running++
 		s.lastUsed = now
 	}
 }
@@ -236,8 +219,12 @@
 	if s == nil {
 		return
 	}
-	if s.own[model]--; s.own[model] <= 0 {
-		delete(s.own, model)
+	// An entry of a new life counts from zero; what ran in the old one doesn't.
+	if s.own[model] > 0 {
+		s.running--
+		if s.own[model]--; s.own[model] == 0 {
+			delete(s.own, model)
+		}
 	}
 	switch o {
 	case Answered:
@@ -276,10 +263,25 @@
 // HeardRunning takes how many requests another instance has on each server.
 func (d *Directory) HeardRunning(now clock.Time, peer string, running map[string]map[string]int) {
 	for id, s := range d.servers {
+		old, had := s.peers[peer]
 		if n := running[id]; len(n) > 0 {
 			s.peers[peer] = peerLoad{running: n, heard: now}
-		} else {
+			s.running += sum(n) - sum(old.running)
+		} else if had {
 			delete(s.peers, peer)
+			s.running -= sum(old.running)
+		}
+	}
+}
+
+// Expire drops what instances said that are not heard any more.
+func (d *Directory) Expire(now clock.Time) {
+	for _, s := range d.servers {
+		for name, p := range s.peers {
+			if now.Sub(p.heard) > staleAfter {
+				delete(s.peers, name)
+				s.running -= sum(p.running)
+			}
 		}
 	}
 }
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -30,9 +30,10 @@
 	// remotePenalty is the load that the way to another zone is worth, in
 	// requests. A millisecond is little, but bytes between zones are paid.
 	remotePenalty = 0.6
-	// fullFactor of the slots is what a plain service is given before its
-	// queue counts as full.
-	fullFactor = 2
+	// fullFactor of the slots is what a server is given before it counts as
+	// full: some wait there, so that no slot rests while the next request is on
+	// its way. What waits here instead can still go to whichever is free first.
+	fullFactor = 1.5
 )
 
 // Holds reports whether the server has what a request needs.
@@ -80,29 +81,32 @@
 		return nil, false
 	}
 	if n.Affinity != 0 {
-		if s := pickAffine(now, candidates, n); s != nil {
+		if s := pickAffine(candidates, n); s != nil {
 			return s, false
 		}
 	}
-	s := pickLeast(now, candidates, n)
-	if n.Model == "" && s.Slots > 0 && s.Running(now) >= fullFactor*s.Slots {
-		return nil, true
+	if s := pickLeast(candidates, n); !s.full() {
+		return s, false
 	}
-	return s, false
+	return nil, true
+}
+
+func (s *Server) full() bool {
+	return s.Slots > 0 && float64(s.Running()) >= fullFactor*float64(s.Slots)
 }
 
 // pickAffine returns the first server in the order of the affinity's hash
 // whose load is near the mean.
-func pickAffine(now clock.Time, candidates []*Server, n Need) *Server {
+func pickAffine(candidates []*Server, n Need) *Server {
 	total := 0
 	for _, s := range candidates {
-		total += s.Running(now)
+		total += s.Running()
 	}
 	bound := loadSpread*float64(total)/float64(len(candidates)) + loadSlack
 	var best *Server
 	var most uint64
 	for _, s := range candidates {
-		if float64(s.Running(now)) > bound {
+		if float64(s.Running()) > bound || s.full() {
 			continue
 		}
 		if w := weight(n.Affinity, s.ID); best == nil || w > most {
@@ -113,11 +117,11 @@
 }
 
 // pickLeast returns the server with the least load, the own zone's first.
-func pickLeast(now clock.Time, candidates []*Server, n Need) *Server {
+func pickLeast(candidates []*Server, n Need) *Server {
 	var best *Server
 	var least float64
 	for _, s := range candidates {
-		load := float64(s.Running(now))
+		load := float64(s.Running())
 		if s.Zone != n.Zone {
 			load += remotePenalty
 		}
--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -25,6 +25,7 @@
 	Address     string
 	Zone        string
 	Incarnation uint64
+	Strength    int        // for the choice among candidates for the lease
 	Heard       clock.Time // 0: never
 	known       clock.Time
 }
@@ -54,19 +55,13 @@
 	}
 }
 
-// Heard takes a message. It reports whether the instance has started anew.
-func (s *Set) Heard(now clock.Time, name, address, zone string, incarnation uint64) (restarted bool) {
-	if name == s.self {
-		return false
-	}
-	m := s.members[name]
-	if m == nil {
-		m = &Member{Name: name}
-		s.members[name] = m
+// Heard takes what an instance says of itself.
+func (s *Set) Heard(now clock.Time, said Member) {
+	if said.Name == s.self {
+		return
 	}
-	restarted = m.Incarnation != 0 && m.Incarnation != incarnation
-	m.Address, m.Zone, m.Incarnation, m.Heard, m.known = address, zone, incarnation, now, now
-	return restarted
+	said.Heard, said.known = now, now
+	s.members[said.Name] = &said
 }
 
 // Left drops an instance that said that it stops.
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -23,13 +23,14 @@
 	inMemory []string
 	onDisk   []string
 
-	pending   *pending // an order without a final answer
-	loading   *loading // an accepted load of a model
-	conflicts int
-	changedAt clock.Time // the last change of the holdings by an order
-	mustAsk   bool
-	askedAt   clock.Time
-	retryAt   clock.Time
+	reservation reservation
+	pending     *pending // an order without a final answer
+	loading     *loading // an accepted load of a model
+	conflicts   int
+	changedAt   clock.Time // the last change of the holdings by an order
+	mustAsk     bool
+	askedAt     clock.Time
+	retryAt     clock.Time
 }
 
 type resident struct {
@@ -50,6 +51,25 @@
 	again  bool // sent more than once
 }
 
+// reservation keeps a lane for the model that room is made for. Without it the
+// next plan, which does not see the room yet, would make room elsewhere too.
+type reservation struct {
+	model string
+	until clock.Time
+}
+
+// reserveFor bounds a reservation: an unload waits for runs that began just
+// before it.
+const reserveFor = 1500 * time.Millisecond
+
+// reserved returns the model that the lane is kept for.
+func (l *lane) reserved(now clock.Time) string {
+	if now.Before(l.reservation.until) {
+		return l.reservation.model
+	}
+	return ""
+}
+
 type loading struct {
 	model    string
 	began    clock.Time
@@ -77,7 +97,7 @@
 		l.mustAsk, l.changedAt = true, now
 	}
 	for name, m := range l.models {
-		if s.RunningModel(now, name) > 0 {
+		if s.RunningModel(name) > 0 {
 			m.usedAt = now
 		}
 	}
@@ -140,6 +160,17 @@
 	return holdings
 }
 
+// coming returns the model that the lane is loading or has the order for.
+func (l *lane) coming() string {
+	if l.loading != nil {
+		return l.loading.model
+	}
+	if q := l.pending; q != nil && q.order.Kind == Load && q.order.Adapter == "" {
+		return q.order.Model
+	}
+	return ""
+}
+
 // free reports whether the lane can take an order now.
 func (l *lane) free(now clock.Time) bool {
 	return l.known && !l.leaving && !l.mustAsk && l.pending == nil && l.loading == nil && now.Reached(l.retryAt)
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -34,6 +34,9 @@
 	// busyRate is the rate from which a model is kept on two engines, so that
 	// the loss of one leaves its callers served.
 	busyRate = 3.0
+	// slotsUsed is the part of an engine's slots that the requests of one busy
+	// model should take; the rest is for bursts and for the other models there.
+	slotsUsed = 0.5
 	// storeAtOnce is how many loads from the weight store run at full speed;
 	// more only slow each other.
 	storeAtOnce = 4
@@ -126,6 +129,13 @@
 	tokens   float64          // loads from the weight store that may begin
 	tokensAt clock.Time
 	refused  map[Key]clock.Time
+
+	// Made anew for each plan.
+	ordered []*lane        // by id
+	held    map[Key]int    // engines that hold a model, or will
+	running map[string]int // requests by model, waiting ones included
+	waitsOn map[Key]bool   // models that something waits for
+	slots   int            // of an engine
 }
 
 type rate struct {
@@ -172,7 +182,8 @@
 	if perSecond < busyRate {
 		return 0
 	}
-	return max(2, int(perSecond/arrivalsPerReplica)+1)
+	byLoad := float64(p.running[model]) / (slotsUsed * float64(p.slots))
+	return max(2, int(max(perSecond/arrivalsPerReplica, byLoad))+1)
 }
 
 // Sync takes the newest entries of the engines of a group.
@@ -196,6 +207,36 @@
 			delete(p.lanes, id)
 		}
 	}
+	p.index(now)
+}
+
+// index makes what a plan looks up many times.
+func (p *Placer) index(now clock.Time) {
+	p.ordered = p.ordered[:0]
+	for _, id := range sortedKeys(p.lanes) {
+		p.ordered = append(p.ordered, p.lanes[id])
+	}
+	p.held, p.running, p.slots = make(map[Key]int), make(map[string]int), 1
+	for _, l := range p.ordered {
+		p.slots = max(p.slots, l.engine.Slots)
+		for model := range l.models {
+			p.running[model] += l.server.RunningModel(model)
+			if !l.leaving {
+				p.held[Key{Group: l.group, Model: model}]++
+			}
+		}
+		if model := l.coming(); model != "" && !l.leaving {
+			p.held[Key{Group: l.group, Model: model}]++
+		}
+		if model := l.reserved(now); model != "" && !l.leaving && l.models[model] == nil {
+			p.held[Key{Group: l.group, Model: model}]++
+		}
+	}
+	p.waitsOn = make(map[Key]bool, len(p.wants))
+	for k, w := range p.wants {
+		p.waitsOn[Key{Group: k.Group, Model: k.Model}] = true
+		p.running[k.Model] += w.Requests
+	}
 }
 
 // Holdings returns what an engine holds that requests may use now.
@@ -211,7 +252,7 @@
 // them as asked.
 func (p *Placer) Asks(now clock.Time) []string {
 	var ids []string
-	for _, l := range p.sorted() {
+	for _, l := range p.ordered {
 		if l.askDue(now) {
 			l.askedAt = now
 			ids = append(ids, l.id)
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -11,7 +11,7 @@
 
 // Plan returns the orders to send now. Each is pending until Answered.
 func (p *Placer) Plan(now clock.Time) []Order {
-	orders := p.repeat(now)
+	orders := append(p.repeat(now), p.follow(now)...)
 	for _, k := range p.wanted(now) {
 		if o, ok := p.serve(now, k); ok {
 			orders = append(orders, o)
@@ -26,7 +26,7 @@
 // repeat sends orders again that got no answer.
 func (p *Placer) repeat(now clock.Time) []Order {
 	var orders []Order
-	for _, l := range p.sorted() {
+	for _, l := range p.ordered {
 		if q := l.pending; q != nil && !q.flying && now.Sub(q.sentAt) >= orderRepeat {
 			q.sentAt, q.flying, q.again = now, true, true
 			orders = append(orders, q.order)
@@ -35,6 +35,30 @@
 	return orders
 }
 
+// follow loads what room was made for.
+func (p *Placer) follow(now clock.Time) []Order {
+	var orders []Order
+	for _, l := range p.ordered {
+		model := l.reserved(now)
+		if model == "" || !l.free(now) {
+			continue
+		}
+		if l.models[model] != nil || l.usedMB()+l.engine.Models[model].MB > l.engine.MemoryMB {
+			l.reservation = reservation{}
+			continue
+		}
+		if _, store := l.loadTime(model); store && !p.storeRoom(now, l) {
+			continue
+		}
+		l.reservation = reservation{}
+		p.held[Key{Group: l.group, Model: model}]--
+		if o, ok := p.order(now, l, Load, model, ""); ok {
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
 // wanted returns the keys that need an order, the most urgent first: what
 // waits, then busy models with too few engines.
 func (p *Placer) wanted(now clock.Time) []Key {
@@ -66,7 +90,7 @@
 // groupsOf returns the groups whose engines know a model.
 func (p *Placer) groupsOf(model string) []string {
 	var groups []string
-	for _, l := range p.sorted() {
+	for _, l := range p.ordered {
 		if _, ok := l.engine.Models[model]; ok && !slices.Contains(groups, l.group) {
 			groups = append(groups, l.group)
 		}
@@ -76,38 +100,19 @@
 
 // serve returns the next order that brings a key nearer to being served.
 func (p *Placer) serve(now clock.Time, k Key) (Order, bool) {
-	holders, coming := p.holders(k)
-	if k.Adapter != "" && len(holders) > 0 {
-		return p.serveAdapter(now, k, holders)
+	model := Key{Group: k.Group, Model: k.Model}
+	held := p.held[model]
+	if k.Adapter != "" && held > 0 {
+		return p.serveAdapter(now, k)
 	}
 	need := p.replicas(now, k.Model)
-	if _, waits := p.wants[k]; waits {
+	if p.waitsOn[model] {
 		need = max(1, need)
 	}
-	if k.Adapter != "" {
-		need = 1
-	}
-	if len(holders)+coming >= need {
+	if held >= need {
 		return Order{}, false
 	}
-	return p.place(now, k, len(holders)+coming == 0)
-}
-
-// holders returns the engines that hold a key's model and stay, and how many
-// more are loading it or have the order.
-func (p *Placer) holders(k Key) (holders []*lane, coming int) {
-	for _, l := range p.sorted() {
-		switch {
-		case l.group != k.Group || l.leaving:
-		case l.models[k.Model] != nil:
-			holders = append(holders, l)
-		case l.loading != nil && l.loading.model == k.Model:
-			coming++
-		case l.pending != nil && l.pending.order.Kind == Load && l.pending.order.Model == k.Model:
-			coming++
-		}
-	}
-	return holders, coming
+	return p.place(now, model, held == 0)
 }
 
 // option is one way to load a model.
@@ -123,7 +128,7 @@
 // first says that no engine has it yet.
 func (p *Placer) place(now clock.Time, k Key, first bool) (Order, bool) {
 	var options []option
-	for _, l := range p.sorted() {
+	for _, l := range p.ordered {
 		if o, ok := p.option(now, l, k, first); ok {
 			options = append(options, o)
 		}
@@ -138,6 +143,8 @@
 	case !best.lane.free(now):
 		return Order{}, false // its lane is free soon, and waiting is faster
 	case best.victim != "":
+		best.lane.reservation = reservation{model: k.Model, until: now.Add(reserveFor)}
+		p.held[k]++
 		return p.order(now, best.lane, Unload, best.victim, "")
 	case best.store && !p.storeRoom(now, best.lane):
 		return Order{}, false
@@ -151,6 +158,9 @@
 // option says how soon a lane could have a model.
 func (p *Placer) option(now clock.Time, l *lane, k Key, first bool) (option, bool) {
 	spec, knows := l.engine.Models[k.Model]
+	if l.reserved(now) != "" {
+		return option{}, false
+	}
 	if l.group != k.Group || l.leaving || !l.known || !knows || l.models[k.Model] != nil {
 		return option{}, false
 	}
@@ -172,7 +182,7 @@
 	}
 	// A load slows what runs beside it little, but its own first tokens wait
 	// behind them: prefer the engine with less to do.
-	o.ready += time.Duration(l.server.Running(now)) * time.Millisecond
+	o.ready += time.Duration(l.server.Running()) * time.Millisecond
 	return o, true
 }
 
@@ -185,10 +195,11 @@
 	best, bestIdle := "", time.Duration(-1)
 	for _, name := range sortedKeys(l.models) {
 		m := l.models[name]
-		if l.server.RunningModel(now, name) > 0 || now.Sub(m.loadedAt) < settledFor || p.waits(l.group, name) {
+		if l.server.RunningModel(name) > 0 || now.Sub(m.loadedAt) < settledFor {
 			continue
 		}
-		if holders, _ := p.holders(Key{Group: l.group, Model: name}); len(holders) <= p.replicas(now, name) {
+		k := Key{Group: l.group, Model: name}
+		if p.waitsOn[k] || p.held[k] <= p.replicas(now, name) {
 			continue
 		}
 		idle := now.Sub(m.usedAt)
@@ -202,16 +213,6 @@
 	return best, best != ""
 }
 
-// waits reports whether a request waits for a model or one of its adapters.
-func (p *Placer) waits(group, model string) bool {
-	for k := range p.wants {
-		if k.Group == group && k.Model == model {
-			return true
-		}
-	}
-	return false
-}
-
 // order makes the next order of a lane, if it keeps what must hold.
 func (p *Placer) order(now clock.Time, l *lane, kind OrderKind, model, adapter string) (Order, bool) {
 	spec := l.engine.Models[model]
@@ -232,6 +233,11 @@
 			p.tokens--
 		}
 	}
+	if kind == Load && adapter == "" {
+		p.held[Key{Group: l.group, Model: model}]++
+	} else if adapter == "" {
+		p.held[Key{Group: l.group, Model: model}]--
+	}
 	return l.send(now, Order{
 		Server: l.id, Address: l.address, Born: l.born, Kind: kind,
 		Model: model, Adapter: adapter, Precondition: l.sequence,
@@ -239,9 +245,12 @@
 }
 
 // serveAdapter loads an adapter on an engine that holds its model.
-func (p *Placer) serveAdapter(now clock.Time, k Key, holders []*lane) (Order, bool) {
+func (p *Placer) serveAdapter(now clock.Time, k Key) (Order, bool) {
 	var best *lane
-	for _, l := range holders {
+	for _, l := range p.ordered {
+		if l.group != k.Group || l.leaving || l.models[k.Model] == nil {
+			continue
+		}
 		if _, ok := l.models[k.Model].adapters[k.Adapter]; ok {
 			return Order{}, false
 		}
@@ -298,7 +307,7 @@
 	if len(p.wants) > 0 || p.lanesLoading() > 0 {
 		return Order{}, false
 	}
-	for _, l := range p.sorted() {
+	for _, l := range p.ordered {
 		if !l.free(now) {
 			continue
 		}
@@ -320,7 +329,7 @@
 		if l.usedMB()+spec.MB > l.engine.MemoryMB || p.impossible(now, k) {
 			continue
 		}
-		if holders, coming := p.holders(k); len(holders)+coming > 0 {
+		if p.held[k] > 0 {
 			continue
 		}
 		if _, store := l.loadTime(name); store && !p.storeRoom(now, l) {
@@ -375,11 +384,3 @@
 	p.tokensAt = now
 	return p.tokens >= 1 && p.storeLoads() < storeAtOnce
 }
-
-func (p *Placer) sorted() []*lane {
-	lanes := make([]*lane, 0, len(p.lanes))
-	for _, id := range sortedKeys(p.lanes) {
-		lanes = append(lanes, p.lanes[id])
-	}
-	return lanes
-}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -20,17 +20,13 @@
 	beatPerMember = 8 * time.Millisecond
 	// brokenFor is how long a broken run is told of.
 	brokenFor = 5 * time.Second
-	// stateEvery is how often the holder repeats an unchanged state.
-	stateEvery = 500 * time.Millisecond
-	// holdingsPerState bounds one datagram.
-	holdingsPerState = 24
 )
 
 // beat builds this instance's message. The caller holds mu.
 func (g *Gateway) beat(now clock.Time) packet {
 	b := &beatMsg{
 		Name: g.set.Name, Incarnation: g.incarnation, Address: g.set.Peer, Zone: g.set.Zone,
-		Leaving: g.stopping.Load(), Spent: g.quota.Spent(), Arrived: g.arrivedOfLate(now),
+		Leaving: g.stopping.Load(), Strength: g.set.Strength, Spent: g.quota.Spent(), Arrived: g.arrivedOfLate(now),
 		Running: g.dir.OwnRunning(), Broken: g.poison.Own(now, brokenFor),
 		StoreDown: g.storeDown != 0 && now.Sub(g.storeDown) < leaseTerm,
 	}
@@ -108,7 +104,7 @@
 			g.lease.HolderLeft(now)
 		}
 	}
-	g.members.Heard(now, b.Name, b.Address, b.Zone, b.Incarnation)
+	g.members.Heard(now, members.Member{Name: b.Name, Address: b.Address, Zone: b.Zone, Incarnation: b.Incarnation, Strength: b.Strength})
 	g.quota.Heard(now, b.Name, b.Incarnation, b.Spent)
 	g.dir.HeardRunning(now, b.Name, b.Running)
 	for d, n := range b.Broken {
@@ -185,63 +181,6 @@
 	return all
 }
 
-// takeState takes what the holder of the lease says of the engines.
-func (g *Gateway) takeState(now clock.Time, s *stateMsg) {
-	if s.Fencing < g.holder.fencing || s.Name == g.set.Name {
-		return
-	}
-	for _, h := range s.Holdings {
-		holdings := make([]directory.Holding, 0, len(h.Models))
-		for _, m := range h.Models {
-			holdings = append(holdings, directory.Holding{Model: m.Model, Adapters: m.Adapters})
-		}
-		g.dir.SetHoldings(now, h.Server, h.Born, holdings)
-	}
-	if len(g.waits) > 0 {
-		g.wake()
-	}
-}
-
-// publish puts what the placer knows into the own directory, and tells all
-// others if it changed. The caller holds mu; the datagrams are returned.
-func (g *Gateway) publish(now clock.Time) [][]byte {
-	var all []holdingMsg
-	for _, s := range g.enginesOf() {
-		born, holdings, ok := g.placer.Holdings(now, s.ID)
-		if !ok {
-			continue
-		}
-		g.dir.SetHoldings(now, s.ID, born, holdings)
-		h := holdingMsg{Server: s.ID, Born: born}
-		for _, m := range holdings {
-			h.Models = append(h.Models, modelMsg{Model: m.Model, Adapters: m.Adapters})
-		}
-		all = append(all, h)
-	}
-	var bodies [][]byte
-	hash := xxhash.New()
-	for len(all) > 0 {
-		n := min(len(all), holdingsPerState)
-		body, err := cbor.Marshal(packet{State: &stateMsg{Name: g.set.Name, Fencing: g.lease.Fencing(), Holdings: all[:n]}})
-		if err != nil {
-			g.log.Error().Err(err).Msg("peers: state not encoded")
-			return nil
-		}
-		_, _ = hash.Write(body)
-		bodies = append(bodies, body)
-		all = all[n:]
-	}
-	sum := hash.Sum64()
-	if sum == g.stateSum && now.Sub(g.stateSent) < stateEvery {
-		return nil
-	}
-	if sum != g.stateSum {
-		g.wake()
-	}
-	g.stateSum, g.stateSent = sum, now
-	return bodies
-}
-
 // enginesOf returns the servers that take orders. The caller holds mu.
 func (g *Gateway) enginesOf() []*directory.Server {
 	m := g.manifest.Load()
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -70,9 +70,15 @@
 			x.group = x.route.Pick(hashOf(x.call.ID))
 		}
 	}
+	if x.r.Context().Err() != nil {
+		return target{}, false, nil, &refusal{http.StatusServiceUnavailable, reasonCallerGone, 0}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	if now.Reached(x.end) {
+		return target{}, false, nil, &refusal{http.StatusServiceUnavailable, reasonTimeout, comeBack}
+	}
 	s, full := g.dir.Pick(now, x.need())
 	if s != nil {
 		g.dir.Started(now, s.ID, x.call.Model)
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -142,8 +142,8 @@
 	g := x.g
 	x.server = t.id
 	ctx := x.r.Context()
-	left := x.end.Sub(boottime.Now())
 	c, err := g.pool.Get(ctx, t.address)
+	left := x.end.Sub(boottime.Now())
 	if err != nil {
 		g.unreachable(t.id, x.call.Model)
 		if ctx.Err() != nil {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -33,6 +33,9 @@
 	Peer  string // address for other instances, TCP and UDP; metrics too
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
+	// Strength orders the candidates for the lease: the holder has more to do
+	// than the others, and a machine with more of a core does it in time.
+	Strength int
 	// OrderQuiet is the time without orders between two holders of the lease.
 	OrderQuiet time.Duration
 	Retry      budget.Settings
@@ -95,8 +98,7 @@
 	holder    holder
 	storeDown clock.Time // last failure of a call to the store
 	lapsed    map[string]clock.Time
-	stateSent clock.Time
-	stateSum  uint64
+	publisher publisher
 }
 
 // holder is the instance that gives orders, as it says itself.
@@ -104,6 +106,7 @@
 	name    string
 	fencing int64
 	heard   clock.Time
+	told    clock.Time // it last told of the backend servers
 }
 
 // peerSeen is what the counters of another instance were.
@@ -142,6 +145,7 @@
 		budget: budget.New(s.Retry), poison: poison.New(),
 		waits: make(map[placer.Key]*waiting), arrived: make(map[string]arrivals),
 		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time),
+		publisher: newPublisher(),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -41,15 +41,28 @@
 	Arrived     map[string]uint64         // by model, those that changed of late
 	Running     map[string]map[string]int // by backend server and model
 	Wants       []wantMsg
+	Strength    int // for the choice among candidates for the lease
 	Broken      map[poison.Digest]uint32
 }
 
-// holdingMsg tells what one backend server holds.
-type holdingMsg struct {
+// serverMsg tells what one backend server holds, and now and then what it is.
+type serverMsg struct {
 	_      struct{} `cbor:",toarray"`
 	Server string
 	Born   int64
+	Engine bool // Models is told
 	Models []modelMsg
+	Info   *infoMsg
+}
+
+// infoMsg is the part of a server's entry that every instance needs.
+type infoMsg struct {
+	_       struct{} `cbor:",toarray"`
+	Address string
+	Zone    string
+	Group   string
+	Slots   int
+	Leaving bool
 }
 
 type modelMsg struct {
@@ -58,12 +71,14 @@
 	Adapters []string
 }
 
-// stateMsg is what the holder of the lease tells of the engines.
+// stateMsg is what the holder of the lease tells of the backend servers:
+// what changed, and everything now and then.
 type stateMsg struct {
-	_        struct{} `cbor:",toarray"`
-	Name     string
-	Fencing  int64
-	Holdings []holdingMsg
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Fencing int64
+	Servers []serverMsg
+	Gone    []string // servers that left of late
 }
 
 // packet is one datagram; one of its fields is set.
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -18,7 +18,9 @@
 const (
 	// housekeepEvery is the time between two rounds of the housekeeping.
 	housekeepEvery = 50 * time.Millisecond
-	// placeEvery is the time between rounds while orders are under way.
+	// placeEvery is the time between rounds while orders are under way, and the
+	// least time between two: each costs the holder about a millisecond with a
+	// hundred engines.
 	placeEvery = 15 * time.Millisecond
 	// storeTimeout bounds a call to the store, which takes 4 ms as a rule.
 	storeTimeout = 1200 * time.Millisecond
@@ -29,10 +31,13 @@
 	// watchWait is how long the store holds a call that waits for changes. A
 	// connection that went silent is found out a second later.
 	watchWait = 4 * time.Second
-	// serversPause is the time between two calls for changes of the backend
-	// servers at an instance that hears the holder of the lease, which calls at
-	// once. A leaving server must be known two seconds after its entry.
-	serversPause = 700 * time.Millisecond
+	// serversPause is the time between two readings of all backend servers at
+	// an instance that the holder of the lease tells of them; it is told of a
+	// change within flushEvery, and again every repeatEvery if that was lost.
+	serversPause = 15 * time.Second
+	// toldWithin is how long the holder may be silent before an instance reads
+	// the store itself.
+	toldWithin = 1100 * time.Millisecond
 	// retryPause is the time before a call to the store is made again.
 	retryPause = 250 * time.Millisecond
 	// peersEvery is the time between two readings of the instances' rows;
@@ -160,18 +165,29 @@
 			}
 			continue
 		}
-		if g.hearsHolder() {
-			g.sleep(serversPause)
+		if g.restWhileTold() {
+			at = -1
 		}
 	}
 }
 
+// restWhileTold waits as long as the holder of the lease tells of the backend
+// servers. It returns false at once if it does not.
+func (g *Gateway) restWhileTold() bool {
+	const step = 200 * time.Millisecond
+	rested := time.Duration(0)
+	for rested < serversPause && g.hearsHolder() && g.sleep(step) {
+		rested += step
+	}
+	return rested > 0
+}
+
 // hearsHolder reports whether another instance follows the engines closely.
 func (g *Gateway) hearsHolder() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	return !g.lease.Holds(now) && now.Sub(g.holder.heard) < leaseSilence
+	return !g.lease.Holds(now) && now.Sub(g.holder.heard) < toldWithin && now.Sub(g.holder.told) < repeatEvery+toldWithin
 }
 
 func (g *Gateway) readServers() (int64, error) {
@@ -187,7 +203,7 @@
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.ID] = true
-		g.putServer(e)
+		g.putServer(now, e)
 	}
 	for _, id := range g.dir.IDs() {
 		if !present[id] {
@@ -218,7 +234,7 @@
 		if c.Removed {
 			g.missing(boottime.Now(), c.Entry.ID)
 		} else {
-			g.putServer(c.Entry)
+			g.putServer(boottime.Now(), c.Entry)
 		}
 	}
 	g.wake()
@@ -227,14 +243,14 @@
 }
 
 // putServer takes an entry. The caller holds mu.
-func (g *Gateway) putServer(e directory.Entry) {
+func (g *Gateway) putServer(now clock.Time, e directory.Entry) {
 	delete(g.lapsed, e.ID)
 	old := g.dir.Get(e.ID)
 	if old == nil || old.Born != e.Born || old.Draining != e.Draining {
 		g.log.Info().Str("server", e.ID).Str("group", e.Group).Str("zone", e.Zone).
 			Bool("leaving", e.Draining).Dur("remaining", e.Remaining).Msg("servers: entry")
 	}
-	g.dir.Put(boottime.Now(), e)
+	g.dir.Put(now, e)
 }
 
 // missing takes the lack of an entry: its server is gone, but for a moment
@@ -246,7 +262,7 @@
 		return
 	}
 	if s.Draining || g.storeDown == 0 || now.Sub(g.storeDown) > troubleFor {
-		g.drop(id)
+		g.drop(now, id)
 		return
 	}
 	if _, ok := g.lapsed[id]; !ok {
@@ -254,8 +270,10 @@
 	}
 }
 
-func (g *Gateway) drop(id string) {
+func (g *Gateway) drop(now clock.Time, id string) {
 	delete(g.lapsed, id)
+	delete(g.publisher.told, id)
+	g.publisher.gone[id] = now
 	g.dir.Remove(id)
 	g.log.Info().Str("server", id).Msg("servers: gone")
 }
@@ -263,7 +281,7 @@
 func (g *Gateway) dropLapsed(now clock.Time) {
 	for id, since := range g.lapsed {
 		if now.Sub(since) > lapseGrace && now.Sub(g.storeDown) > lapseGrace {
-			g.drop(id)
+			g.drop(now, id)
 		}
 	}
 }
@@ -315,15 +333,20 @@
 func (g *Gateway) housekeep() {
 	t := time.NewTimer(0)
 	defer t.Stop()
-	var nextBeat clock.Time
+	var nextBeat, last clock.Time
 	for {
 		select {
 		case <-g.ctx.Done():
 			return
 		case <-t.C:
 		case <-g.kick:
+			if since := boottime.Now().Sub(last); since < placeEvery {
+				t.Reset(placeEvery - since)
+				continue
+			}
 		}
 		now := boottime.Now()
+		last = now
 		if now.Reached(nextBeat) {
 			g.sendBeat(false)
 			nextBeat = now.Add(g.beatInterval())
@@ -343,30 +366,26 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	g.dropLapsed(now)
+	g.dir.Expire(now)
 	if g.lease.Lapsed(now) {
 		g.log.Warn().Msg("lease: lapsed, no more orders")
 	}
 	step := g.lease.Next(now, g.rank(now))
 	var orders []placer.Order
 	var asks []question
-	var state [][]byte
-	var to []string
+	var state []outgoing
 	pause := housekeepEvery
 	if g.lease.Holds(now) {
 		orders, asks = g.plan(now)
-		if state = g.publish(now); state != nil {
-			for _, m := range g.members.All(now) {
-				to = append(to, m.Address)
-			}
-		}
+		state = g.publish(now)
 		if g.placer.Active() {
 			pause = placeEvery
 		}
 	}
 	g.mu.Unlock()
 	g.leaseStep(step)
-	for _, body := range state {
-		g.peers.send(body, to)
+	for _, m := range state {
+		g.peers.send(m.body, m.to)
 	}
 	for _, o := range orders {
 		go g.order(o)
@@ -381,7 +400,8 @@
 func (g *Gateway) rank(now clock.Time) int {
 	n := 0
 	for _, m := range g.members.All(now) {
-		if m.Live(now) && m.Name < g.set.Name {
+		ahead := m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name
+		if ahead && m.Live(now) {
 			n++
 		}
 	}
--- /dev/null
+++ b/oleander/gateway/state.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+)
+
+const (
+	// flushEvery is the time between two messages of changes to all instances.
+	// One that waits for a model is told of it at once.
+	flushEvery = 100 * time.Millisecond
+	// repeatEvery is how often everything is told again, for those that lost a
+	// message or started since.
+	repeatEvery = 2 * time.Second
+	// serversPerState bounds one datagram to some kilobytes.
+	serversPerState = 20
+	// goneFor is how long a server that left is named.
+	goneFor = 5 * time.Second
+)
+
+// publisher is what the holder of the lease has told.
+type publisher struct {
+	told     map[string]serverMsg // by server, as told last
+	pending  map[string]serverMsg // changed, not yet told to all
+	flushed  clock.Time
+	repeated clock.Time
+	gone     map[string]clock.Time
+}
+
+func newPublisher() publisher {
+	return publisher{told: make(map[string]serverMsg), pending: make(map[string]serverMsg), gone: make(map[string]clock.Time)}
+}
+
+// outgoing is one message with the addresses that it goes to.
+type outgoing struct {
+	body []byte
+	to   []string
+}
+
+// publish puts what the placer knows into the own directory, and returns what
+// the others are to be told. The caller holds mu.
+func (g *Gateway) publish(now clock.Time) []outgoing {
+	p := &g.publisher
+	full := now.Sub(p.repeated) >= repeatEvery
+	var changed []serverMsg
+	for _, id := range g.dir.IDs() {
+		m := g.describe(now, g.dir.Get(id))
+		if old, ok := p.told[id]; ok && !full && sameServer(old, m) {
+			continue
+		}
+		if old, ok := p.told[id]; ok && !full && old.Info != nil && *old.Info == *m.Info {
+			m.Info = nil // only its models changed
+		}
+		p.told[id] = g.describe(now, g.dir.Get(id))
+		p.pending[id] = m
+		changed = append(changed, m)
+	}
+	if len(changed) > 0 {
+		g.wake()
+	}
+	if !full && now.Sub(p.flushed) < flushEvery {
+		return g.tellWaiting(now, changed)
+	}
+	if full {
+		p.repeated = now
+	}
+	p.flushed = now
+	return g.tellAll(now)
+}
+
+// describe says what a server is and holds. The caller holds mu.
+func (g *Gateway) describe(now clock.Time, s *directory.Server) serverMsg {
+	m := serverMsg{Server: s.ID, Born: s.Born, Info: &infoMsg{
+		Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining,
+	}}
+	born, holdings, ok := g.placer.Holdings(now, s.ID)
+	if !ok || born != s.Born {
+		return m
+	}
+	g.dir.SetHoldings(now, s.ID, born, holdings)
+	m.Engine = true
+	for _, h := range holdings {
+		m.Models = append(m.Models, modelMsg{Model: h.Model, Adapters: h.Adapters})
+	}
+	return m
+}
+
+func sameServer(a, b serverMsg) bool {
+	return a.Born == b.Born && a.Engine == b.Engine && a.Info != nil && b.Info != nil && *a.Info == *b.Info &&
+		slices.EqualFunc(a.Models, b.Models, func(x, y modelMsg) bool {
+			return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
+		})
+}
+
+// tellWaiting tells changes at once to the instances that wait for a model.
+func (g *Gateway) tellWaiting(now clock.Time, changed []serverMsg) []outgoing {
+	if len(changed) == 0 {
+		return nil
+	}
+	holds := make(map[string]bool)
+	for _, s := range changed {
+		for _, m := range s.Models {
+			holds[m.Model] = true
+		}
+	}
+	var to []string
+	for name, seen := range g.peerSeen {
+		m := g.members.Get(name)
+		if m != nil && m.Live(now) && slices.ContainsFunc(seen.wants, func(w wantMsg) bool { return holds[w.Model] }) {
+			to = append(to, m.Address)
+		}
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	return g.encodeState(changed, nil, to)
+}
+
+// tellAll tells all instances what changed.
+func (g *Gateway) tellAll(now clock.Time) []outgoing {
+	p := &g.publisher
+	var servers []serverMsg
+	for _, id := range sortedNames(p.pending) {
+		servers = append(servers, p.pending[id])
+	}
+	clear(p.pending)
+	var gone []string
+	for id, at := range p.gone {
+		if now.Sub(at) > goneFor {
+			delete(p.gone, id)
+			continue
+		}
+		gone = append(gone, id)
+	}
+	if len(servers) == 0 {
+		return nil
+	}
+	var to []string
+	for _, m := range g.members.All(now) {
+		to = append(to, m.Address)
+	}
+	return g.encodeState(servers, gone, to)
+}
+
+func (g *Gateway) encodeState(servers []serverMsg, gone, to []string) []outgoing {
+	var out []outgoing
+	for part := range slices.Chunk(servers, serversPerState) {
+		body, err := cbor.Marshal(packet{State: &stateMsg{
+			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone,
+		}})
+		if err != nil {
+			g.log.Error().Err(err).Msg("peers: state not encoded")
+			return nil
+		}
+		out = append(out, outgoing{body: body, to: to})
+	}
+	return out
+}
+
+// takeState takes what the holder of the lease says of the backend servers.
+func (g *Gateway) takeState(now clock.Time, s *stateMsg) {
+	if s.Fencing < g.holder.fencing || s.Name == g.set.Name {
+		return
+	}
+	g.holder.told = now
+	for _, id := range s.Gone {
+		if g.dir.Get(id) != nil {
+			g.drop(now, id)
+		}
+	}
+	for _, m := range s.Servers {
+		g.takeServer(now, m)
+	}
+	if len(g.waits) > 0 {
+		g.wake()
+	}
+}
+
+// takeServer takes what the holder says of one server.
+func (g *Gateway) takeServer(now clock.Time, m serverMsg) {
+	old := g.dir.Get(m.Server)
+	if i := m.Info; i != nil && (old == nil || old.Born < m.Born || i.Leaving && !old.Draining && old.Born == m.Born) {
+		g.putServer(now, directory.Entry{
+			ID: m.Server, Born: m.Born, Address: i.Address, Zone: i.Zone, Group: i.Group, Slots: i.Slots, Draining: i.Leaving,
+		})
+	}
+	if !m.Engine {
+		return
+	}
+	holdings := make([]directory.Holding, 0, len(m.Models))
+	for _, h := range m.Models {
+		holdings = append(holdings, directory.Holding{Model: h.Model, Adapters: h.Adapters})
+	}
+	g.dir.SetHoldings(now, m.Server, m.Born, holdings)
+}
