--- /dev/null
+++ b/core/gateway/directory/directory_test.go
@@ -0,0 +1,194 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const start = clock.Time(time.Hour)
+
+// servers returns a directory with n servers of a group in two zones.
+func servers(n int, holdings ...Holding) *Directory {
+	d := New()
+	for i := range n {
+		d.Put(start, Entry{
+			ID: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Group: "g",
+			Zone: []string{"a", "b"}[i%2], Born: 1, Slots: 4, Holdings: holdings,
+		})
+	}
+	return d
+}
+
+func TestPickFilters(t *testing.T) {
+	m := Holding{Model: "m", Adapters: []string{"a1"}}
+	tests := []struct {
+		name   string
+		change func(d *Directory)
+		need   Need
+		want   string // "": none
+		full   bool
+	}{
+		{"least loaded", func(d *Directory) { d.Started(start, "s0", "m") }, Need{Group: "g", Zone: "a"}, "s1", false},
+		{"own zone first", func(d *Directory) { d.Started(start, "s1", "m") }, Need{Group: "g", Zone: "b"}, "s0", false},
+		{"other group", nil, Need{Group: "x"}, "", false},
+		{"holds the model", nil, Need{Group: "g", Model: "m", Zone: "a"}, "s0", false},
+		{"lacks the model", nil, Need{Group: "g", Model: "n"}, "", false},
+		{"holds the adapter", nil, Need{Group: "g", Model: "m", Adapter: "a1", Zone: "a"}, "s0", false},
+		{"lacks the adapter", nil, Need{Group: "g", Model: "m", Adapter: "a2"}, "", false},
+		{"excluded", nil, Need{Group: "g", Zone: "a", Exclude: map[string]bool{"s0": true}}, "s1", false},
+		{"leaving", func(d *Directory) { drain(d, "s0") }, Need{Group: "g", Zone: "a"}, "s1", false},
+		{"unreachable", func(d *Directory) { d.Unreachable(start, "s0") }, Need{Group: "g", Zone: "a"}, "s1", false},
+		{"told to lack it", func(d *Directory) { d.Lacks("s0", "m", "") }, Need{Group: "g", Model: "m", Zone: "a"}, "s1", false},
+		{"told to lack the adapter", func(d *Directory) { d.Lacks("s0", "m", "a1") }, Need{Group: "g", Model: "m", Adapter: "a1", Zone: "a"}, "s1", false},
+		{"all full", func(d *Directory) { load(d, 6) }, Need{Group: "g"}, "", true},
+		{"all full, with affinity", func(d *Directory) { load(d, 6) }, Need{Group: "g", Affinity: 5}, "", true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			d := servers(2, m)
+			if tc.change != nil {
+				tc.change(d)
+			}
+			s, full := d.Pick(start, tc.need)
+			got := ""
+			if s != nil {
+				got = s.ID
+			}
+			if got != tc.want || full != tc.full {
+				t.Errorf("picked %q, full %v; want %q, %v", got, full, tc.want, tc.full)
+			}
+		})
+	}
+}
+
+func drain(d *Directory, id string) {
+	e := d.Get(id).Entry
+	e.Draining = true
+	d.Put(start, e)
+}
+
+func load(d *Directory, n int) {
+	for _, id := range d.IDs() {
+		for range n {
+			d.Started(start, id, "m")
+		}
+	}
+}
+
+// A server fails two in five of its requests while the others answer. It is set
+// aside after some ten answers, and tried again after the probation.
+func TestFailingServerIsSetAside(t *testing.T) {
+	d := servers(3)
+	now := start
+	for i := range 30 {
+		for _, id := range d.IDs() {
+			o := Answered
+			if id == "s0" && i%5 < 2 {
+				o = Failed
+			}
+			d.Started(now, id, "")
+			d.Ended(now, id, "", o)
+		}
+	}
+	if s, _ := d.Pick(now, Need{Group: "g", Zone: "a"}); s.ID == "s0" {
+		t.Error("the failing server is picked")
+	}
+	later := now.Add(probation)
+	d.Started(later, "s1", "")
+	d.Started(later, "s2", "")
+	if s, _ := d.Pick(later, Need{Group: "g", Zone: "a"}); s.ID != "s0" {
+		t.Error("the server is not tried again after its probation")
+	}
+}
+
+// One request in seven fails at every server alike: the requests are the cause,
+// and no server is set aside.
+func TestCommonFailuresSetNobodyAside(t *testing.T) {
+	d := servers(3)
+	for i := range 200 {
+		for j, id := range d.IDs() {
+			o := Answered
+			if (i+j*2)%7 == 0 {
+				o = Failed
+			}
+			d.Started(start, id, "")
+			d.Ended(start, id, "", o)
+		}
+	}
+	if n := len(d.Candidates(start, Need{Group: "g"})); n != 3 {
+		t.Errorf("%d of 3 servers are left", n)
+	}
+}
+
+// Requests that share their first prompt parts go to one server, until it has
+// so much more to do than the others that reading the parts anew is faster.
+func TestAffinityWithBoundedLoad(t *testing.T) {
+	d := servers(4)
+	need := Need{Group: "g", Affinity: 42}
+	first, _ := d.Pick(start, need)
+	for range loadSlack + 1 {
+		s, _ := d.Pick(start, need)
+		if s != first {
+			t.Fatal("moved although the load is small")
+		}
+		d.Started(start, s.ID, "m")
+	}
+	d.Started(start, first.ID, "m")
+	if s, _ := d.Pick(start, need); s == first {
+		t.Error("stays at a server that has far more than the mean")
+	}
+}
+
+// A server starts anew under its id. What was known of its old life does not
+// hold for the new one, and requests that end late don't count below zero.
+func TestNewLifeStartsClean(t *testing.T) {
+	d := servers(1, Holding{Model: "m"})
+	d.Started(start, "s0", "m")
+	d.SetHoldings(start, "s0", 1, []Holding{{Model: "m"}, {Model: "n"}})
+	d.Put(start, Entry{ID: "s0", Group: "g", Born: 2})
+	d.Ended(start, "s0", "m", Neutral)
+	s := d.Get("s0")
+	if s.Running() != 0 || len(s.Holdings) != 0 {
+		t.Errorf("running %d, holds %v", s.Running(), s.Holdings)
+	}
+	d.SetHoldings(start, "s0", 1, []Holding{{Model: "m"}})
+	if len(s.Holdings) != 0 {
+		t.Error("took what was said of the old life")
+	}
+}
+
+// The owner of the orders knows sooner than the entry; when it falls silent, the
+// entry counts again.
+func TestOwnerGoesBeforeEntry(t *testing.T) {
+	d := servers(1)
+	d.SetHoldings(start, "s0", 1, []Holding{{Model: "m"}})
+	e := d.Get("s0").Claimed()
+	d.Put(start.Add(time.Second), *e)
+	if _, ok := d.Get("s0").Holds("m"); !ok {
+		t.Error("an entry that lags replaced what the owner said")
+	}
+	d.Put(start.Add(toldFor+time.Second), Entry{ID: "s0", Group: "g", Born: 1, Holdings: []Holding{{Model: "n"}}})
+	if _, ok := d.Get("s0").Holds("n"); !ok {
+		t.Error("the entry does not count although the owner is silent")
+	}
+}
+
+func TestRunningOfOthers(t *testing.T) {
+	d := servers(1)
+	d.Started(start, "s0", "m")
+	d.HeardRunning(start, "p1", map[string]map[string]int{"s0": {"m": 2, "n": 1}})
+	d.HeardRunning(start, "p1", map[string]map[string]int{"s0": {"m": 3}})
+	d.HeardRunning(start, "p2", map[string]map[string]int{"s0": {"n": 1}})
+	s := d.Get("s0")
+	if s.Running() != 5 || s.RunningModel("m") != 4 || s.RunningModel("n") != 1 {
+		t.Errorf("running %d, m %d, n %d", s.Running(), s.RunningModel("m"), s.RunningModel("n"))
+	}
+	d.HeardRunning(start.Add(staleAfter), "p2", nil)
+	d.Expire(start.Add(staleAfter + time.Second))
+	if s.Running() != 1 {
+		t.Errorf("running %d after the others fell silent, want the own one", s.Running())
+	}
+}
--- /dev/null
+++ b/core/gateway/manifest/manifest_test.go
@@ -0,0 +1,80 @@
+package manifest
+
+import "testing"
+
+func TestMatch(t *testing.T) {
+	m := New(1, Limits{})
+	for _, prefix := range []string{"/", "/a/", "/a/b/"} {
+		m.AddRoute(&Route{Name: prefix, Host: "h", Prefix: prefix})
+	}
+	m.AddRoute(&Route{Name: "other", Host: "i", Prefix: "/a/"})
+	tests := []struct{ host, path, want string }{
+		{"h", "/a/b/c", "/a/b/"},
+		{"h", "/a/b", "/a/"},
+		{"h", "/a", "/"},
+		{"h", "/a/../b", "/a/"}, // as it is: paths are not cleaned
+		{"i", "/a/x", "other"},
+		{"i", "/b", ""},
+		{"j", "/a/", ""},
+	}
+	for _, tc := range tests {
+		got := ""
+		if r := m.Match(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		if got != tc.want {
+			t.Errorf("%s%s goes to %q, want %q", tc.host, tc.path, got, tc.want)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	m := New(1, Limits{})
+	open := &Route{Public: true}
+	closed := &Route{}
+	if m.NeedsKey(closed) {
+		t.Error("a key is wanted although there are no accounts")
+	}
+	a := &Account{Name: "a"}
+	m.Accounts["a"] = a
+	m.AddKey(DigestOf("secret"), a)
+	if m.NeedsKey(open) || !m.NeedsKey(closed) {
+		t.Error("public routes need no key, others do")
+	}
+	if m.Account("secret") != a || m.Account("secret ") != nil || m.Account("") != nil {
+		t.Error("the account of a key is wrong")
+	}
+}
+
+// A route's requests are split by weight, and alike at all instances.
+func TestPickTarget(t *testing.T) {
+	r := &Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	counts := make(map[string]int)
+	for i := range uint64(1000) {
+		counts[r.Pick(i)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 {
+		t.Errorf("split %v", counts)
+	}
+	if got := (&Route{}).Pick(1); got != "" {
+		t.Errorf("a route without targets goes to %q", got)
+	}
+}
+
+func TestMayRepeat(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Idempotent}, true},
+		{Route{Kind: NonIdempotent}, false},
+		{Route{Kind: NonIdempotent, Resumable: true}, false},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+	}
+	for _, tc := range tests {
+		if got := tc.route.MayRepeat(); got != tc.want {
+			t.Errorf("%+v may repeat: %v", tc.route, got)
+		}
+	}
+}
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -73,9 +73,12 @@
 		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Since, y.Since), compareKeys(a, b))
 	})
 	for _, model := range sortedKeys(p.rates) {
+		if p.replicas(now, model) == 0 {
+			continue
+		}
 		for _, group := range p.groupsOf(model) {
 			k := Key{Group: group, Model: model}
-			if _, waits := p.wants[k]; !waits && p.replicas(now, model) > 0 && !p.impossible(now, k) {
+			if _, waits := p.wants[k]; !waits && !p.impossible(now, k) {
 				keys = append(keys, k)
 			}
 		}
--- /dev/null
+++ b/core/gateway/poison/poison_test.go
@@ -0,0 +1,60 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+// A request crashes the server of each instance that passes it on, and its
+// caller sends it again. The third crash, wherever it was seen, ends that;
+// requests that stood beside it once or twice are still served.
+func TestThirdCrashRefuses(t *testing.T) {
+	r := New()
+	now := clock.Time(time.Hour)
+	const bad, innocent = Digest(1), Digest(2)
+	r.Broke(now, bad)
+	r.Broke(now, innocent)
+	r.Heard(now, "p1", bad, 1)
+	r.Heard(now, "p1", bad, 1) // repeated, not counted twice
+	r.Heard(now, "p1", innocent, 1)
+	if r.Refused(now, bad) {
+		t.Error("refused after two crashes")
+	}
+	r.Heard(now, "p2", bad, 1)
+	if !r.Refused(now, bad) {
+		t.Error("not refused after three crashes")
+	}
+	if r.Refused(now, innocent) || r.Refused(now, Digest(3)) {
+		t.Error("refused a request that is not the cause")
+	}
+	if r.Refused(now.Add(keep+time.Second), bad) {
+		t.Error("refused for ever")
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	r := New()
+	for i := range 2 * maxSuspects {
+		r.Broke(clock.Time(i), Digest(i))
+	}
+	if n := len(r.suspects); n > maxSuspects {
+		t.Errorf("%d suspects", n)
+	}
+	if _, ok := r.suspects[Digest(2*maxSuspects-1)]; !ok {
+		t.Error("the newest was dropped")
+	}
+}
+
+func TestOwn(t *testing.T) {
+	r := New()
+	r.Broke(clock.Time(time.Hour), 1)
+	r.Heard(clock.Time(time.Hour), "p", 2, 1)
+	if own := r.Own(clock.Time(time.Hour), time.Second); len(own) != 1 || own[1] != 1 {
+		t.Errorf("tells %v", own)
+	}
+	if own := r.Own(clock.Time(2*time.Hour), time.Second); len(own) != 0 {
+		t.Errorf("tells %v an hour later", own)
+	}
+}
