Test the gateway before scripted servers; keep our Connection: close

Cause: copying a server's headers removed the Connection header that a stopping instance had set, so callers kept their connections to it.

--- /dev/null
+++ b/oleander/connection/rawhttp/rawhttp_test.go
@@ -0,0 +1,223 @@
+package rawhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/internal/testutil"
+)
+
+// script answers the n-th request of all connections, from 0; an answer that
+// begins with ! is followed by the close of the connection.
+type script struct {
+	address  string
+	requests atomic.Int32
+	conns    atomic.Int32
+	heads    chan string
+}
+
+func serve(t *testing.T, answers ...string) *script {
+	l := testutil.Listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &script{address: l.Addr().String(), heads: make(chan string, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.answer(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *script) answer(c net.Conn, answers []string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		s.heads <- line
+		length := 0
+		for line != "\r\n" {
+			if line, err = r.ReadString('\n'); err != nil {
+				return
+			}
+			if strings.HasPrefix(line, "Content-Length: 4") {
+				length = 4
+			}
+		}
+		if _, err := io.CopyN(io.Discard, r, int64(length)); err != nil {
+			return
+		}
+		n := int(s.requests.Add(1)) - 1
+		text, closes := strings.CutPrefix(answers[min(n, len(answers)-1)], "!")
+		if _, err := io.WriteString(c, text); err != nil || closes {
+			return
+		}
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func do(p *Pool, address, method string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, body, err := p.Do(ctx, address, Request{Method: method, Target: "/a//b/../c?x=%2f", Host: "h", Header: http.Header{}, Body: bodyOf(method)}, 100)
+	return string(body), err
+}
+
+func bodyOf(method string) []byte {
+	if method == http.MethodPost {
+		return []byte("body")
+	}
+	return nil
+}
+
+// The path goes out as it is, and the connection is used again.
+func TestTargetUnchangedAndConnectionReused(t *testing.T) {
+	s := serve(t, whole)
+	p := NewPool(time.Second, nil)
+	for range 3 {
+		if body, err := do(p, s.address, http.MethodPost); err != nil || body != "ok" {
+			t.Fatalf("%q, %v", body, err)
+		}
+		if head := <-s.heads; head != "POST /a//b/../c?x=%2f HTTP/1.1\r\n" {
+			t.Errorf("sent %q", head)
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// The server closes the connection after it read a request. It may have run it;
+// the request is not sent a second time, not even a GET.
+func TestNothingIsRepeated(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		s := serve(t, whole, "!", whole)
+		p := NewPool(time.Second, nil)
+		if _, err := do(p, s.address, method); err != nil {
+			t.Fatal(err)
+		}
+		_, err := do(p, s.address, method)
+		if err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: error %v, want one that leaves open whether it ran", method, err)
+		}
+		if n := s.requests.Load(); n != 2 {
+			t.Errorf("%s: the server got %d requests, want 2", method, n)
+		}
+	}
+}
+
+// A second answer arrives behind the first one. It must not be read as the
+// answer to the next request: the connection is dropped.
+func TestExtraAnswerIsNotTakenForTheNext(t *testing.T) {
+	extra := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	s := serve(t, whole+extra, whole)
+	p := NewPool(time.Second, nil)
+	for range 2 {
+		if body, err := do(p, s.address, http.MethodPost); err != nil || body != "ok" {
+			t.Errorf("%q, %v", body, err)
+		}
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections, want a new one for the second request", n)
+	}
+}
+
+// Bytes arrive on a connection while it rests in the pool.
+func TestLateBytesDropTheConnection(t *testing.T) {
+	l := testutil.Listen(t)
+	defer func() { _ = l.Close() }()
+	sent := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 1000))
+		_, _ = io.WriteString(c, whole)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+		close(sent)
+		if c, err = l.Accept(); err == nil {
+			_, _ = c.Read(make([]byte, 1000))
+			_, _ = io.WriteString(c, whole)
+		}
+	}()
+	p := NewPool(time.Second, nil)
+	if _, err := do(p, l.Addr().String(), http.MethodPost); err != nil {
+		t.Fatal(err)
+	}
+	<-sent
+	time.Sleep(10 * time.Millisecond) // loopback delivers what was sent
+	if body, err := do(p, l.Addr().String(), http.MethodPost); err != nil || body != "ok" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	tests := map[string]string{
+		"cut body":         "!HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok",
+		"cut chunks":       "!HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"no HTTP":          "!hello\r\n\r\n",
+		"longer than most": "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101),
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, answer)
+			if body, err := do(NewPool(time.Second, nil), s.address, http.MethodGet); err == nil {
+				t.Errorf("taken for whole: %q", body)
+			}
+		})
+	}
+}
+
+// An answer without a length ends with its connection, which is not used again.
+func TestAnswerWithoutLength(t *testing.T) {
+	s := serve(t, "!HTTP/1.1 200 OK\r\n\r\nok")
+	p := NewPool(time.Second, nil)
+	for range 2 {
+		if body, err := do(p, s.address, http.MethodGet); err != nil || body != "ok" {
+			t.Errorf("%q, %v", body, err)
+		}
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	l := testutil.Listen(t)
+	address := l.Addr().String()
+	_ = l.Close()
+	if _, err := do(NewPool(time.Second, nil), address, http.MethodPost); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want one that says that nothing was sent", err)
+	}
+}
+
+func TestIdleTime(t *testing.T) {
+	tests := map[string]time.Duration{
+		"":                  idleDefault,
+		"timeout=5":         5*time.Second - idleMargin,
+		"max=10, timeout=2": 2*time.Second - idleMargin,
+		"timeout=0":         0,
+		"timeout=x":         idleDefault,
+	}
+	for header, want := range tests {
+		if got := idleTime(header); got != want {
+			t.Errorf("%q: %v, want %v", header, got, want)
+		}
+	}
+}
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -321,10 +322,9 @@
 }
 
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	DropHopHeaders(to)
+	h := from.Clone()
+	DropHopHeaders(h) // not of to, where a stopping instance says that it closes
+	maps.Copy(to, h)
 	if to.Get("Content-Type") == "" {
 		to["Content-Type"] = nil // or the library would guess one
 	}
