--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -181,6 +181,24 @@
 	return res, v
 }
 
+// cutStore is the store as one instance reaches it, or does not.
+type cutStore struct {
+	*fakeStore
+	cut atomic.Bool
+}
+
+func (s *cutStore) Manifest(ctx context.Context) ([]byte, int64, error) {
+	if s.cut.Load() {
+		return nil, 0, ErrUnavailable
+	}
+	return s.fakeStore.Manifest(ctx)
+}
+
+func (s *cutStore) WatchManifest(ctx context.Context, after int64, wait time.Duration) ([]byte, int64, error) {
+	s.wait(after, wait)
+	return s.Manifest(ctx)
+}
+
 // backend is a server whose answers a test scripts.
 type backend struct {
 	id      string
@@ -248,6 +266,7 @@
 	store    *fakeStore
 	engines  *fakeEngines
 	gateways []*Gateway
+	cuts     []*cutStore
 	stops    []chan struct{}
 	ended    []chan struct{}
 }
@@ -294,7 +313,9 @@
 		OrderQuiet: 100 * time.Millisecond,
 		Retry:      budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 	}
-	g, err := New(s, f.store, f.engines, fakeDialect{}, zerolog.New(zerolog.NewTestWriter(f.t)))
+	store := &cutStore{fakeStore: f.store}
+	f.cuts = append(f.cuts, store)
+	g, err := New(s, store, f.engines, fakeDialect{}, zerolog.New(zerolog.NewTestWriter(f.t)))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -329,6 +350,7 @@
 	status int
 	header http.Header
 	body   string
+	closes bool  // the connection is not to be used again
 	err    error // of the body
 }
 
@@ -353,14 +375,15 @@
 	for pair := range slices.Chunk(header, 2) {
 		r.Header.Set(pair[0], pair[1])
 	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
-	resp, err := client.Do(r)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(r)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), closes: resp.Close, err: err}
 }
 
 type neverEnding byte
--- a/oleander/gateway/gateway_test.go
+++ b/oleander/gateway/gateway_test.go
@@ -335,7 +335,7 @@
 		m := g.members.Get("g0")
 		return m != nil && m.Incarnation != 0
 	})
-	g.store = &cutStore{f.store}
+	f.cuts[1].cut.Store(true)
 	f.store.change(func() { f.store.manifest = config(2) })
 	testutil.WaitFor(t, func() bool { return g.manifest.Load().Version == 2 })
 	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK {
@@ -343,14 +343,6 @@
 	}
 }
 
-// cutStore is a store that one instance can't reach; it still decodes.
-type cutStore struct{ *fakeStore }
-
-func (*cutStore) Manifest(context.Context) ([]byte, int64, error) { return nil, 0, ErrUnavailable }
-func (*cutStore) WatchManifest(context.Context, int64, time.Duration) ([]byte, int64, error) {
-	return nil, 0, ErrUnavailable
-}
-
 // The instance is stopped while a request runs at a server. The balancer is told,
 // the request ends whole, and the process ends within its grace time.
 func TestStopCutsNothing(t *testing.T) {
@@ -368,7 +360,7 @@
 	began := time.Now()
 	close(f.stops[0])
 	testutil.WaitFor(t, func() bool { return f.status("http://"+f.gateways[0].set.Ready) == http.StatusServiceUnavailable })
-	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK || got.header.Get("Connection") != "close" {
+	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK || !got.closes {
 		t.Errorf("a request that came after the signal: %+v", got)
 	}
 	close(finish)
