--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -29,18 +29,21 @@
 	// debtLimit bounds, in seconds of the rate, how far a bucket may be below
 	// zero, so that a wrong message can't shut an account out for long.
 	debtLimit = 3.0
-	// startFraction of the burst is in a bucket at the start. After all
-	// instances were replaced at once, each has a bucket of its own until it
-	// hears the others, and the burst must not be had once for each. One that
-	// was replaced alone has a request's worth after some milliseconds.
-	startFraction = 0.05
+	// learnFor is how long an instance that started takes to hear the others.
+	// After all were replaced at once, each has a bucket of its own until then,
+	// and neither rate nor burst must be had once for each.
+	learnFor = time.Second
+	// learnShares is what an instance has of the burst and gets of the rate
+	// meanwhile, in equal shares. One would refuse callers that don't spread
+	// evenly, more would let all of them overdraw.
+	learnShares = 1.0
 )
 
 type bucket struct {
 	level   float64
 	updated clock.Time
-	spent   uint64 // by this instance, ever
-	started bool
+	spent   uint64     // by this instance, ever
+	started clock.Time // 0: not yet
 }
 
 type peer struct {
@@ -61,9 +64,10 @@
 
 // Meter meters all accounts. It is not safe for concurrent use.
 type Meter struct {
-	accounts map[string]*manifest.Account
-	buckets  map[string]*bucket
-	peers    map[string]*peer
+	accounts  map[string]*manifest.Account
+	buckets   map[string]*bucket
+	instances int
+	peers     map[string]*peer
 }
 
 // New returns a Meter without accounts.
@@ -74,6 +78,9 @@
 // Configure takes the accounts of a configuration version.
 func (m *Meter) Configure(accounts map[string]*manifest.Account) { m.accounts = accounts }
 
+// SetInstances says how many instances there are, by what is known so far.
+func (m *Meter) SetInstances(n int) { m.instances = n }
+
 // Take spends cost of an account. If it may not, wait says when enough will
 // have accrued.
 func (m *Meter) Take(now clock.Time, account string, cost float64) (ok bool, wait time.Duration) {
@@ -179,10 +186,15 @@
 	if a == nil {
 		return b, nil
 	}
-	if !b.started {
-		b.started, b.level = true, a.Burst*startFraction
+	own := min(1, learnShares/float64(max(1, m.instances)))
+	if b.started == 0 {
+		b.started, b.level = now, a.Burst*own
+	}
+	share := m.heardShare(now)
+	if now.Sub(b.started) < learnFor {
+		share = min(share, own)
 	}
-	b.level += a.Rate * now.Sub(b.updated).Seconds() * m.heardShare(now)
+	b.level += a.Rate * now.Sub(b.updated).Seconds() * share
 	b.level = min(b.level, a.Burst)
 	b.updated = now
 	return b, a
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -376,6 +376,7 @@
 	now := boottime.Now()
 	g.dropLapsed(now)
 	g.dir.Expire(now)
+	g.quota.SetInstances(g.members.Count())
 	if g.lease.Lapsed(now) {
 		g.log.Warn().Msg("lease: lapsed, no more orders")
 	}
