--- a/oleander/process/logs/logs.go
+++ b/oleander/process/logs/logs.go
@@ -29,6 +29,9 @@
 	window     = time.Second
 )
 
+// TimeFormat is that of the lines: a request's story plays in milliseconds.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Writer is a zerolog.LevelWriter.
 type Writer struct {
 	out   io.Writer
