Average what the others spend, so that a busy account is paced and not pulsed

Between two messages, 0.7 s apart, 90 instances admitted four times the rate, heard of it, stopped all at once, and started again with nothing expected of the others. Change: what the others spend is expected at its mean over three seconds. Ruled out: the start after all are killed (TestAllReplacedAtOnce holds) and messages later than a second, each of which was a fault of its own.

--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -22,6 +22,11 @@
 	// messages are missing in the largest fleet measured, where they are 0.7 s
 	// apart.
 	silentAfter = 2200 * time.Millisecond
+	// paceWindow is the time over which the others' spending is averaged. With
+	// what they spent between two messages alone, all instances stop and start
+	// together: they admit four times the rate until they hear of it, and pay
+	// it back all at once.
+	paceWindow = 3 * time.Second
 	// leastPassed bounds the rate that two messages close together would show.
 	leastPassed = 50 * time.Millisecond
 	// forgottenAfter is when an instance that is not heard is taken to be gone
@@ -51,7 +56,7 @@
 	incarnation uint64
 	heard       clock.Time
 	spent       map[string]uint64  // by account
-	perSecond   map[string]float64 // spent between its last two messages
+	perSecond   map[string]float64 // spent of late, a mean over paceWindow
 }
 
 func newPeer(now clock.Time, incarnation uint64, spent map[string]uint64) *peer {
@@ -100,9 +105,9 @@
 	return true, 0
 }
 
-// unheard is what the others probably spent since they were last heard, at the
-// rate of before. Without it, all instances spend the same tokens between two
-// messages: with one in half a second, twice the rate of a busy account.
+// unheard is what the others probably spent since they were last heard. Without
+// it, all instances spend the same tokens between two messages. With it, what an
+// instance can spend of a busy account grows by its own part of the rate.
 func (m *Meter) unheard(now clock.Time, account string) float64 {
 	total := 0.0
 	for _, p := range m.peers {
@@ -147,7 +152,10 @@
 	passed := now.Sub(p.heard)
 	silent := passed > silentAfter
 	p.heard = now
-	clear(p.perSecond)
+	weight := passed.Seconds() / (passed + paceWindow).Seconds()
+	for account, mean := range p.perSecond {
+		p.perSecond[account] = mean * (1 - weight)
+	}
 	for account, total := range spent {
 		before := p.spent[account]
 		p.spent[account] = total
@@ -161,7 +169,7 @@
 			amount -= m.share(account) * (passed - silentAfter).Seconds()
 		}
 		m.debit(now, account, max(0, amount))
-		p.perSecond[account] = amount / max(passed, leastPassed).Seconds()
+		p.perSecond[account] += weight * amount / max(passed, leastPassed).Seconds()
 	}
 }
 
