--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -5,7 +5,8 @@
 // A request whose connection broke while it ran is a suspect, known by the
 // digest of account, method, path and body. Others that ran on the same server
 // are suspects too, once. Only the one that was there at several crashes is
-// refused.
+// refused. One that was answered meanwhile is cleared: callers may send the same
+// body many times, and some of these requests meet a crash that others caused.
 package poison
 
 import (
@@ -28,9 +29,10 @@
 type Digest uint64
 
 type suspect struct {
-	last  clock.Time
-	own   uint32
-	peers map[string]uint32
+	last    clock.Time
+	own     uint32
+	peers   map[string]uint32
+	cleared bool // was answered since it was first suspected
 }
 
 // Register counts broken runs. It is not safe for concurrent use.
@@ -44,9 +46,23 @@
 // Broke records that a run of d broke off here.
 func (r *Register) Broke(now clock.Time, d Digest) { r.at(now, d).own++ }
 
+// Answered records that a run of d came to its end.
+func (r *Register) Answered(d Digest) {
+	if s, ok := r.suspects[d]; ok {
+		s.cleared = true
+	}
+}
+
+// Cleared is the count that says that a run of a suspect came to its end.
+const Cleared = 0
+
 // Heard records what another instance counted for d.
 func (r *Register) Heard(now clock.Time, peer string, d Digest, count uint32) {
 	s := r.at(now, d)
+	if count == Cleared {
+		s.cleared = true
+		return
+	}
 	if s.peers == nil {
 		s.peers = make(map[string]uint32)
 	}
@@ -56,7 +72,7 @@
 // Refused reports whether d must not be sent to a backend server any more.
 func (r *Register) Refused(now clock.Time, d Digest) bool {
 	s, ok := r.suspects[d]
-	if !ok || now.Sub(s.last) > keep {
+	if !ok || s.cleared || now.Sub(s.last) > keep {
 		return false
 	}
 	total := s.own
@@ -66,11 +82,16 @@
 	return total >= crashLimit
 }
 
-// Own returns what this instance counted not longer than age ago.
+// Own returns what this instance has to tell of suspects that are not older than
+// age.
 func (r *Register) Own(now clock.Time, age time.Duration) map[Digest]uint32 {
 	own := make(map[Digest]uint32)
 	for d, s := range r.suspects {
-		if s.own > 0 && now.Sub(s.last) <= age {
+		switch {
+		case now.Sub(s.last) > age:
+		case s.cleared:
+			own[d] = Cleared
+		case s.own > 0:
 			own[d] = s.own
 		}
 	}
--- a/core/gateway/poison/poison_test.go
+++ b/core/gateway/poison/poison_test.go
@@ -34,6 +34,33 @@
 	}
 }
 
+// Callers send the same body over and over, as a poll does. Servers crash three
+// times while some of these run, and others of them are answered: the request
+// is not the cause, at no instance.
+func TestAnsweredOneIsCleared(t *testing.T) {
+	here, there := New(), New()
+	now := clock.Time(time.Hour)
+	const d = Digest(1)
+	here.Broke(now, d)
+	here.Answered(d)
+	for range crashLimit {
+		here.Broke(now, d)
+		there.Broke(now, d)
+	}
+	if here.Refused(now, d) {
+		t.Error("refused although one was answered here")
+	}
+	if !there.Refused(now, d) {
+		t.Fatal("the play shows nothing")
+	}
+	for digest, n := range here.Own(now, time.Second) {
+		there.Heard(now, "here", digest, n)
+	}
+	if there.Refused(now, d) {
+		t.Error("refused although one was answered elsewhere")
+	}
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	r := New()
 	for i := range 2 * maxSuspects {
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -292,8 +292,7 @@
 		return x.broke(t, c, err)
 	}
 	c.Release(resp)
-	x.g.ended(t.id, x.call.Model, outcomeOf(resp.StatusCode))
-	x.ran++
+	x.answered(t, outcomeOf(resp.StatusCode))
 	copyHeader(x.w.Header(), resp.Header)
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -307,6 +306,18 @@
 	return resultDone
 }
 
+// answered counts the end of an attempt whose answer came whole.
+func (x *exchange) answered(t target, o directory.Outcome) {
+	x.ran++
+	g := x.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dir.Ended(boottime.Now(), t.id, x.call.Model, o)
+	if x.digest != 0 {
+		g.poison.Answered(x.digest)
+	}
+}
+
 // outcomeOf judges a server by the status of its answer.
 func outcomeOf(status int) directory.Outcome {
 	if status >= 500 {
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -280,7 +280,7 @@
 		e = e.Str("route", x.route.Name).Uint64("config", x.config.Version)
 	}
 	if x.account != nil {
-		e = e.Str("account", x.account.Name)
+		e = e.Str("account", x.account.Name).Float64("charged", x.cost)
 	}
 	if x.call.Model != "" {
 		e = e.Str("model", x.call.Model).Str("adapter", x.call.Adapter)
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -53,8 +53,7 @@
 // relayed ends a stream that came whole.
 func (x *exchange) relayed(t target, c *rawhttp.Conn, resp *http.Response) result {
 	c.Release(resp)
-	x.g.ended(t.id, x.call.Model, directory.Answered)
-	x.ran++
+	x.answered(t, directory.Answered)
 	if !x.started {
 		x.begin(resp)
 	}
