Share quotas before the fleet is known; mend what earlier work left

Change: until the rows of the instances are read, and for a second after, an instance has a hundredth, then its equal share; it is not ready before. TestUnknownFleet failed before. Also: a test without which the line that marks an order as run could go (a caller was told not-run, and its record given up); paths are served or refused, never redirected (TestNothingIsRedirected, 301 before); oleander/platform, which held clients of what our own interface runs beside, is oleander/clients.

--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -22,6 +22,8 @@
 	// messages are missing in the largest fleet measured, where they are 0.7 s
 	// apart.
 	silentAfter = 2200 * time.Millisecond
+	// unknownInstances is how many instances are assumed before any is known.
+	unknownInstances = 100
 	// paceWindow is the time over which the others' spending is averaged. With
 	// what they spent between two messages alone, all instances stop and start
 	// together: they admit four times the rate until they hear of it, and pay
@@ -48,8 +50,8 @@
 type bucket struct {
 	level   float64
 	updated clock.Time
-	spent   uint64     // by this instance, ever
-	started clock.Time // 0: not yet
+	spent   uint64 // by this instance, ever
+	filled  bool
 }
 
 type peer struct {
@@ -73,19 +75,35 @@
 	accounts  map[string]*manifest.Account
 	buckets   map[string]*bucket
 	instances int
+	started   clock.Time // when instances was first known; 0: not yet
 	peers     map[string]*peer
 }
 
 // New returns a Meter without accounts.
 func New() *Meter {
-	return &Meter{buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Meter{buckets: make(map[string]*bucket), peers: make(map[string]*peer), instances: unknownInstances}
 }
 
 // Configure takes the accounts of a configuration version.
 func (m *Meter) Configure(accounts map[string]*manifest.Account) { m.accounts = accounts }
 
-// SetInstances says how many instances there are, by what is known so far.
-func (m *Meter) SetInstances(n int) { m.instances = n }
+// SetInstances says how many instances there are. The first call begins the time
+// in which this one learns of the others.
+func (m *Meter) SetInstances(now clock.Time, n int) {
+	if m.started == 0 {
+		m.started = now
+	}
+	m.instances = n
+}
+
+// ownShare is the part of rate and burst that this instance may take for itself:
+// all of it once it had time to hear what the others take.
+func (m *Meter) ownShare(now clock.Time) float64 {
+	if m.started != 0 && now.Sub(m.started) >= learnFor {
+		return 1
+	}
+	return min(1, learnShares/float64(max(1, m.instances)))
+}
 
 // Take spends cost of an account. If it may not, wait says when enough will
 // have accrued.
@@ -210,14 +228,11 @@
 	if a == nil {
 		return b, nil
 	}
-	own := min(1, learnShares/float64(max(1, m.instances)))
-	if b.started == 0 {
-		b.started, b.level = now, a.Burst*own
-	}
-	share := m.heardShare(now)
-	if now.Sub(b.started) < learnFor {
-		share = min(share, own)
+	own := m.ownShare(now)
+	if !b.filled {
+		b.filled, b.level = true, a.Burst*own
 	}
+	share := min(own, m.heardShare(now))
 	b.level += a.Rate * now.Sub(b.updated).Seconds() * share
 	b.level = min(b.level, a.Burst)
 	b.updated = now
--- a/core/gateway/quota/quota_test.go
+++ b/core/gateway/quota/quota_test.go
@@ -31,15 +31,15 @@
 func newFleet(n int, accounts map[string]*manifest.Account) *fleet {
 	f := &fleet{now: clock.Time(time.Hour), beat: beat, cut: func(int, int) bool { return false }}
 	for range n {
-		f.meters = append(f.meters, newMeter(n, accounts))
+		f.meters = append(f.meters, newMeter(f.now, n, accounts))
 	}
 	return f
 }
 
-func newMeter(instances int, accounts map[string]*manifest.Account) *Meter {
+func newMeter(now clock.Time, instances int, accounts map[string]*manifest.Account) *Meter {
 	m := New()
 	m.Configure(accounts)
-	m.SetInstances(instances)
+	m.SetInstances(now, instances)
 	return m
 }
 
@@ -152,7 +152,7 @@
 	f := newFleet(n, oneAccount(large*testRate, large*testBurst))
 	f.run(10*time.Second, 44, -1)
 	for i := range f.meters {
-		f.meters[i] = newMeter(n, oneAccount(large*testRate, large*testBurst))
+		f.meters[i] = newMeter(f.now, n, oneAccount(large*testRate, large*testBurst))
 	}
 	f.incarnation++
 	f.run(10*time.Second, 44, -1)
@@ -194,10 +194,26 @@
 	}
 }
 
-func TestRefundAndWait(t *testing.T) {
+// Before anything is known of the others, an instance takes little; an account
+// that it sees for the first time later has all that the others left.
+func TestUnknownFleet(t *testing.T) {
+	now := clock.Time(time.Hour)
 	m := New()
 	m.Configure(oneAccount(testRate, testBurst))
+	if ok, _ := m.Take(now, "a", testBurst/2); ok {
+		t.Error("half of the burst was had before the others are known")
+	}
+	m = New()
+	m.Configure(oneAccount(testRate, testBurst))
+	m.SetInstances(now, 90)
+	if ok, _ := m.Take(now.Add(2*learnFor), "a", testBurst); !ok {
+		t.Error("the burst was refused to an account that nobody else served")
+	}
+}
+
+func TestRefundAndWait(t *testing.T) {
 	now := clock.Time(time.Hour)
+	m := newMeter(now, 1, oneAccount(testRate, testBurst))
 	if ok, _ := m.Take(now, "a", testBurst); !ok {
 		t.Fatal("the burst was refused")
 	}
--- a/core/instance/recheck_test.go
+++ b/core/instance/recheck_test.go
@@ -137,3 +137,31 @@
 	r, ok := e.(event.Refuse)
 	return ok && r.Refusal.Ran == event.NotRun && r.Refusal.Reason == event.ReasonKey
 }
+
+// TestOrderRanAndItsKeyIsWithdrawn: an order's connection broke after it was
+// sent, so it may have run, and its outcome is still to be recorded. In that
+// moment its key is withdrawn, or its caller leaves. Nobody is told "not run", and
+// its record stays: without it, a repeat would run the order a second time.
+func TestOrderRanAndItsKeyIsWithdrawn(t *testing.T) {
+	for name, strike := range map[string]func(i *Instance){
+		"key withdrawn": func(i *Instance) { i.inForce(2, withoutKey()) },
+		"caller leaves": func(i *Instance) { i.callerGone(2, "r") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := testInstance(nil)
+			i.cfg = permitted()
+			f := openFlight(i, atServer)
+			f.once = true
+			i.onceEnded(1, f, event.AttemptEnded{Request: "r", Attempt: "r/1", Result: event.AttemptBroken})
+			strike(i)
+			for _, e := range i.effects {
+				if refused, ok := e.(event.Refuse); ok && refused.Refusal.Ran == event.NotRun {
+					t.Errorf("the caller is told %+v", refused.Refusal)
+				}
+			}
+			if i.flights["r"] != f {
+				t.Error("the order was forgotten before its outcome was recorded")
+			}
+		})
+	}
+}
--- a/oleander/platform/engine/engine.go
+++ b/oleander/clients/engine/engine.go
@@ -15,7 +15,7 @@
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
-	"oleanderdale.org/oleander/platform/internal/wire"
+	"oleanderdale.org/oleander/clients/internal/wire"
 )
 
 // The errors of Report.
--- a/oleander/platform/engine/engine_test.go
+++ b/oleander/clients/engine/engine_test.go
@@ -11,7 +11,7 @@
 
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/oleander/internal/testutil"
-	"oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/clients/engine"
 	standin "oleanderdale.org/oleander/standin/engine"
 )
 
--- a/oleander/platform/engine/openapi_test.go
+++ b/oleander/clients/engine/openapi_test.go
@@ -11,7 +11,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"oleanderdale.org/core/message"
-	"oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/clients/engine"
 )
 
 const description = "../../../docs/api/engine.openapi.yaml"
--- a/oleander/platform/instancelist/instancelist.go
+++ b/oleander/clients/instancelist/instancelist.go
@@ -19,7 +19,7 @@
 
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
-	"oleanderdale.org/oleander/platform/internal/wire"
+	"oleanderdale.org/oleander/clients/internal/wire"
 )
 
 // The labels of a target group.
--- a/oleander/platform/instancelist/instancelist_test.go
+++ b/oleander/clients/instancelist/instancelist_test.go
@@ -9,7 +9,7 @@
 
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/oleander/internal/testutil"
-	"oleanderdale.org/oleander/platform/instancelist"
+	"oleanderdale.org/oleander/clients/instancelist"
 	standin "oleanderdale.org/oleander/standin/instancelist"
 )
 
--- a/oleander/platform/objects/objects.go
+++ b/oleander/clients/objects/objects.go
@@ -18,7 +18,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/id"
-	"oleanderdale.org/oleander/platform/internal/wire"
+	"oleanderdale.org/oleander/clients/internal/wire"
 )
 
 // The errors of the client.
--- a/oleander/platform/objects/objects_test.go
+++ b/oleander/clients/objects/objects_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"oleanderdale.org/oleander/internal/testutil"
-	"oleanderdale.org/oleander/platform/objects"
+	"oleanderdale.org/oleander/clients/objects"
 	standin "oleanderdale.org/oleander/standin/objects"
 )
 
--- a/oleander/platform/tablesvc/tablesvc.go
+++ b/oleander/clients/tablesvc/tablesvc.go
@@ -19,7 +19,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/table"
-	"oleanderdale.org/oleander/platform/internal/wire"
+	"oleanderdale.org/oleander/clients/internal/wire"
 )
 
 // The limits of one operation.
--- a/oleander/platform/tablesvc/tablesvc_test.go
+++ b/oleander/clients/tablesvc/tablesvc_test.go
@@ -14,7 +14,7 @@
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/table"
 	"oleanderdale.org/oleander/internal/testutil"
-	"oleanderdale.org/oleander/platform/tablesvc"
+	"oleanderdale.org/oleander/clients/tablesvc"
 	standin "oleanderdale.org/oleander/standin/tablesvc"
 )
 
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -83,22 +83,23 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 
-	mu        sync.Mutex
-	dir       *directory.Directory
-	members   *members.Set
-	quota     *quota.Meter
-	budget    *budget.Budget
-	poison    *poison.Register
-	lease     *leader.Lease
-	placer    *placer.Placer
-	waits     map[placer.Key]*waiting
-	arrived   map[string]arrivals // by model
-	peerSeen  map[string]*peerSeen
-	changed   chan struct{} // closed when a waiting request should look again
-	holder    holder
-	storeDown clock.Time // last failure of a call to the store
-	lapsed    map[string]clock.Time
-	publisher publisher
+	mu         sync.Mutex
+	dir        *directory.Directory
+	members    *members.Set
+	quota      *quota.Meter
+	budget     *budget.Budget
+	poison     *poison.Register
+	lease      *leader.Lease
+	placer     *placer.Placer
+	waits      map[placer.Key]*waiting
+	arrived    map[string]arrivals // by model
+	peerSeen   map[string]*peerSeen
+	changed    chan struct{} // closed when a waiting request should look again
+	holder     holder
+	knowsPeers bool       // the rows of the instances were read
+	storeDown  clock.Time // last failure of a call to the store
+	lapsed     map[string]clock.Time
+	publisher  publisher
 }
 
 // holder is the instance that gives orders, as it says itself.
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -332,6 +332,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.knowsPeers = true
 	now := boottime.Now()
 	for _, p := range peers {
 		g.members.Listed(now, p.Name, p.Address, p.Zone)
@@ -379,7 +380,9 @@
 	now := boottime.Now()
 	g.dropLapsed(now)
 	g.dir.Expire(now)
-	g.quota.SetInstances(g.members.Count())
+	if g.knowsPeers {
+		g.quota.SetInstances(now, g.members.Count())
+	}
 	if g.lease.Lapsed(now) {
 		g.log.Warn().Msg("lease: lapsed, no more orders")
 	}
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -130,17 +130,19 @@
 
 // readiness answers the balancer.
 func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.manifest.Load() == nil || !g.knowsServers() {
+	if g.stopping.Load() || g.manifest.Load() == nil || !g.knowsFleet() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-func (g *Gateway) knowsServers() bool {
+// knowsFleet reports whether the backend servers and the other instances were
+// read: without these, quotas are shares of an unknown number.
+func (g *Gateway) knowsFleet() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.dir.IDs()) > 0
+	return g.knowsPeers && len(g.dir.IDs()) > 0
 }
 
 // Paths between instances.
--- a/oleander/process/daemon/executor.go
+++ b/oleander/process/daemon/executor.go
@@ -14,7 +14,7 @@
 	"oleanderdale.org/core/table"
 	"oleanderdale.org/oleander/connection/peer"
 	"oleanderdale.org/oleander/connection/upstream"
-	"oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/clients/engine"
 	"oleanderdale.org/oleander/process/boottime"
 	"oleanderdale.org/oleander/process/loop"
 	"oleanderdale.org/oleander/process/metric"
--- a/oleander/process/operator/platform.go
+++ b/oleander/process/operator/platform.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"oleanderdale.org/oleander/platform/objects"
-	"oleanderdale.org/oleander/platform/tablesvc"
+	"oleanderdale.org/oleander/clients/objects"
+	"oleanderdale.org/oleander/clients/tablesvc"
 	"oleanderdale.org/oleander/version/publish"
 )
 
--- a/oleander/request/front/front.go
+++ b/oleander/request/front/front.go
@@ -93,6 +93,9 @@
 func (f *Front) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.UseEncodedPath()
+	// A router that cleans paths answers 301: a caller's path would reach
+	// another place than the one it was written for, or its call be sent twice.
+	r.SkipClean(true)
 	r.HandleFunc("/v1/chat/completions", f.completion).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", f.completion).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", f.models).Methods(http.MethodGet)
--- a/oleander/request/front/front_test.go
+++ b/oleander/request/front/front_test.go
@@ -340,6 +340,23 @@
 	}
 }
 
+// TestNothingIsRedirected: a path with dots or doubled slashes is served or
+// refused as it is. A redirect would make the caller send its call once more, to
+// another path.
+func TestNothingIsRedirected(t *testing.T) {
+	s, _ := setup(t, false)
+	f := New(DefaultSettings(), s, upstream.New(), func() *config.Config { return nil }, nil, zerolog.Nop())
+	for _, path := range []string{"/services/../x", "/services//x", "/services/x/../y", "//v1/models", "/v1/./models", "/services/..%2fx"} {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPut, "http://h/", nil)
+		r.URL.Path, r.URL.RawPath = path, ""
+		f.Handler().ServeHTTP(w, r)
+		if w.Code < 400 {
+			t.Errorf("%s is answered %d, Location %q", path, w.Code, w.Header().Get("Location"))
+		}
+	}
+}
+
 // TestConnectionsAreBounded: one caller opens more connections than an instance
 // takes. Those beyond wait until one of the others is closed, in place of using
 // up the instance's memory; then they are served.
--- a/oleander/standin/engine/engine.go
+++ b/oleander/standin/engine/engine.go
@@ -20,7 +20,7 @@
 
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
-	client "oleanderdale.org/oleander/platform/engine"
+	client "oleanderdale.org/oleander/clients/engine"
 	"oleanderdale.org/oleander/standin/internal/serve"
 )
 
--- a/oleander/standin/engine/engine_test.go
+++ b/oleander/standin/engine/engine_test.go
@@ -17,7 +17,7 @@
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
 	"oleanderdale.org/oleander/internal/testutil"
-	client "oleanderdale.org/oleander/platform/engine"
+	client "oleanderdale.org/oleander/clients/engine"
 )
 
 const long = time.Hour // never passes within a test
--- a/oleander/standin/instancelist/instancelist.go
+++ b/oleander/standin/instancelist/instancelist.go
@@ -18,7 +18,7 @@
 
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
-	client "oleanderdale.org/oleander/platform/instancelist"
+	client "oleanderdale.org/oleander/clients/instancelist"
 	"oleanderdale.org/oleander/standin/internal/serve"
 )
 
--- a/proving/capacity/entry_test.go
+++ b/proving/capacity/entry_test.go
@@ -16,8 +16,8 @@
 
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/id"
-	"oleanderdale.org/oleander/platform/objects"
-	"oleanderdale.org/oleander/platform/tablesvc"
+	"oleanderdale.org/oleander/clients/objects"
+	"oleanderdale.org/oleander/clients/tablesvc"
 	"oleanderdale.org/oleander/process/dev"
 	"oleanderdale.org/oleander/standin/engine"
 	"oleanderdale.org/oleander/version/publish"
--- a/proving/capacity/list_test.go
+++ b/proving/capacity/list_test.go
@@ -8,7 +8,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"oleanderdale.org/oleander/platform/instancelist"
+	"oleanderdale.org/oleander/clients/instancelist"
 )
 
 // BenchmarkListFetch measures a reading of the platform's instance list over
--- a/proving/capacity/report_test.go
+++ b/proving/capacity/report_test.go
@@ -10,7 +10,7 @@
 	"testing"
 
 	"oleanderdale.org/core/message"
-	"oleanderdale.org/oleander/platform/engine"
+	"oleanderdale.org/oleander/clients/engine"
 )
 
 // BenchmarkReportFetch measures a reading of an engine's report over loopback:
