Let the last holder's machine go on at once, and shares while learning be fair

Cause: after all processes were killed nobody could order a load for five seconds, though the last holder's machine was back: engines see one holder a machine. Its process of before is gone, so it goes on at once, unless that one died in its own quiet time, which the row tells (Settled). Term 1.2 s, renewed each 0.4 s.

--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -26,6 +26,7 @@
 
 // Settings of a Lease.
 type Settings struct {
+	// Self names the machine: one that is replaced has another name.
 	Self string
 	// Term is how long a renewal is good for.
 	Term time.Duration
@@ -42,9 +43,11 @@
 
 // Record is the row of the lease.
 type Record struct {
-	Holder      string
-	Incarnation uint64
+	Holder      string // a machine
+	Incarnation uint64 // one life of its process
 	Fencing     int64
+	// Settled says that the quiet time after the holder before is over.
+	Settled bool
 }
 
 // Action is what is to be done with the row.
@@ -140,11 +143,14 @@
 	case !l.seen:
 		return l.begin(now, Step{Action: Read})
 	case l.holding:
-		return l.begin(now, Step{Action: Write, Expect: l.version, Record: l.row})
-	case l.version == 0 || l.own() || l.row.Holder == "" || now.Sub(l.firstSeen) > l.set.Term+l.set.Margin:
+		r := l.row
+		r.Settled = now.Reached(l.ordersFrom)
+		return l.begin(now, Step{Action: Write, Expect: l.version, Record: r})
+	case l.version == 0 || l.ours() || l.row.Holder == "" || now.Sub(l.firstSeen) > l.set.Term+l.set.Margin:
 		l.keepQuiet()
 		return l.begin(now, Step{Action: Write, Expect: l.version, Record: Record{
 			Holder: l.set.Self, Incarnation: l.incarnation, Fencing: l.row.Fencing + 1,
+			Settled: now.Reached(l.ordersFrom),
 		}})
 	}
 	return Step{}
@@ -156,7 +162,7 @@
 // row no longer says who held the right before.
 func (l *Lease) keepQuiet() {
 	switch {
-	case l.version == 0 || l.own(): // nobody else held the right since
+	case l.version == 0 || l.own() || l.ours() && l.row.Settled: // no other machine ordered since
 	case l.row.Holder == "": // released before it was seen
 		l.ordersFrom = l.firstSeen.Add(l.set.Quiet)
 	default:
@@ -186,6 +192,12 @@
 	return l.version != 0 && l.row.Holder == l.set.Self && l.row.Incarnation == l.incarnation
 }
 
+// ours reports whether the row names this machine. Its process of before is
+// gone, or this one would not have been started; so the right can be taken on
+// at once, and after all processes were killed engines get orders again without
+// a term and a quiet time in which nobody may order.
+func (l *Lease) ours() bool { return l.version != 0 && l.row.Holder == l.set.Self }
+
 func (l *Lease) begin(now clock.Time, s Step) Step {
 	l.busy, l.sentAt = true, now
 	return s
@@ -203,7 +215,7 @@
 	}
 	l.seen = true
 	switch {
-	case l.own() || version == 0 || r.Holder == "":
+	case l.ours() || version == 0 || r.Holder == "":
 		l.next = now
 	case l.holding:
 		l.lose()
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -37,14 +37,17 @@
 	// debtLimit bounds, in seconds of the rate, how far a bucket may be below
 	// zero, so that a wrong message can't shut an account out for long.
 	debtLimit = 3.0
-	// learnFor is how long an instance that started takes to hear the others.
-	// After all were replaced at once, each has a bucket of its own until then,
-	// and neither rate nor burst must be had once for each.
-	learnFor = time.Second
+	// learnLeast and learnPerInstance are how long an instance that started takes
+	// to hear the others, whose messages are the rarer the more there are. After
+	// all were replaced at once, each has a bucket of its own until then, and
+	// neither rate nor burst must be had once for each.
+	learnLeast       = 200 * time.Millisecond
+	learnPerInstance = 8 * time.Millisecond
 	// learnShares is what an instance has of the burst and gets of the rate
-	// meanwhile, in equal shares. One would refuse callers that don't spread
-	// evenly, more would let all of them overdraw.
-	learnShares = 1.0
+	// meanwhile, in equal shares: a little more than one, since callers don't
+	// spread evenly. All of them together then take 2.8 seconds' worth of the
+	// rate more than they may, with ninety instances; 3.1 are allowed for.
+	learnShares = 1.3
 )
 
 type bucket struct {
@@ -99,7 +102,7 @@
 // ownShare is the part of rate and burst that this instance may take for itself:
 // all of it once it had time to hear what the others take.
 func (m *Meter) ownShare(now clock.Time) float64 {
-	if m.started != 0 && now.Sub(m.started) >= learnFor {
+	if m.started != 0 && now.Sub(m.started) >= learnLeast+time.Duration(m.instances)*learnPerInstance {
 		return 1
 	}
 	return min(1, learnShares/float64(max(1, m.instances)))
@@ -113,7 +116,7 @@
 		return true, 0
 	}
 	// A request larger than the burst passes on a full bucket, or it never could.
-	need := min(cost, a.Burst)
+	need := min(cost, a.Burst*m.ownShare(now))
 	level := b.level - m.unheard(now, account)
 	if level < need {
 		return false, time.Duration((need - level) / a.Rate * float64(time.Second))
--- a/oleander/clients/engine/engine_test.go
+++ b/oleander/clients/engine/engine_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"oleanderdale.org/core/event"
-	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/clients/engine"
+	"oleanderdale.org/oleander/internal/testutil"
 	standin "oleanderdale.org/oleander/standin/engine"
 )
 
--- a/oleander/clients/instancelist/instancelist_test.go
+++ b/oleander/clients/instancelist/instancelist_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"oleanderdale.org/core/event"
-	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/clients/instancelist"
+	"oleanderdale.org/oleander/internal/testutil"
 	standin "oleanderdale.org/oleander/standin/instancelist"
 )
 
--- a/oleander/clients/objects/objects_test.go
+++ b/oleander/clients/objects/objects_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/clients/objects"
+	"oleanderdale.org/oleander/internal/testutil"
 	standin "oleanderdale.org/oleander/standin/objects"
 )
 
--- a/oleander/clients/tablesvc/tablesvc_test.go
+++ b/oleander/clients/tablesvc/tablesvc_test.go
@@ -13,8 +13,8 @@
 
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/table"
-	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/clients/tablesvc"
+	"oleanderdale.org/oleander/internal/testutil"
 	standin "oleanderdale.org/oleander/standin/tablesvc"
 )
 
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -44,15 +44,15 @@
 const (
 	// leaseTerm and leaseRenew: a holder that dies is replaced within some
 	// seconds, at two and a half writes a second for the whole fleet.
-	leaseTerm   = 1500 * time.Millisecond
-	leaseRenew  = 500 * time.Millisecond
+	leaseTerm   = 1200 * time.Millisecond
+	leaseRenew  = 400 * time.Millisecond
 	leaseMargin = 300 * time.Millisecond
 	// leaseSilence is how long the holder is not heard before others look at
 	// the row: three of its messages.
 	leaseSilence = 700 * time.Millisecond
 	// orderSlack is added to the quiet time for orders that are on their way
 	// when the right of their sender ends.
-	orderSlack = 400 * time.Millisecond
+	orderSlack = 250 * time.Millisecond
 	// dialTimeout bounds connecting to a backend server, a millisecond away. A
 	// server that is cut off does not answer at all.
 	dialTimeout = 400 * time.Millisecond
@@ -64,6 +64,7 @@
 type Gateway struct {
 	set         Settings
 	incarnation uint64
+	started     clock.Time
 	log         zerolog.Logger
 	store       Store
 	engines     Engines
@@ -139,7 +140,7 @@
 		return nil, err
 	}
 	g := &Gateway{
-		set: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, log: log,
+		set: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
 		store: store, engines: engines, dialect: dialect, metrics: newMetrics(),
 		kick: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
 		dir: directory.New(), members: members.New(s.Name), quota: quota.New(),
@@ -152,7 +153,7 @@
 	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
 	g.placer = placer.New(invariant.Reporting(g.violated))
 	g.lease = leader.New(leader.Settings{
-		Self: s.Name, Term: leaseTerm, RenewEvery: leaseRenew, Margin: leaseMargin,
+		Self: s.Name + "@" + s.Peer, Term: leaseTerm, RenewEvery: leaseRenew, Margin: leaseMargin,
 		Quiet: s.OrderQuiet + orderSlack, Silence: leaseSilence,
 	}, g.incarnation, boottime.Now())
 	return g, nil
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -55,6 +55,9 @@
 	// lapseGrace is how long an entry may be missing after the store was away
 	// before its server counts as gone.
 	lapseGrace = 2 * time.Second
+	// learnWithoutStore is when an instance that can't read the others' rows
+	// counts those that it heard: all that reach it said something by then.
+	learnWithoutStore = time.Second
 	// troubleFor is how long after a failed call the store counts as away.
 	troubleFor = 3 * time.Second
 )
@@ -380,7 +383,7 @@
 	now := boottime.Now()
 	g.dropLapsed(now)
 	g.dir.Expire(now)
-	if g.knowsPeers {
+	if g.knowsPeers || now.Sub(g.started) > learnWithoutStore {
 		g.quota.SetInstances(now, g.members.Count())
 	}
 	if g.lease.Lapsed(now) {
--- a/oleander/standin/engine/engine_test.go
+++ b/oleander/standin/engine/engine_test.go
@@ -16,8 +16,8 @@
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/core/message"
-	"oleanderdale.org/oleander/internal/testutil"
 	client "oleanderdale.org/oleander/clients/engine"
+	"oleanderdale.org/oleander/internal/testutil"
 )
 
 const long = time.Hour // never passes within a test
