--- a/core/gateway/placer/placer_test.go
+++ b/core/gateway/placer/placer_test.go
@@ -52,7 +52,6 @@
 	answers  []pendingAnswer
 	silent   float64 // share of the orders that get no answer
 	loads    []clock.Time
-	crashes  int
 	waited   []time.Duration
 	unloaded int
 }
