Renew the lease through another instance when the store turns the holder away

Instances that hear a holder without the store follow the servers themselves. Test: TestHolderCutFromTheStoreKeepsTheLease, which failed before. Ruled out: a longer term, which lengthens every other takeover.

--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -34,9 +34,7 @@
 		b.Manifest = m.Version
 	}
 	if g.lease.Holds(now) {
-		b.Fencing, b.Holder = g.lease.Fencing(), g.set.Name
-	} else if now.Sub(g.holder.heard) < leaseSilence {
-		b.Holder = g.holder.name
+		b.Fencing = g.lease.Fencing()
 	}
 	for k, w := range g.waits {
 		b.Wants = append(b.Wants, wantMsg{
@@ -128,7 +126,7 @@
 		g.log.Info().Str("holder", b.Name).Int64("fencing", b.Fencing).Msg("lease: another instance gives orders")
 		g.holder = holder{name: b.Name, fencing: b.Fencing}
 	}
-	g.holder.heard = now
+	g.holder.heard, g.holder.storeDown = now, b.StoreDown
 	g.lease.HeardHolder(now, b.Fencing)
 }
 
@@ -150,7 +148,7 @@
 		}
 		seen.arrived[model] = n
 	}
-	seen.wants, seen.heard, seen.hearsHolder = b.Wants, now, b.Holder != ""
+	seen.wants, seen.heard, seen.storeDown = b.Wants, now, b.StoreDown
 }
 
 // wants returns what waits at all instances. The caller holds mu.
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -199,6 +199,21 @@
 	return s.Manifest(ctx)
 }
 
+func (s *cutStore) Lease(ctx context.Context) (leader.Record, int64, error) {
+	if s.cut.Load() {
+		return leader.Record{}, 0, ErrUnavailable
+	}
+	return s.fakeStore.Lease(ctx)
+}
+
+func (s *cutStore) WriteLease(ctx context.Context, r leader.Record, expect int64) (leader.Result, int64) {
+	if s.cut.Load() {
+		<-ctx.Done() // the way there is silent
+		return leader.Unknown, 0
+	}
+	return s.fakeStore.WriteLease(ctx, r, expect)
+}
+
 // backend is a server whose answers a test scripts.
 type backend struct {
 	id      string
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -109,6 +109,9 @@
 	fencing int64
 	heard   clock.Time
 	told    clock.Time // it last told of the backend servers
+	// storeDown says that it does not reach the store, and does not see servers
+	// come and leave.
+	storeDown bool
 }
 
 // peerSeen is what the counters of another instance were.
@@ -117,7 +120,7 @@
 	arrived     map[string]uint64
 	wants       []wantMsg
 	heard       clock.Time
-	hearsHolder bool
+	storeDown   bool
 }
 
 // arrivals counts the requests for a model since the start.
--- a/oleander/gateway/gateway_test.go
+++ b/oleander/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 // hangUp closes the connection without an answer.
@@ -405,6 +406,32 @@
 	}
 }
 
+// The store is silent to the instance that gives orders, and serves the others.
+// It keeps the lease through one of them; the others notice that it does not see
+// the servers, and follow these themselves.
+func TestHolderCutFromTheStoreKeepsTheLease(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	f.start()
+	holder := f.gateways[0]
+	holds := func(g *Gateway) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.lease.Holds(boottime.Now())
+	}
+	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() && holds(holder) })
+	f.cuts[0].cut.Store(true)
+	for end := time.Now().Add(3 * leaseTerm); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if !holds(holder) {
+			t.Fatal("the lease was lost")
+		}
+	}
+	if f.gateways[1].hearsHolder() {
+		t.Error("the other instance relies on one that does not see the servers")
+	}
+}
+
 // One instance gives orders and tells the others of the backend servers. Those
 // rest: each call to the store is paid for, and nine instances that follow every
 // swap made two thirds of all calls.
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -34,9 +34,8 @@
 	Zone        string
 	Manifest    uint64
 	Leaving     bool
-	Holder      string // whom it hears as the holder of the lease
-	Fencing     int64  // of its own lease; 0 if it holds none
-	StoreDown   bool
+	Fencing     int64                     // of its own lease; 0 if it holds none
+	StoreDown   bool                      // a call of its own to the store failed of late
 	Spent       map[string]uint64         // by account
 	Arrived     map[string]uint64         // by model, those that changed of late
 	Running     map[string]map[string]int // by backend server and model
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -199,7 +199,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	return !g.lease.Holds(now) && now.Sub(g.holder.heard) < toldWithin && now.Sub(g.holder.told) < repeatEvery+toldWithin
+	return !g.lease.Holds(now) && !g.holder.storeDown && now.Sub(g.holder.heard) < toldWithin && now.Sub(g.holder.told) < repeatEvery+toldWithin
 }
 
 func (g *Gateway) readServers() (int64, error) {
@@ -498,32 +498,22 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(g.ctx, leaseTimeout)
 		defer cancel()
-		switch step.Action {
-		case leader.Read:
-			record, version, err := g.store.Lease(ctx)
-			g.stored("lease-read", err)
-			g.mu.Lock()
-			g.lease.Seen(boottime.Now(), record, version, err == nil)
-			g.mu.Unlock()
-		case leader.Write:
-			result, version := g.store.WriteLease(ctx, step.Record, step.Expect)
-			g.wrote(step, result, version)
-		}
+		a := g.callLease(ctx, leaseCall{Write: step.Action == leader.Write, Record: step.Record, Expect: step.Expect})
+		g.leaseAnswered(step, a)
 		g.poke()
 	}()
 }
 
-func (g *Gateway) wrote(step leader.Step, result leader.Result, version int64) {
-	var err error
-	if result == leader.Unknown {
-		err = ErrUnavailable
-	}
-	g.stored("lease-write", err)
+func (g *Gateway) leaseAnswered(step leader.Step, a leaseAnswer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	if step.Action == leader.Read {
+		g.lease.Seen(now, a.Record, a.Version, a.OK)
+		return
+	}
 	held := g.lease.Holds(now)
-	g.lease.Written(now, step, result, version)
+	g.lease.Written(now, step, a.Result, a.Version)
 	if !held && g.lease.Holds(now) {
 		g.holder = holder{name: g.set.Name, fencing: g.lease.Fencing(), heard: now}
 		g.metrics.leaseTaken.Inc()
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -149,6 +149,7 @@
 const (
 	pathManifest = "/manifest"
 	pathMetrics  = "/metrics"
+	pathLease    = "/lease"
 )
 
 // internal serves other instances and the metrics.
@@ -162,6 +163,7 @@
 		}
 		_, _ = w.Write(*raw)
 	})
+	mux.HandleFunc(pathLease, g.serveLease)
 	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w, g) })
 	return mux
 }
@@ -192,13 +194,13 @@
 // force two seconds after it was accepted.
 const fetchDelay = 300 * time.Millisecond
 
-// fetchClient is only for manifests between instances.
-var fetchClient = sync.OnceValue(func() *http.Client {
+// peerClient is for calls between instances, which are rare.
+var peerClient = sync.OnceValue(func() *http.Client {
 	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}}
 })
 
 func (g *Gateway) fetch(address string) ([]byte, error) {
-	resp, err := fetchClient().Get("http://" + address + pathManifest)
+	resp, err := peerClient().Get("http://" + address + pathManifest)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway: fetch")
 	}
