Reset what is given up; a holder without the store does not bring servers back

TestGivenUpRequestIsReset failed before. Change: without the store it tells only what engines hold, and who saw a server leave remembers it for a minute. TestHolderDoesNotBringAServerBack failed before.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -236,9 +236,20 @@
 	return idleDefault
 }
 
-// Close closes the connection, which also tells the peer to stop working.
+// Close closes the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
+// Abort resets the connection, which also tells the peer to stop working. What
+// was sent and not yet delivered is dropped: after a plain close the kernel goes
+// on sending, and an order or request that was given up arrives when a partition
+// heals, seconds later.
+func (c *Conn) Abort() {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.net.Close()
+}
+
 // Do sends a request and reads its whole answer, of at most limit bytes.
 func (p *Pool) Do(ctx context.Context, address string, r Request, limit int64) (*http.Response, []byte, error) {
 	c, err := p.Get(ctx, address)
@@ -251,12 +262,12 @@
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := c.Send(r); err != nil {
-		c.Close()
+		c.Abort()
 		return nil, nil, err
 	}
 	resp, err := c.Receive(r.Method)
 	if err != nil {
-		c.Close()
+		c.Abort()
 		return nil, nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
@@ -264,11 +275,11 @@
 		err = errors.Errorf("more than %d bytes", limit)
 	}
 	if err != nil {
-		c.Close()
+		c.Abort()
 		return nil, nil, errors.Wrap(err, "rawhttp: body")
 	}
 	if !stop() {
-		c.Close()
+		c.Abort()
 	} else {
 		c.Release(resp)
 	}
--- a/oleander/connection/rawhttp/rawhttp_test.go
+++ b/oleander/connection/rawhttp/rawhttp_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,6 +208,31 @@
 	}
 }
 
+// A request is given up. Its connection is reset, so that the kernel drops what it
+// has not delivered; a plain close would go on sending for minutes.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	l := testutil.Listen(t)
+	defer func() { _ = l.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, c)
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := NewPool(time.Second, nil).Do(ctx, l.Addr().String(), Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}}, 100)
+	if err == nil {
+		t.Fatal("no error")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
+
 func TestIdleTime(t *testing.T) {
 	tests := map[string]time.Duration{
 		"":                  idleDefault,
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -28,7 +28,7 @@
 		Name: g.set.Name, Incarnation: g.incarnation, Address: g.set.Peer, Zone: g.set.Zone,
 		Leaving: g.stopping.Load(), Strength: g.set.Strength, Spent: g.quota.Spent(), Arrived: g.arrivedOfLate(now),
 		Running: g.dir.OwnRunning(), Broken: g.poison.Own(now, brokenFor),
-		StoreDown: g.storeDown != 0 && now.Sub(g.storeDown) < leaseTerm,
+		StoreDown: g.storeAway(now),
 	}
 	if m := g.manifest.Load(); m != nil {
 		b.Manifest = m.Version
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -152,7 +152,7 @@
 		}
 		return resultNotRun // nothing was sent, so it does not count as a send
 	}
-	stop := context.AfterFunc(ctx, c.Close)
+	stop := context.AfterFunc(ctx, c.Abort)
 	defer stop()
 	c.SetDeadline(deadlineAt(x.end.Add(answerSlack)))
 	x.sends++
@@ -210,7 +210,7 @@
 
 // broke ends an attempt whose connection failed after something was sent.
 func (x *exchange) broke(t target, c *rawhttp.Conn, err error) result {
-	c.Close()
+	c.Abort()
 	g := x.g
 	if x.r.Context().Err() != nil {
 		g.ended(t.id, x.call.Model, directory.Neutral)
@@ -263,7 +263,7 @@
 	g := x.g
 	const rejectionLimit = 64 << 10
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, rejectionLimit)); err != nil {
-		c.Close()
+		c.Abort()
 	} else {
 		c.Release(resp)
 	}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -99,6 +99,7 @@
 	holder     holder
 	knowsPeers bool       // the rows of the instances were read
 	storeDown  clock.Time // last failure of a call to the store
+	removed    map[string]removedServer
 	lapsed     map[string]clock.Time
 	publisher  publisher
 }
@@ -123,6 +124,12 @@
 	storeDown   bool
 }
 
+// removedServer is a server that left.
+type removedServer struct {
+	born int64
+	at   clock.Time
+}
+
 // arrivals counts the requests for a model since the start.
 type arrivals struct {
 	count uint64
@@ -149,7 +156,7 @@
 		dir: directory.New(), members: members.New(s.Name), quota: quota.New(),
 		budget: budget.New(s.Retry), poison: poison.New(),
 		waits: make(map[placer.Key]*waiting), arrived: make(map[string]arrivals),
-		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time),
+		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time), removed: make(map[string]removedServer),
 		publisher: newPublisher(),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- a/oleander/gateway/gateway_test.go
+++ b/oleander/gateway/gateway_test.go
@@ -432,6 +432,36 @@
 	}
 }
 
+// A server leaves while the holder of the lease is cut off from the store and
+// still tells of it. It does not come back to those that saw it leave, and gets
+// no request; a new life of it, seen in the store, counts.
+func TestHolderDoesNotBringAServerBack(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.backend("b", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	info := &infoMsg{Address: "127.0.0.1:1", Zone: "z", Group: "plain", Slots: 4}
+	told := &stateMsg{Name: "other", Fencing: 99, Servers: []serverMsg{{Server: "a", Born: 1, Info: info}}}
+	g.drop(now, "a")
+	g.takeState(now, told)
+	if g.dir.Get("a") != nil {
+		t.Error("a server that left is back")
+	}
+	g.putServer(now, directory.Entry{ID: "a", Group: "plain", Born: 2})
+	g.takeState(now, told)
+	if s := g.dir.Get("a"); s == nil || s.Born != 2 {
+		t.Errorf("the new life: %+v", s)
+	}
+	g.storeDown = now
+	if m := g.describe(now, g.dir.Get("b")); m.Info != nil {
+		t.Error("an instance without the store tells who is there")
+	}
+}
+
 // One instance gives orders and tells the others of the backend servers. Those
 // rest: each call to the store is paid for, and nine instances that follow every
 // swap made two thirds of all calls.
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -28,7 +28,7 @@
 		}
 		if end > 0 {
 			if werr := x.forward(resp, pending[:end]); werr != nil {
-				c.Close()
+				c.Abort()
 				x.g.ended(t.id, x.call.Model, directory.Neutral)
 				x.ran++
 				return x.callerGone()
--- a/oleander/gateway/run.go
+++ b/oleander/gateway/run.go
@@ -58,6 +58,9 @@
 	// learnWithoutStore is when an instance that can't read the others' rows
 	// counts those that it heard: all that reach it said something by then.
 	learnWithoutStore = time.Second
+	// removedFor is how long a server that left is remembered, so that an
+	// instance that was cut off from the store does not bring it back.
+	removedFor = time.Minute
 	// troubleFor is how long after a failed call the store counts as away.
 	troubleFor = 3 * time.Second
 )
@@ -257,6 +260,7 @@
 // putServer takes an entry. The caller holds mu.
 func (g *Gateway) putServer(now clock.Time, e directory.Entry) {
 	delete(g.lapsed, e.ID)
+	delete(g.removed, e.ID)
 	old := g.dir.Get(e.ID)
 	if old == nil || old.Born != e.Born || old.Draining != e.Draining {
 		g.log.Info().Str("server", e.ID).Str("group", e.Group).Str("zone", e.Zone).
@@ -283,6 +287,9 @@
 }
 
 func (g *Gateway) drop(now clock.Time, id string) {
+	if s := g.dir.Get(id); s != nil {
+		g.removed[id] = removedServer{born: s.Born, at: now}
+	}
 	delete(g.lapsed, id)
 	delete(g.publisher.told, id)
 	g.publisher.gone[id] = now
@@ -290,7 +297,18 @@
 	g.log.Info().Str("server", id).Msg("servers: gone")
 }
 
+// storeAway reports whether a call of this instance to the store failed of late.
+// The caller holds mu.
+func (g *Gateway) storeAway(now clock.Time) bool {
+	return g.storeDown != 0 && now.Sub(g.storeDown) < leaseTerm
+}
+
 func (g *Gateway) dropLapsed(now clock.Time) {
+	for id, r := range g.removed {
+		if now.Sub(r.at) > removedFor {
+			delete(g.removed, id)
+		}
+	}
 	for id, since := range g.lapsed {
 		if now.Sub(since) > lapseGrace && now.Sub(g.storeDown) > lapseGrace {
 			g.drop(now, id)
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -53,7 +53,7 @@
 		if old, ok := p.told[id]; ok && !full && sameServer(old, m) {
 			continue
 		}
-		if old, ok := p.told[id]; ok && !full && old.Info != nil && *old.Info == *m.Info {
+		if old, ok := p.told[id]; ok && !full && old.Info != nil && m.Info != nil && *old.Info == *m.Info {
 			m.Info = nil // only its models changed
 		}
 		p.told[id] = g.describe(now, g.dir.Get(id))
@@ -78,6 +78,9 @@
 	m := serverMsg{Server: s.ID, Born: s.Born, Info: &infoMsg{
 		Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining,
 	}}
+	if g.storeAway(now) {
+		m.Info = nil // the others know better who is there
+	}
 	born, holdings, ok := g.placer.Holdings(now, s.ID)
 	if !ok || born != s.Born {
 		return m
@@ -91,12 +94,19 @@
 }
 
 func sameServer(a, b serverMsg) bool {
-	return a.Born == b.Born && a.Engine == b.Engine && a.Info != nil && b.Info != nil && *a.Info == *b.Info &&
+	return a.Born == b.Born && a.Engine == b.Engine && sameInfo(a.Info, b.Info) &&
 		slices.EqualFunc(a.Models, b.Models, func(x, y modelMsg) bool {
 			return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
 		})
 }
 
+func sameInfo(a, b *infoMsg) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // tellWaiting tells changes at once to the instances that wait for a model.
 func (g *Gateway) tellWaiting(now clock.Time, changed []serverMsg) []outgoing {
 	if len(changed) == 0 {
@@ -184,6 +194,9 @@
 // takeServer takes what the holder says of one server.
 func (g *Gateway) takeServer(now clock.Time, m serverMsg) {
 	old := g.dir.Get(m.Server)
+	if left, ok := g.removed[m.Server]; ok && m.Born <= left.born {
+		return // it left, and whoever says otherwise has not heard of it
+	}
 	if i := m.Info; i != nil && (old == nil || old.Born < m.Born || i.Leaving && !old.Draining && old.Born == m.Born) {
 		g.putServer(now, directory.Entry{
 			ID: m.Server, Born: m.Born, Address: i.Address, Zone: i.Zone, Group: i.Group, Slots: i.Slots, Draining: i.Leaving,
