--- a/oleander/gateway/run.go
+++ b/oleander/gateway/follow.go
@@ -2,32 +2,18 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
-	"oleanderdale.org/core/gateway/leader"
-	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
 const (
-	// housekeepEvery is the time between two rounds of the housekeeping.
-	housekeepEvery = 50 * time.Millisecond
-	// placeEvery is the time between rounds while orders are under way, and the
-	// least time between two: each costs the holder about a millisecond with a
-	// hundred engines.
-	placeEvery = 15 * time.Millisecond
 	// storeTimeout bounds a call to the store, which takes 4 ms as a rule.
 	storeTimeout = 1200 * time.Millisecond
-	// leaseTimeout bounds a call for the lease; a later answer is of no use.
-	leaseTimeout = 450 * time.Millisecond
-	// orderTimeout bounds an order and a question to an engine.
-	orderTimeout = 300 * time.Millisecond
 	// watchWait is how long the store holds a call that waits for changes of the
 	// backend servers. A connection that went silent is found out a second later.
 	watchWait = 4 * time.Second
@@ -55,9 +41,6 @@
 	// lapseGrace is how long an entry may be missing after the store was away
 	// before its server counts as gone.
 	lapseGrace = 2 * time.Second
-	// learnWithoutStore is when an instance that can't read the others' rows
-	// counts those that it heard: all that reach it said something by then.
-	learnWithoutStore = time.Second
 	// removedFor is how long a server that left is remembered, so that an
 	// instance that was cut off from the store does not bring it back.
 	removedFor = time.Minute
@@ -65,8 +48,6 @@
 	troubleFor = 3 * time.Second
 )
 
-func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
-
 // sleep waits, or returns false when the gateway ends.
 func (g *Gateway) sleep(d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -359,182 +340,3 @@
 		g.members.Listed(now, p.Name, p.Address, p.Zone)
 	}
 }
-
-// housekeep renews the lease, tells the others, and gives orders.
-func (g *Gateway) housekeep() {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	var nextBeat, last clock.Time
-	for {
-		select {
-		case <-g.ctx.Done():
-			return
-		case <-t.C:
-		case <-g.kick:
-			if since := boottime.Now().Sub(last); since < placeEvery {
-				t.Reset(placeEvery - since)
-				continue
-			}
-		}
-		now := boottime.Now()
-		last = now
-		if now.Reached(nextBeat) {
-			g.sendBeat(false)
-			nextBeat = now.Add(g.beatInterval())
-		}
-		t.Reset(g.round())
-	}
-}
-
-func (g *Gateway) beatInterval() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.lease.Holds(boottime.Now()) {
-		return beatEvery // its silence is what the others take for its end
-	}
-	return max(beatEvery, time.Duration(g.members.Count())*beatPerMember)
-}
-
-// round is one round of the housekeeping. It returns when the next is due.
-func (g *Gateway) round() time.Duration {
-	g.mu.Lock()
-	now := boottime.Now()
-	g.dropLapsed(now)
-	g.dir.Expire(now)
-	if g.knowsPeers || now.Sub(g.started) > learnWithoutStore {
-		g.quota.SetInstances(now, g.members.Count())
-	}
-	if g.lease.Lapsed(now) {
-		g.log.Warn().Msg("lease: lapsed, no more orders")
-	}
-	step := g.lease.Next(now, g.rank(now))
-	var orders []placer.Order
-	var asks []question
-	var state []outgoing
-	pause := housekeepEvery
-	if g.lease.Holds(now) {
-		orders, asks = g.plan(now)
-		state = g.publish(now)
-		if g.placer.Active() {
-			pause = placeEvery
-		}
-	}
-	g.mu.Unlock()
-	g.leaseStep(step)
-	for _, m := range state {
-		g.peers.send(m.body, m.to)
-	}
-	for _, o := range orders {
-		go g.order(o)
-	}
-	for _, q := range asks {
-		go g.ask(q)
-	}
-	return pause
-}
-
-// rank is the place of this instance among the candidates for the lease.
-func (g *Gateway) rank(now clock.Time) int {
-	n := 0
-	for _, m := range g.members.All(now) {
-		ahead := m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name
-		if ahead && m.Live(now) {
-			n++
-		}
-	}
-	return n
-}
-
-// question asks an engine what it holds.
-type question struct {
-	server, address string
-	born            int64
-}
-
-// plan asks the placer what to do. The caller holds mu.
-func (g *Gateway) plan(now clock.Time) ([]placer.Order, []question) {
-	m := g.manifest.Load()
-	if m == nil {
-		return nil, nil
-	}
-	g.placer.SetWants(g.wants(now))
-	g.placer.Sync(now, g.enginesOf(), m.Groups)
-	var orders []placer.Order
-	if g.lease.MayOrder(now) {
-		orders = g.placer.Plan(now)
-	}
-	var asks []question
-	for _, id := range g.placer.Asks(now) {
-		if s := g.dir.Get(id); s != nil {
-			asks = append(asks, question{server: id, address: s.Address, born: s.Born})
-		}
-	}
-	return orders, asks
-}
-
-// order gives one order, if the right to do so is still there.
-func (g *Gateway) order(o placer.Order) {
-	g.mu.Lock()
-	may, fencing := g.lease.MayOrder(boottime.Now()), g.lease.Fencing()
-	g.mu.Unlock()
-	answer := placer.Silent
-	if may {
-		ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-		answer = g.engines.Order(ctx, o, g.set.Name, fencing)
-		cancel()
-	}
-	g.metrics.order(string(o.Kind), answer)
-	g.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("model", o.Model).Str("adapter", o.Adapter).
-		Int64("precondition", o.Precondition).Int64("fencing", fencing).Bool("sent", may).Stringer("answer", answer).Msg("placer: order")
-	g.mu.Lock()
-	g.placer.Answered(boottime.Now(), o, answer)
-	g.mu.Unlock()
-	g.poke()
-}
-
-func (g *Gateway) ask(q question) {
-	asked := boottime.Now()
-	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-	defer cancel()
-	r, err := g.engines.Report(ctx, q.address, q.server)
-	g.metrics.report(err == nil)
-	if err != nil {
-		g.log.Warn().Err(err).Str("server", q.server).Msg("placer: engine did not tell what it holds")
-		return
-	}
-	g.mu.Lock()
-	g.placer.Reported(boottime.Now(), q.server, q.born, asked, r)
-	g.mu.Unlock()
-	g.poke()
-}
-
-// leaseStep carries out an action on the row of the lease.
-func (g *Gateway) leaseStep(step leader.Step) {
-	if step.Action == leader.None {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(g.ctx, leaseTimeout)
-		defer cancel()
-		a := g.callLease(ctx, leaseCall{Write: step.Action == leader.Write, Record: step.Record, Expect: step.Expect})
-		g.leaseAnswered(step, a)
-		g.poke()
-	}()
-}
-
-func (g *Gateway) leaseAnswered(step leader.Step, a leaseAnswer) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := boottime.Now()
-	if step.Action == leader.Read {
-		g.lease.Seen(now, a.Record, a.Version, a.OK)
-		return
-	}
-	held := g.lease.Holds(now)
-	g.lease.Written(now, step, a.Result, a.Version)
-	if !held && g.lease.Holds(now) {
-		g.holder = holder{name: g.set.Name, fencing: g.lease.Fencing(), heard: now}
-		g.metrics.leaseTaken.Inc()
-		g.log.Info().Int64("fencing", g.lease.Fencing()).Msg("lease: taken, this instance gives orders")
-	}
-}
--- /dev/null
+++ b/oleander/gateway/housekeep.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// housekeepEvery is the time between two rounds of the housekeeping.
+	housekeepEvery = 50 * time.Millisecond
+	// placeEvery is the time between rounds while orders are under way, and the
+	// least time between two: each costs the holder about a millisecond with a
+	// hundred engines.
+	placeEvery = 15 * time.Millisecond
+	// learnWithoutStore is when an instance that can't read the others' rows
+	// counts those that it heard: all that reach it said something by then.
+	learnWithoutStore = time.Second
+)
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// housekeep renews the lease, tells the others, and gives orders.
+func (g *Gateway) housekeep() {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	var nextBeat, last clock.Time
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-t.C:
+		case <-g.kick:
+			if since := boottime.Now().Sub(last); since < placeEvery {
+				t.Reset(placeEvery - since)
+				continue
+			}
+		}
+		now := boottime.Now()
+		last = now
+		if now.Reached(nextBeat) {
+			g.sendBeat(false)
+			nextBeat = now.Add(g.beatInterval())
+		}
+		t.Reset(g.round())
+	}
+}
+
+func (g *Gateway) beatInterval() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lease.Holds(boottime.Now()) {
+		return beatEvery // its silence is what the others take for its end
+	}
+	return max(beatEvery, time.Duration(g.members.Count())*beatPerMember)
+}
+
+// round is one round of the housekeeping. It returns when the next is due.
+func (g *Gateway) round() time.Duration {
+	g.mu.Lock()
+	now := boottime.Now()
+	g.dropLapsed(now)
+	g.dir.Expire(now)
+	if g.knowsPeers || now.Sub(g.started) > learnWithoutStore {
+		g.quota.SetInstances(now, g.members.Count())
+	}
+	if g.lease.Lapsed(now) {
+		g.log.Warn().Msg("lease: lapsed, no more orders")
+	}
+	step := g.lease.Next(now, g.rank(now))
+	var orders []placer.Order
+	var asks []question
+	var state []outgoing
+	pause := housekeepEvery
+	if g.lease.Holds(now) {
+		orders, asks = g.plan(now)
+		state = g.publish(now)
+		if g.placer.Active() {
+			pause = placeEvery
+		}
+	}
+	g.mu.Unlock()
+	g.leaseStep(step)
+	for _, m := range state {
+		g.peers.send(m.body, m.to)
+	}
+	for _, o := range orders {
+		go g.order(o)
+	}
+	for _, q := range asks {
+		go g.ask(q)
+	}
+	return pause
+}
+
+// rank is the place of this instance among the candidates for the lease.
+func (g *Gateway) rank(now clock.Time) int {
+	n := 0
+	for _, m := range g.members.All(now) {
+		ahead := m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name
+		if ahead && m.Live(now) {
+			n++
+		}
+	}
+	return n
+}
