--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -284,6 +285,25 @@
 	cuts     []*cutStore
 	stops    []chan struct{}
 	ended    []chan struct{}
+	log      logBuffer // of all gateways
+}
+
+// logBuffer keeps lines; gateways write while a test reads.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 // testHost is the host that the tests' callers name.
@@ -330,7 +350,7 @@
 	}
 	store := &cutStore{fakeStore: f.store}
 	f.cuts = append(f.cuts, store)
-	g, err := New(s, store, f.engines, fakeDialect{}, zerolog.New(zerolog.NewTestWriter(f.t)))
+	g, err := New(s, store, f.engines, fakeDialect{}, zerolog.New(&f.log).With().Timestamp().Str("instance", s.Name).Logger())
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -345,6 +365,9 @@
 	f.t.Cleanup(func() {
 		cancel()
 		<-ended
+		if f.t.Failed() {
+			f.t.Log(f.log.String())
+		}
 	})
 	f.gateways, f.stops, f.ended = append(f.gateways, g), append(f.stops, stop), append(f.ended, ended)
 	testutil.WaitFor(f.t, func() bool { return f.status("http://"+s.Ready+"/any") == http.StatusOK })
--- /dev/null
+++ b/oleander/gateway/logs_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/explain"
+)
+
+// story returns what the logs of a fixture say of a request.
+func (f *fixture) story(id string) string {
+	s := explain.New(id)
+	if err := s.Read(strings.NewReader(f.log.String())); err != nil {
+		f.t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := s.Write(&b); err != nil {
+		f.t.Fatal(err)
+	}
+	return b.String()
+}
+
+// Three kinds of failed request, as docs/OPERATIONS.md walks through them: the
+// lines of the request's id name the cause.
+func TestLogsNameTheCause(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		path    string
+		header  []string
+		want    []string
+	}{
+		{
+			"refused though there was an engine", ok, "/stream/", []string{testModel, "unknown", testWait, "400"},
+			[]string{"reason=not-loaded-in-time", "model=unknown", "status=503", "queued_ms=", "lease: taken"},
+		},
+		{
+			"failed after it was sent", hangUp, "/stream/", []string{testModel, "warm"},
+			[]string{"front: attempt broke", "server=a", "timeout=false", "reason=broken", "ran=1", "status=502", "config: version in force"},
+		},
+		{
+			"broken off midway", func(w http.ResponseWriter, _ *http.Request) {
+				events(w, 1, 2)
+				panic(http.ErrAbortHandler)
+			}, "/stream/", []string{testModel, "warm"},
+			[]string{"front: attempt broke", "reason=broken-off-midway", "events=2", "server=a"},
+		},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t, config(1))
+			f.backend("a", "llm", tc.handler, "warm")
+			url := f.start()
+			testutil.WaitFor(t, func() bool { return strings.Contains(f.log.String(), "lease: taken") })
+			f.ask(http.MethodPost, url+tc.path, tc.header...)
+			testutil.WaitFor(t, func() bool { return strings.Contains(f.story("r1"), "request ended") })
+			story := f.story("r1")
+			for _, want := range tc.want {
+				if !strings.Contains(story, want) {
+					t.Errorf("%q is missing in\n%s", want, story)
+				}
+			}
+		})
+	}
+}
+
+// Neither keys nor what callers and servers say to each other is logged.
+func TestLogsHoldNoSecrets(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", first(hangUp))
+	url := f.start()
+	for _, path := range []string{"/order/", "/order/", "/read/", "/none/"} {
+		f.ask(http.MethodPost, url+path)
+		f.ask(http.MethodPost, url+path, testKey, "another-secret")
+	}
+	text := f.log.String()
+	for _, secret := range []string{"secret", strings.Repeat("x", 20), "answer to"} {
+		if strings.Contains(text, secret) {
+			t.Errorf("the log holds %q", secret)
+		}
+	}
+}
