Remove four functions that nothing calls

Found on reading the change once more: Lease.HeldUntil, Set.Left, Meter.Forget and Pool.CloseIdle were written for callers that came out otherwise. No behaviour changes; tests of the four packages and of the adapter pass.

--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -115,9 +115,6 @@
 // Fencing returns the number that the orders of this holder carry.
 func (l *Lease) Fencing() int64 { return l.row.Fencing }
 
-// HeldUntil returns when the right ends unless it is renewed.
-func (l *Lease) HeldUntil() clock.Time { return l.heldUntil }
-
 // HeardHolder records a message of an instance that holds the lease under a
 // fencing number.
 func (l *Lease) HeardHolder(now clock.Time, fencing int64) {
--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -64,9 +64,6 @@
 	s.members[said.Name] = &said
 }
 
-// Left drops an instance that said that it stops.
-func (s *Set) Left(name string) { delete(s.members, name) }
-
 // All returns the instances that are written to, by name.
 func (s *Set) All(now clock.Time) []*Member {
 	var all []*Member
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -194,9 +194,6 @@
 	}
 }
 
-// Forget drops an instance that left as planned.
-func (m *Meter) Forget(name string) { delete(m.peers, name) }
-
 // share is an instance's equal share of an account's rate, a second.
 func (m *Meter) share(account string) float64 {
 	a := m.accounts[account]
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -117,22 +117,6 @@
 	return err
 }
 
-// CloseIdle closes the idle connections to addresses that keep does not name.
-func (p *Pool) CloseIdle(keep func(address string) bool) {
-	p.mu.Lock()
-	var closing []*Conn
-	for address, list := range p.idle {
-		if !keep(address) {
-			closing = append(closing, list...)
-			delete(p.idle, address)
-		}
-	}
-	p.mu.Unlock()
-	for _, c := range closing {
-		c.Close()
-	}
-}
-
 // quiet reports whether the peer has neither closed the idle connection nor
 // sent anything on it. Bytes that nobody asked for would be read as the answer
 // to the next request.
