Refuse at once what can't be there before the caller leaves

Cause: a request for a model that was not loaded waited until 150 ms before its deadline. Change: core/gateway/outlook decides by the placer's forecast, or, while nobody may order, by the earliest moment at which somebody may again; the refusal says when. The model stays wanted until the caller is back. A model that the configuration does not know is refused at once too. The row of TestLogsNameTheCause for an unknown model expected a wait; it now expects the refusal at once, and a new row a model that can't be loaded in time.

--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -127,6 +127,8 @@
 	Fencing int64
 	Version int64         // of the row, as the holder last wrote it
 	Left    time.Duration // of the right that this version gives, when it was told
+	// OrdersIn is the rest of the quiet time; 0: the holder gives orders.
+	OrdersIn time.Duration
 }
 
 // Claim returns what to tell the others at now. ok is false at an instance
@@ -136,7 +138,9 @@
 	if !l.Holds(now) {
 		return Claim{}, false
 	}
-	return Claim{Fencing: l.row.Fencing, Version: l.version, Left: l.heldUntil.Sub(now)}, true
+	return Claim{
+		Fencing: l.row.Fencing, Version: l.version, Left: l.heldUntil.Sub(now), OrdersIn: max(0, l.ordersFrom.Sub(now)),
+	}, true
 }
 
 // HeardHolder records a message of the instance that holds the lease.
--- a/core/gateway/manifest/manifest.go
+++ b/core/gateway/manifest/manifest.go
@@ -32,11 +32,14 @@
 	// PauseObjective is the longest pause between two events of a stream that
 	// still counts as on time.
 	PauseObjective time.Duration
-	Priority       int // 0 is the most urgent
-	Targets        []Target
-	MaxAttempts    int  // backend servers that one request may be sent to
-	Public         bool // needs no key
-	Resumable      bool // a stream may go on at another backend server
+	// Patience is how long callers of a stream wait for its first event; they
+	// leave before the timeout. 0: as long as the timeout.
+	Patience    time.Duration
+	Priority    int // 0 is the most urgent
+	Targets     []Target
+	MaxAttempts int  // backend servers that one request may be sent to
+	Public      bool // needs no key
+	Resumable   bool // a stream may go on at another backend server
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
@@ -87,6 +90,12 @@
 	Models         map[string]Model
 }
 
+// Knows reports whether the engines can be told to load a model.
+func (e *Engine) Knows(model string) bool {
+	_, ok := e.Models[model]
+	return ok
+}
+
 // Model is one model of an engine.
 type Model struct {
 	Name       string
--- /dev/null
+++ b/core/gateway/outlook/outlook.go
@@ -0,0 +1,152 @@
+// Package outlook says whether a request waits for a model that is not loaded,
+// or is refused at once with a time to come back.
+//
+// A caller of a stream leaves some time after it sent the request if no event
+// came, often long before its deadline. A request that waits until then is lost:
+// the caller does not know that coming back helps. If it is told at once when
+// the model is expected, it comes back then and is served. So a request waits
+// only while the model is expected before the caller leaves.
+//
+// Two things tell when a model is expected: the forecast of the instance that
+// gives the orders, and, while no instance may give any, the earliest moment at
+// which one may again.
+package outlook
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const (
+	// forecastFor is how long a forecast counts after it was heard: five
+	// messages, so that a few lost ones don't end it.
+	forecastFor = 500 * time.Millisecond
+	// loadLeast is the least time from the first order to a usable model: room
+	// is made and a copy read from memory.
+	loadLeast = 450 * time.Millisecond
+	// blindShare is the part of a caller's patience that a request waits while
+	// nobody says when orders will be given. A caller that is then sent away has
+	// enough of its time left to come back once, and one that is served in
+	// between lost nothing.
+	blindShare = 0.5
+	// retryLeast is the least time to come back after: a moment later the
+	// forecast is the same.
+	retryLeast = 200 * time.Millisecond
+	// retryBlind is the time to come back after while nothing is expected, a
+	// third of what callers of quick streams wait in all.
+	retryBlind = 1500 * time.Millisecond
+)
+
+// Settings of an Outlook.
+type Settings struct {
+	// Silence is how long the holder of the lease may not be heard before its
+	// orders are taken to have ended.
+	Silence time.Duration
+	// Quiet is the time without orders between two holders.
+	Quiet time.Duration
+}
+
+// Outlook is what one instance expects. K names a model or adapter. It is not
+// safe for concurrent use.
+type Outlook[K comparable] struct {
+	set       Settings
+	heard     clock.Time // the holder; 0: never
+	rightEnds clock.Time // of the holder, at the latest, if it is not renewed
+	from      clock.Time // the holder may give orders
+	forecasts map[K]forecast
+}
+
+type forecast struct {
+	ready clock.Time
+	heard clock.Time
+}
+
+// New returns an Outlook that knows nothing.
+func New[K comparable](s Settings) *Outlook[K] {
+	return &Outlook[K]{set: s, forecasts: make(map[K]forecast)}
+}
+
+// HeardHolder records that an instance, this one or another, holds the right to
+// give orders until rightEnds and may give them from a moment on.
+func (o *Outlook[K]) HeardHolder(now, rightEnds, from clock.Time) {
+	o.heard, o.rightEnds, o.from = now, rightEnds, from
+}
+
+// Forecast records when the holder expects a model to be usable.
+func (o *Outlook[K]) Forecast(now clock.Time, k K, ready clock.Time) {
+	o.forecasts[k] = forecast{ready: ready, heard: now}
+}
+
+// Expire drops the forecasts that are too old.
+func (o *Outlook[K]) Expire(now clock.Time) {
+	for k, f := range o.forecasts {
+		if now.Sub(f.heard) > forecastFor {
+			delete(o.forecasts, k)
+		}
+	}
+}
+
+// Expectation is what is known of when a model can be used.
+type Expectation struct {
+	// Ready is the earliest moment; 0 if nothing is known.
+	Ready clock.Time
+	// Blind says that no instance is known to give orders, so that nobody can
+	// say when the model will be there.
+	Blind bool
+}
+
+// Expect returns what is known of a model at now.
+func (o *Outlook[K]) Expect(now clock.Time, k K) Expectation {
+	if f, ok := o.forecasts[k]; ok && now.Sub(f.heard) <= forecastFor {
+		return Expectation{Ready: f.ready}
+	}
+	if o.heard == 0 {
+		return Expectation{Blind: true}
+	}
+	if now.Sub(o.heard) <= o.set.Silence {
+		if now.Reached(o.from) {
+			return Expectation{}
+		}
+		return Expectation{Ready: o.from.Add(loadLeast)}
+	}
+	// The holder is silent. If it has ended, the next one gives orders when the
+	// right and the quiet time have passed.
+	if next := o.rightEnds.Add(o.set.Quiet); !now.Reached(next) {
+		return Expectation{Ready: next.Add(loadLeast), Blind: true}
+	}
+	return Expectation{Blind: true}
+}
+
+// Patience is how long a caller can be kept waiting.
+type Patience struct {
+	Arrived clock.Time
+	// Leaves is when the caller leaves, or when no answer could be in time.
+	Leaves clock.Time
+}
+
+// Verdict says what to do with a request that can't be sent now.
+type Verdict struct {
+	// Refuse: it can't be served before the caller leaves.
+	Refuse bool
+	// RetryAfter is when the caller may come back, if it is refused.
+	RetryAfter time.Duration
+	// LookAgain is when to decide anew if nothing changes before.
+	LookAgain clock.Time
+}
+
+// Decide says whether a request waits on.
+func Decide(now clock.Time, p Patience, e Expectation) Verdict {
+	limit := p.Leaves
+	if e.Blind && e.Ready == 0 {
+		limit = min(limit, p.Arrived.Add(time.Duration(blindShare*float64(p.Leaves.Sub(p.Arrived)))))
+	}
+	if !now.Reached(limit) && e.Ready <= p.Leaves {
+		return Verdict{LookAgain: limit}
+	}
+	retry := retryBlind
+	if e.Ready > now {
+		retry = max(retryLeast, e.Ready.Sub(now))
+	}
+	return Verdict{Refuse: true, RetryAfter: retry}
+}
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -129,13 +129,16 @@
 	tokens   float64          // loads from the weight store that may begin
 	tokensAt clock.Time
 	refused  map[Key]clock.Time
+	expected map[Key]clock.Time // when a model that waits is there; without adapters
 
 	// Made anew for each plan.
-	ordered []*lane        // by id
-	held    map[Key]int    // engines that hold a model, or will
-	running map[string]int // requests by model, waiting ones included
-	waitsOn map[Key]bool   // models that something waits for
-	slots   int            // of an engine
+	ordered []*lane                 // by id
+	held    map[Key]int             // engines that hold a model, or will
+	running map[string]int          // requests by model, waiting ones included
+	waitsOn map[Key]bool            // models that something waits for
+	slots   int                     // of an engine
+	ahead   map[*lane]time.Duration // work of a lane's next orders, by what comes first
+	atStore int                     // loads that wait for the weight store
 }
 
 type rate struct {
@@ -149,6 +152,7 @@
 	return &Placer{
 		check: check, lanes: make(map[string]*lane), wants: make(map[Key]Want),
 		rates: make(map[string]*rate), refused: make(map[Key]clock.Time),
+		expected: make(map[Key]clock.Time), ahead: make(map[*lane]time.Duration),
 	}
 }
 
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -11,6 +11,9 @@
 
 // Plan returns the orders to send now. Each is pending until Answered.
 func (p *Placer) Plan(now clock.Time) []Order {
+	clear(p.ahead)
+	p.atStore = 0
+	p.forget()
 	orders := append(p.repeat(now), p.follow(now)...)
 	for _, k := range p.wanted(now) {
 		if o, ok := p.serve(now, k); ok {
@@ -123,25 +126,34 @@
 	lane   *lane
 	victim string // to be unloaded first; "": there is room
 	ready  time.Duration
+	work   time.Duration // of the lane, for this load alone
 	store  bool
-	idle   time.Duration // of the victim
+	// storePause is the time between two loads from the weight store while
+	// they wait for each other.
+	storePause time.Duration
+	idle       time.Duration // of the victim
+	blocked    bool          // nothing can be unloaded now
 }
 
 // place orders a load of a model where it is ready first, or makes room there.
 // first says that no engine has it yet.
 func (p *Placer) place(now clock.Time, k Key, first bool) (Order, bool) {
-	var options []option
+	var options []option // that are there now
+	var later []option   // that were there if a lane had an idle model
 	for _, l := range p.ordered {
-		if o, ok := p.option(now, l, k, first); ok {
+		o, ok := p.option(now, l, k, first)
+		switch {
+		case ok && o.blocked:
+			later = append(later, o)
+		case ok:
 			options = append(options, o)
 		}
 	}
+	p.expect(now, k, append(later, options...))
 	if len(options) == 0 {
 		return Order{}, false
 	}
-	best := slices.MinFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(b.idle, a.idle), strings.Compare(a.lane.id, b.lane.id))
-	})
+	best := slices.MinFunc(options, sooner)
 	switch {
 	case !best.lane.free(now):
 		return Order{}, false // its lane is free soon, and waiting is faster
@@ -155,6 +167,10 @@
 	return p.order(now, best.lane, Load, k.Model, "")
 }
 
+func sooner(a, b option) int {
+	return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(b.idle, a.idle), strings.Compare(a.lane.id, b.lane.id))
+}
+
 // unloadTime is what an unload adds to a load, measured over loopback.
 const unloadTime = 40 * time.Millisecond
 
@@ -169,20 +185,25 @@
 	}
 	o := option{lane: l, idle: time.Hour}
 	o.ready, o.store = l.loadTime(k.Model)
+	o.work = o.ready
 	if o.store {
+		o.storePause = max(o.ready/storeAtOnce, time.Duration(float64(time.Second)/max(0.1, l.engine.LoadsPerSecond)))
 		o.ready = max(o.ready, time.Duration(float64(o.ready)*float64(p.storeLoads()+1)/storeAtOnce))
 	}
 	if l.usedMB()+spec.MB > l.engine.MemoryMB {
-		v, ok := p.victim(now, l, first)
-		if !ok {
-			return option{}, false
+		if v, ok := p.victim(now, l, first); ok {
+			o.victim, o.idle = v, now.Sub(l.models[v].usedAt)
+		} else {
+			o.blocked = true
+			o.ready += settledFor
 		}
-		o.victim, o.idle = v, now.Sub(l.models[v].usedAt)
 		o.ready += unloadTime
+		o.work += unloadTime
 	}
 	if l.loading != nil {
 		o.ready += max(0, l.loading.expected.Sub(now))
 	}
+	o.ready += p.ahead[l]
 	// A load slows what runs beside it little, but its own first tokens wait
 	// behind them: prefer the engine with less to do.
 	o.ready += time.Duration(l.server.Running()) * time.Millisecond
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -35,12 +35,12 @@
 		b.Manifest = m.Version
 	}
 	if c, ok := g.lease.Claim(now); ok {
-		b.Claim = &claimMsg{Fencing: c.Fencing, Version: c.Version, LeftMS: c.Left.Milliseconds() + 1}
+		b.Claim = &claimMsg{Fencing: c.Fencing, Version: c.Version, LeftMS: c.Left.Milliseconds() + 1, OrdersInMS: c.OrdersIn.Milliseconds()}
 	}
-	for k, w := range g.waits {
+	for k, w := range g.wanted(now) {
 		b.Wants = append(b.Wants, wantMsg{
-			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.requests,
-			WaitedMS: now.Sub(w.since).Milliseconds(), Priority: w.priority,
+			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.Requests,
+			WaitedMS: now.Sub(w.Since).Milliseconds(), Priority: w.Priority,
 		})
 	}
 	return packet{Beat: b}
@@ -91,6 +91,8 @@
 		g.takeBeat(now, m.Beat)
 	case m.State != nil:
 		g.takeState(now, m.State)
+	case m.Forecast != nil:
+		g.takeForecast(now, m.Forecast)
 	}
 }
 
@@ -129,9 +131,12 @@
 		g.holder = holder{name: b.Name, fencing: c.Fencing}
 	}
 	g.holder.heard, g.holder.storeDown = now, b.StoreDown
-	g.lease.HeardHolder(now, leader.Claim{
-		Fencing: c.Fencing, Version: c.Version, Left: time.Duration(c.LeftMS) * time.Millisecond,
-	})
+	claim := leader.Claim{
+		Fencing: c.Fencing, Version: c.Version,
+		Left: time.Duration(c.LeftMS) * time.Millisecond, OrdersIn: time.Duration(c.OrdersInMS) * time.Millisecond,
+	}
+	g.lease.HeardHolder(now, claim)
+	g.outlook.HeardHolder(now, now.Add(claim.Left), now.Add(claim.OrdersIn))
 }
 
 // countArrivals feeds the difference of another instance's counters.
@@ -167,8 +172,8 @@
 		}
 		all[k] = w
 	}
-	for k, w := range g.waits {
-		add(k, placer.Want{Requests: w.requests, Since: w.since, Priority: w.priority})
+	for k, w := range g.wanted(now) {
+		add(k, w)
 	}
 	const fresh = 2200 * time.Millisecond // three messages in the largest fleet
 	for _, s := range g.peerSeen {
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -13,8 +13,8 @@
 const (
 	// lookAgain is when a request that found all servers full looks again.
 	lookAgain = 20 * time.Millisecond
-	// lastMoment before its end a waiting request is refused: no answer could
-	// still be in time.
+	// lastMoment before its caller leaves a waiting request is refused: no
+	// answer could still be in time.
 	lastMoment = 150 * time.Millisecond
 	// stopMoment before the kill a stopping process refuses what waits, so
 	// that it is served elsewhere.
@@ -48,7 +48,7 @@
 			key, waiting = x.waitKey(), true
 			g.startWaiting(key, x.arrived, x.urgency())
 		}
-		if ref := x.wait(changed, full); ref != nil {
+		if ref := x.wait(x.patience(began), changed, full); ref != nil {
 			return target{}, ref
 		}
 	}
@@ -71,13 +71,13 @@
 		}
 	}
 	if x.r.Context().Err() != nil {
-		return target{}, false, nil, &refusal{http.StatusServiceUnavailable, reasonCallerGone, 0}
+		return target{}, false, nil, refusalOf(reasonCallerGone, 0)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	if now.Reached(x.end) {
-		return target{}, false, nil, &refusal{http.StatusServiceUnavailable, reasonTimeout, comeBack}
+		return target{}, false, nil, refusalOf(reasonTimeout, comeBack)
 	}
 	s, full := g.dir.Pick(now, x.need())
 	if s != nil {
@@ -85,48 +85,55 @@
 		g.placer.AdapterUsed(now, s.ID, x.call.Model, x.call.Adapter)
 		return target{id: s.ID, address: s.Address}, false, nil, nil
 	}
-	if !full && !x.possible(now) {
-		return target{}, false, nil, &refusal{http.StatusServiceUnavailable, reasonNoServer, comeBackLoad}
+	if !full {
+		if why := x.hopeless(now); why != "" {
+			return target{}, false, nil, refusalOf(why, comeBackLoad)
+		}
 	}
 	return target{}, full, g.changed, nil
 }
 
-// possible reports whether waiting can help: a server of the group could come
-// to hold the model. The caller holds mu.
-func (x *exchange) possible(now clock.Time) bool {
+// hopeless returns why waiting can't help, or "" if a server of the group could
+// come to hold the model. The caller holds mu.
+func (x *exchange) hopeless(now clock.Time) reason {
 	if x.call.Model == "" {
-		return false
+		return reasonNoServer
+	}
+	if grp := x.config.Groups[x.group]; grp == nil || grp.Engine == nil || !grp.Engine.Knows(x.call.Model) {
+		return reasonNoModel
 	}
 	for _, s := range x.g.dir.All(x.group) {
 		if s.Usable(now) {
-			return true
+			return ""
 		}
 	}
-	return false
+	return reasonNoServer
 }
 
-// wait waits for a change, or refuses when the time is up.
-func (x *exchange) wait(changed <-chan struct{}, full bool) *refusal {
-	left := x.end.Sub(boottime.Now()) - lastMoment
-	why := refusal{http.StatusServiceUnavailable, reasonNotLoaded, comeBackLoad}
-	if full {
-		why = refusal{http.StatusServiceUnavailable, reasonNoRoom, comeBack}
-	}
-	if left <= 0 {
-		return &why
-	}
-	if full {
-		left = min(left, lookAgain)
+// wait waits for a change, or refuses what can't be served before the caller
+// leaves.
+func (x *exchange) wait(p outlook.Patience, changed <-chan struct{}, full bool) *refusal {
+	now := boottime.Now()
+	until := min(p.Leaves, now.Add(lookAgain))
+	if full && now.Reached(p.Leaves) {
+		return refusalOf(reasonNoRoom, comeBack)
+	}
+	if !full {
+		v, ref := x.decide(p)
+		if ref != nil {
+			return ref
+		}
+		until = min(v.LookAgain, now.Add(decideEvery))
 	}
-	t := time.NewTimer(left)
+	t := time.NewTimer(until.Sub(now))
 	defer t.Stop()
 	select {
 	case <-changed:
 	case <-t.C:
 	case <-x.r.Context().Done():
-		return &refusal{http.StatusServiceUnavailable, reasonCallerGone, 0}
+		return refusalOf(reasonCallerGone, 0)
 	case <-x.g.refuseWaiting:
-		return &refusal{http.StatusServiceUnavailable, reasonStopping, comeBack}
+		return refusalOf(reasonStopping, comeBack)
 	}
 	return nil
 }
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -73,7 +73,7 @@
 		case resultDone, resultGone:
 			return
 		case resultTimeout:
-			x.giveUp(refusal{http.StatusGatewayTimeout, reasonTimeout, 0})
+			x.giveUp(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 			return
 		case resultBroken:
 			x.ran++
@@ -105,16 +105,16 @@
 // that the request has not run only if no server may have run it.
 func (x *exchange) lastRefusal() refusal {
 	if x.ran > 0 {
-		return refusal{http.StatusBadGateway, reasonBroken, 0}
+		return refusal{status: http.StatusBadGateway, reason: reasonBroken}
 	}
-	return refusal{http.StatusServiceUnavailable, reasonRefused, comeBack}
+	return refusal{status: http.StatusServiceUnavailable, reason: reasonRefused, retryAfter: comeBack}
 }
 
 // giveUp ends a request without an answer of a server. If a part of one was
 // sent, the connection is cut, so that it can't be taken for whole.
 func (x *exchange) giveUp(ref refusal) {
 	if x.ran > 0 && ref.status == http.StatusServiceUnavailable {
-		ref = refusal{http.StatusBadGateway, reasonBroken, 0}
+		ref = refusal{status: http.StatusBadGateway, reason: reasonBroken}
 	}
 	if !x.started {
 		x.refuse(ref)
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -76,6 +76,8 @@
 	version  int64
 	changes  int64
 	down     bool
+	// refuseLease lets no write of the lease through.
+	refuseLease atomic.Bool
 }
 
 func newFakeStore() *fakeStore {
@@ -170,6 +172,9 @@
 }
 
 func (s *fakeStore) WriteLease(_ context.Context, r leader.Record, expect int64) (res leader.Result, v int64) {
+	if s.refuseLease.Load() {
+		return leader.Unknown, 0
+	}
 	if s.locked(func() {
 		res = leader.Conflict
 		if expect == s.version {
@@ -306,6 +311,9 @@
 	return l.b.String()
 }
 
+// slowLoad is longer than the tests' callers wait.
+const slowLoad = 3 * time.Second
+
 // testHost is the host that the tests' callers name.
 const testHost = "any.example"
 
@@ -329,7 +337,7 @@
 		b.held[m] = true
 		e.Holdings = append(e.Holdings, directory.Holding{Model: m})
 	}
-	e.OnDisk = []string{"cold"}
+	e.OnDisk = []string{"cold", "slow"}
 	f.engines.backends[id] = b
 	f.store.change(func() { f.store.servers[id] = e })
 	return b
@@ -440,6 +448,7 @@
 	m.Groups["llm"] = &manifest.Group{Name: "llm", Engine: &manifest.Engine{
 		Slots: 4, MemoryMB: 100, LoadsPerSecond: 10, Models: map[string]manifest.Model{
 			"warm": {Name: "warm", MB: 60}, "cold": {Name: "cold", MB: 60, FromDisk: 50 * time.Millisecond},
+			"slow": {Name: "slow", MB: 60, FromDisk: slowLoad},
 		},
 	}}
 	a := &manifest.Account{Name: "account", Priority: manifest.NoPriority, Rate: 1e6, Burst: 1e6}
--- /dev/null
+++ b/oleander/gateway/forecast.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/outlook"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// tellFrom is the shortest time to a model that is told: callers wait two
+	// seconds at least, so a swap from disk is waited for in any case.
+	tellFrom = 1200 * time.Millisecond
+	// decideEvery is how often a waiting request is decided anew while nothing
+	// is heard; silence has no message.
+	decideEvery = 100 * time.Millisecond
+	// promiseSlack is how long after the time that a caller was told its model
+	// stays wanted: callers are late, and other instances are told by messages.
+	promiseSlack = 500 * time.Millisecond
+	// comesBackWithin is the part of its time left after which a caller comes
+	// back at the latest, whatever it was told.
+	comesBackWithin = 1.0 / 3
+)
+
+// promise keeps a model wanted for a caller that was told when to come back.
+// Without it nothing would load the model, and the caller came back in vain.
+// It ends when the caller should be back: a model that is wanted can't make
+// room for another.
+type promise struct {
+	until    clock.Time
+	since    clock.Time
+	priority int
+}
+
+// tellForecasts puts the forecasts into the own outlook and returns what those
+// are told that wait for models which are not there soon. The caller holds mu.
+func (g *Gateway) tellForecasts(now clock.Time) []outgoing {
+	if now.Sub(g.publisher.forecast) < flushEvery {
+		return nil
+	}
+	g.publisher.forecast = now
+	expected := g.placer.Expected(now)
+	for k, ready := range expected {
+		g.outlook.Forecast(now, k, ready)
+	}
+	var out []outgoing
+	for _, m := range g.members.All(now) {
+		seen := g.peerSeen[m.Name]
+		if seen == nil || !m.Live(now) {
+			continue
+		}
+		f := forecastMsg{Fencing: g.lease.Fencing()}
+		for _, w := range seen.wants {
+			k := placer.Key{Group: w.Group, Model: w.Model}
+			if in := expected[k].Sub(now); in >= tellFrom {
+				f.Models = append(f.Models, expectedMsg{Group: k.Group, Model: k.Model, ReadyMS: in.Milliseconds()})
+			}
+		}
+		if len(f.Models) == 0 {
+			continue
+		}
+		body, err := cbor.Marshal(packet{Forecast: &f})
+		if err != nil {
+			g.log.Error().Err(err).Msg("peers: forecast not encoded")
+			return nil
+		}
+		out = append(out, outgoing{body: body, to: []string{m.Address}})
+	}
+	return out
+}
+
+// takeForecast takes what the holder of the lease expects.
+func (g *Gateway) takeForecast(now clock.Time, f *forecastMsg) {
+	if f.Fencing < g.holder.fencing {
+		return
+	}
+	for _, m := range f.Models {
+		ready := now.Add(time.Duration(m.ReadyMS) * time.Millisecond)
+		g.outlook.Forecast(now, placer.Key{Group: m.Group, Model: m.Model}, ready)
+	}
+	if len(g.waits) > 0 {
+		g.wake()
+	}
+}
+
+// wanted returns what waits here, and what callers were told to come back for.
+// The caller holds mu.
+func (g *Gateway) wanted(now clock.Time) map[placer.Key]placer.Want {
+	all := make(map[placer.Key]placer.Want, len(g.waits))
+	for k, w := range g.waits {
+		all[k] = placer.Want{Requests: w.requests, Since: w.since, Priority: w.priority}
+	}
+	for k, p := range g.promises {
+		switch _, waits := all[k]; {
+		case now.Reached(p.until):
+			delete(g.promises, k)
+		case !waits:
+			all[k] = placer.Want{Requests: 1, Since: p.since, Priority: p.priority}
+		}
+	}
+	return all
+}
+
+// patience is how long the caller can be kept waiting. In the middle of a
+// stream it counts from the last event.
+func (x *exchange) patience(began clock.Time) outlook.Patience {
+	p := outlook.Patience{Arrived: x.arrived, Leaves: x.end}
+	if x.started {
+		p.Arrived = began
+	}
+	if x.route.Patience > 0 {
+		p.Leaves = min(p.Leaves, p.Arrived.Add(x.route.Patience))
+	}
+	p.Leaves = p.Leaves.Add(-lastMoment)
+	return p
+}
+
+// decide says whether the request waits on for a model. If it is refused with a
+// time to come back, the model stays wanted until then.
+func (x *exchange) decide(p outlook.Patience) (outlook.Verdict, *refusal) {
+	g := x.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	k := x.waitKey()
+	var e outlook.Expectation
+	if !x.started { // to cut a stream that has begun helps nobody
+		e = g.outlook.Expect(now, placer.Key{Group: k.Group, Model: k.Model})
+	}
+	v := outlook.Decide(now, p, e)
+	if !v.Refuse {
+		return v, nil
+	}
+	x.promise(now, p, e, v.RetryAfter)
+	ref := refusalOf(reasonNotLoaded, v.RetryAfter)
+	ref.expectation = &e
+	ref.heard = now.Sub(g.holder.heard)
+	return v, ref
+}
+
+// promise keeps the model wanted until the caller is back, if it can be there
+// before the caller leaves for good. The caller of it holds mu.
+func (x *exchange) promise(now clock.Time, p outlook.Patience, e outlook.Expectation, retryAfter time.Duration) {
+	g, k := x.g, x.waitKey()
+	left := time.Duration(comesBackWithin * float64(x.end.Sub(now)))
+	back := now.Add(min(retryAfter, left))
+	if e.Ready > min(x.end, back.Add(p.Leaves.Sub(p.Arrived))) {
+		return
+	}
+	until := back.Add(promiseSlack)
+	if old, ok := g.promises[k]; !ok || until > old.until {
+		g.promises[k] = promise{until: until, since: x.arrived, priority: x.urgency()}
+	}
+}
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -15,6 +15,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -34,6 +35,7 @@
 	reasonNoServer   reason = "no-server"
 	reasonNoRoom     reason = "no-room"
 	reasonNotLoaded  reason = "not-loaded-in-time"
+	reasonNoModel    reason = "unknown-model"
 	reasonRefused    reason = "refused-by-servers"
 	reasonStopping   reason = "stopping"
 	reasonBroken     reason = "broken"
@@ -49,6 +51,15 @@
 	status     int
 	reason     reason
 	retryAfter time.Duration
+	// expectation is what was known of the model that was waited for, heard
+	// the age of the last message of the instance that gives orders.
+	expectation *outlook.Expectation
+	heard       time.Duration
+}
+
+// refusalOf returns a refusal of a request that has not run.
+func refusalOf(why reason, retryAfter time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: why, retryAfter: retryAfter}
 }
 
 const (
@@ -83,6 +94,7 @@
 	started  bool // a byte of the answer was written
 	lastID   string
 	events   int
+	refusal  *refusal // that ended it
 }
 
 // ServeHTTP serves one request. No router stands before it: routers clean
@@ -125,19 +137,19 @@
 func (x *exchange) resolve() *refusal {
 	m := x.g.manifest.Load()
 	if m == nil {
-		return &refusal{http.StatusServiceUnavailable, reasonNoConfig, comeBack}
+		return refusalOf(reasonNoConfig, comeBack)
 	}
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	route := m.Match(x.r.Host, path)
 	if route == nil {
-		return &refusal{http.StatusNotFound, reasonNoRoute, 0}
+		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
 	x.config, x.route, x.account = m, route, nil
 	if !m.NeedsKey(route) {
 		return nil
 	}
 	if x.account = m.Account(x.call.Key); x.account == nil {
-		return &refusal{http.StatusUnauthorized, reasonKey, 0}
+		return &refusal{status: http.StatusUnauthorized, reason: reasonKey}
 	}
 	return nil
 }
@@ -149,10 +161,10 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
 	if err != nil {
-		return &refusal{http.StatusBadRequest, reasonBody, 0}
+		return &refusal{status: http.StatusBadRequest, reason: reasonBody}
 	}
 	if int64(len(body)) > limit {
-		return &refusal{http.StatusRequestEntityTooLarge, reasonTooLarge, 0}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
 	x.body = body
 	return nil
@@ -181,7 +193,7 @@
 	now := boottime.Now()
 	g.budget.Request(now, x.group)
 	if x.digest != 0 && g.poison.Refused(now, x.digest) {
-		return &refusal{http.StatusServiceUnavailable, reasonPoison, 0}
+		return refusalOf(reasonPoison, 0)
 	}
 	if x.account == nil {
 		return nil
@@ -195,7 +207,7 @@
 	}
 	if ok, wait := g.quota.Take(now, x.account.Name, x.cost); !ok {
 		x.cost = 0
-		return &refusal{http.StatusTooManyRequests, reasonQuota, max(wait, comeBack)}
+		return &refusal{status: http.StatusTooManyRequests, reason: reasonQuota, retryAfter: max(wait, comeBack)}
 	}
 	return nil
 }
@@ -249,6 +261,7 @@
 		x.writeRefusal(ref)
 	}
 	x.refund()
+	x.refusal = &ref
 	x.finish(ref.status, ref.reason)
 }
 
@@ -291,5 +304,14 @@
 	if x.events > 0 {
 		e = e.Int("events", x.events)
 	}
+	if r := x.refusal; r != nil && r.retryAfter > 0 {
+		e = e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
+	}
+	if r := x.refusal; r != nil && r.expectation != nil {
+		e = e.Bool("orders_given", !r.expectation.Blind).Int64("holder_heard_ms", r.heard.Milliseconds())
+		if ready := r.expectation.Ready; ready != 0 {
+			e = e.Int64("model_expected_ms", ready.Sub(boottime.Now()).Milliseconds())
+		}
+	}
 	e.Int64("queued_ms", x.queued.Milliseconds()).Int64("total_ms", total.Milliseconds()).Msg("front: request ended")
 }
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/members"
+	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/core/gateway/quota"
@@ -92,7 +93,9 @@
 	poison     *poison.Register
 	lease      *leader.Lease
 	placer     *placer.Placer
+	outlook    *outlook.Outlook[placer.Key]
 	waits      map[placer.Key]*waiting
+	promises   map[placer.Key]promise
 	arrived    map[string]arrivals // by model
 	peerSeen   map[string]*peerSeen
 	changed    chan struct{} // closed when a waiting request should look again
@@ -156,7 +159,8 @@
 		kick: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
 		dir: directory.New(), members: members.New(s.Name), quota: quota.New(),
 		budget: budget.New(s.Retry), poison: poison.New(),
-		waits: make(map[placer.Key]*waiting), arrived: make(map[string]arrivals),
+		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
+		waits:   make(map[placer.Key]*waiting), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
 		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time), removed: make(map[string]removedServer),
 		publisher: newPublisher(),
 	}
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -86,9 +86,11 @@
 	var asks []question
 	var state []outgoing
 	pause := housekeepEvery
-	if g.lease.Holds(now) {
+	g.outlook.Expire(now)
+	if c, ok := g.lease.Claim(now); ok {
+		g.outlook.HeardHolder(now, now.Add(c.Left), now.Add(c.OrdersIn))
 		orders, asks = g.plan(now)
-		state = g.publish(now)
+		state = append(g.publish(now), g.tellForecasts(now)...)
 		if g.placer.Active() {
 			pause = placeEvery
 		}
--- a/oleander/gateway/logs_test.go
+++ b/oleander/gateway/logs_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/process/explain"
@@ -33,8 +34,13 @@
 		want    []string
 	}{
 		{
-			"refused though there was an engine", ok, "/stream/", []string{testModel, "unknown", testWait, "400"},
-			[]string{"reason=not-loaded-in-time", "model=unknown", "status=503", "queued_ms=", "lease: taken"},
+			"refused though there was an engine", ok, "/stream/", []string{testModel, "slow"},
+			[]string{"reason=not-loaded-in-time", "model=slow", "status=503", "queued_ms=", "model_expected_ms=", "holder_heard_ms=",
+				"orders_given=true", "retry_after_ms=", "lease: taken"},
+		},
+		{
+			"refused since the configuration has no such model", ok, "/stream/", []string{testModel, "unknown", testWait, "400"},
+			[]string{"reason=unknown-model", "model=unknown", "status=503", "queued_ms=0", "lease: taken"},
 		},
 		{
 			"failed after it was sent", hangUp, "/stream/", []string{testModel, "warm"},
@@ -54,6 +60,7 @@
 			f.backend("a", "llm", tc.handler, "warm")
 			url := f.start()
 			testutil.WaitFor(t, func() bool { return strings.Contains(f.log.String(), "lease: taken") })
+			time.Sleep(settleForTest)
 			f.ask(http.MethodPost, url+tc.path, tc.header...)
 			testutil.WaitFor(t, func() bool { return strings.Contains(f.story("r1"), "request ended") })
 			story := f.story("r1")
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -50,6 +50,8 @@
 	Fencing int64
 	Version int64
 	LeftMS  int64
+	// OrdersInMS is the rest of the quiet time before the holder gives orders.
+	OrdersInMS int64
 }
 
 // serverMsg tells what one backend server holds, and now and then what it is.
@@ -88,10 +90,27 @@
 	Gone    []string // servers that left of late
 }
 
+// forecastMsg is what the holder of the lease tells those that wait for models
+// which are not there soon.
+type forecastMsg struct {
+	_       struct{} `cbor:",toarray"`
+	Fencing int64
+	Models  []expectedMsg
+}
+
+// expectedMsg tells when a model is expected to be usable.
+type expectedMsg struct {
+	_       struct{} `cbor:",toarray"`
+	Group   string
+	Model   string
+	ReadyMS int64 // from the sending
+}
+
 // packet is one datagram; one of its fields is set.
 type packet struct {
-	Beat  *beatMsg  `cbor:"1,keyasint,omitempty"`
-	State *stateMsg `cbor:"2,keyasint,omitempty"`
+	Beat     *beatMsg     `cbor:"1,keyasint,omitempty"`
+	State    *stateMsg    `cbor:"2,keyasint,omitempty"`
+	Forecast *forecastMsg `cbor:"3,keyasint,omitempty"`
 }
 
 // peers sends and receives datagrams between instances. They are small and
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -29,6 +29,7 @@
 	pending  map[string]serverMsg // changed, not yet told to all
 	flushed  clock.Time
 	repeated clock.Time
+	forecast clock.Time // last told
 	gone     map[string]clock.Time
 }
 
