One contract for every connection of the gateway

Cause: the adapter of the users' platform had tests of its own, and the gateway's tests ran against fakes that nothing compared with it; the stand-in could not be slow, carry writes out late or turn a single caller away. Change: the interfaces are package ports. portstest holds their contract (store, engines, headers) and implementations in memory, which the gateway's tests use now. The stand-in has the faults slow and late and a door for each caller. Ruled out: the contract in test files (other packages can't use these); running it from the gateway's tests (importing them is a cycle, hence package ports).

--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -158,7 +159,7 @@
 	x.sends++
 	err = c.Send(rawhttp.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
-		Header: g.dialect.Forward(x.r.Header, Attempt{
+		Header: g.dialect.Forward(x.r.Header, ports.Attempt{
 			Account: x.accountName(), Server: t.id, Wait: left, Urgency: x.urgency(), LastEventID: x.lastID,
 		}),
 	})
@@ -259,7 +260,7 @@
 }
 
 // notRun ends an attempt that the server rejected.
-func (x *exchange) notRun(t target, c *rawhttp.Conn, resp *http.Response, head AnswerHead) result {
+func (x *exchange) notRun(t target, c *rawhttp.Conn, resp *http.Response, head ports.AnswerHead) result {
 	g := x.g
 	const rejectionLimit = 64 << 10
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, rejectionLimit)); err != nil {
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,7 +18,8 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
-	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/gateway/ports"
+	"oleanderdale.org/oleander/gateway/portstest"
 	"oleanderdale.org/oleander/internal/testutil"
 )
 
@@ -34,190 +34,86 @@
 	testNotRun = "Not-Run"
 	testServer = "Server-Id"
 	testOwner  = "Account"
+	testLeft   = "Left-Ms" // that the server is given
 )
 
+// testTokens is what each call counts.
+const testTokens = 10
+
 type fakeDialect struct{}
 
-func (fakeDialect) ReadCall(r *http.Request) Call {
+func (fakeDialect) ReadCall(r *http.Request) ports.Call {
 	h := r.Header
 	ms, _ := strconv.Atoi(h.Get(testWait))
-	return Call{
+	return ports.Call{
 		ID: h.Get(testID), Key: h.Get(testKey), Wait: time.Duration(ms) * time.Millisecond,
-		Model: h.Get(testModel), LastEventID: h.Get(testLast), Tokens: 10,
+		Model: h.Get(testModel), LastEventID: h.Get(testLast), Tokens: testTokens,
 	}
 }
 
-func (fakeDialect) Forward(from http.Header, a Attempt) http.Header {
+func (fakeDialect) Forward(from http.Header, a ports.Attempt) http.Header {
 	h := from.Clone()
 	DropHopHeaders(h)
 	h.Del(testKey)
 	h.Set(testOwner, a.Account)
 	h.Set(testServer, a.Server)
+	h.Set(testLeft, strconv.FormatInt(a.Wait.Milliseconds(), 10))
 	if a.LastEventID != "" {
 		h.Set(testLast, a.LastEventID)
 	}
 	return h
 }
 
-func (fakeDialect) ReadAnswer(status int, h http.Header) AnswerHead {
-	return AnswerHead{
+func (fakeDialect) ReadAnswer(status int, h http.Header) ports.AnswerHead {
+	return ports.AnswerHead{
 		RequestID: h.Get(testID), Signed: h.Get(testSigned) != "", Server: h.Get(testServer),
 		NotRun: h.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest,
 	}
 }
 
-// fakeStore is a store in memory, shared by the gateways of a test.
-type fakeStore struct {
-	mu       sync.Mutex
-	manifest *manifest.Manifest
-	servers  map[string]directory.Entry
-	peers    map[string]Peer
-	record   leader.Record
-	version  int64
-	changes  int64
-	down     bool
-	// refuseLease lets no write of the lease through.
-	refuseLease atomic.Bool
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{servers: make(map[string]directory.Entry), peers: make(map[string]Peer)}
-}
-
-func (s *fakeStore) locked(f func()) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return ErrUnavailable
-	}
-	f()
-	return nil
-}
-
-func (s *fakeStore) change(f func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f()
-	s.changes++
-}
-
-func (s *fakeStore) Manifest(context.Context) (raw []byte, at int64, err error) {
-	err = s.locked(func() {
-		at = s.changes
-		if s.manifest != nil {
-			raw = []byte(strconv.FormatUint(s.manifest.Version, 10))
-		}
-	})
-	return raw, at, err
-}
-
-func (s *fakeStore) wait(after int64, wait time.Duration) {
-	for end := time.Now().Add(min(wait, time.Second)); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		s.mu.Lock()
-		changed := s.changes > after
-		s.mu.Unlock()
-		if changed {
-			return
-		}
-	}
-}
-
-func (s *fakeStore) WatchManifest(ctx context.Context, after int64, wait time.Duration) ([]byte, int64, error) {
-	s.wait(after, wait)
-	return s.Manifest(ctx)
-}
-
-func (s *fakeStore) Decode([]byte) (*manifest.Manifest, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.manifest, nil
-}
-
-func (s *fakeStore) Servers(context.Context) (entries []directory.Entry, at int64, err error) {
-	err = s.locked(func() {
-		at = s.changes
-		for _, id := range sortedNames(s.servers) {
-			entries = append(entries, s.servers[id])
-		}
-	})
-	return entries, at, err
-}
-
-func (s *fakeStore) WatchServers(ctx context.Context, after int64, wait time.Duration) ([]ServerChange, int64, error) {
-	s.wait(after, wait)
-	entries, at, err := s.Servers(ctx)
-	var changes []ServerChange
-	for _, e := range entries {
-		changes = append(changes, ServerChange{Entry: e})
-	}
-	return changes, at, err
-}
+// wire is the other end of a fakeDialect.
+type wire struct{}
 
-func (s *fakeStore) Peers(context.Context) (all []Peer, err error) {
-	err = s.locked(func() {
-		for _, name := range sortedNames(s.peers) {
-			all = append(all, s.peers[name])
-		}
-	})
-	return all, err
-}
+func (wire) Dialect() ports.Dialect { return fakeDialect{} }
 
-func (s *fakeStore) Join(_ context.Context, p Peer) error {
-	return s.locked(func() { s.peers[p.Name] = p })
+func (wire) Request(c ports.Call) http.Header {
+	h := make(http.Header)
+	h.Set(testID, c.ID)
+	h.Set(testKey, c.Key)
+	h.Set(testWait, strconv.FormatInt(c.Wait.Milliseconds(), 10))
+	h.Set(testModel, c.Model)
+	h.Set(testLast, c.LastEventID)
+	return h
 }
 
-func (s *fakeStore) Lease(context.Context) (r leader.Record, v int64, err error) {
-	err = s.locked(func() { r, v = s.record, s.version })
-	return r, v, err
+func (wire) Received(h http.Header) (string, ports.Attempt, string) {
+	ms, _ := strconv.Atoi(h.Get(testLeft))
+	return h.Get(testID), ports.Attempt{
+		Account: h.Get(testOwner), Server: h.Get(testServer), Wait: time.Duration(ms) * time.Millisecond, LastEventID: h.Get(testLast),
+	}, h.Get(testKey)
 }
 
-func (s *fakeStore) WriteLease(_ context.Context, r leader.Record, expect int64) (res leader.Result, v int64) {
-	if s.refuseLease.Load() {
-		return leader.Unknown, 0
+func (wire) Answer(head ports.AnswerHead) (int, http.Header) {
+	h := make(http.Header)
+	h.Set(testID, head.RequestID)
+	h.Set(testServer, head.Server)
+	if head.Signed {
+		h.Set(testSigned, "1")
 	}
-	if s.locked(func() {
-		res = leader.Conflict
-		if expect == s.version {
-			s.version++
-			s.record, res, v = r, leader.Done, s.version
-		}
-	}) != nil {
-		return leader.Unknown, 0
+	if head.NotRun {
+		h.Set(testNotRun, "1")
 	}
-	return res, v
-}
-
-// cutStore is the store as one instance reaches it, or does not.
-type cutStore struct {
-	*fakeStore
-	cut atomic.Bool
+	return http.StatusOK, h
 }
 
-func (s *cutStore) Manifest(ctx context.Context) ([]byte, int64, error) {
-	if s.cut.Load() {
-		return nil, 0, ErrUnavailable
-	}
-	return s.fakeStore.Manifest(ctx)
-}
+// The dialect of these tests keeps the contract that all dialects keep.
+func TestDialectContract(t *testing.T) { portstest.Dialect(t, wire{}) }
 
-func (s *cutStore) WatchManifest(ctx context.Context, after int64, wait time.Duration) ([]byte, int64, error) {
-	s.wait(after, wait)
-	return s.Manifest(ctx)
-}
+// noLease is a store that takes no write of the lease.
+type noLease struct{ ports.Store }
 
-func (s *cutStore) Lease(ctx context.Context) (leader.Record, int64, error) {
-	if s.cut.Load() {
-		return leader.Record{}, 0, ErrUnavailable
-	}
-	return s.fakeStore.Lease(ctx)
-}
-
-func (s *cutStore) WriteLease(ctx context.Context, r leader.Record, expect int64) (leader.Result, int64) {
-	if s.cut.Load() {
-		<-ctx.Done() // the way there is silent
-		return leader.Unknown, 0
-	}
-	return s.fakeStore.WriteLease(ctx, r, expect)
+func (noLease) WriteLease(context.Context, leader.Record, int64) (leader.Result, int64) {
+	return leader.Unknown, 0
 }
 
 // backend is a server whose answers a test scripts.
@@ -226,8 +122,6 @@
 	handler http.HandlerFunc
 	mu      sync.Mutex
 	seen    []*http.Request
-	held    map[string]bool
-	count   int64
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -251,43 +145,13 @@
 	_, _ = fmt.Fprintf(w, "answer to %s", r.Header.Get(testID))
 }
 
-// fakeEngines takes orders for the backends of a test.
-type fakeEngines struct{ backends map[string]*backend }
-
-func (e *fakeEngines) Order(_ context.Context, o placer.Order, _ string, _ int64) placer.Answer {
-	b := e.backends[o.Server]
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.count != o.Precondition {
-		return placer.Busy
-	}
-	b.count++
-	if o.Kind == placer.Load {
-		b.held[o.Model] = true
-	} else {
-		delete(b.held, o.Model)
-	}
-	return placer.Accepted
-}
-
-func (e *fakeEngines) Report(_ context.Context, _, server string) (placer.Report, error) {
-	b := e.backends[server]
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := placer.Report{Sequence: b.count}
-	for _, m := range sortedNames(b.held) {
-		r.Holdings = append(r.Holdings, directory.Holding{Model: m})
-	}
-	return r, nil
-}
-
 // fixture is one or more gateways before backends.
 type fixture struct {
 	t        *testing.T
-	store    *fakeStore
-	engines  *fakeEngines
+	store    *portstest.Memory
+	reach    func(ports.Store) ports.Store // the store as all gateways reach it
+	engines  *portstest.MemoryEngines
 	gateways []*Gateway
-	cuts     []*cutStore
 	stops    []chan struct{}
 	ended    []chan struct{}
 	log      logBuffer // of all gateways
@@ -320,26 +184,26 @@
 const testGrace = 5 * time.Second
 
 func newFixture(t *testing.T, config *manifest.Manifest) *fixture {
-	f := &fixture{t: t, store: newFakeStore(), engines: &fakeEngines{backends: make(map[string]*backend)}}
-	f.store.manifest = config
+	f := &fixture{t: t, store: portstest.NewMemory(), engines: portstest.NewMemoryEngines()}
+	f.reach = func(s ports.Store) ports.Store { return s }
+	f.store.SetManifest(config)
 	return f
 }
 
 // backend starts a server of a group that holds models.
 func (f *fixture) backend(id, group string, h http.HandlerFunc, models ...string) *backend {
-	b := &backend{id: id, handler: h, held: make(map[string]bool)}
+	b := &backend{id: id, handler: h}
 	l := testutil.Listen(f.t)
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
 	f.t.Cleanup(func() { _ = server.Close() })
 	e := directory.Entry{ID: id, Address: l.Addr().String(), Zone: "z", Group: group, Born: 1, Slots: 4}
 	for _, m := range models {
-		b.held[m] = true
 		e.Holdings = append(e.Holdings, directory.Holding{Model: m})
 	}
 	e.OnDisk = []string{"cold", "slow"}
-	f.engines.backends[id] = b
-	f.store.change(func() { f.store.servers[id] = e })
+	f.engines.Add(id, e.Address, 0, models...)
+	f.store.PutServer(e)
 	return b
 }
 
@@ -356,9 +220,7 @@
 		OrderQuiet: 100 * time.Millisecond,
 		Retry:      budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 	}
-	store := &cutStore{fakeStore: f.store}
-	f.cuts = append(f.cuts, store)
-	g, err := New(s, store, f.engines, fakeDialect{}, zerolog.New(&f.log).With().Timestamp().Str("instance", s.Name).Logger())
+	g, err := New(s, f.reach(f.store.Store(n)), f.engines, fakeDialect{}, zerolog.New(&f.log).With().Timestamp().Str("instance", s.Name).Logger())
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -73,7 +74,7 @@
 		}
 		return
 	}
-	if g.ctx.Err() != nil || errors.Is(err, ErrHistory) {
+	if g.ctx.Err() != nil || errors.Is(err, ports.ErrHistory) {
 		return
 	}
 	if g.storeDown == 0 {
@@ -89,7 +90,7 @@
 		raw, next, err := g.nextManifest(at)
 		g.stored("manifest", err)
 		switch {
-		case errors.Is(err, ErrHistory):
+		case errors.Is(err, ports.ErrHistory):
 			at = -1
 			continue
 		case err != nil:
@@ -154,7 +155,7 @@
 		g.stored("servers", err)
 		if err != nil {
 			at = -1
-			if !errors.Is(err, ErrHistory) {
+			if !errors.Is(err, ports.ErrHistory) {
 				g.sleep(retryPause)
 			}
 			continue
@@ -219,7 +220,7 @@
 		return -1, err
 	}
 	if next < at {
-		return -1, errors.Wrap(ErrUnavailable, "an answer from the past")
+		return -1, errors.Wrap(ports.ErrUnavailable, "an answer from the past")
 	}
 	if len(changes) == 0 {
 		return next, nil
@@ -319,7 +320,7 @@
 func (g *Gateway) join() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
-	err := g.store.Join(ctx, Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone})
+	err := g.store.Join(ctx, ports.Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone})
 	g.stored("join", err)
 	return err == nil
 }
--- a/oleander/gateway/forecast_test.go
+++ b/oleander/gateway/forecast_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/internal/testutil"
 )
 
@@ -45,7 +46,7 @@
 func TestNobodyGivesOrders(t *testing.T) {
 	f := newFixture(t, config(1))
 	f.backend("a", "llm", twoEvents, "warm")
-	f.store.refuseLease.Store(true)
+	f.reach = func(s ports.Store) ports.Store { return noLease{s} }
 	url := f.start()
 	began := time.Now()
 	got := f.ask(http.MethodPost, url+"/stream/", testModel, "cold")
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -17,6 +17,7 @@
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -75,7 +76,7 @@
 	g       *Gateway
 	w       http.ResponseWriter
 	r       *http.Request
-	call    Call
+	call    ports.Call
 	route   *manifest.Route
 	group   string
 	account *manifest.Account
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -1,3 +1,7 @@
+// Package gateway is the entry instance on machines whose platform speaks its
+// own protocol: it takes callers' requests, forwards each to a backend server,
+// and carries out what the deciders of core/gateway decide. It knows no name of
+// any platform; what it needs of one stands in package ports.
 package gateway
 
 import (
@@ -22,6 +26,7 @@
 	"oleanderdale.org/core/gateway/quota"
 	"oleanderdale.org/core/invariant"
 	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -67,9 +72,9 @@
 	incarnation uint64
 	started     clock.Time
 	log         zerolog.Logger
-	store       Store
-	engines     Engines
-	dialect     Dialect
+	store       ports.Store
+	engines     ports.Engines
+	dialect     ports.Dialect
 	pool        *rawhttp.Pool
 	peers       *peers
 	metrics     *instruments
@@ -148,7 +153,7 @@
 }
 
 // New returns a Gateway that does not run yet.
-func New(s Settings, store Store, engines Engines, dialect Dialect, log zerolog.Logger) (*Gateway, error) {
+func New(s Settings, store ports.Store, engines ports.Engines, dialect ports.Dialect, log zerolog.Logger) (*Gateway, error) {
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, err
--- a/oleander/gateway/gateway_test.go
+++ b/oleander/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/oleander/gateway/portstest"
 	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -244,10 +245,7 @@
 	f := newFixture(t, config(1))
 	b := f.backend("a", "llm", nil, "warm")
 	b.handler = func(w http.ResponseWriter, r *http.Request) {
-		b.mu.Lock()
-		held := b.held[r.Header.Get(testModel)]
-		b.mu.Unlock()
-		if !held {
+		if !f.engines.Holds(f.store.Server("a").Address, r.Header.Get(testModel)) {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -313,9 +311,9 @@
 	without := manifest.New(3, manifest.Limits{})
 	without.Accounts["account"] = &manifest.Account{Name: "account"}
 	without.AddRoute(&manifest.Route{Host: testHost, Prefix: "/order/", Timeout: time.Second, Targets: []manifest.Target{{Group: "plain", Weight: 1}}})
-	f.store.change(func() { f.store.manifest = without })
+	f.store.SetManifest(without)
 	testutil.WaitFor(t, func() bool { return f.ask(http.MethodPost, url+"/order/").status == http.StatusUnauthorized })
-	f.store.change(func() { f.store.manifest = config(2) })
+	f.store.SetManifest(config(2))
 	time.Sleep(200 * time.Millisecond)
 	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusUnauthorized {
 		t.Errorf("status %d after an older version came", got.status)
@@ -336,8 +334,8 @@
 		m := g.members.Get("g0")
 		return m != nil && m.Incarnation != 0
 	})
-	f.cuts[1].cut.Store(true)
-	f.store.change(func() { f.store.manifest = config(2) })
+	f.store.Fail(1, portstest.Silent)
+	f.store.SetManifest(config(2))
 	testutil.WaitFor(t, func() bool { return g.manifest.Load().Version == 2 })
 	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK {
 		t.Errorf("status %d", got.status)
@@ -380,11 +378,9 @@
 	f := newFixture(t, config(1))
 	a, b := f.backend("a", "plain", ok), f.backend("b", "plain", ok)
 	url := f.start()
-	f.store.change(func() {
-		e := f.store.servers["a"]
-		e.Draining = true
-		f.store.servers["a"] = e
-	})
+	e := f.store.Server("a")
+	e.Draining = true
+	f.store.PutServer(e)
 	g := f.gateways[0]
 	testutil.WaitFor(t, func() bool {
 		g.mu.Lock()
@@ -393,11 +389,8 @@
 		return s != nil && s.Draining
 	})
 	before := a.requests()
-	f.store.change(func() {
-		e := f.store.servers["a"]
-		e.Draining = false
-		f.store.servers["a"] = e
-	})
+	e.Draining = false
+	f.store.PutServer(e)
 	for range 6 {
 		f.ask(http.MethodPost, url+"/order/")
 	}
@@ -421,7 +414,7 @@
 		return g.lease.Holds(boottime.Now())
 	}
 	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() && holds(holder) })
-	f.cuts[0].cut.Store(true)
+	f.store.Fail(0, portstest.Silent)
 	for end := time.Now().Add(3 * leaseTerm); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if !holds(holder) {
 			t.Fatal("the lease was lost")
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -52,7 +53,7 @@
 
 func unknownIs(r leader.Result) error {
 	if r == leader.Unknown {
-		return ErrUnavailable
+		return ports.ErrUnavailable
 	}
 	return nil
 }
--- a/oleander/gateway/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -1,8 +1,8 @@
-// Package gateway is the entry instance on machines whose platform speaks its
-// own protocol: it takes callers' requests, forwards each to a backend server,
-// and carries out what the deciders of core/gateway decide. It knows no name of
-// any platform; what it needs of one stands in the interfaces of this file.
-package gateway
+// Package ports holds what a gateway needs of the machines that it runs on: a
+// store, engines that take orders, and the headers of callers and backend
+// servers. Each platform has an adapter that implements them; the contract that
+// an adapter must keep is in package portstest.
+package ports
 
 import (
 	"context"
@@ -20,9 +20,9 @@
 // Errors of a Store.
 var (
 	// ErrHistory says that the changes asked for are no longer kept: read anew.
-	ErrHistory = errors.New("gateway: history is gone")
+	ErrHistory = errors.New("store: history is gone")
 	// ErrUnavailable says that the store did not answer, or did nothing.
-	ErrUnavailable = errors.New("gateway: store unavailable")
+	ErrUnavailable = errors.New("store: unavailable")
 )
 
 // Call is what the gateway needs to know of a request.
--- /dev/null
+++ b/oleander/gateway/portstest/dialect.go
@@ -0,0 +1,108 @@
+package portstest
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/gateway/ports"
+)
+
+// Wire is a dialect with the other ends of its connections.
+type Wire interface {
+	Dialect() ports.Dialect
+	// Request returns the headers that a caller sends for a call.
+	Request(c ports.Call) http.Header
+	// Received returns what a backend server reads in the headers of an
+	// attempt: the request's id, what the gateway says, and the caller's key.
+	Received(h http.Header) (id string, a ports.Attempt, key string)
+	// Answer returns the status and headers with which a backend server says
+	// what head says.
+	Answer(head ports.AnswerHead) (status int, h http.Header)
+}
+
+// Dialect runs the contract of ports.Dialect.
+func Dialect(t *testing.T, w Wire) {
+	t.Run("a call is read as it was sent", func(t *testing.T) { testReadCall(t, w) })
+	t.Run("a call that says nothing", func(t *testing.T) { testEmptyCall(t, w) })
+	t.Run("an attempt says what the gateway says", func(t *testing.T) { testForward(t, w) })
+	t.Run("a caller can't speak for the gateway", func(t *testing.T) { testForged(t, w) })
+	t.Run("an answer is read as it was sent", func(t *testing.T) { testReadAnswer(t, w) })
+}
+
+func call() ports.Call {
+	return ports.Call{ID: "r1", Key: "secret", Wait: 1500 * time.Millisecond, Model: "m", LastEventID: "12", Tokens: 10}
+}
+
+func read(w Wire, h http.Header) ports.Call {
+	r := httptest.NewRequest(http.MethodPost, "http://any.example/p/", nil)
+	r.Header = h
+	return w.Dialect().ReadCall(r)
+}
+
+func testReadCall(t *testing.T, w Wire) {
+	if got := read(w, w.Request(call())); !reflect.DeepEqual(got, call()) {
+		t.Errorf("read %+v, want %+v", got, call())
+	}
+}
+
+func testEmptyCall(t *testing.T, w Wire) {
+	got := read(w, make(http.Header))
+	if got.ID != "" || got.Key != "" || got.Wait != 0 || got.Model != "" || got.LastEventID != "" {
+		t.Errorf("read %+v", got)
+	}
+}
+
+// The request's id and foreign headers are passed on; the key, and what concerns
+// one connection only, is not. The caller's headers stay as they were: they are
+// needed for the next attempt.
+func testForward(t *testing.T, w Wire) {
+	from := w.Request(call())
+	for name, v := range map[string]string{"Other": "kept", "Connection": "Drop-Me", "Drop-Me": "1", "Keep-Alive": "timeout=5"} {
+		from.Set(name, v)
+	}
+	want := ports.Attempt{Account: "account", Server: "s1", Wait: 1200 * time.Millisecond, LastEventID: "17"}
+	h := w.Dialect().Forward(from, want)
+	id, got, key := w.Received(h)
+	if id != "r1" || got != want || key != "" {
+		t.Errorf("received %q, %+v, key %q", id, got, key)
+	}
+	if h.Get("Other") != "kept" || h.Get("Drop-Me") != "" || h.Get("Keep-Alive") != "" || h.Get("Connection") != "" {
+		t.Errorf("headers %v", h)
+	}
+	if from.Get("Drop-Me") == "" || read(w, from).Key != "secret" {
+		t.Errorf("the caller's headers became %v", from)
+	}
+}
+
+// A caller sends headers of an attempt, as if it were the gateway. It gets
+// neither another account nor another server.
+func testForged(t *testing.T, w Wire) {
+	forged := w.Dialect().Forward(make(http.Header), ports.Attempt{Account: "another", Server: "s9", Wait: time.Hour})
+	want := ports.Attempt{Server: "s1", Wait: time.Second}
+	_, got, _ := w.Received(w.Dialect().Forward(forged, want))
+	if got != want {
+		t.Errorf("received %+v, want %+v", got, want)
+	}
+}
+
+func testReadAnswer(t *testing.T, w Wire) {
+	for _, head := range []ports.AnswerHead{
+		{RequestID: "r1", Signed: true, Server: "s1"},
+		{RequestID: "r1"},
+		{RequestID: "r1", NotRun: true, Server: "s2"},
+	} {
+		status, h := w.Answer(head)
+		if got := w.Dialect().ReadAnswer(status, h); got != head {
+			t.Errorf("read %+v, want %+v", got, head)
+		}
+	}
+	if !w.Dialect().ReadAnswer(http.StatusMisdirectedRequest, make(http.Header)).NotRun {
+		t.Error("an answer of another server counts as a run")
+	}
+	if w.Dialect().ReadAnswer(http.StatusServiceUnavailable, make(http.Header)).NotRun {
+		t.Error("a failure that does not say so counts as not run")
+	}
+}
--- /dev/null
+++ b/oleander/gateway/portstest/store.go
@@ -0,0 +1,291 @@
+package portstest
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/oleander/gateway/ports"
+)
+
+// Backing is a store behind an adapter, as the platform and its faults act on
+// it. Callers are numbered from 0.
+type Backing interface {
+	Store(caller int) ports.Store
+	Fail(caller int, f Fault)
+	SetConfig(version uint64)
+	PutServer(e directory.Entry)
+	RemoveServer(id string)
+	// PutForeign writes rows of another writer, which can't be used, beside the
+	// good ones.
+	PutForeign()
+	Forget()
+}
+
+// Store runs the contract of ports.Store. open returns a fresh backing for each
+// case.
+func Store(t *testing.T, open func(t *testing.T) Backing) {
+	cases := []struct {
+		name string
+		run  func(t *testing.T, b Backing)
+	}{
+		{"empty", testEmpty},
+		{"configuration", testConfiguration},
+		{"servers", testServers},
+		{"instances", testInstances},
+		{"lease", testLease},
+		{"write whose answer is lost", testLostWrite},
+		{"write carried out late", testLateWrite},
+		{"late write after another", testLateWriteAfterAnother},
+		{"history gone", testHistoryGone},
+		{"down for one caller", testDownForOne},
+		{"slow", testSlow},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(t, open(t)) })
+	}
+	for name, read := range reads {
+		for _, f := range []Fault{Unavailable, Lost, Silent, Late} {
+			t.Run(fmt.Sprintf("%s under fault %d", name, f), func(t *testing.T) { testFault(t, open(t), read, f) })
+		}
+	}
+}
+
+// reads are the calls that have an error.
+var reads = map[string]func(s ports.Store, ctx context.Context) error{
+	"manifest":       func(s ports.Store, ctx context.Context) error { _, _, err := s.Manifest(ctx); return err },
+	"watch manifest": func(s ports.Store, ctx context.Context) error { _, _, err := s.WatchManifest(ctx, 0, 0); return err },
+	"servers":        func(s ports.Store, ctx context.Context) error { _, _, err := s.Servers(ctx); return err },
+	"watch servers":  func(s ports.Store, ctx context.Context) error { _, _, err := s.WatchServers(ctx, 0, 0); return err },
+	"peers":          func(s ports.Store, ctx context.Context) error { _, err := s.Peers(ctx); return err },
+	"lease":          func(s ports.Store, ctx context.Context) error { _, _, err := s.Lease(ctx); return err },
+	"join":           func(s ports.Store, ctx context.Context) error { return s.Join(ctx, ports.Peer{Name: "x"}) },
+}
+
+// soon bounds a call that should be answered at once.
+func soon(t *testing.T) context.Context { return within(t, 2*time.Second) }
+
+// brief bounds a call that has no answer.
+func brief(t *testing.T) context.Context { return within(t, SlowBy/2) }
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func testEmpty(t *testing.T, b Backing) {
+	s := b.Store(0)
+	if raw, _, err := s.Manifest(soon(t)); raw != nil || err != nil {
+		t.Errorf("manifest %q, %v", raw, err)
+	}
+	if all, _, err := s.Servers(soon(t)); len(all) != 0 || err != nil {
+		t.Errorf("servers %v, %v", all, err)
+	}
+	if all, err := s.Peers(soon(t)); len(all) != 0 || err != nil {
+		t.Errorf("instances %v, %v", all, err)
+	}
+	if _, v, err := s.Lease(soon(t)); v != 0 || err != nil {
+		t.Errorf("lease at version %d, %v", v, err)
+	}
+}
+
+// The newest manifest is read whole; a watch returns it as soon as there is a
+// newer one, and nothing if there is none in time.
+func testConfiguration(t *testing.T, b Backing) {
+	s := b.Store(0)
+	b.SetConfig(7)
+	raw, at, err := s.Manifest(soon(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := s.Decode(raw); err != nil || c.Version != 7 {
+		t.Fatalf("decoded %+v, %v", c, err)
+	}
+	if raw, next, err := s.WatchManifest(soon(t), at, 20*time.Millisecond); raw != nil || next < at || err != nil {
+		t.Errorf("without a change: %q at %d after %d, %v", raw, next, at, err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { b.SetConfig(9) })
+	raw, next, err := s.WatchManifest(soon(t), at, time.Second)
+	if c, derr := s.Decode(raw); err != nil || derr != nil || c.Version != 9 || next <= at {
+		t.Errorf("after a change: %q at %d after %d, %v, %v", raw, next, at, err, derr)
+	}
+	if _, err := s.Decode([]byte("\x00")); err == nil {
+		t.Error("bytes that are no manifest were decoded")
+	}
+}
+
+func entry(id string) directory.Entry {
+	return directory.Entry{
+		ID: id, Address: "10.0.0.1:80", Zone: "z", Group: "g", Born: 5, Slots: 4,
+		Holdings: []directory.Holding{{Model: "m", Version: 1, Adapters: []string{"a1"}}},
+		InMemory: []string{"n"}, OnDisk: []string{"o"},
+	}
+}
+
+// Entries are read as they were written, changes and removals are told in a
+// watch, and rows of another writer lose nothing but themselves.
+func testServers(t *testing.T, b Backing) {
+	s := b.Store(0)
+	b.PutServer(entry("s0"))
+	b.PutForeign()
+	b.PutServer(entry("s1"))
+	all, at, err := s.Servers(soon(t))
+	if err != nil || !reflect.DeepEqual(all, []directory.Entry{entry("s0"), entry("s1")}) {
+		t.Fatalf("servers %+v, %v", all, err)
+	}
+	leaving := entry("s1")
+	leaving.Draining, leaving.Remaining = true, 1500*time.Millisecond
+	b.RemoveServer("s0")
+	b.PutServer(leaving)
+	changes, next, err := s.WatchServers(soon(t), at, time.Second)
+	if err != nil || next <= at || len(changes) != 2 {
+		t.Fatalf("changes %+v at %d after %d, %v", changes, next, at, err)
+	}
+	for _, c := range changes {
+		switch {
+		case c.Entry.ID == "s0" && c.Removed:
+		case !c.Removed && reflect.DeepEqual(c.Entry, leaving):
+		default:
+			t.Errorf("change %+v", c)
+		}
+	}
+	if changes, _, err := s.WatchServers(soon(t), next, 20*time.Millisecond); len(changes) != 0 || err != nil {
+		t.Errorf("without a change: %+v, %v", changes, err)
+	}
+}
+
+func testInstances(t *testing.T, b Backing) {
+	s := b.Store(0)
+	first := ports.Peer{Name: "a", Address: "10.0.0.1:1", Zone: "z"}
+	moved := ports.Peer{Name: "a", Address: "10.0.0.2:1", Zone: "y"}
+	other := ports.Peer{Name: "b", Address: "10.0.0.3:1", Zone: "z"}
+	for _, p := range []ports.Peer{first, other, moved} {
+		if err := s.Join(soon(t), p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.PutForeign()
+	all, err := b.Store(1).Peers(soon(t))
+	if err != nil || !reflect.DeepEqual(all, []ports.Peer{moved, other}) {
+		t.Errorf("instances %+v, %v", all, err)
+	}
+}
+
+func record(fencing int64) leader.Record {
+	return leader.Record{Holder: "a", Incarnation: 1 << 62, Fencing: fencing, Settled: true}
+}
+
+// A write takes effect only on the version that it expects.
+func testLease(t *testing.T, b Backing) {
+	s := b.Store(0)
+	res, v := s.WriteLease(soon(t), record(1), 0)
+	if res != leader.Done || v == 0 {
+		t.Fatalf("first write: %v at %d", res, v)
+	}
+	if res, _ := b.Store(1).WriteLease(soon(t), record(2), 0); res != leader.Conflict {
+		t.Errorf("write as if there were no row: %v", res)
+	}
+	res, next := b.Store(1).WriteLease(soon(t), record(2), v)
+	if res != leader.Done || next <= v {
+		t.Errorf("write on version %d: %v at %d", v, res, next)
+	}
+	if r, at, err := s.Lease(soon(t)); r != record(2) || at != next || err != nil {
+		t.Errorf("read %+v at %d, %v", r, at, err)
+	}
+}
+
+func testLostWrite(t *testing.T, b Backing) {
+	b.Fail(0, Lost)
+	if res, _ := b.Store(0).WriteLease(soon(t), record(1), 0); res != leader.Unknown {
+		t.Errorf("write without an answer: %v", res)
+	}
+	b.Fail(0, None)
+	if r, v, err := b.Store(0).Lease(soon(t)); r != record(1) || v == 0 || err != nil {
+		t.Errorf("read %+v at %d, %v", r, v, err)
+	}
+}
+
+func testLateWrite(t *testing.T, b Backing) {
+	b.Fail(0, Late)
+	if res, _ := b.Store(0).WriteLease(brief(t), record(1), 0); res != leader.Unknown {
+		t.Errorf("write without an answer: %v", res)
+	}
+	b.Fail(0, None)
+	if _, v, err := b.Store(0).Lease(soon(t)); v != 0 || err != nil {
+		t.Errorf("read at version %d before it was carried out, %v", v, err)
+	}
+	time.Sleep(2 * LateBy)
+	if r, v, err := b.Store(0).Lease(soon(t)); r != record(1) || v == 0 || err != nil {
+		t.Errorf("read %+v at %d, %v", r, v, err)
+	}
+}
+
+// A late write meets a version that another caller wrote meanwhile: it must
+// not take effect.
+func testLateWriteAfterAnother(t *testing.T, b Backing) {
+	b.Fail(0, Late)
+	if res, _ := b.Store(0).WriteLease(brief(t), record(1), 0); res != leader.Unknown {
+		t.Errorf("write without an answer: %v", res)
+	}
+	if res, _ := b.Store(1).WriteLease(soon(t), record(2), 0); res != leader.Done {
+		t.Fatalf("another's write: %v", res)
+	}
+	time.Sleep(2 * LateBy)
+	if r, _, err := b.Store(1).Lease(soon(t)); r != record(2) || err != nil {
+		t.Errorf("read %+v, %v", r, err)
+	}
+}
+
+func testHistoryGone(t *testing.T, b Backing) {
+	b.PutServer(entry("s0"))
+	b.Forget()
+	if _, _, err := b.Store(0).WatchServers(soon(t), 0, 0); !errors.Is(err, ports.ErrHistory) {
+		t.Errorf("error %v", err)
+	}
+	if all, _, err := b.Store(0).Servers(soon(t)); len(all) != 1 || err != nil {
+		t.Errorf("servers %+v, %v", all, err)
+	}
+}
+
+// The store turns one caller away and serves the others.
+func testDownForOne(t *testing.T, b Backing) {
+	b.SetConfig(3)
+	b.Fail(0, Unavailable)
+	if _, _, err := b.Store(0).Manifest(soon(t)); !errors.Is(err, ports.ErrUnavailable) {
+		t.Errorf("error %v", err)
+	}
+	if raw, _, err := b.Store(1).Manifest(soon(t)); raw == nil || err != nil {
+		t.Errorf("another caller: %q, %v", raw, err)
+	}
+}
+
+// A slow store answers; a call that can't wait for it says that it is away.
+func testSlow(t *testing.T, b Backing) {
+	b.Fail(0, Slow)
+	if err := b.Store(0).Join(soon(t), ports.Peer{Name: "a"}); err != nil {
+		t.Errorf("with time: %v", err)
+	}
+	if err := b.Store(0).Join(brief(t), ports.Peer{Name: "b"}); !errors.Is(err, ports.ErrUnavailable) {
+		t.Errorf("without: %v", err)
+	}
+}
+
+// Whatever a store does, a call says that it is away and ends in time, and works
+// when the fault is over.
+func testFault(t *testing.T, b Backing, read func(ports.Store, context.Context) error, f Fault) {
+	b.Fail(0, f)
+	if err := read(b.Store(0), brief(t)); !errors.Is(err, ports.ErrUnavailable) {
+		t.Errorf("error %v", err)
+	}
+	b.Fail(0, None)
+	if err := read(b.Store(0), soon(t)); err != nil {
+		t.Errorf("after the fault: %v", err)
+	}
+}
