Explain a failure on oleanderdale's own interface too, and bound logs by part

Cause: decisions of the core, attempts and ends of requests left no line in `oleanderd serve` and `oleander dev`, which wrote unbounded to standard error; one part's lines could push out another's; half of the metrics that operators need were missing. Change: effects carry what decided them (event.Basis); one place words them. Lines for attempts, ends, orders, lost and regained dependencies; the bounded writer on standard output; a budget of lines and bytes a part. Ruled out: lines from within the core (it has no I/O); a budget over all parts (a flood of requests hid who holds the lease). Before, after: no line of a failed request on the own interface; three walks as tests (TestLogsNameTheCause in proving/callers). Quotas lent on the own interface are still in /status only.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -164,6 +164,11 @@
 	AttemptCrashed                        // broken, and the server does not answer any more
 )
 
+// String names a result for logs.
+func (r AttemptResult) String() string {
+	return [...]string{"whole", "not-sent", "refused", "broken", "cancelled", "crashed"}[r]
+}
+
 // OrderResult says what is known of an order.
 type OrderResult int
 
@@ -175,6 +180,11 @@
 	OrderUnknown                       // may or may not be carried out, now or later
 )
 
+// String names a result for logs and metrics.
+func (r OrderResult) String() string {
+	return [...]string{"accepted", "refused", "old-fencing", "unknown"}[r]
+}
+
 // OrderKind says what an order asks for.
 type OrderKind string
 
@@ -219,6 +229,28 @@
 	ReasonIsolated   Reason = "isolated" // cut off for longer than the account allows
 )
 
+// Stage is how far a request came.
+type Stage string
+
+// The stages.
+const (
+	StageAdmission Stage = "admission" // not admitted yet
+	StageRate      Stage = "rate"      // waits for tokens
+	StageTurn      Stage = "turn"      // waits for a turn at a backend server
+	StageOnce      Stage = "once"      // its record is being written to the table
+	StageServer    Stage = "server"    // sent to a backend server
+)
+
+// Basis is what a decision on a request rested on, for explaining it later.
+type Basis struct {
+	Stage     Stage
+	Account   id.Account       // "" before the key was checked
+	Waited    time.Duration    // since the request arrived
+	Tries     int              // times that it was sent before
+	Config    id.ConfigVersion // in force; 0: none
+	ConfigAge time.Duration    // since it was last known to be the newest
+}
+
 // Refusal is the final answer to a call that is not served.
 type Refusal struct {
 	Reason     Reason
@@ -276,6 +308,7 @@
 		Once bool
 		// Deadline ends the attempt.
 		Deadline clock.Time
+		Basis    Basis
 	}
 	// Answer gives the caller a whole answer that the core holds.
 	Answer struct {
@@ -284,11 +317,13 @@
 		Type    string
 		Body    []byte
 		Replay  bool // the answer of an earlier call with the same key
+		Basis   Basis
 	}
 	// Refuse gives the caller a final refusal; the request is over.
 	Refuse struct {
 		Request id.Request
 		Refusal Refusal
+		Basis   Basis
 	}
 	// Cancel ends a running attempt: the engine's work is cancelled, and the
 	// caller gets Refusal as an explicit error if its answer is not whole.
@@ -296,6 +331,7 @@
 		Request id.Request
 		Attempt id.Attempt
 		Refusal Refusal
+		Basis   Basis
 	}
 	// AskOutcome asks a plain service what came of a non-idempotent call.
 	AskOutcome struct {
--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -76,6 +76,16 @@
 	return true
 }
 
+// Left returns how many repeats an instance has left in the group that has the
+// fewest. Without a request it is what the allowance gives.
+func (b *Budget) Left(now clock.Time, instances int) float64 {
+	left := b.allowed(now, "", instances)
+	for group := range b.groups {
+		left = min(left, b.allowed(now, group, instances)-float64(b.sum(now, group).repeats))
+	}
+	return max(0, left)
+}
+
 func (b *Budget) allowed(now clock.Time, group string, instances int) float64 {
 	requests := float64(b.sum(now, group).requests)
 	return margin * (requests*b.settings.Ratio + b.settings.Allowance/float64(max(1, instances)))
--- a/core/instance/admit.go
+++ b/core/instance/admit.go
@@ -14,12 +14,12 @@
 // arrive admits or refuses a call.
 func (i *Instance) arrive(now clock.Time, c event.Call) {
 	if i.cfg == nil || i.stop.closed {
-		i.refuseCall(c.Request, event.Refusal{Reason: event.ReasonStopping, Ran: event.NotRun, RetryAfter: backLater, Detail: "this instance takes no calls; another one will"})
+		i.refuseCall(c.Request, event.Refusal{Reason: event.ReasonStopping, Ran: event.NotRun, RetryAfter: backLater, Detail: "this instance takes no calls; another one will"}, i.basis(now, nil))
 		return
 	}
 	f, refusal := i.admit(now, c)
 	if refusal != nil {
-		i.refuseCall(c.Request, *refusal)
+		i.refuseCall(c.Request, *refusal, i.basis(now, nil))
 		return
 	}
 	i.flights[c.Request] = f
@@ -32,7 +32,7 @@
 	if !ok {
 		return nil, notRun(event.ReasonKey, 0, "")
 	}
-	f := &flight{call: c, account: key.Account}
+	f := &flight{call: c, arrived: now, account: key.Account}
 	account := i.cfg.Accounts[key.Account]
 	if r := i.admitTarget(f); r != nil {
 		return nil, r
--- a/core/instance/flight.go
+++ b/core/instance/flight.go
@@ -33,6 +33,7 @@
 // flight is one accepted request that has no final answer yet.
 type flight struct {
 	call     event.Call
+	arrived  clock.Time
 	account  id.Account
 	class    config.Class
 	once     bool
@@ -73,11 +74,28 @@
 	event.ReasonRunning: true, event.ReasonStopping: true, event.ReasonIsolated: true, event.ReasonBroken: true,
 }
 
-func (i *Instance) refuseCall(r id.Request, refusal event.Refusal) {
+// stages names the stages for those who explain a decision.
+var stages = map[stage]event.Stage{
+	atRate: event.StageRate, atTurn: event.StageTurn, atOnce: event.StageOnce, atServer: event.StageServer,
+}
+
+// basis says what a decision on a request rests on at now.
+func (i *Instance) basis(now clock.Time, f *flight) event.Basis {
+	b := event.Basis{Stage: event.StageAdmission, ConfigAge: i.follower.HeardAge(now)}
+	if i.cfg != nil {
+		b.Config = i.cfg.Version
+	}
+	if f != nil {
+		b.Stage, b.Account, b.Waited, b.Tries = stages[f.stage], f.account, now.Sub(f.arrived), f.tries
+	}
+	return b
+}
+
+func (i *Instance) refuseCall(r id.Request, refusal event.Refusal, b event.Basis) {
 	if refusal.RetryAfter == 0 && passing[refusal.Reason] {
 		refusal.RetryAfter = backLater
 	}
-	i.effects = append(i.effects, event.Refuse{Request: r, Refusal: refusal})
+	i.effects = append(i.effects, event.Refuse{Request: r, Refusal: refusal, Basis: b})
 }
 
 func (i *Instance) sortedFlights() []*flight {
@@ -91,7 +109,7 @@
 	if !i.check.Hold(r.Ran != event.NotRun || !f.ran, "not-run-true", "%s may have run, refused with %s", f.call.Request, r.Reason) {
 		r.Ran = event.RanUnknown
 	}
-	i.refuseCall(f.call.Request, r)
+	i.refuseCall(f.call.Request, r, i.basis(now, f))
 	i.finish(now, f, !f.ran)
 }
 
--- a/core/instance/flight_test.go
+++ b/core/instance/flight_test.go
@@ -75,7 +75,7 @@
 	}
 	for _, test := range tests {
 		i, _ := reporting()
-		i.refuseCall("r", event.Refusal{Reason: test.reason, Ran: event.NotRun})
+		i.refuseCall("r", event.Refusal{Reason: test.reason, Ran: event.NotRun}, event.Basis{})
 		if got := i.effects[0].(event.Refuse).Refusal.RetryAfter > 0; got != test.back {
 			t.Errorf("%s: told when to come back %t, want %t", test.reason, got, test.back)
 		}
--- a/core/instance/order.go
+++ b/core/instance/order.go
@@ -21,7 +21,7 @@
 		i.sendOnce(now, f)
 	case once.Answer:
 		i.effects = append(i.effects, event.Answer{
-			Request: f.call.Request, Status: d.Row.Status, Type: d.Row.Type, Body: d.Row.Body, Replay: d.Replay,
+			Request: f.call.Request, Status: d.Row.Status, Type: d.Row.Type, Body: d.Row.Body, Replay: d.Replay, Basis: i.basis(now, f),
 		})
 		i.finish(now, f, d.Replay)
 	case once.Refuse:
--- a/core/instance/send.go
+++ b/core/instance/send.go
@@ -78,11 +78,12 @@
 	if i.askAlone(now, f) {
 		return
 	}
+	b := i.basis(now, f)
 	f.stage, f.sentAt = atServer, now
 	f.tries++
 	i.effects = append(i.effects, event.Dispatch{
 		Request: f.call.Request, Attempt: f.attempt, Backend: f.backend, Address: f.address,
-		Account: f.account, Once: f.once, Deadline: f.call.Deadline,
+		Account: f.account, Once: f.once, Deadline: f.call.Deadline, Basis: b,
 	})
 }
 
@@ -149,7 +150,7 @@
 		case !f.once:
 			f.ran = true
 			i.effects = append(i.effects, event.Cancel{
-				Request: f.call.Request, Attempt: f.attempt, Refusal: f.refusal(r.Reason, 0, r.Detail),
+				Request: f.call.Request, Attempt: f.attempt, Refusal: f.refusal(r.Reason, 0, r.Detail), Basis: i.basis(now, f),
 			})
 		}
 	}
--- a/core/instance/stop.go
+++ b/core/instance/stop.go
@@ -136,6 +136,7 @@
 			i.effects = append(i.effects, event.Cancel{
 				Request: f.call.Request, Attempt: f.attempt,
 				Refusal: f.refusal(event.ReasonStopping, backLater, "the instance stopped while the call was running"),
+				Basis:   i.basis(now, f),
 			})
 			i.finish(now, f, false)
 			continue
--- a/oleander/cmd/oleanderd/main.go
+++ b/oleander/cmd/oleanderd/main.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderdale.org/oleander/process/daemon"
+	"oleanderdale.org/oleander/process/logs"
 	"oleanderdale.org/platform"
 )
 
@@ -46,7 +47,10 @@
 	if s.Debug {
 		level = zerolog.DebugLevel
 	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = logs.TimeFormat
+	out := logs.New(os.Stdout)
+	defer out.Close()
+	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	i, err := daemon.New(s, log)
 	if err != nil {
 		return err
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -65,10 +65,10 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	m := g.beat(now)
-	var to []string
+	var to []recipient
 	for _, o := range g.members.All(now) {
 		if !onlyHolder || o.Name == g.holder.name {
-			to = append(to, o.Address)
+			to = append(to, g.recipient(o))
 		}
 	}
 	// The message holds maps that go on changing.
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -31,7 +31,11 @@
 func (x *exchange) choose() (target, *refusal) {
 	g := x.g
 	began := boottime.Now()
-	defer func() { x.queued += boottime.Now().Sub(began) }()
+	defer func() {
+		waited := boottime.Now().Sub(began)
+		x.queued += waited
+		g.metrics.queueWait.Update(waited.Seconds())
+	}()
 	var key placer.Key
 	waiting := false
 	defer func() {
@@ -46,6 +50,7 @@
 		}
 		if !full && !waiting {
 			key, waiting = x.waitKey(), true
+			g.metrics.coldStarts.Inc()
 			g.startWaiting(key, x.arrived, x.urgency())
 		}
 		if ref := x.wait(x.patience(began), changed, full); ref != nil {
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -54,6 +54,11 @@
 	resultTimeout               // the time is up, and the request may have run
 )
 
+// String names a result for metrics.
+func (r result) String() string {
+	return [...]string{"done", "not-run", "broken", "caller-gone", "timeout"}[r]
+}
+
 // serve sends the request until it has an answer or may not be sent again.
 func (x *exchange) serve() {
 	x.g.countArrival(x.call.Model)
@@ -69,6 +74,7 @@
 			return
 		}
 		res := x.attempt(t)
+		x.g.metrics.attempt(res)
 		x.excluded[t.id] = true
 		switch res {
 		case resultDone, resultGone:
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// stored records whether a call to the store succeeded.
-func (g *Gateway) stored(what string, err error) {
-	g.metrics.storeCall(what, err == nil)
+// stored records a call to the store that began at a moment.
+func (g *Gateway) stored(what string, began clock.Time, err error) {
+	g.metrics.storeCall(what, err == nil, boottime.Now().Sub(began))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
@@ -87,8 +87,9 @@
 func (g *Gateway) followManifest() {
 	at := int64(-1)
 	for g.ctx.Err() == nil {
+		began := boottime.Now()
 		raw, next, err := g.nextManifest(at)
-		g.stored("manifest", err)
+		g.stored("manifest", began, err)
 		switch {
 		case errors.Is(err, ports.ErrHistory):
 			at = -1
@@ -102,6 +103,7 @@
 			continue
 		}
 		at = next
+		g.configHeard.Store(int64(boottime.Now()))
 		if raw != nil {
 			g.adopt(raw, "store")
 		} else if g.manifest.Load() == nil {
@@ -136,6 +138,7 @@
 	}
 	g.manifest.Store(m)
 	g.raw.Store(&raw)
+	g.configHeard.Store(int64(boottime.Now()))
 	g.quota.Configure(m.Accounts)
 	g.wake()
 	g.metrics.configVersion.Store(m.Version)
@@ -147,12 +150,13 @@
 	at := int64(-1)
 	for g.ctx.Err() == nil {
 		var err error
+		began := boottime.Now()
 		if at < 0 {
 			at, err = g.readServers()
 		} else {
 			at, err = g.watchServers(at)
 		}
-		g.stored("servers", err)
+		g.stored("servers", began, err)
 		if err != nil {
 			at = -1
 			if !errors.Is(err, ports.ErrHistory) {
@@ -320,16 +324,18 @@
 func (g *Gateway) join() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
+	began := boottime.Now()
 	err := g.store.Join(ctx, ports.Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone})
-	g.stored("join", err)
+	g.stored("join", began, err)
 	return err == nil
 }
 
 func (g *Gateway) readPeers() {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
+	began := boottime.Now()
 	peers, err := g.store.Peers(ctx)
-	g.stored("peers", err)
+	g.stored("peers", began, err)
 	if err != nil {
 		return
 	}
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -68,7 +68,7 @@
 			g.log.Error().Err(err).Msg("peers: forecast not encoded")
 			return nil
 		}
-		out = append(out, outgoing{body: body, to: []string{m.Address}})
+		out = append(out, outgoing{body: body, to: []recipient{g.recipient(m)}})
 	}
 	return out
 }
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -208,8 +208,10 @@
 	}
 	if ok, wait := g.quota.Take(now, x.account.Name, x.cost); !ok {
 		x.cost = 0
+		g.metrics.quotaDenied.Inc()
 		return &refusal{status: http.StatusTooManyRequests, reason: reasonQuota, retryAfter: max(wait, comeBack)}
 	}
+	g.metrics.quotaSpent.Add(int(x.cost))
 	return nil
 }
 
@@ -221,6 +223,7 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	x.g.quota.Refund(boottime.Now(), x.account.Name, x.cost)
+	x.g.metrics.quotaRefunded.Add(int(x.cost))
 	x.cost = 0
 }
 
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -45,6 +45,8 @@
 	// OrderQuiet is the time without orders between two holders of the lease.
 	OrderQuiet time.Duration
 	Retry      budget.Settings
+	// LinesLeftOut returns how many log lines were left out so far; nil: none.
+	LinesLeftOut func() int64
 }
 
 const (
@@ -81,10 +83,13 @@
 
 	manifest atomic.Pointer[manifest.Manifest]
 	raw      atomic.Pointer[[]byte] // the manifest in force, as stored
-	stopping atomic.Bool
-	active   atomic.Int64 // requests being served
-	kick     chan struct{}
-	fetching atomic.Bool
+	// configHeard is when the manifest in force was last known to be the
+	// newest, as a clock.Time.
+	configHeard atomic.Int64
+	stopping    atomic.Bool
+	active      atomic.Int64 // requests being served
+	kick        chan struct{}
+	fetching    atomic.Bool
 	// refuseWaiting is closed when a stop is near its end.
 	refuseWaiting chan struct{}
 	ctx           context.Context
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -79,6 +79,7 @@
 		g.quota.SetInstances(now, g.members.Count())
 	}
 	if g.lease.Lapsed(now) {
+		g.metrics.leaseLost.Inc()
 		g.log.Warn().Msg("lease: lapsed, no more orders")
 	}
 	step := g.lease.Next(now, g.rank(now))
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -41,13 +41,14 @@
 
 // callStore makes a call from this instance.
 func (g *Gateway) callStore(ctx context.Context, c leaseCall) leaseAnswer {
+	began := boottime.Now()
 	if c.Write {
 		result, version := g.store.WriteLease(ctx, c.Record, c.Expect)
-		g.stored("lease-write", unknownIs(result))
+		g.stored("lease-write", began, unknownIs(result))
 		return leaseAnswer{OK: result != leader.Unknown, Result: result, Version: version}
 	}
 	record, version, err := g.store.Lease(ctx)
-	g.stored("lease-read", err)
+	g.stored("lease-read", began, err)
 	return leaseAnswer{OK: err == nil, Record: record, Version: version}
 }
 
@@ -102,12 +103,13 @@
 		g.log.Error().Err(err).Msg("lease: call not encoded")
 		return unknown
 	}
+	began := boottime.Now()
 	a, err := postLease(ctx, address, body)
 	if err != nil {
 		g.log.Warn().Err(err).Str("through", address).Msg("lease: no answer through another instance")
 		return unknown
 	}
-	g.metrics.storeCall("lease-through", a.OK)
+	g.metrics.storeCall("lease-through", a.OK, boottime.Now().Sub(began))
 	return a
 }
 
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -18,7 +19,15 @@
 	connections   *metrics.Counter
 	budgetSpent   *metrics.Counter
 	leaseTaken    *metrics.Counter
+	leaseLost     *metrics.Counter
 	damaged       *metrics.Counter
+	quotaSpent    *metrics.Counter
+	quotaRefunded *metrics.Counter
+	quotaDenied   *metrics.Counter
+	coldStarts    *metrics.Counter
+	queueWait     *metrics.Histogram
+	bytesSame     *metrics.Counter
+	bytesOther    *metrics.Counter
 	configVersion atomic.Uint64
 }
 
@@ -29,7 +38,14 @@
 		connections: s.NewCounter("oleanderd_server_connections_opened_total"),
 		budgetSpent: s.NewCounter("oleanderd_repeats_denied_total"),
 		leaseTaken:  s.NewCounter("oleanderd_lease_taken_total"),
+		leaseLost:   s.NewCounter("oleanderd_lease_lost_total"),
 		damaged:     s.NewCounter("oleanderd_peer_messages_damaged_total"),
+		quotaSpent:  s.NewCounter("oleanderd_quota_spent_total"), quotaRefunded: s.NewCounter("oleanderd_quota_refunded_total"),
+		quotaDenied: s.NewCounter("oleanderd_quota_denied_total"),
+		coldStarts:  s.NewCounter("oleanderd_cold_starts_total"),
+		queueWait:   s.NewHistogram("oleanderd_queue_wait_seconds"),
+		bytesSame:   s.NewCounter(`oleanderd_peer_bytes_sent_total{zone="own"}`),
+		bytesOther:  s.NewCounter(`oleanderd_peer_bytes_sent_total{zone="other"}`),
 	}
 }
 
@@ -37,8 +53,21 @@
 	return i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_invariant_violations_total{name=%q}`, name))
 }
 
-func (i *instruments) storeCall(what string, ok bool) {
+func (i *instruments) storeCall(what string, ok bool, took time.Duration) {
 	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_store_calls_total{call=%q,ok="%t"}`, what, ok)).Inc()
+	i.set.GetOrCreateHistogram(fmt.Sprintf(`oleanderd_store_call_seconds{call=%q}`, what)).Update(took.Seconds())
+}
+
+func (i *instruments) attempt(r result) {
+	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_attempts_total{result=%q}`, r)).Inc()
+}
+
+func (i *instruments) peerBytes(n int, otherZone bool) {
+	if otherZone {
+		i.bytesOther.Add(n)
+		return
+	}
+	i.bytesSame.Add(n)
 }
 
 func (i *instruments) order(kind string, a placer.Answer) {
@@ -60,11 +89,20 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	holds, waits, members := g.lease.Holds(now), len(g.waits), g.members.Count()
+	left, promised := g.budget.Left(now, members), len(g.promises)
 	g.mu.Unlock()
 	metrics.WriteGaugeUint64(w, "oleanderd_config_version", i.configVersion.Load())
 	metrics.WriteGaugeUint64(w, "oleanderd_requests_active", uint64(g.active.Load()))
 	metrics.WriteGaugeUint64(w, "oleanderd_models_waited_for", uint64(waits))
 	metrics.WriteGaugeUint64(w, "oleanderd_instances_known", uint64(members))
+	metrics.WriteGaugeUint64(w, "oleanderd_models_promised", uint64(promised))
+	metrics.WriteGaugeFloat64(w, "oleanderd_repeats_left", left)
+	if heard := g.configHeard.Load(); heard != 0 {
+		metrics.WriteGaugeFloat64(w, "oleanderd_config_age_seconds", now.Sub(clock.Time(heard)).Seconds())
+	}
+	if g.set.LinesLeftOut != nil {
+		metrics.WriteCounterUint64(w, "oleanderd_log_lines_left_out_total", uint64(g.set.LinesLeftOut()))
+	}
 	lease := uint64(0)
 	if holds {
 		lease = 1
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/poison"
 )
 
@@ -118,9 +119,21 @@
 // cost more processor time than all they say.
 type peers struct {
 	conn *net.UDPConn
+	sent func(bytes int, otherZone bool)
 }
 
-func newPeers(address string) (*peers, error) {
+// recipient is an instance that a message goes to.
+type recipient struct {
+	address   string
+	otherZone bool
+}
+
+// recipient returns where to write to an instance.
+func (g *Gateway) recipient(m *members.Member) recipient {
+	return recipient{address: m.Address, otherZone: m.Zone != g.set.Zone}
+}
+
+func newPeers(address string, sent func(bytes int, otherZone bool)) (*peers, error) {
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "gateway: peer address %q", address)
@@ -129,17 +142,18 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "gateway: listen on %s", address)
 	}
-	return &peers{conn: c}, nil
+	return &peers{conn: c, sent: sent}, nil
 }
 
-// send sends a message to each address. An error is a lost datagram.
-func (p *peers) send(body []byte, to []string) {
-	for _, address := range to {
-		a, err := netip.ParseAddrPort(address)
+// send sends a message to each recipient. An error is a lost datagram.
+func (p *peers) send(body []byte, to []recipient) {
+	for _, r := range to {
+		a, err := netip.ParseAddrPort(r.address)
 		if err != nil {
 			continue // a row of an instance that can't be written to
 		}
 		_, _ = p.conn.WriteToUDPAddrPort(body, a)
+		p.sent(len(body), r.otherZone)
 	}
 }
 
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -42,7 +42,7 @@
 func (g *Gateway) Run(ctx context.Context, stop <-chan struct{}) error {
 	defer g.cancel()
 	var err error
-	if g.peers, err = newPeers(g.set.Peer); err != nil {
+	if g.peers, err = newPeers(g.set.Peer, g.metrics.peerBytes); err != nil {
 		return err
 	}
 	defer g.peers.close()
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -37,10 +37,10 @@
 	return publisher{told: make(map[string]serverMsg), pending: make(map[string]serverMsg), gone: make(map[string]clock.Time)}
 }
 
-// outgoing is one message with the addresses that it goes to.
+// outgoing is one message with those that it goes to.
 type outgoing struct {
 	body []byte
-	to   []string
+	to   []recipient
 }
 
 // publish puts what the placer knows into the own directory, and returns what
@@ -119,11 +119,11 @@
 			holds[m.Model] = true
 		}
 	}
-	var to []string
+	var to []recipient
 	for name, seen := range g.peerSeen {
 		m := g.members.Get(name)
 		if m != nil && m.Live(now) && slices.ContainsFunc(seen.wants, func(w wantMsg) bool { return holds[w.Model] }) {
-			to = append(to, m.Address)
+			to = append(to, g.recipient(m))
 		}
 	}
 	if len(to) == 0 {
@@ -151,14 +151,14 @@
 	if len(servers) == 0 {
 		return nil
 	}
-	var to []string
+	var to []recipient
 	for _, m := range g.members.All(now) {
-		to = append(to, m.Address)
+		to = append(to, g.recipient(m))
 	}
 	return g.encodeState(servers, gone, to)
 }
 
-func (g *Gateway) encodeState(servers []serverMsg, gone, to []string) []outgoing {
+func (g *Gateway) encodeState(servers []serverMsg, gone []string, to []recipient) []outgoing {
 	var out []outgoing
 	for part := range slices.Chunk(servers, serversPerState) {
 		body, err := cbor.Marshal(packet{State: &stateMsg{
--- a/oleander/process/daemon/daemon.go
+++ b/oleander/process/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"oleanderdale.org/oleander/connection/peer"
 	"oleanderdale.org/oleander/connection/upstream"
 	"oleanderdale.org/oleander/process/burn"
+	"oleanderdale.org/oleander/process/logs"
 	"oleanderdale.org/oleander/process/loop"
 	"oleanderdale.org/oleander/process/metric"
 	"oleanderdale.org/oleander/request/front"
@@ -152,7 +153,9 @@
 	}
 	x := &executor{
 		ctx: i.ctx, table: t, objects: o, engines: engine.New(engine.Settings{}), upstream: i.upstream, log: i.log,
-		limit: s.TableLimit, slots: make(chan struct{}, tableAtOnce), stopped: make(chan struct{}),
+		tableHealth: logs.NewDependency(i.log, "table"), objectHealth: logs.NewDependency(i.log, "objects"),
+		engineHealth: logs.NewDependencies(i.log, "engine"),
+		limit:        s.TableLimit, slots: make(chan struct{}, tableAtOnce), stopped: make(chan struct{}),
 	}
 	x.sizes = func(a id.Artifact) (int64, time.Duration) {
 		c := x.inForce.Load()
@@ -266,8 +269,12 @@
 func (i *Instance) readList() {
 	t := time.NewTicker(i.settings.ListEvery)
 	defer t.Stop()
+	health := logs.NewDependency(i.log, "instance list")
 	for {
 		members, err := i.list.Read(i.ctx)
+		if i.ctx.Err() == nil {
+			health.Saw(err == nil)
+		}
 		switch {
 		case err == nil:
 			for _, m := range members {
--- a/oleander/process/daemon/executor.go
+++ b/oleander/process/daemon/executor.go
@@ -16,6 +16,7 @@
 	"oleanderdale.org/oleander/connection/peer"
 	"oleanderdale.org/oleander/connection/upstream"
 	"oleanderdale.org/oleander/process/boottime"
+	"oleanderdale.org/oleander/process/logs"
 	"oleanderdale.org/oleander/process/loop"
 	"oleanderdale.org/oleander/process/metric"
 	"oleanderdale.org/oleander/request/front"
@@ -59,11 +60,15 @@
 	inForce  atomic.Pointer[config.Config]
 	stopped  chan struct{}
 	stopOnce sync.Once
-	sizes    func(id.Artifact) (bytes int64, load time.Duration)
+	// What the instance depends on; lost and regained are logged.
+	tableHealth, objectHealth *logs.Dependency
+	engineHealth              *logs.Dependencies
+	sizes                     func(id.Artifact) (bytes int64, load time.Duration)
 }
 
 // Execute implements loop.Executor.
 func (x *executor) Execute(e event.Effect) {
+	logDecision(x.log, boottime.Now(), e)
 	switch e := e.(type) {
 	case event.SendPeer:
 		x.peers.Send(e.To, e.Message)
@@ -83,10 +88,8 @@
 		go x.outcome(e)
 	case event.Ready:
 		x.front.SetReady(e.Ready)
-		x.log.Info().Bool("ready", e.Ready).Msg("daemon: readiness changed")
 	case event.InForce:
 		x.inForce.Store(e.Config)
-		x.log.Info().Uint64("version", uint64(e.Config.Version)).Msg("daemon: configuration in force")
 	case event.Stopped:
 		x.stopOnce.Do(func() { close(x.stopped) })
 	default:
@@ -127,8 +130,11 @@
 		defer func() { <-x.slots }()
 		ctx, cancel := context.WithTimeout(x.ctx, x.limit)
 		defer cancel()
+		began := time.Now()
 		rows, outcome := f(ctx)
 		metric.TableOperation(kind, outcome.String()).Inc()
+		metric.TableTime(kind, time.Since(began))
+		x.tableHealth.Saw(outcome != table.Unknown)
 		x.loop.Post(event.TableResult{Op: op, Outcome: outcome, Rows: rows})
 	}()
 }
@@ -137,8 +143,9 @@
 	ctx, cancel := context.WithTimeout(x.ctx, objectLimit)
 	defer cancel()
 	body, err := x.objects.Get(ctx, d)
+	x.objectHealth.Saw(err == nil)
 	if err != nil {
-		x.log.Warn().Err(err).Msg("daemon: object not read")
+		x.log.Warn().Err(err).Str("object", string(d)).Msg("config: object not read")
 	}
 	x.loop.Post(event.ObjectResult{Digest: d, OK: err == nil, Body: body})
 }
@@ -151,6 +158,7 @@
 	// last check, and the new owner waits out what is under way already.
 	if boottime.Now() > e.NotAfter {
 		metric.Orders(string(e.Kind), "late").Inc()
+		logOrder(x.log, e, "not-sent-too-late")
 		x.loop.Post(event.OrderAnswered{Backend: e.Backend, Order: e.Order, Result: event.OrderUnknown})
 		return
 	}
@@ -160,27 +168,24 @@
 	result := x.engines.Order(ctx, e.Address, engine.OrderRequest{
 		Order: e.Order, Kind: e.Kind, Artifact: e.Artifact, Bytes: size, LoadTime: load, Fencing: e.Fencing,
 	})
-	metric.Orders(string(e.Kind), orderResults[result]).Inc()
+	metric.Orders(string(e.Kind), result.String()).Inc()
+	logOrder(x.log, e, result.String())
 	x.loop.Post(event.OrderAnswered{Backend: e.Backend, Order: e.Order, Result: result})
 }
 
-var orderResults = map[event.OrderResult]string{
-	event.OrderAccepted: "accepted", event.OrderRefused: "refused",
-	event.OrderOldFencing: "old-fencing", event.OrderUnknown: "unknown",
-}
-
 func (x *executor) report(e event.AskReport) {
 	asked := boottime.Now()
 	ctx, cancel := context.WithTimeout(x.ctx, engineLimit)
 	defer cancel()
 	r, err := x.engines.Report(ctx, e.Address)
+	x.engineHealth.Saw(string(e.Backend), err == nil)
 	x.loop.Post(event.BackendReport{Backend: e.Backend, Asked: asked, OK: err == nil, Report: r})
 }
 
 func (x *executor) decode(e event.DecodeConfig) {
 	done := configcodec.Decode(e)
 	if done.Err != "" {
-		x.log.Error().Str("reason", done.Err).Msg("daemon: configuration not decoded")
+		x.log.Error().Uint64("version", uint64(e.Version)).Str("reason", done.Err).Msg("config: version not usable, the last one stays")
 	}
 	x.loop.Post(done)
 }
@@ -194,7 +199,7 @@
 	defer cancel()
 	status, kind, body, err := x.upstream.Outcome(ctx, e.Address, e.Path, string(e.Account))
 	if err != nil {
-		x.log.Warn().Err(err).Str("request", string(e.Request)).Msg("daemon: outcome not known")
+		x.log.Warn().Err(err).Str("request", string(e.Request)).Msg("core: outcome of an order not known")
 	}
 	x.loop.Post(event.OutcomeTold{Request: e.Request, Known: err == nil, Status: status, Type: kind, Body: body})
 }
--- a/oleander/process/dev/dev.go
+++ b/oleander/process/dev/dev.go
@@ -26,6 +26,7 @@
 	"oleanderdale.org/oleander/clients/tablesvc"
 	"oleanderdale.org/oleander/process/certs"
 	"oleanderdale.org/oleander/process/daemon"
+	"oleanderdale.org/oleander/process/logs"
 	"oleanderdale.org/oleander/standin/deployment"
 	"oleanderdale.org/oleander/standin/engine"
 	"oleanderdale.org/oleander/version/apikey"
@@ -87,6 +88,7 @@
 
 	settings Settings
 	dir      string // of the certificates
+	logs     []*logs.Writer
 	running  sync.WaitGroup
 	failed   chan error
 }
@@ -234,7 +236,9 @@
 	case d.settings.Log != nil:
 		return zerolog.New(zerolog.SyncWriter(d.settings.Log)).With().Timestamp().Logger()
 	case d.settings.Verbose:
-		return zerolog.New(os.Stderr).With().Timestamp().Logger()
+		w := logs.New(os.Stderr) // each instance has a budget, as each process would
+		d.logs = append(d.logs, w)
+		return zerolog.New(w).With().Timestamp().Logger()
 	}
 	return zerolog.Nop()
 }
@@ -306,6 +310,9 @@
 	if d.dir != "" {
 		_ = os.RemoveAll(d.dir)
 	}
+	for _, w := range d.logs {
+		w.Close()
+	}
 }
 
 func (d *Deployment) printUse(w io.Writer) {
--- a/oleander/process/logs/logs.go
+++ b/oleander/process/logs/logs.go
@@ -1,14 +1,17 @@
 // Package logs writes structured lines without ever holding up whoever writes
-// them: lines wait in a bounded queue, and each level has a budget of lines a
-// second. What goes beyond is counted, and a line a second tells how many of
-// which message were left out. Refusals and failures are logged at a level of
-// their own, so a flood of successes can't push them out.
+// them: lines wait in a bounded queue, and each part of the program has a budget
+// of lines and bytes a second. What goes beyond is counted, and a line a second
+// tells how many of which message were left out. Refusals and failures are
+// logged at a level of their own, so a flood of successes can't push them out;
+// nor can the lines of one part push out those of another, such as who holds the
+// lease.
 package logs
 
 import (
 	"bytes"
 	"encoding/json"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,11 +22,15 @@
 	// queueLength bounds the lines that wait for a slow reader: about a second
 	// of both budgets, 100 KB.
 	queueLength = 400
-	// infoLines and warnLines are what a process writes in a second. A line
-	// costs about 5 microseconds of a core, so both together stay below a
-	// quarter of a percent of one.
+	// infoLines and warnLines are what a part writes in a second. A line costs
+	// 2 microseconds of a core, so a part stays below 0.1% of one.
 	infoLines = 200
 	warnLines = 200
+	// partBytes is the same in bytes: lines of 300 to 400 bytes use up both
+	// budgets alike, longer ones are fewer.
+	partBytes = 128 << 10
+	// maxParts bounds the parts that have a budget of their own.
+	maxParts = 32
 	// errorLines are for faults of the program itself.
 	errorLines = 50
 	window     = time.Second
@@ -41,16 +48,22 @@
 
 	mu      sync.Mutex
 	since   time.Time
-	used    map[zerolog.Level]int
-	omitted map[string]int // by message
+	used    map[string]*usage // by part
+	omitted map[string]int    // by message
 	total   int64
 }
 
+// usage is what a part wrote in the current second.
+type usage struct {
+	lines map[zerolog.Level]int
+	bytes int
+}
+
 // New returns a Writer to out; Close writes what waits.
 func New(out io.Writer) *Writer {
 	w := &Writer{
 		out: out, queue: make(chan []byte, queueLength), done: make(chan struct{}), now: time.Now,
-		used: make(map[zerolog.Level]int), omitted: make(map[string]int),
+		used: make(map[string]*usage), omitted: make(map[string]int),
 	}
 	go w.drain()
 	return w
@@ -89,11 +102,13 @@
 		w.since = now
 		clear(w.used)
 	}
-	if w.used[l] >= budget(l) {
+	u := w.usageOf(part(p))
+	if u.lines[l] >= budget(l) || u.bytes+len(p) > partBytes {
 		w.omit(p)
 		return len(p), nil
 	}
-	w.used[l]++
+	u.lines[l]++
+	u.bytes += len(p)
 	select {
 	case w.queue <- bytes.Clone(p):
 	default:
@@ -102,6 +117,31 @@
 	return len(p), nil
 }
 
+func (w *Writer) usageOf(part string) *usage {
+	if u := w.used[part]; u != nil {
+		return u
+	}
+	if len(w.used) >= maxParts {
+		part = ""
+	}
+	u := w.used[part]
+	if u == nil {
+		u = &usage{lines: make(map[zerolog.Level]int)}
+		w.used[part] = u
+	}
+	return u
+}
+
+// part returns the part of the program that wrote a line: what stands before
+// the colon in its message.
+func part(line []byte) string {
+	name, _, found := strings.Cut(message(line), ":")
+	if !found {
+		return ""
+	}
+	return name
+}
+
 func budget(l zerolog.Level) int {
 	switch {
 	case l >= zerolog.ErrorLevel:
--- a/oleander/process/logs/logs_test.go
+++ b/oleander/process/logs/logs_test.go
@@ -79,3 +79,53 @@
 	_ = r.Close()
 	w.Close()
 }
+
+// A part of the program floods the log with long lines. It is cut to its bytes;
+// another part's lines are kept.
+func TestPartsHaveBudgetsOfTheirOwn(t *testing.T) {
+	var out safeBuffer
+	w := New(&out)
+	start := time.Now()
+	w.now = func() time.Time { return start }
+	log := zerolog.New(w)
+	const long = 8 << 10
+	for range infoLines {
+		log.Info().Str("detail", strings.Repeat("x", long)).Msg("front: request ended")
+		time.Sleep(time.Microsecond)
+	}
+	for range infoLines {
+		log.Info().Msg("front: attempt ended")
+	}
+	log.Info().Msg("lease: taken")
+	w.Close()
+	text := out.String()
+	if n := strings.Count(text, strings.Repeat("x", long)); n == 0 || n > partBytes/long {
+		t.Errorf("%d long lines", n)
+	}
+	if !strings.Contains(text, "lease: taken") {
+		t.Error("another part's line was left out")
+	}
+}
+
+// A dependency is away for a hundred calls: one line says that it is lost, one
+// that it is back.
+func TestDependency(t *testing.T) {
+	var out safeBuffer
+	log := zerolog.New(&out)
+	d, all := NewDependency(log, "table"), NewDependencies(log, "engine")
+	for _, ok := range []bool{true, false, true} {
+		for range 100 {
+			d.Saw(ok)
+			all.Saw("e1", ok)
+			all.Saw("e2", true)
+		}
+	}
+	want := `{"level":"warn","dependency":"table","message":"store: lost"}
+{"level":"warn","dependency":"engine","server":"e1","message":"servers: lost"}
+{"level":"info","dependency":"table","message":"store: reached again"}
+{"level":"info","dependency":"engine","server":"e1","message":"servers: reached again"}
+`
+	if out.String() != want {
+		t.Errorf("got\n%s", out.String())
+	}
+}
--- a/oleander/process/metric/metric.go
+++ b/oleander/process/metric/metric.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -37,6 +38,28 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_table_operations_total{kind=%q,outcome=%q}`, kind, outcome))
 }
 
+// TableTime records how long an operation on the table service took.
+func TableTime(kind string, took time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`oleanderd_table_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+// Request counts a caller's request by outcome and reason, and records how long
+// it took.
+func Request(outcome, reason string, took time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_requests_total{outcome=%q,reason=%q}`, outcome, reason)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`oleanderd_request_seconds{outcome=%q}`, outcome)).Update(took.Seconds())
+}
+
+// Attempt counts an attempt at a backend server by its result.
+func Attempt(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_attempts_total{result=%q}`, result)).Inc()
+}
+
+// Waited records how long a request waited before it was sent.
+func Waited(d time.Duration) { queueWait.Update(d.Seconds()) }
+
+var queueWait = metrics.NewHistogram(`oleanderd_queue_wait_seconds`)
+
 // Refused counts refusals by reason.
 func Refused(reason string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_refused_total{reason=%q}`, reason))
--- a/oleander/request/front/exchange.go
+++ b/oleander/request/front/exchange.go
@@ -6,6 +6,8 @@
 	"os"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
@@ -34,6 +36,7 @@
 	begun    bool          // a part of the answer reached the caller
 	stream   bool          // the answer is a stream of events
 	seen     bool          // observed
+	logged   bool          // its end
 	took     time.Duration // until the first part of the answer
 }
 
@@ -56,6 +59,7 @@
 			}
 		case <-r.Context().Done():
 			x.front.poster.Post(event.CallerGone{Request: x.call.Request})
+			x.ended(outcomeGone, "")
 			return
 		case <-limit.C:
 			metric.FrontOverdue.Inc()
@@ -93,16 +97,19 @@
 	defer stop()
 	w2 := x.watch(ctx, stop)
 	ended := a.attempt(ctx, d)
+	x.logAttempt(d, ended)
 	cancelled := w2.end()
 	x.front.poster.Post(ended)
 	switch {
 	case ended.Result == event.AttemptWhole && !d.Once:
 		x.observe(true, "")
+		x.ended(outcomeAnswered, "")
 		return true
 	case cancelled != nil:
 		x.refuse(w, cancelled.Refusal)
 		return true
 	case r.Context().Err() != nil && !d.Once:
+		x.ended(outcomeGone, "")
 		return true
 	case ended.Result == event.AttemptCancelled && !d.Once:
 		x.refuse(w, event.Refusal{Reason: event.ReasonDeadline, Ran: event.RanUnknown, RetryAfter: time.Second, Detail: "the deadline passed while the call was running"})
@@ -153,6 +160,7 @@
 
 func (x *exchange) refuse(w http.ResponseWriter, r event.Refusal) {
 	x.observe(callersFault[r.Reason], r.Reason)
+	x.ended(outcomeRefused, r.Reason)
 	p := fromRefusal(r, string(x.call.Request))
 	if !x.begun {
 		writeProblem(w, p)
@@ -175,10 +183,59 @@
 		w.Header().Set(headerReplay, "true")
 	}
 	x.observe(true, "")
+	x.ended(outcomeAnswered, "")
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
 
+// outcome says how a call ended, for logs and metrics.
+type outcome string
+
+// The outcomes.
+const (
+	outcomeAnswered outcome = "answered"
+	outcomeRefused  outcome = "refused" // or broken off, if a part was sent
+	outcomeGone     outcome = "caller-gone"
+)
+
+// ended logs and counts the end of the call, once.
+func (x *exchange) ended(o outcome, reason event.Reason) {
+	if x.logged {
+		return
+	}
+	x.logged = true
+	took := time.Since(x.start)
+	metric.Request(string(o), string(reason), took)
+	level := zerolog.InfoLevel
+	if o == outcomeRefused {
+		level = zerolog.WarnLevel // kept before successes when lines are left out
+	}
+	e := x.front.log.WithLevel(level).Str("request", string(x.call.Request)).Str("outcome", string(o))
+	if reason != "" {
+		e = e.Str("reason", string(reason)).Bool("begun", x.begun)
+	}
+	if account, ok := accountOf(x.front.config(), x.call.KeyDigest); ok {
+		e = e.Str("account", string(account))
+	}
+	if x.call.Service != "" {
+		e = e.Str("service", string(x.call.Service))
+	} else {
+		e = e.Str("model", string(x.call.Artifact))
+	}
+	e.Int64("first_ms", x.took.Milliseconds()).Int64("total_ms", took.Milliseconds()).Msg("front: request ended")
+}
+
+// logAttempt logs and counts the end of an attempt.
+func (x *exchange) logAttempt(d event.Dispatch, e event.AttemptEnded) {
+	metric.Attempt(e.Result.String())
+	level := zerolog.InfoLevel
+	if e.Result != event.AttemptWhole {
+		level = zerolog.WarnLevel
+	}
+	x.front.log.WithLevel(level).Str("request", string(d.Request)).Str("attempt", string(d.Attempt)).Str("server", string(d.Backend)).
+		Stringer("result", e.Result).Bool("answered", e.Answered).Bool("leaving", e.Leaving).Int("tokens", e.Generated).Msg("front: attempt ended")
+}
+
 // observe counts the call once for the report on service-level burn.
 func (x *exchange) observe(good bool, reason event.Reason) {
 	c := x.front.config()
--- a/proving/callers/callers_test.go
+++ b/proving/callers/callers_test.go
@@ -19,6 +19,8 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"oleanderdale.org/oleander/process/dev"
+	"oleanderdale.org/oleander/process/explain"
+	"oleanderdale.org/oleander/standin/engine"
 	"oleanderdale.org/oleander/version/apikey"
 )
 
@@ -360,7 +362,7 @@
 
 // logLine is how each line of a log begins its message: with the part that
 // speaks.
-var logLine = regexp.MustCompile(`"message":"(daemon|front|peer|loop): `)
+var logLine = regexp.MustCompile(`"message":"(daemon|front|peer|loop|core|config|placement|store|servers): `)
 
 // TestLogsHoldNoSecrets: calls that are answered, refused and broken in every
 // way leave lines in the logs. None of them holds a key, a digest of one, or the
@@ -391,3 +393,72 @@
 		}
 	}
 }
+
+// story returns what the logs of all instances say of the request of an answer.
+func story(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	id := resp.Header.Get("Request-Id")
+	var b strings.Builder
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s := explain.New(id)
+		if err := s.Read(strings.NewReader(logged.String())); err != nil {
+			t.Fatal(err)
+		}
+		b.Reset()
+		if err := s.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(b.String(), "request ended") {
+			break
+		}
+	}
+	return b.String()
+}
+
+// TestLogsNameTheCause: three kinds of failed request, as docs/OPERATIONS.md
+// walks through them for oleanderdale's own interface. The lines of the
+// request's id name the cause.
+func TestLogsNameTheCause(t *testing.T) {
+	const good = `{"model":"fault-summary","max_tokens":20,"stream":true,"messages":[{"role":"user","content":"x"}]}`
+	engines := func(f engine.Faults) {
+		for _, z := range deployment.Backends {
+			for _, e := range z.Engines {
+				e.SetFaults(f)
+			}
+		}
+	}
+	defer engines(engine.Faults{})
+	tests := []struct {
+		name   string
+		faults engine.Faults
+		header map[string]string
+		want   []string
+	}{
+		{
+			"refused though there were engines", engine.Faults{RefuseCalls: 1000}, map[string]string{"Request-Timeout": "2"},
+			[]string{"core: request sent on", "front: attempt ended", "result=refused", "core: request refused", "run=not-run", "tries=", "waited_ms=",
+				"config_age_ms=", "config: version in force"},
+		},
+		{
+			"late", engine.Faults{Slow: 3 * time.Second}, map[string]string{"Request-Timeout": "0.4"},
+			[]string{"core: request sent on", "left_ms=", "server=", "result=cancelled", "front: request ended", "reason=deadline", "begun=false"},
+		},
+		{
+			"broken off midway", engine.Faults{BreakStreams: 1000, BreakAfter: 3}, map[string]string{"Request-Timeout": "2"},
+			[]string{"front: attempt ended", "result=broken", "answered=true", "begun=true", "front: request ended", "outcome=refused"},
+		},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			engines(tc.faults)
+			text := story(t, send(t, 0, badCall{method: "POST", path: "/v1/chat/completions", body: good, headers: tc.header}))
+			for _, want := range tc.want {
+				if !strings.Contains(text, want) {
+					t.Errorf("%q is missing in\n%s", want, text)
+				}
+			}
+		})
+	}
+}
