Fewer calls to the store and smaller messages; watches made anew

Cause: on the grown sites calls to the store and bytes between zones are the largest prices, and grow with the instances and their square. And a call that waited for a new configuration when the store went silent was held for eleven seconds after its return, by all instances alike. Change: demand and requests by model go to the holder of the lease only, totals to the others; to all while no holder is heard. Longer pauses between readings that only repeat what messages tell. When the store is known to be back, calls that wait are made anew. Ruled out: one instance in a zone that watches for all (its loss is found out late); rarer messages (quotas overdraw by what is admitted between two). TestConfigAfterASilentStore fails without the last part.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -286,6 +286,18 @@
 	}
 }
 
+// OwnTotals returns how many requests this instance has on each server, without
+// the models that they use: the form that HeardRunning takes, under no model.
+func (d *Directory) OwnTotals() map[string]map[string]int {
+	own := make(map[string]map[string]int)
+	for id, s := range d.servers {
+		if len(s.own) > 0 {
+			own[id] = map[string]int{"": sum(s.own)}
+		}
+	}
+	return own
+}
+
 // OwnRunning returns how many requests this instance has on each server.
 func (d *Directory) OwnRunning() map[string]map[string]int {
 	own := make(map[string]map[string]int)
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -23,12 +23,13 @@
 	brokenFor = 5 * time.Second
 )
 
-// beat builds this instance's message. The caller holds mu.
-func (g *Gateway) beat(now clock.Time) packet {
+// beat builds this instance's message without what only a holder of the lease
+// uses. The caller holds mu.
+func (g *Gateway) beat(now clock.Time) *beatMsg {
 	b := &beatMsg{
 		Name: g.set.Name, Incarnation: g.incarnation, Address: g.set.Peer, Zone: g.set.Zone,
-		Leaving: g.stopping.Load(), Strength: g.set.Strength, Spent: g.quota.Spent(), Arrived: g.arrivedOfLate(now),
-		Running: g.dir.OwnRunning(), Broken: g.poison.Own(now, brokenFor),
+		Leaving: g.stopping.Load(), Strength: g.set.Strength, Spent: g.quota.Spent(),
+		Running: g.dir.OwnTotals(), Broken: g.poison.Own(now, brokenFor),
 		StoreDown: g.storeAway(now),
 	}
 	if m := g.manifest.Load(); m != nil {
@@ -43,13 +44,18 @@
 	if e, ok := g.lease.Echo(); ok {
 		b.Echo = &echoMsg{Fencing: e.Fencing, Sequence: e.Sequence}
 	}
+	return b
+}
+
+// demand adds what the one that places models has to know. The caller holds mu.
+func (g *Gateway) demand(now clock.Time, b *beatMsg) {
+	b.Arrived, b.Running = g.arrivedOfLate(now), g.dir.OwnRunning()
 	for k, w := range g.wanted(now) {
 		b.Wants = append(b.Wants, wantMsg{
 			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.Requests,
 			WaitedMS: now.Sub(w.Since).Milliseconds(), Priority: w.Priority,
 		})
 	}
-	return packet{Beat: b}
 }
 
 // arrivedFor is how long after an arrival its counter is told: ten messages.
@@ -66,25 +72,43 @@
 	return late
 }
 
-// sendBeat tells all others, or only the holder of the lease.
+// sendBeat tells all others, or only the holder of the lease. The holder is told
+// of demand too, which is more than half of a message; so is everybody while no
+// holder is heard, for one of them is the next.
 func (g *Gateway) sendBeat(onlyHolder bool) {
 	g.mu.Lock()
 	now := boottime.Now()
-	m := g.beat(now)
-	var to []recipient
+	var holder, others []recipient
+	noHolder := !g.lease.Holds(now) && now.Sub(g.holder.heard) > leaseSilence
 	for _, o := range g.members.All(now) {
-		if !onlyHolder || o.Name == g.holder.name {
-			to = append(to, g.recipient(o))
+		switch {
+		case noHolder || o.Name == g.holder.name:
+			holder = append(holder, g.recipient(o))
+		case !onlyHolder:
+			others = append(others, g.recipient(o))
 		}
 	}
-	// The message holds maps that go on changing.
-	body, err := cbor.Marshal(m)
+	b := g.beat(now)
+	short := g.encodeBeat(b, others)
+	g.demand(now, b)
+	full := g.encodeBeat(b, holder)
 	g.mu.Unlock()
+	g.peers.send(short, others)
+	g.peers.send(full, holder)
+}
+
+// encodeBeat encodes a message, if it goes to anybody. The caller holds mu: the
+// message has maps that go on changing.
+func (g *Gateway) encodeBeat(b *beatMsg, to []recipient) []byte {
+	if len(to) == 0 {
+		return nil
+	}
+	body, err := cbor.Marshal(packet{Beat: b})
 	if err != nil {
 		g.log.Error().Err(err).Msg("peers: message not encoded")
-		return
+		return nil
 	}
-	g.peers.send(body, to)
+	return body
 }
 
 // takePacket takes a message of another instance.
@@ -137,6 +161,9 @@
 		g.log.Info().Str("holder", b.Name).Int64("fencing", c.Fencing).Msg("lease: another instance gives orders")
 		g.holder = holder{name: b.Name, fencing: c.Fencing}
 	}
+	if g.holder.storeDown && !b.StoreDown {
+		g.watches.storeReturned()
+	}
 	g.holder.heard, g.holder.storeDown = now, b.StoreDown
 	claim := leader.Claim{
 		Fencing: c.Fencing, Sequence: c.Sequence, Version: c.Version,
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,8 +20,9 @@
 	// backend servers. A connection that went silent is found out a second later.
 	watchWait = 4 * time.Second
 	// manifestWait is the same for the configuration. Other instances tell of a
-	// newer version, so a silent connection may be found out later.
-	manifestWait = 10 * time.Second
+	// newer version, so a silent connection may be found out later. With ninety
+	// instances each second less is a call to the store in seven seconds.
+	manifestWait = 25 * time.Second
 	// changesPause is the time between two calls for changes of the backend
 	// servers. Engines that swap models change all the time, and each change
 	// would cost a call; a leaving server must be known within two seconds.
@@ -28,15 +30,16 @@
 	// serversPause is the time between two readings of all backend servers at
 	// an instance that the holder of the lease tells of them; it is told of a
 	// change within flushEvery, and again every repeatEvery if that was lost.
-	serversPause = 15 * time.Second
+	serversPause = 40 * time.Second
 	// toldWithin is how long the holder may be silent before an instance reads
 	// the store itself.
 	toldWithin = 1100 * time.Millisecond
 	// retryPause is the time before a call to the store is made again.
 	retryPause = 250 * time.Millisecond
-	// peersEvery is the time between two readings of the instances' rows;
+	// peersEvery is the time between two readings of the instances' rows; new
+	// ones say so themselves, and a zone that was cut off is forgotten after 45 s.
 	// peersEarly is the same shortly after the start, when all join at once.
-	peersEvery = 15 * time.Second
+	peersEvery = 30 * time.Second
 	peersEarly = time.Second
 	earlyFor   = 4 * time.Second
 	// lapseGrace is how long an entry may be missing after the store was away
@@ -83,12 +86,58 @@
 	g.storeDown = now
 }
 
+// watches are the calls that wait for changes. A call that was held when the
+// store went silent may never be answered, and nothing tells so: until it times
+// out, nobody would hear of a new configuration. So when the store is known to
+// be back, these calls are given up and made anew.
+type watches struct {
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc
+	returns int // of the store
+}
+
+// begin returns the context of a call that waits, and the returns of the store
+// so far.
+func (w *watches) begin(ctx context.Context, name string, limit time.Duration) (context.Context, int) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancels[name] = cancel
+	return ctx, w.returns
+}
+
+// end frees the context, and reports whether the store returned meanwhile.
+func (w *watches) end(name string, returns int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancels[name]()
+	delete(w.cancels, name)
+	return w.returns != returns
+}
+
+// storeReturned gives all calls up.
+func (w *watches) storeReturned() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.returns++
+	for _, cancel := range w.cancels {
+		cancel()
+	}
+}
+
+// errWatchAgain says that a call that waited was given up to be made anew.
+var errWatchAgain = errors.New("gateway: the store returned while a call waited")
+
 // followManifest keeps the newest manifest in force.
 func (g *Gateway) followManifest() {
 	at := int64(-1)
 	for g.ctx.Err() == nil {
 		began := boottime.Now()
 		raw, next, err := g.nextManifest(at)
+		if errors.Is(err, errWatchAgain) {
+			at = -1
+			continue
+		}
 		g.stored("manifest", began, err)
 		switch {
 		case errors.Is(err, ports.ErrHistory):
@@ -118,9 +167,12 @@
 		defer cancel()
 		return g.store.Manifest(ctx)
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, manifestWait+storeTimeout)
-	defer cancel()
-	return g.store.WatchManifest(ctx, at, manifestWait)
+	ctx, returns := g.watches.begin(g.ctx, "manifest", manifestWait+storeTimeout)
+	raw, next, err := g.store.WatchManifest(ctx, at, manifestWait)
+	if again := g.watches.end("manifest", returns); again && err != nil {
+		err = errWatchAgain
+	}
+	return raw, next, err
 }
 
 // adopt puts a manifest in force if it is newer than the one that is.
@@ -156,6 +208,10 @@
 		} else {
 			at, err = g.watchServers(at)
 		}
+		if errors.Is(err, errWatchAgain) {
+			at = -1
+			continue
+		}
 		g.stored("servers", began, err)
 		if err != nil {
 			at = -1
@@ -217,9 +273,11 @@
 }
 
 func (g *Gateway) watchServers(at int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(g.ctx, watchWait+storeTimeout)
-	defer cancel()
+	ctx, returns := g.watches.begin(g.ctx, "servers", watchWait+storeTimeout)
 	changes, next, err := g.store.WatchServers(ctx, at, watchWait)
+	if again := g.watches.end("servers", returns); again && err != nil {
+		return -1, errWatchAgain
+	}
 	if err != nil {
 		return -1, err
 	}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -88,6 +88,7 @@
 	pool        *rawhttp.Pool
 	peers       *peers
 	metrics     *instruments
+	watches     watches
 
 	manifest atomic.Pointer[manifest.Manifest]
 	raw      atomic.Pointer[[]byte] // the manifest in force, as stored
@@ -121,6 +122,7 @@
 	tellClaim  bool       // the lease was renewed, and the others don't know yet
 	knowsPeers bool       // the rows of the instances were read
 	storeDown  clock.Time // last failure of a call to the store
+	wasAway    bool       // the store, for this instance, in the last round
 	removed    map[string]removedServer
 	lapsed     map[string]clock.Time
 	publisher  publisher
@@ -180,7 +182,7 @@
 		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
 		waits:   make(map[placer.Key]*waiting), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
 		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time), removed: make(map[string]removedServer),
-		publisher: newPublisher(),
+		publisher: newPublisher(), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
--- a/oleander/gateway/gateway_test.go
+++ b/oleander/gateway/gateway_test.go
@@ -372,6 +372,31 @@
 	}
 }
 
+// The store goes silent for all while they wait for changes, and the operator
+// writes a new version. The calls that were held are never answered, though the
+// store is back. They are made anew, and the version is in force soon after.
+func TestConfigAfterASilentStore(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	f.start()
+	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() })
+	for i := range f.gateways {
+		f.store.Fail(i, portstest.Silent)
+	}
+	f.store.SetManifest(config(2))
+	time.Sleep(leaseTerm)
+	for i := range f.gateways {
+		f.store.Fail(i, portstest.None)
+	}
+	for end := time.Now().Add(manifestWait / 4); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f.gateways[0].manifest.Load().Version == 2 && f.gateways[1].manifest.Load().Version == 2 {
+			return
+		}
+	}
+	t.Error("the version is not in force")
+}
+
 // A server leaves: the next request goes elsewhere, and an entry from before
 // does not bring it back.
 func TestLeavingServerGetsNothing(t *testing.T) {
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -79,6 +79,11 @@
 	now := boottime.Now()
 	g.dropLapsed(now)
 	g.dir.Expire(now)
+	away := g.storeAway(now)
+	if g.wasAway && !away {
+		g.watches.storeReturned()
+	}
+	g.wasAway = away
 	if g.knowsPeers || now.Sub(g.started) > learnWithoutStore {
 		g.quota.SetInstances(now, g.members.Count())
 	}
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -39,10 +39,10 @@
 	Echo        *echoMsg                  // to it
 	StoreDown   bool                      // a call of its own to the store failed of late
 	Spent       map[string]uint64         // by account
-	Arrived     map[string]uint64         // by model, those that changed of late
-	Running     map[string]map[string]int // by backend server and model
-	Wants       []wantMsg
-	Strength    int // for the choice among candidates for the lease
+	Running     map[string]map[string]int // by backend server and model; under "" if the model is not told
+	Arrived     map[string]uint64         // by model, those that changed of late; to the holder of the lease
+	Wants       []wantMsg                 // to the holder of the lease
+	Strength    int                       // for the choice among candidates for the lease
 	Broken      map[poison.Digest]uint32
 }
 
@@ -156,6 +156,9 @@
 
 // send sends a message to each recipient. An error is a lost datagram.
 func (p *peers) send(body []byte, to []recipient) {
+	if len(body) == 0 {
+		return
+	}
 	for _, r := range to {
 		a, err := netip.ParseAddrPort(r.address)
 		if err != nil {
