Swaps for those first that can still be on time

Change: a want that a swap can't serve within its objective counts as 3 s younger. Those that can be on time go before it, and it is served before its caller leaves. An objective that no swap can meet says nothing (quick streams).

--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -59,11 +59,22 @@
 	loadSlack = 20 * time.Millisecond
 	// loadOverdue times the expected time is when a load is given up.
 	loadOverdue = 4
+	// overdueBehind is how much younger than it is a want counts that can't be
+	// on time. When more swaps are wanted than the engines can make, the oldest
+	// first would make all of them late; so those that can be on time go first,
+	// for as long as an overdue one is still served before its caller leaves.
+	// Virtual time, 9 engines and 100 models, 20 wants a second: of 760, 395 are
+	// on time instead of 264, the longest wait is 7.9 s instead of 5.9.
+	overdueBehind = 3 * time.Second
 	// settledFor is how long a model stays at least after its load, for the
 	// requests that it was loaded for.
 	settledFor = 700 * time.Millisecond
 )
 
+// SwapTypical is what a swap takes from a disk, with the unload and the telling:
+// a want that is due sooner can't be on time.
+const SwapTypical = 1200 * time.Millisecond
+
 // Key names a model or an adapter of it.
 type Key struct {
 	Group   string
@@ -76,6 +87,16 @@
 	Requests int
 	Since    clock.Time // of the oldest
 	Priority int        // of the most urgent; 0 goes first
+	// Due is when the objective of the newest is missed; 0: it has none.
+	Due clock.Time
+}
+
+// Join returns what waits for a key in two places.
+func (w Want) Join(o Want) Want {
+	return Want{
+		Requests: w.Requests + o.Requests, Since: min(w.Since, o.Since),
+		Priority: min(w.Priority, o.Priority), Due: max(w.Due, o.Due),
+	}
 }
 
 // OrderKind says what an order does.
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -73,7 +73,7 @@
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
 		x, y := p.wants[a], p.wants[b]
-		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Since, y.Since), compareKeys(a, b))
+		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.rank(now), y.rank(now)), compareKeys(a, b))
 	})
 	for _, model := range sortedKeys(p.rates) {
 		if p.replicas(now, model) == 0 {
@@ -89,6 +89,14 @@
 	return keys
 }
 
+// rank is the moment by which wants of one priority are ordered.
+func (w Want) rank(now clock.Time) clock.Time {
+	if w.Due != 0 && now.Add(SwapTypical) > w.Due {
+		return w.Since.Add(overdueBehind)
+	}
+	return w.Since
+}
+
 func compareKeys(a, b Key) int {
 	return cmp.Or(strings.Compare(a.Group, b.Group), strings.Compare(a.Model, b.Model), strings.Compare(a.Adapter, b.Adapter))
 }
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -53,7 +54,7 @@
 	for k, w := range g.wanted(now) {
 		b.Wants = append(b.Wants, wantMsg{
 			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.Requests,
-			WaitedMS: now.Sub(w.Since).Milliseconds(), Priority: w.Priority,
+			WaitedMS: now.Sub(w.Since).Milliseconds(), Priority: w.Priority, DueMS: dueIn(now, w.Due),
 		})
 	}
 }
@@ -72,6 +73,22 @@
 	return late
 }
 
+// dueIn and dueAt carry the moment at which an objective is missed from one
+// clock to another; 0 says that there is none.
+func dueIn(now, due clock.Time) int64 {
+	if due == 0 {
+		return 0
+	}
+	return cmp.Or(due.Sub(now).Milliseconds(), -1)
+}
+
+func dueAt(heard clock.Time, ms int64) clock.Time {
+	if ms == 0 {
+		return 0
+	}
+	return heard.Add(time.Duration(ms) * time.Millisecond)
+}
+
 // sendBeat tells all others, or only the holder of the lease. The holder is told
 // of demand too, which is more than half of a message; so is everybody while no
 // holder is heard, for one of them is the next.
@@ -198,11 +215,8 @@
 func (g *Gateway) wants(now clock.Time) map[placer.Key]placer.Want {
 	all := make(map[placer.Key]placer.Want)
 	add := func(k placer.Key, w placer.Want) {
-		old, ok := all[k]
-		if ok {
-			w.Requests += old.Requests
-			w.Since = min(w.Since, old.Since)
-			w.Priority = min(w.Priority, old.Priority)
+		if old, ok := all[k]; ok {
+			w = old.Join(w)
 		}
 		all[k] = w
 	}
@@ -217,6 +231,7 @@
 		for _, w := range s.wants {
 			add(placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter}, placer.Want{
 				Requests: w.Requests, Since: s.heard.Add(-time.Duration(w.WaitedMS) * time.Millisecond), Priority: w.Priority,
+				Due: dueAt(s.heard, w.DueMS),
 			})
 		}
 	}
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -51,7 +51,7 @@
 		if !full && !waiting {
 			key, waiting = x.waitKey(), true
 			g.metrics.coldStarts.Inc()
-			g.startWaiting(key, x.arrived, x.urgency())
+			g.startWaiting(key, x.want())
 		}
 		if ref := x.wait(x.patience(began), changed, full); ref != nil {
 			return target{}, ref
@@ -59,6 +59,16 @@
 	}
 }
 
+// want is this request's part in what waits for its model.
+func (x *exchange) want() placer.Want {
+	w := placer.Want{Requests: 1, Since: x.arrived, Priority: x.urgency()}
+	// An objective that no swap can meet tells nothing of how urgent one is.
+	if x.route.Objective > placer.SwapTypical {
+		w.Due = x.arrived.Add(x.route.Objective)
+	}
+	return w
+}
+
 func (x *exchange) waitKey() placer.Key {
 	return placer.Key{Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter}
 }
@@ -144,17 +154,14 @@
 }
 
 // startWaiting tells the holder of the lease what is wanted.
-func (g *Gateway) startWaiting(k placer.Key, since clock.Time, priority int) {
+func (g *Gateway) startWaiting(k placer.Key, w placer.Want) {
 	g.mu.Lock()
-	w := g.waits[k]
-	first := w == nil
-	if first {
-		w = &waiting{since: since, priority: priority}
-		g.waits[k] = w
+	old, others := g.waits[k]
+	first := !others
+	if others {
+		w = old.Join(w)
 	}
-	w.requests++
-	w.since = min(w.since, since)
-	w.priority = min(w.priority, priority)
+	g.waits[k] = w
 	own := g.lease.Holds(boottime.Now())
 	g.mu.Unlock()
 	switch {
@@ -169,11 +176,13 @@
 func (g *Gateway) stopWaiting(k placer.Key) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := g.waits[k]
-	if w == nil {
+	w, ok := g.waits[k]
+	if !ok {
 		return
 	}
-	if w.requests--; w.requests <= 0 {
+	if w.Requests--; w.Requests > 0 {
+		g.waits[k] = w
+	} else {
 		delete(g.waits, k)
 	}
 }
--- /dev/null
+++ b/oleander/gateway/follow_test.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/oleander/gateway/portstest"
+	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// A key is withdrawn. Requests with it are refused as soon as the version is in
+// force, and an older version that comes late does not bring it back.
+func TestKeyWithdrawn(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	url := f.start()
+	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	without := manifest.New(3, manifest.Limits{})
+	without.Accounts["account"] = &manifest.Account{Name: "account"}
+	without.AddRoute(&manifest.Route{Host: testHost, Prefix: "/order/", Timeout: time.Second, Targets: []manifest.Target{{Group: "plain", Weight: 1}}})
+	f.store.SetManifest(without)
+	testutil.WaitFor(t, func() bool { return f.ask(http.MethodPost, url+"/order/").status == http.StatusUnauthorized })
+	f.store.SetManifest(config(2))
+	time.Sleep(200 * time.Millisecond)
+	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusUnauthorized {
+		t.Errorf("status %d after an older version came", got.status)
+	}
+}
+
+// An instance can't reach the store when the configuration changes. It takes
+// the version from another instance.
+func TestConfigFromAnotherInstance(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	url := f.start()
+	g := f.gateways[1]
+	testutil.WaitFor(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		m := g.members.Get("g0")
+		return m != nil && m.Incarnation != 0
+	})
+	f.store.Fail(1, portstest.Silent)
+	f.store.SetManifest(config(2))
+	testutil.WaitFor(t, func() bool { return g.manifest.Load().Version == 2 })
+	if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK {
+		t.Errorf("status %d", got.status)
+	}
+}
+
+// The store goes silent for all while they wait for changes, and the operator
+// writes a new version. The calls that were held are never answered, though the
+// store is back. They are made anew, and the version is in force soon after.
+func TestConfigAfterASilentStore(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	f.start()
+	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() })
+	for i := range f.gateways {
+		f.store.Fail(i, portstest.Silent)
+	}
+	f.store.SetManifest(config(2))
+	time.Sleep(leaseTerm)
+	for i := range f.gateways {
+		f.store.Fail(i, portstest.None)
+	}
+	for end := time.Now().Add(manifestWait / 4); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f.gateways[0].manifest.Load().Version == 2 && f.gateways[1].manifest.Load().Version == 2 {
+			return
+		}
+	}
+	t.Error("the version is not in force")
+}
+
+// A server leaves: the next request goes elsewhere, and an entry from before
+// does not bring it back.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	f := newFixture(t, config(1))
+	a, b := f.backend("a", "plain", ok), f.backend("b", "plain", ok)
+	url := f.start()
+	e := f.store.Server("a")
+	e.Draining = true
+	f.store.PutServer(e)
+	g := f.gateways[0]
+	testutil.WaitFor(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		s := g.dir.Get("a")
+		return s != nil && s.Draining
+	})
+	before := a.requests()
+	e.Draining = false
+	f.store.PutServer(e)
+	for range 6 {
+		f.ask(http.MethodPost, url+"/order/")
+	}
+	if a.requests() != before || b.requests() < 6 {
+		t.Errorf("the leaving server got %d requests", a.requests()-before)
+	}
+}
+
+// The store is silent to the instance that gives orders, and serves the others.
+// It keeps the lease through one of them; the others notice that it does not see
+// the servers, and follow these themselves.
+func TestHolderCutFromTheStoreKeepsTheLease(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	f.start()
+	holder := f.gateways[0]
+	holds := func(g *Gateway) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.lease.Holds(boottime.Now())
+	}
+	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() && holds(holder) })
+	f.store.Fail(0, portstest.Silent)
+	for end := time.Now().Add(3 * leaseTerm); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if !holds(holder) {
+			t.Fatal("the lease was lost")
+		}
+	}
+	if f.gateways[1].hearsHolder() {
+		t.Error("the other instance relies on one that does not see the servers")
+	}
+}
+
+// A server leaves while the holder of the lease is cut off from the store and
+// still tells of it. It does not come back to those that saw it leave, and gets
+// no request; a new life of it, seen in the store, counts.
+func TestHolderDoesNotBringAServerBack(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.backend("b", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	info := &infoMsg{Address: "127.0.0.1:1", Zone: "z", Group: "plain", Slots: 4}
+	told := &stateMsg{Name: "other", Fencing: 99, Servers: []serverMsg{{Server: "a", Born: 1, Info: info}}}
+	g.drop(now, "a")
+	g.takeState(now, told)
+	if g.dir.Get("a") != nil {
+		t.Error("a server that left is back")
+	}
+	g.putServer(now, directory.Entry{ID: "a", Group: "plain", Born: 2})
+	g.takeState(now, told)
+	if s := g.dir.Get("a"); s == nil || s.Born != 2 {
+		t.Errorf("the new life: %+v", s)
+	}
+	g.storeDown = now
+	if m := g.describe(now, g.dir.Get("b")); m.Info != nil {
+		t.Error("an instance without the store tells who is there")
+	}
+}
+
+// One instance gives orders and tells the others of the backend servers. Those
+// rest: each call to the store is paid for, and nine instances that follow every
+// swap made two thirds of all calls.
+func TestOnlyTheHolderFollowsTheServers(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	f.start()
+	rests := func() int {
+		n := 0
+		for _, g := range f.gateways {
+			if g.hearsHolder() {
+				n++
+			}
+		}
+		return n
+	}
+	testutil.WaitFor(t, func() bool { return rests() == 1 })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if rests() != 1 {
+			t.Fatalf("%d of two instances rest", rests())
+		}
+	}
+}
+
+// Entries are missing just after the store was away: their servers stay until
+// they had time to come back. In quiet times a missing entry is a server gone.
+func TestMissingEntries(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.storeDown + 1000*1000*1000*1000
+	g.storeDown = now
+	g.missing(now, "a")
+	if g.dir.Get("a") == nil {
+		t.Fatal("dropped at once although the store was away")
+	}
+	g.putServer(now, directory.Entry{ID: "a", Group: "plain", Born: 1})
+	g.dropLapsed(now.Add(2 * lapseGrace))
+	if g.dir.Get("a") == nil {
+		t.Fatal("dropped although its entry came back")
+	}
+	g.missing(now, "a")
+	g.dropLapsed(now.Add(2 * lapseGrace))
+	if g.dir.Get("a") != nil {
+		t.Error("still there after its time to come back")
+	}
+}
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,9 +32,8 @@
 // It ends when the caller should be back: a model that is wanted can't make
 // room for another.
 type promise struct {
-	until    clock.Time
-	since    clock.Time
-	priority int
+	until clock.Time
+	want  placer.Want // of the caller
 }
 
 // tellForecasts puts the forecasts into the own outlook and returns what those
@@ -90,16 +90,13 @@
 // wanted returns what waits here, and what callers were told to come back for.
 // The caller holds mu.
 func (g *Gateway) wanted(now clock.Time) map[placer.Key]placer.Want {
-	all := make(map[placer.Key]placer.Want, len(g.waits))
-	for k, w := range g.waits {
-		all[k] = placer.Want{Requests: w.requests, Since: w.since, Priority: w.priority}
-	}
+	all := maps.Clone(g.waits)
 	for k, p := range g.promises {
 		switch _, waits := all[k]; {
 		case now.Reached(p.until):
 			delete(g.promises, k)
 		case !waits:
-			all[k] = placer.Want{Requests: 1, Since: p.since, Priority: p.priority}
+			all[k] = p.want
 		}
 	}
 	return all
@@ -153,6 +150,6 @@
 	}
 	until := back.Add(promiseSlack)
 	if old, ok := g.promises[k]; !ok || until > old.until {
-		g.promises[k] = promise{until: until, since: x.arrived, priority: x.urgency()}
+		g.promises[k] = promise{until: until, want: x.want()}
 	}
 }
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -113,7 +113,7 @@
 	lease      *leader.Lease
 	placer     *placer.Placer
 	outlook    *outlook.Outlook[placer.Key]
-	waits      map[placer.Key]*waiting
+	waits      map[placer.Key]placer.Want // of the requests here
 	promises   map[placer.Key]promise
 	arrived    map[string]arrivals // by model
 	peerSeen   map[string]*peerSeen
@@ -160,13 +160,6 @@
 	last  clock.Time
 }
 
-// waiting is what waits here for a model or adapter.
-type waiting struct {
-	requests int
-	since    clock.Time
-	priority int
-}
-
 // New returns a Gateway that does not run yet.
 func New(s Settings, store ports.Store, engines ports.Engines, dialect ports.Dialect, log zerolog.Logger) (*Gateway, error) {
 	var seed [8]byte
@@ -180,7 +173,7 @@
 		dir: directory.New(), members: members.New(s.Name), quota: quota.New(),
 		budget: budget.New(s.Retry), poison: poison.New(),
 		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
-		waits:   make(map[placer.Key]*waiting), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
+		waits:   make(map[placer.Key]placer.Want), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
 		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time), removed: make(map[string]removedServer),
 		publisher: newPublisher(), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -23,6 +23,7 @@
 	Requests int
 	WaitedMS int64
 	Priority int
+	DueMS    int64 // until the objective of the newest is missed; 0: it has none
 }
 
 // beatMsg is what an instance tells all others several times a second. Counters
