A holder that the store turns away is told who left

And while no holder is heard, all instances follow the servers: ninety made 225 calls a second. Change: messages to the holder name servers that leave or have left; it takes them while the store turns it away. The pause between readings of changes grows with the instances, to 1.2 s. Ruled out: taking them at all times (the store's own word is newer). Conclusion: stays for the requests that waited in vain; TestHolderIsToldWhoLeft.

--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -50,7 +50,7 @@
 
 // demand adds what the one that places models has to know. The caller holds mu.
 func (g *Gateway) demand(now clock.Time, b *beatMsg) {
-	b.Arrived, b.Running = g.arrivedOfLate(now), g.dir.OwnRunning()
+	b.Arrived, b.Running, b.Left = g.arrivedOfLate(now), g.dir.OwnRunning(), g.leftOfLate(now)
 	for k, w := range g.wanted(now) {
 		b.Wants = append(b.Wants, wantMsg{
 			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.Requests,
@@ -160,6 +160,7 @@
 		g.poison.Heard(now, b.Name, d, n)
 	}
 	g.hearHolder(now, b)
+	g.takeLeft(now, b)
 	g.countArrivals(now, b)
 	if m := g.manifest.Load(); m == nil && b.Manifest > 0 || m != nil && b.Manifest > m.Version {
 		g.behind(b.Name)
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -27,6 +27,11 @@
 	// servers. Engines that swap models change all the time, and each change
 	// would cost a call; a leaving server must be known within two seconds.
 	changesPause = 400 * time.Millisecond
+	// changesPauseMember is added for each instance, up to changesPauseMost, at
+	// those that do not hold the lease: while no holder is heard all of them
+	// follow the servers, and ninety made 225 calls a second.
+	changesPauseMember = 8 * time.Millisecond
+	changesPauseMost   = 1200 * time.Millisecond
 	// serversPause is the time between two readings of all backend servers at
 	// an instance that the holder of the lease tells of them; it is told of a
 	// change within flushEvery, and again every repeatEvery if that was lost.
@@ -223,11 +228,20 @@
 		if g.restWhileTold() {
 			at = -1
 		} else {
-			g.sleep(changesPause)
+			g.sleep(g.pauseOfChanges())
 		}
 	}
 }
 
+func (g *Gateway) pauseOfChanges() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lease.Holds(boottime.Now()) {
+		return changesPause
+	}
+	return min(changesPauseMost, changesPause+time.Duration(g.members.Count())*changesPauseMember)
+}
+
 // restWhileTold waits as long as the holder of the lease tells of the backend
 // servers. It returns false at once if it does not.
 func (g *Gateway) restWhileTold() bool {
@@ -405,3 +419,45 @@
 		g.members.Listed(now, p.Name, p.Address, p.Zone)
 	}
 }
+
+// leftOfLate returns the servers that leave, and those that left of late. The
+// caller holds mu.
+func (g *Gateway) leftOfLate(now clock.Time) []leftMsg {
+	var left []leftMsg
+	if g.storeAway(now) {
+		return nil // others know better
+	}
+	for id, r := range g.removed {
+		if now.Sub(r.at) < goneFor {
+			left = append(left, leftMsg{Server: id, Born: r.born, Gone: true})
+		}
+	}
+	for _, id := range g.dir.IDs() {
+		if s := g.dir.Get(id); s.Draining {
+			left = append(left, leftMsg{Server: id, Born: s.Born})
+		}
+	}
+	return left
+}
+
+// takeLeft takes what another instance saw of leaving servers, while the store
+// turns this one away. A holder that does not know that a server has left takes
+// what it held for loaded, and requests for it wait in vain: callers left after
+// two seconds though an adapter is loaded in ten milliseconds. The caller holds mu.
+func (g *Gateway) takeLeft(now clock.Time, b *beatMsg) {
+	if !g.storeAway(now) || b.StoreDown {
+		return
+	}
+	for _, l := range b.Left {
+		s := g.dir.Get(l.Server)
+		switch {
+		case s == nil || s.Born > l.Born:
+		case l.Gone:
+			g.drop(now, l.Server)
+		case !s.Draining:
+			e := s.Entry
+			e.Draining = true
+			g.putServer(now, e)
+		}
+	}
+}
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -133,6 +133,35 @@
 	}
 }
 
+// The store turns the holder of the lease away. One server leaves and another is
+// gone, which only the other instance sees. It tells the holder, which would else
+// go on taking what these hold for loaded.
+func TestHolderIsToldWhoLeft(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "llm", ok, "warm")
+	f.backend("b", "llm", ok, "warm")
+	f.start()
+	f.start()
+	holder := f.gateways[0]
+	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() })
+	f.store.Fail(0, portstest.Unavailable)
+	testutil.WaitFor(t, func() bool {
+		holder.mu.Lock()
+		defer holder.mu.Unlock()
+		return holder.storeAway(boottime.Now())
+	})
+	e := f.store.Server("a")
+	e.Draining = true
+	f.store.PutServer(e)
+	f.store.RemoveServer("b")
+	testutil.WaitFor(t, func() bool {
+		holder.mu.Lock()
+		defer holder.mu.Unlock()
+		a, b := holder.dir.Get("a"), holder.dir.Get("b")
+		return a != nil && a.Draining && b == nil
+	})
+}
+
 // A server leaves while the holder of the lease is cut off from the store and
 // still tells of it. It does not come back to those that saw it leave, and gets
 // no request; a new life of it, seen in the store, counts.
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -26,6 +26,14 @@
 	DueMS    int64 // until the objective of the newest is missed; 0: it has none
 }
 
+// leftMsg tells of a backend server that leaves, or has left.
+type leftMsg struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Born   int64
+	Gone   bool
+}
+
 // beatMsg is what an instance tells all others several times a second. Counters
 // count from its start, so a lost message loses nothing.
 type beatMsg struct {
@@ -43,6 +51,7 @@
 	Running     map[string]map[string]int // by backend server and model; under "" if the model is not told
 	Arrived     map[string]uint64         // by model, those that changed of late; to the holder of the lease
 	Wants       []wantMsg                 // to the holder of the lease
+	Left        []leftMsg                 // to the holder of the lease
 	Strength    int                       // for the choice among candidates for the lease
 	Broken      map[poison.Digest]uint32
 }
