A forecast for an impossible adapter is not one for its model

Cause: found by reading the diff: when an engine called an adapter impossible, the forecast of five seconds went out under its model's name, so requests for the model and its other adapters would have been refused at once while they waited. Change: such a forecast has the adapter's own key. Before, after: TestImpossibleAdapterSaysNothingOfItsModel failed, passes.

--- a/core/gateway/outlook/outlook.go
+++ b/core/gateway/outlook/outlook.go
@@ -96,10 +96,13 @@
 	Blind bool
 }
 
-// Expect returns what is known of a model at now.
-func (o *Outlook[K]) Expect(now clock.Time, k K) Expectation {
-	if f, ok := o.forecasts[k]; ok && now.Sub(f.heard) <= forecastFor {
-		return Expectation{Ready: f.ready}
+// Expect returns what is known at now of what has several keys, such as an
+// adapter and its model. The first key with a forecast counts.
+func (o *Outlook[K]) Expect(now clock.Time, keys ...K) Expectation {
+	for _, k := range keys {
+		if f, ok := o.forecasts[k]; ok && now.Sub(f.heard) <= forecastFor {
+			return Expectation{Ready: f.ready}
+		}
 	}
 	if o.heard == 0 {
 		return Expectation{Blind: true}
--- a/core/gateway/placer/forecast.go
+++ b/core/gateway/placer/forecast.go
@@ -8,7 +8,9 @@
 )
 
 // Expected returns when the models that are waited for are expected to be
-// usable. One that is missing from it has no lane that could take it yet.
+// usable, under keys without an adapter, and when an order is tried again that
+// an engine called impossible, under its own key. A model that is missing has no
+// lane that could take it yet.
 //
 // The forecast follows the plan: the most urgent first, each on the lane where
 // it is ready first, after what comes before it there. It leaves out that a
@@ -21,7 +23,7 @@
 	}
 	for k, at := range p.refused {
 		if _, waits := p.wants[k]; waits && now.Sub(at) < refuseFor {
-			all[Key{Group: k.Group, Model: k.Model}] = at.Add(refuseFor)
+			all[k] = at.Add(refuseFor)
 		}
 	}
 	return all
--- a/core/gateway/placer/forecast_test.go
+++ b/core/gateway/placer/forecast_test.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// An engine calls an adapter impossible. Who waits for it is told when it is tried
+// again; who waits for the model, or another adapter of it, is not.
+func TestImpossibleAdapterSaysNothingOfItsModel(t *testing.T) {
+	p := newPlay(t, 12, 1, 10)
+	p.run(time.Second, 0, nil)
+	bad, good := Key{Group: group, Model: model(0), Adapter: "none"}, Key{Group: group, Model: model(0), Adapter: "a1"}
+	p.placer.SetWants(map[Key]Want{bad: {Requests: 1, Since: p.now}, good: {Requests: 1, Since: p.now}})
+	p.placer.refused[bad] = p.now
+	expected := p.placer.Expected(p.now)
+	if _, ok := expected[bad]; !ok || len(expected) != 1 {
+		t.Errorf("expected %v", expected)
+	}
+}
+
 // caller is one that asks for a rare model and leaves when nothing came for its
 // patience. Sent away, it comes back once, after the time it was told or a third
 // of the time it has left.
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -55,9 +55,12 @@
 		}
 		f := forecastMsg{Fencing: g.lease.Fencing()}
 		for _, w := range seen.wants {
-			k := placer.Key{Group: w.Group, Model: w.Model}
+			k := placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter}
+			if _, ok := expected[k]; !ok {
+				k.Adapter = ""
+			}
 			if in := expected[k].Sub(now); in >= tellFrom {
-				f.Models = append(f.Models, expectedMsg{Group: k.Group, Model: k.Model, ReadyMS: in.Milliseconds()})
+				f.Models = append(f.Models, expectedMsg{Group: k.Group, Model: k.Model, Adapter: k.Adapter, ReadyMS: in.Milliseconds()})
 			}
 		}
 		if len(f.Models) == 0 {
@@ -80,7 +83,7 @@
 	}
 	for _, m := range f.Models {
 		ready := now.Add(time.Duration(m.ReadyMS) * time.Millisecond)
-		g.outlook.Forecast(now, placer.Key{Group: m.Group, Model: m.Model}, ready)
+		g.outlook.Forecast(now, placer.Key{Group: m.Group, Model: m.Model, Adapter: m.Adapter}, ready)
 	}
 	if len(g.waits) > 0 {
 		g.wake()
@@ -126,7 +129,7 @@
 	k := x.waitKey()
 	var e outlook.Expectation
 	if !x.started { // to cut a stream that has begun helps nobody
-		e = g.outlook.Expect(now, placer.Key{Group: k.Group, Model: k.Model})
+		e = g.outlook.Expect(now, k, placer.Key{Group: k.Group, Model: k.Model})
 	}
 	v := outlook.Decide(now, p, e)
 	if !v.Refuse {
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -123,7 +123,8 @@
 	_       struct{} `cbor:",toarray"`
 	Group   string
 	Model   string
-	ReadyMS int64 // from the sending
+	Adapter string // "": the model
+	ReadyMS int64  // from the sending
 }
 
 // packet is one datagram; one of its fields is set.
