--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -41,12 +41,12 @@
 	toldWithin = 1100 * time.Millisecond
 	// retryPause is the time before a call to the store is made again.
 	retryPause = 250 * time.Millisecond
-	// peersEvery is the time between two readings of the instances' rows. Each
-	// writes its own before it reads, so of two that start together one sees the
-	// other, and tells it. A zone that was cut off is forgotten after 45 s.
+	// peersEvery is the time between two readings of the instances' rows; new
+	// ones say so themselves, and a zone that was cut off is forgotten after 45 s.
+	// peersEarly is the same shortly after the start, when all join at once.
 	peersEvery = 30 * time.Second
-	// joinRetry is the time until the own row is written again, if that failed.
-	joinRetry = time.Second
+	peersEarly = time.Second
+	earlyFor   = 4 * time.Second
 	// lapseGrace is how long an entry may be missing after the store was away
 	// before its server counts as gone.
 	lapseGrace = 2 * time.Second
@@ -376,6 +376,7 @@
 
 // followPeers writes this instance's row and reads the others'.
 func (g *Gateway) followPeers() {
+	started := boottime.Now()
 	joined := false
 	for {
 		if !joined {
@@ -383,8 +384,8 @@
 		}
 		g.readPeers()
 		pause := peersEvery
-		if !joined || !g.hasRead() {
-			pause = joinRetry
+		if !joined || boottime.Now().Sub(started) < earlyFor {
+			pause = peersEarly
 		}
 		if !g.sleep(pause) {
 			return
@@ -392,13 +393,6 @@
 	}
 }
 
-// hasRead reports whether the rows of the instances were read.
-func (g *Gateway) hasRead() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.knowsPeers
-}
-
 func (g *Gateway) join() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
