Tests: the first gateway holds the lease before the second starts

Change: tests that need the first to hold it wait for that. Ruled out: a fault of the gateway; either may take a free lease.

--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -21,6 +21,7 @@
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/gateway/portstest"
 	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 // Headers of the tests' dialect.
@@ -244,6 +245,18 @@
 	return "http://" + s.Front
 }
 
+// startHolder starts the first gateway and waits until it holds the lease: one
+// that starts later might take it first on a busy machine.
+func (f *fixture) startHolder() {
+	f.start()
+	g := f.gateways[0]
+	testutil.WaitFor(f.t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.lease.Holds(boottime.Now())
+	})
+}
+
 func (f *fixture) status(url string) int {
 	resp, err := http.Get(url)
 	if err != nil {
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -61,7 +61,7 @@
 func TestConfigAfterASilentStore(t *testing.T) {
 	f := newFixture(t, config(1))
 	f.backend("a", "plain", ok)
-	f.start()
+	f.startHolder()
 	f.start()
 	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() })
 	for i := range f.gateways {
@@ -113,7 +113,7 @@
 func TestHolderCutFromTheStoreKeepsTheLease(t *testing.T) {
 	f := newFixture(t, config(1))
 	f.backend("a", "plain", ok)
-	f.start()
+	f.startHolder()
 	f.start()
 	holder := f.gateways[0]
 	holds := func(g *Gateway) bool {
@@ -140,7 +140,7 @@
 	f := newFixture(t, config(1))
 	f.backend("a", "llm", ok, "warm")
 	f.backend("b", "llm", ok, "warm")
-	f.start()
+	f.startHolder()
 	f.start()
 	holder := f.gateways[0]
 	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() })
@@ -198,7 +198,7 @@
 func TestOnlyTheHolderFollowsTheServers(t *testing.T) {
 	f := newFixture(t, config(1))
 	f.backend("a", "plain", ok)
-	f.start()
+	f.startHolder()
 	f.start()
 	rests := func() int {
 		n := 0
