Split: calls that wait, leaving servers, votes, and what a round looks at

No change of what is done: functions moved to files named for their job, and the long round of the housekeeping cut in two.

--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,48 +90,6 @@
 	g.storeDown = now
 }
 
-// watches are the calls that wait for changes. A call that was held when the
-// store went silent may never be answered, and nothing tells so: until it times
-// out, nobody would hear of a new configuration. So when the store is known to
-// be back, these calls are given up and made anew.
-type watches struct {
-	mu      sync.Mutex
-	cancels map[string]context.CancelFunc
-	returns int // of the store
-}
-
-// begin returns the context of a call that waits, and the returns of the store
-// so far.
-func (w *watches) begin(ctx context.Context, name string, limit time.Duration) (context.Context, int) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancels[name] = cancel
-	return ctx, w.returns
-}
-
-// end frees the context, and reports whether the store returned meanwhile.
-func (w *watches) end(name string, returns int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancels[name]()
-	delete(w.cancels, name)
-	return w.returns != returns
-}
-
-// storeReturned gives all calls up.
-func (w *watches) storeReturned() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.returns++
-	for _, cancel := range w.cancels {
-		cancel()
-	}
-}
-
-// errWatchAgain says that a call that waited was given up to be made anew.
-var errWatchAgain = errors.New("gateway: the store returned while a call waited")
-
 // followManifest keeps the newest manifest in force.
 func (g *Gateway) followManifest() {
 	at := int64(-1)
@@ -419,45 +376,3 @@
 		g.members.Listed(now, p.Name, p.Address, p.Zone)
 	}
 }
-
-// leftOfLate returns the servers that leave, and those that left of late. The
-// caller holds mu.
-func (g *Gateway) leftOfLate(now clock.Time) []leftMsg {
-	var left []leftMsg
-	if g.storeAway(now) {
-		return nil // others know better
-	}
-	for id, r := range g.removed {
-		if now.Sub(r.at) < goneFor {
-			left = append(left, leftMsg{Server: id, Born: r.born, Gone: true})
-		}
-	}
-	for _, id := range g.dir.IDs() {
-		if s := g.dir.Get(id); s.Draining {
-			left = append(left, leftMsg{Server: id, Born: s.Born})
-		}
-	}
-	return left
-}
-
-// takeLeft takes what another instance saw of leaving servers, while the store
-// turns this one away. A holder that does not know that a server has left takes
-// what it held for loaded, and requests for it wait in vain: callers left after
-// two seconds though an adapter is loaded in ten milliseconds. The caller holds mu.
-func (g *Gateway) takeLeft(now clock.Time, b *beatMsg) {
-	if !g.storeAway(now) || b.StoreDown {
-		return
-	}
-	for _, l := range b.Left {
-		s := g.dir.Get(l.Server)
-		switch {
-		case s == nil || s.Born > l.Born:
-		case l.Gone:
-			g.drop(now, l.Server)
-		case !s.Draining:
-			e := s.Entry
-			e.Draining = true
-			g.putServer(now, e)
-		}
-	}
-}
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -77,27 +77,12 @@
 func (g *Gateway) round() time.Duration {
 	g.mu.Lock()
 	now := boottime.Now()
-	g.dropLapsed(now)
-	g.dir.Expire(now)
-	away := g.storeAway(now)
-	if g.wasAway && !away {
-		g.watches.storeReturned()
-	}
-	g.wasAway = away
-	if g.knowsPeers || now.Sub(g.started) > learnWithoutStore {
-		g.quota.SetInstances(now, g.members.Count())
-	}
-	if g.lease.Lapsed(now) {
-		g.metrics.leaseLost.Inc()
-		g.log.Warn().Msg("lease: lapsed, no more orders")
-	}
-	g.lease.SetVoters(g.liveMachines(now))
+	g.lookAround(now)
 	step := g.lease.Next(now, g.rank(now))
 	var orders []placer.Order
 	var asks []question
 	var state []outgoing
 	pause := housekeepEvery
-	g.outlook.Expire(now)
 	if g.lease.Holds(now) {
 		g.outlook.HeardHolder(now, now.Add(leasePromise), g.lease.OrdersFrom())
 		orders, asks = g.plan(now)
@@ -120,6 +105,27 @@
 	return pause
 }
 
+// lookAround drops what is too old and takes what time alone changes. The caller
+// holds mu.
+func (g *Gateway) lookAround(now clock.Time) {
+	g.dropLapsed(now)
+	g.dir.Expire(now)
+	g.outlook.Expire(now)
+	away := g.storeAway(now)
+	if g.wasAway && !away {
+		g.watches.storeReturned()
+	}
+	g.wasAway = away
+	if g.knowsPeers || now.Sub(g.started) > learnWithoutStore {
+		g.quota.SetInstances(now, g.members.Count())
+	}
+	if g.lease.Lapsed(now) {
+		g.metrics.leaseLost.Inc()
+		g.log.Warn().Msg("lease: lapsed, no more orders")
+	}
+	g.lease.SetVoters(g.liveMachines(now))
+}
+
 // liveMachines returns the machines of the other instances that are heard. The
 // caller holds mu.
 func (g *Gateway) liveMachines(now clock.Time) []string {
