Tell that a server leaves though its models change a moment later

Cause: found by reading the change again. The holder of the lease collects changes for 100 ms. A change of a server's models in that time replaced one of what the server is, its leaving among it, with a message without it; the others heard of it only with the repetition of everything, up to two seconds later, as long as a leaving server may still be sent to. Change: what the server is stays in the message that waits. Ruled out: telling at once (one message more a change). Before, after: TestBothChangesOfAServerAreTold failed, passes.

--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -55,7 +55,8 @@
 			continue
 		}
 		if old, ok := p.told[id]; ok && !full && old.Info != nil && m.Info != nil && *old.Info == *m.Info {
-			m.Info = nil // only its models changed
+			// Only its models changed; what it is may wait to be told, though.
+			m.Info = p.pending[id].Info
 		}
 		p.told[id] = g.describe(now, g.dir.Get(id))
 		p.pending[id] = m
