One piece of code where two did the same, and no work twice

No change of what callers get. A server is described once a round, not twice; the set of voters is made when the row is written, not in each round; the others are looked at once a round for rank and voters. One function encodes messages, one chooses a request's group, one says what is left of the retry budget. The log no longer gives the holder an age of its own word.

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -69,7 +69,7 @@
 // Repeat spends one repeat, if the part of one instance among so many allows it.
 func (b *Budget) Repeat(now clock.Time, group string, instances int) bool {
 	c := b.at(now, group)
-	if float64(b.sum(now, group).repeats+1) > b.allowed(now, group, instances) {
+	if b.left(now, group, instances) < 1 {
 		return false
 	}
 	c.repeats++
@@ -79,16 +79,17 @@
 // Left returns how many repeats an instance has left in the group that has the
 // fewest. Without a request it is what the allowance gives.
 func (b *Budget) Left(now clock.Time, instances int) float64 {
-	left := b.allowed(now, "", instances)
+	left := b.left(now, "", instances)
 	for group := range b.groups {
-		left = min(left, b.allowed(now, group, instances)-float64(b.sum(now, group).repeats))
+		left = min(left, b.left(now, group, instances))
 	}
 	return max(0, left)
 }
 
-func (b *Budget) allowed(now clock.Time, group string, instances int) float64 {
-	requests := float64(b.sum(now, group).requests)
-	return margin * (requests*b.settings.Ratio + b.settings.Allowance/float64(max(1, instances)))
+func (b *Budget) left(now clock.Time, group string, instances int) float64 {
+	c := b.sum(now, group)
+	allowed := margin * (float64(c.requests)*b.settings.Ratio + b.settings.Allowance/float64(max(1, instances)))
+	return allowed - float64(c.repeats)
 }
 
 func (b *Budget) sum(now clock.Time, group string) counts {
--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -200,9 +200,7 @@
 // hear of it.
 func (l *Lease) Next(now clock.Time, rank int) Step {
 	switch {
-	case l.busy:
-		return Step{}
-	case l.resting:
+	case l.busy || l.resting:
 		return Step{}
 	case !l.holding && !l.wanted(now, rank):
 		l.seen = false
@@ -216,14 +214,14 @@
 		return l.begin(now, Step{Action: Read})
 	case l.holding:
 		r := l.row
-		r.Settled, r.Voters = now.Reached(l.ordersFrom), l.votes.voters
+		r.Settled, r.Voters = now.Reached(l.ordersFrom), VotersOf(l.votes.names)
 		return l.begin(now, Step{Action: Write, Expect: l.version, Record: r})
 	case l.version == 0 || l.ours() || now.Sub(l.rightEnds()) > l.set.Margin+time.Duration(rank)*rankDelay:
 		l.keepQuiet()
 		l.taking = l.version
 		return l.begin(now, Step{Action: Write, Expect: l.version, Record: Record{
 			Holder: l.set.Self, Incarnation: l.incarnation, Fencing: l.row.Fencing + 1,
-			Voters: l.votes.voters, // not settled: whether it is carried out, and when, is not known
+			Voters: VotersOf(l.votes.names), // not settled: whether it is carried out, and when, is not known
 		}})
 	}
 	return Step{}
--- a/core/gateway/leader/voters.go
+++ b/core/gateway/leader/voters.go
@@ -65,7 +65,7 @@
 
 // votes is what a holder knows of its voters.
 type votes struct {
-	voters   Voters      // to be written with the next renewal
+	names    []string    // of the voters to be written with the next renewal
 	possible []rowVoters // that the row may name
 	sequence uint64
 	sent     [sentKept]clock.Time  // by sequence
@@ -121,7 +121,7 @@
 
 // SetVoters takes the names of the other instances that are heard. They become
 // voters with the next renewal of the row.
-func (l *Lease) SetVoters(names []string) { l.votes.voters = VotersOf(names) }
+func (l *Lease) SetVoters(names []string) { l.votes.names = names }
 
 // promise keeps this instance from taking over for a time, and prepares to say
 // so to the holder. An instance that may already have taken over says nothing.
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/leader"
@@ -105,29 +103,21 @@
 			others = append(others, g.recipient(o))
 		}
 	}
+	// The messages have maps that go on changing, so they are encoded under mu.
+	var short, full []byte
 	b := g.beat(now)
-	short := g.encodeBeat(b, others)
-	g.demand(now, b)
-	full := g.encodeBeat(b, holder)
+	if len(others) > 0 {
+		short = g.encode(packet{Beat: b})
+	}
+	if len(holder) > 0 {
+		g.demand(now, b)
+		full = g.encode(packet{Beat: b})
+	}
 	g.mu.Unlock()
 	g.peers.send(short, others)
 	g.peers.send(full, holder)
 }
 
-// encodeBeat encodes a message, if it goes to anybody. The caller holds mu: the
-// message has maps that go on changing.
-func (g *Gateway) encodeBeat(b *beatMsg, to []recipient) []byte {
-	if len(to) == 0 {
-		return nil
-	}
-	body, err := cbor.Marshal(packet{Beat: b})
-	if err != nil {
-		g.log.Error().Err(err).Msg("peers: message not encoded")
-		return nil
-	}
-	return body
-}
-
 // takePacket takes a message of another instance.
 func (g *Gateway) takePacket(m packet) {
 	g.mu.Lock()
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -82,7 +82,7 @@
 			return target{}, false, nil, ref
 		}
 		if x.ran == 0 && !x.started {
-			x.group = x.route.Pick(hashOf(x.call.ID))
+			x.pickGroup()
 		}
 	}
 	if x.r.Context().Err() != nil {
@@ -129,11 +129,13 @@
 // leaves.
 func (x *exchange) wait(p outlook.Patience, changed <-chan struct{}, full bool) *refusal {
 	now := boottime.Now()
-	until := min(p.Leaves, now.Add(lookAgain))
-	if full && now.Reached(p.Leaves) {
-		return refusalOf(reasonNoRoom, comeBack)
-	}
-	if !full {
+	var until clock.Time
+	if full {
+		if now.Reached(p.Leaves) {
+			return refusalOf(reasonNoRoom, comeBack)
+		}
+		until = min(p.Leaves, now.Add(lookAgain))
+	} else {
 		v, ref := x.decide(p)
 		if ref != nil {
 			return ref
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -40,7 +40,8 @@
 	pauseLeast  = time.Second
 )
 
-func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
+// pickGroup chooses the group of backend servers by the request's id.
+func (x *exchange) pickGroup() { x.group = x.route.Pick(xxhash.Sum64String(x.call.ID)) }
 
 // result says how an attempt ended.
 type result int
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -4,8 +4,6 @@
 	"maps"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/placer"
@@ -66,12 +64,7 @@
 		if len(f.Models) == 0 {
 			continue
 		}
-		body, err := cbor.Marshal(packet{Forecast: &f})
-		if err != nil {
-			g.log.Error().Err(err).Msg("peers: forecast not encoded")
-			return nil
-		}
-		out = append(out, outgoing{body: body, to: []recipient{g.recipient(m)}})
+		out = append(out, outgoing{body: g.encode(packet{Forecast: &f}), to: []recipient{g.recipient(m)}})
 	}
 	return out
 }
@@ -138,7 +131,9 @@
 	x.promise(now, p, e, v.RetryAfter)
 	ref := refusalOf(reasonNotLoaded, v.RetryAfter)
 	ref.expectation = &e
-	ref.heard = now.Sub(g.holder.heard)
+	if !g.lease.Holds(now) {
+		ref.heard = now.Sub(g.holder.heard)
+	}
 	return v, ref
 }
 
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -129,7 +129,7 @@
 		limit = min(limit, x.call.Wait)
 	}
 	x.end = x.arrived.Add(limit)
-	x.group = x.route.Pick(xxhash.Sum64String(x.call.ID))
+	x.pickGroup()
 	x.digest = x.requestDigest()
 	return x.charge()
 }
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -78,7 +78,7 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	g.lookAround(now)
-	step := g.lease.Next(now, g.rank(now))
+	step := g.lease.Next(now, g.candidates(now))
 	var orders []placer.Order
 	var asks []question
 	var state []outgoing
@@ -123,29 +123,21 @@
 		g.metrics.leaseLost.Inc()
 		g.log.Warn().Msg("lease: lapsed, no more orders")
 	}
-	g.lease.SetVoters(g.liveMachines(now))
 }
 
-// liveMachines returns the machines of the other instances that are heard. The
-// caller holds mu.
-func (g *Gateway) liveMachines(now clock.Time) []string {
+// candidates tells the lease which other instances are heard, and returns the
+// place of this one among the candidates for it. The caller holds mu.
+func (g *Gateway) candidates(now clock.Time) (rank int) {
 	var names []string
 	for _, m := range g.members.All(now) {
-		if m.Live(now) {
-			names = append(names, machine(m.Name, m.Address))
+		if !m.Live(now) {
+			continue
 		}
-	}
-	return names
-}
-
-// rank is the place of this instance among the candidates for the lease.
-func (g *Gateway) rank(now clock.Time) int {
-	n := 0
-	for _, m := range g.members.All(now) {
-		ahead := m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name
-		if ahead && m.Live(now) {
-			n++
+		names = append(names, machine(m.Name, m.Address))
+		if m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name {
+			rank++
 		}
 	}
-	return n
+	g.lease.SetVoters(names)
+	return rank
 }
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -134,6 +134,16 @@
 	Forecast *forecastMsg `cbor:"3,keyasint,omitempty"`
 }
 
+// encode encodes a message; nil, which is not sent, if it can't be.
+func (g *Gateway) encode(m packet) []byte {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		g.log.Error().Err(err).Msg("peers: message not encoded")
+		return nil
+	}
+	return body
+}
+
 // peers sends and receives datagrams between instances. They are small and
 // repeated, so a lost one does no harm; a connection to each instance would
 // cost more processor time than all they say.
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 )
@@ -51,14 +49,15 @@
 	var changed []serverMsg
 	for _, id := range g.dir.IDs() {
 		m := g.describe(now, g.dir.Get(id))
-		if old, ok := p.told[id]; ok && !full && sameServer(old, m) {
+		old, told := p.told[id]
+		if told && !full && sameServer(old, m) {
 			continue
 		}
-		if old, ok := p.told[id]; ok && !full && old.Info != nil && m.Info != nil && *old.Info == *m.Info {
+		p.told[id] = m
+		if told && !full && m.Info != nil && sameInfo(old.Info, m.Info) {
 			// Only its models changed; what it is may wait to be told, though.
 			m.Info = p.pending[id].Info
 		}
-		p.told[id] = g.describe(now, g.dir.Get(id))
 		p.pending[id] = m
 		changed = append(changed, m)
 	}
@@ -162,14 +161,9 @@
 func (g *Gateway) encodeState(servers []serverMsg, gone []string, to []recipient) []outgoing {
 	var out []outgoing
 	for part := range slices.Chunk(servers, serversPerState) {
-		body, err := cbor.Marshal(packet{State: &stateMsg{
+		out = append(out, outgoing{to: to, body: g.encode(packet{State: &stateMsg{
 			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone,
-		}})
-		if err != nil {
-			g.log.Error().Err(err).Msg("peers: state not encoded")
-			return nil
-		}
-		out = append(out, outgoing{body: body, to: to})
+		}})})
 	}
 	return out
 }
--- a/proving/fleet/regress_test.go
+++ b/proving/fleet/regress_test.go
@@ -99,12 +99,7 @@
 	f := ready(t, 92, nil)
 	f.steady(12*time.Second, 50*time.Millisecond)
 	f.Run(10 * time.Second)
-	for _, n := range f.Nodes {
-		n.Stop()
-	}
-	for _, n := range f.Nodes {
-		f.stopped(t, n)
-	}
+	f.stopAll(t)
 	wantWhole(t, f.Calls...)
 	noFaults(t, f)
 }
--- a/proving/fleet/stop_test.go
+++ b/proving/fleet/stop_test.go
@@ -57,6 +57,17 @@
 	f.until(t, n.Name+" has stopped", 45*time.Second, func() bool { return n.Stopped })
 }
 
+// stopAll stops all instances in the same moment and waits until they have ended.
+func (f *Fleet) stopAll(t *testing.T) {
+	t.Helper()
+	for _, n := range f.Nodes {
+		n.Stop()
+	}
+	for _, n := range f.Nodes {
+		f.stopped(t, n)
+	}
+}
+
 // replaceAll stops and replaces all instances, one after the other.
 func replaceAll(t *testing.T, f *Fleet) {
 	t.Helper()
@@ -154,12 +165,7 @@
 	f := ready(t, 92, nil)
 	f.steady(12*time.Second, 250*time.Millisecond)
 	f.Run(10 * time.Second)
-	for _, n := range f.Nodes {
-		n.Stop()
-	}
-	for _, n := range f.Nodes {
-		f.stopped(t, n)
-	}
+	f.stopAll(t)
 	wantWhole(t, f.Calls...)
 	for _, n := range f.Nodes {
 		n.Restart()
