Read the servers once under each holder of the lease

Change: an instance rests only if it has read the servers since the holder that it hears began. Ruled out: a last message before the stop (a kill has none); taking what a holder does not name for gone (its messages are datagrams, and lost ones would lose servers).

--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -164,7 +164,7 @@
 	at := int64(-1)
 	for g.ctx.Err() == nil {
 		var err error
-		began := boottime.Now()
+		began, under := boottime.Now(), g.holderFencing()
 		if at < 0 {
 			at, err = g.readServers()
 		} else {
@@ -182,6 +182,7 @@
 			}
 			continue
 		}
+		g.haveRead(under)
 		if g.restWhileTold() {
 			at = -1
 		} else {
@@ -210,12 +211,30 @@
 	return rested > 0
 }
 
-// hearsHolder reports whether another instance follows the engines closely.
+// holderFencing returns the fencing number of the holder that is known.
+func (g *Gateway) holderFencing() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.fencing
+}
+
+// haveRead records that the servers were read after a holder with a fencing
+// number was known.
+func (g *Gateway) haveRead(under int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readUnder = under
+}
+
+// hearsHolder reports whether another instance follows the engines closely, and
+// the servers were read since it does. What the holder before saw last it may not
+// have told, and this one never knew a server that was gone when it began: without
+// the reading, requests went to such a server for another seven seconds.
 func (g *Gateway) hearsHolder() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	return !g.lease.Holds(now) && !g.holder.storeDown && now.Sub(g.holder.heard) < toldWithin && now.Sub(g.holder.told) < repeatEvery+toldWithin
+	return !g.lease.Holds(now) && g.readUnder == g.holder.fencing && !g.holder.storeDown && now.Sub(g.holder.heard) < toldWithin && now.Sub(g.holder.told) < repeatEvery+toldWithin
 }
 
 func (g *Gateway) readServers() (int64, error) {
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/gateway/portstest"
 	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/process/boottime"
@@ -217,6 +219,51 @@
 	}
 }
 
+// A server is gone, and the holder that saw it ends before it told the others. The
+// next life of the holder, which is back before anybody missed it, never knew the
+// server. The others rest, since they hear a holder; they have to read the servers
+// once under each holder, or they go on sending to one that has left.
+func TestServersAreReadUnderEachHolder(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.reach = func(s ports.Store) ports.Store { return noLease{s} }
+	f.backend("a", "plain", ok)
+	f.backend("b", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	var fencing atomic.Int64
+	fencing.Store(1)
+	done := make(chan struct{})
+	go func() { // the holder, as it is heard
+		for {
+			g.takePacket(packet{Beat: &beatMsg{Name: "h", Address: "127.0.0.1:9", Claim: &claimMsg{Fencing: fencing.Load(), Sequence: 1, LeftMS: 1000}}})
+			g.takePacket(packet{State: &stateMsg{Name: "h", Fencing: fencing.Load()}})
+			select {
+			case <-done:
+				return
+			case <-time.After(beatEvery):
+			}
+		}
+	}()
+	t.Cleanup(func() { close(done) })
+	knows := func(id string) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.dir.Get(id) != nil
+	}
+	testutil.WaitFor(t, g.hearsHolder)
+	time.Sleep(2 * changesPauseMost) // the last call for changes has ended
+	f.store.RemoveServer("b")
+	time.Sleep(changesPauseMost)
+	if !knows("b") {
+		t.Fatal("the test shows nothing: the instance follows the store though it hears a holder")
+	}
+	fencing.Store(2)
+	testutil.WaitFor(t, func() bool { return !knows("b") })
+	if !knows("a") {
+		t.Error("the other server is gone too")
+	}
+}
+
 // Entries are missing just after the store was away: their servers stay until
 // they had time to come back. In quiet times a missing entry is a server gone.
 func TestMissingEntries(t *testing.T) {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -119,13 +119,16 @@
 	peerSeen   map[string]*peerSeen
 	changed    chan struct{} // closed when a waiting request should look again
 	holder     holder
-	tellClaim  bool       // the lease was renewed, and the others don't know yet
-	knowsPeers bool       // the rows of the instances were read
-	storeDown  clock.Time // last failure of a call to the store
-	wasAway    bool       // the store, for this instance, in the last round
-	removed    map[string]removedServer
-	lapsed     map[string]clock.Time
-	publisher  publisher
+	tellClaim  bool // the lease was renewed, and the others don't know yet
+	knowsPeers bool // the rows of the instances were read
+	// readUnder is the fencing number of the holder under which the servers were
+	// last read from the store.
+	readUnder int64
+	storeDown clock.Time // last failure of a call to the store
+	wasAway   bool       // the store, for this instance, in the last round
+	removed   map[string]removedServer
+	lapsed    map[string]clock.Time
+	publisher publisher
 }
 
 // holder is the instance that gives orders, as it says itself.
