Report from the logs how callers were served, and where late answers lost their time

The last line of a request tells its first part, longest pause, objectives, waits for limit, model and room, each attempt, tokens, the bucket of its account and the choice of its server. oleander report reads the lines of all processes: burn by route and window, cold starts, accounts judged by one bucket, idle models, lateness by cause; JSON and pictures. It shares its reader with oleander explain.

--- a/core/gateway/directory/directory_test.go
+++ b/core/gateway/directory/directory_test.go
@@ -52,13 +52,13 @@
 			if tc.change != nil {
 				tc.change(d)
 			}
-			s, full := d.Pick(start, tc.need)
+			c := d.Pick(start, tc.need)
 			got := ""
-			if s != nil {
-				got = s.ID
+			if c.Server != nil {
+				got = c.Server.ID
 			}
-			if got != tc.want || full != tc.full {
-				t.Errorf("picked %q, full %v; want %q, %v", got, full, tc.want, tc.full)
+			if got != tc.want || c.Full != tc.full {
+				t.Errorf("picked %q, full %v; want %q, %v", got, c.Full, tc.want, tc.full)
 			}
 		})
 	}
@@ -93,13 +93,13 @@
 			d.Ended(now, id, "", o)
 		}
 	}
-	if s, _ := d.Pick(now, Need{Group: "g", Zone: "a"}); s.ID == "s0" {
+	if s := d.Pick(now, Need{Group: "g", Zone: "a"}).Server; s.ID == "s0" {
 		t.Error("the failing server is picked")
 	}
 	later := now.Add(probation)
 	d.Started(later, "s1", "")
 	d.Started(later, "s2", "")
-	if s, _ := d.Pick(later, Need{Group: "g", Zone: "a"}); s.ID != "s0" {
+	if s := d.Pick(later, Need{Group: "g", Zone: "a"}).Server; s.ID != "s0" {
 		t.Error("the server is not tried again after its probation")
 	}
 }
@@ -128,16 +128,16 @@
 func TestAffinityWithBoundedLoad(t *testing.T) {
 	d := servers(4)
 	need := Need{Group: "g", Affinity: 42}
-	first, _ := d.Pick(start, need)
+	first := d.Pick(start, need).Server
 	for range loadSlack + 1 {
-		s, _ := d.Pick(start, need)
+		s := d.Pick(start, need).Server
 		if s != first {
 			t.Fatal("moved although the load is small")
 		}
 		d.Started(start, s.ID, "m")
 	}
 	d.Started(start, first.ID, "m")
-	if s, _ := d.Pick(start, need); s == first {
+	if s := d.Pick(start, need).Server; s == first {
 		t.Error("stays at a server that has far more than the mean")
 	}
 }
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -73,22 +73,65 @@
 	return sound
 }
 
-// Pick chooses a server, or returns nil if none can run the request. Full says
-// that there are some, but none with room.
-func (d *Directory) Pick(now clock.Time, n Need) (chosen *Server, full bool) {
+// Reason says what made a server the chosen one.
+type Reason int
+
+// The reasons.
+const (
+	ByLoad   Reason = iota // it has the least to do
+	ByPrompt               // it has read prompts with the same beginning
+)
+
+// String names a reason for logs.
+func (r Reason) String() string { return [...]string{"load", "prompt"}[r] }
+
+// Choice is a server that was chosen, with what decided.
+type Choice struct {
+	Server     *Server // nil: none can run the request
+	Full       bool    // there are some, but none with room
+	Candidates int
+	By         Reason
+	Load       float64 // of the chosen one, in requests
+	Next       float64 // the least load of the others
+}
+
+// Pick chooses a server.
+func (d *Directory) Pick(now clock.Time, n Need) Choice {
 	candidates := d.Candidates(now, n)
 	if len(candidates) == 0 {
-		return nil, false
+		return Choice{}
 	}
 	if n.Affinity != 0 {
 		if s := pickAffine(candidates, n); s != nil {
-			return s, false
+			return choiceOf(s, ByPrompt, candidates, n)
 		}
 	}
 	if s := pickLeast(candidates, n); !s.full() {
-		return s, false
+		return choiceOf(s, ByLoad, candidates, n)
+	}
+	return Choice{Full: true, Candidates: len(candidates)}
+}
+
+func choiceOf(chosen *Server, by Reason, candidates []*Server, n Need) Choice {
+	c := Choice{Server: chosen, Candidates: len(candidates), By: by, Load: chosen.load(n)}
+	first := true
+	for _, s := range candidates {
+		if s == chosen {
+			continue
+		}
+		if l := s.load(n); first || l < c.Next {
+			c.Next, first = l, false
+		}
 	}
-	return nil, true
+	return c
+}
+
+// load is what a server has to do, with what the way to it is worth.
+func (s *Server) load(n Need) float64 {
+	if s.Zone != n.Zone {
+		return float64(s.Running()) + remotePenalty
+	}
+	return float64(s.Running())
 }
 
 func (s *Server) full() bool {
@@ -121,10 +164,7 @@
 	var best *Server
 	var least float64
 	for _, s := range candidates {
-		load := float64(s.Running())
-		if s.Zone != n.Zone {
-			load += remotePenalty
-		}
+		load := s.load(n)
 		if best == nil || load < least || load == least && s.lastUsed < best.lastUsed {
 			best, least = s, load
 		}
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -53,7 +53,10 @@
 			g.metrics.coldStarts.Inc()
 			g.startWaiting(key, x.want())
 		}
-		if ref := x.wait(x.patience(began), changed, full); ref != nil {
+		paused := boottime.Now()
+		ref = x.wait(x.patience(began), changed, full)
+		x.timing.waited(boottime.Now().Sub(paused), full)
+		if ref != nil {
 			return target{}, ref
 		}
 	}
@@ -94,18 +97,19 @@
 	if now.Reached(x.end) {
 		return target{}, false, nil, refusalOf(reasonTimeout, comeBack)
 	}
-	s, full := g.dir.Pick(now, x.need())
-	if s != nil {
+	c := g.dir.Pick(now, x.need())
+	if s := c.Server; s != nil {
+		x.timing.choice = c
 		g.dir.Started(now, s.ID, x.call.Model)
 		g.placer.AdapterUsed(now, s.ID, x.call.Model, x.call.Adapter)
 		return target{id: s.ID, address: s.Address}, false, nil, nil
 	}
-	if !full {
+	if !c.Full {
 		if why := x.hopeless(now); why != "" {
 			return target{}, false, nil, refusalOf(why, comeBackLoad)
 		}
 	}
-	return target{}, full, g.changed, nil
+	return target{}, c.Full, g.changed, nil
 }
 
 // hopeless returns why waiting can't help, or "" if a server of the group could
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -164,6 +164,7 @@
 	defer stop()
 	c.SetDeadline(deadlineAt(x.end.Add(answerSlack)))
 	x.sends++
+	x.timing.sent()
 	err = c.Send(rawhttp.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: g.dialect.Forward(x.r.Header, ports.Attempt{
@@ -180,6 +181,7 @@
 	if err != nil {
 		return x.broke(t, c, err)
 	}
+	x.timing.began()
 	return x.take(t, c, resp)
 }
 
@@ -310,6 +312,7 @@
 	if _, err := x.w.Write(body); err != nil {
 		return x.callerGone()
 	}
+	x.timing.passedOn(x.arrived)
 	x.finish(resp.StatusCode, reasonAnswered)
 	return resultDone
 }
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -150,6 +151,7 @@
 	if old := g.manifest.Load(); old != nil && old.Version >= m.Version {
 		return
 	}
+	g.logLimits(m)
 	g.manifest.Store(m)
 	g.raw.Store(&raw)
 	g.configHeard.Store(int64(boottime.Now()))
@@ -159,6 +161,20 @@
 	g.log.Info().Uint64("version", m.Version).Str("source", source).Msg("config: version in force")
 }
 
+// logLimits tells the limits of accounts that a version changes.
+func (g *Gateway) logLimits(m *manifest.Manifest) {
+	var before map[string]*manifest.Account
+	if old := g.manifest.Load(); old != nil {
+		before = old.Accounts
+	}
+	for _, name := range sortedNames(m.Accounts) {
+		a, b := m.Accounts[name], before[name]
+		if b == nil || a.Rate != b.Rate || a.Burst != b.Burst {
+			g.log.Info().Uint64("version", m.Version).Str("account", name).Float64("rate", a.Rate).Float64("burst", a.Burst).Msg("config: limit of an account")
+		}
+	}
+}
+
 // followServers keeps the entries of the backend servers.
 func (g *Gateway) followServers() {
 	at := int64(-1)
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -85,6 +85,7 @@
 	body    []byte
 	digest  poison.Digest
 	grant   grant
+	timing  timing
 
 	arrived  clock.Time
 	end      clock.Time // of the caller's patience or the route's timeout
@@ -271,12 +272,14 @@
 	e := x.g.log.WithLevel(level).Str("request", x.call.ID).Int("status", status).Str("reason", string(why))
 	if x.route != nil {
 		e = e.Str("route", x.route.Name).Uint64("config", x.config.Version)
+		late := !x.inTime()
+		e = x.timing.log(e.Bool("in_time", !late && why == reasonAnswered), objectives{x.route.Objective, x.route.PauseObjective}, late)
 	}
 	if x.account != nil {
 		e = x.grant.log(e.Str("account", x.account.Name).Float64("charged", x.grant.tokens))
 	}
 	if x.call.Model != "" {
-		e = e.Str("model", x.call.Model).Str("adapter", x.call.Adapter)
+		e = e.Str("model", x.call.Model).Str("adapter", x.call.Adapter).Int("prompt_tokens", x.call.Prompt).Int("tokens", x.call.Tokens)
 	}
 	if x.sends > 0 {
 		e = e.Str("server", x.server).Int("sends", x.sends).Int("ran", x.ran)
--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -78,7 +78,8 @@
 // grant is what a request got of its account's tokens.
 type grant struct {
 	number  uint64
-	tokens  float64
+	cost    float64 // that the request counts
+	tokens  float64 // that were granted and not given back
 	outcome quota.Outcome
 }
 
@@ -99,7 +100,7 @@
 		x.g.abandonTokens(number)
 		return refusalOf(reasonStopping, comeBack)
 	}
-	x.grant.number, x.grant.outcome = number, o
+	x.grant.number, x.grant.cost, x.grant.outcome = number, cost, o
 	switch o.Verdict {
 	case quota.Granted:
 		x.grant.tokens = cost
@@ -145,7 +146,7 @@
 	if o.Owner == "" {
 		return e
 	}
-	return e.Str("limit", o.Verdict.String()).Str("limit_owner", o.Owner).Int64("limit_waited_ms", o.Waited.Milliseconds()).
+	return e.Float64("cost", t.cost).Str("limit", o.Verdict.String()).Str("limit_owner", o.Owner).Int64("limit_waited_ms", o.Waited.Milliseconds()).
 		Float64("limit_level", o.Level).Float64("limit_ahead", o.Ahead)
 }
 
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -33,6 +33,7 @@
 	Model       string        // "" if the request is for a plain service
 	Adapter     string
 	Tokens      int // of the prompt and at most of the answer; 0: unknown
+	Prompt      int // tokens of the prompt; 0: unknown
 	Parts       []Part
 	LastEventID string // after which a stream goes on
 }
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -79,6 +79,7 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return errors.Wrap(err, "front: flush")
 	}
+	x.timing.passedOn(x.arrived)
 	x.noteEvents(events)
 	return nil
 }
--- a/oleander/process/explain/explain.go
+++ b/oleander/process/explain/explain.go
@@ -5,7 +5,6 @@
 package explain
 
 import (
-	"bufio"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -15,10 +14,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// maxLine bounds a line, in bytes.
-const maxLine = 1 << 20
+	"oleanderdale.org/oleander/process/logline"
+)
 
 // beliefs are the beginnings of messages that say what a process believes.
 var beliefs = []string{"config: ", "lease: ", "store: "}
@@ -47,23 +45,16 @@
 
 // Read takes all lines of r.
 func (s *Story) Read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		s.take(scanner.Bytes())
-	}
-	return errors.Wrap(scanner.Err(), "explain: read")
+	unreadable, err := logline.Each(r, s.take)
+	s.Unreadable += unreadable
+	return errors.Wrap(err, "explain")
 }
 
-func (s *Story) take(text []byte) {
-	// A collector may put a prefix before the line.
-	if i := strings.IndexByte(string(text), '{'); i > 0 {
-		text = text[i:]
-	}
+// take takes a line, and reports whether it could be read.
+func (s *Story) take(text []byte) bool {
 	var raw map[string]any
 	if err := json.Unmarshal(text, &raw); err != nil {
-		s.Unreadable++
-		return
+		return false
 	}
 	l := line{Instance: field(raw, "instance"), Request: field(raw, "request"), Server: field(raw, "server"), Message: field(raw, "message"), raw: raw}
 	if t, err := time.Parse(time.RFC3339Nano, field(raw, "time")); err == nil {
@@ -72,11 +63,12 @@
 	switch {
 	case l.Request == s.id:
 		s.own = append(s.own, l)
-	case strings.HasPrefix(l.Message, "logs: "):
+	case strings.HasPrefix(l.Message, logline.OmittedPrefix):
 		s.omitted++
 	case l.Request == "":
 		s.context = append(s.context, l)
 	}
+	return true
 }
 
 func field(raw map[string]any, name string) string {
--- /dev/null
+++ b/oleander/process/logline/logline.go
@@ -0,0 +1,35 @@
+// Package logline reads the structured lines that processes log.
+package logline
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxLine bounds a line, in bytes.
+const maxLine = 1 << 20
+
+// OmittedPrefix begins the message of a line that tells how many others were
+// left out.
+const OmittedPrefix = "logs: "
+
+// Each calls take with the text of each line, without what a collector put
+// before it. Take reports whether it could read the line; Each returns how many
+// it could not.
+func Each(r io.Reader, take func(text []byte) bool) (unreadable int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		if i := bytes.IndexByte(text, '{'); i > 0 {
+			text = text[i:]
+		}
+		if !take(text) {
+			unreadable++
+		}
+	}
+	return unreadable, errors.Wrap(scanner.Err(), "logline: read")
+}
--- a/oleander/process/operator/operator.go
+++ b/oleander/process/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator is the operators' command line: check, plan, apply, status,
-// explain, key and dev. Every setting is a flag and an environment variable.
+// explain, report, key and dev. Every setting is a flag and an environment variable.
 package operator
 
 import (
@@ -35,6 +35,7 @@
 	Status  statusCommand   `cmd:"" help:"Show which configuration version each instance has."`
 	Burn    burnCommand     `cmd:"" help:"Report service-level burn by client account and class."`
 	Explain explainCommand  `cmd:"" help:"Print the story of one request from the log lines of all processes."`
+	Report  reportCommand   `cmd:"" help:"Report from the log lines of all processes how callers were served, and where the time went."`
 	Key     keyCommands     `cmd:"" help:"Make keys of client accounts."`
 	TLS     tlsCommands     `cmd:"" name:"tls" help:"Make certificates for the traffic between instances."`
 	Standin standinCommands `cmd:"" help:"Run stand-ins of what the system runs beside, for tests."`
@@ -53,7 +54,7 @@
 		kong.Writers(stdout, stderr),
 	)
 	if err != nil {
-		return report(stderr, err)
+		return finish(stderr, err)
 	}
 	parsed, err := parser.Parse(args)
 	if err != nil {
@@ -61,10 +62,10 @@
 		return ExitUsage
 	}
 	parsed.BindTo(ctx, (*context.Context)(nil))
-	return report(stderr, parsed.Run(&streams{out: stdout, progress: stderr}))
+	return finish(stderr, parsed.Run(&streams{out: stdout, progress: stderr}))
 }
 
-func report(stderr io.Writer, err error) int {
+func finish(stderr io.Writer, err error) int {
 	if err == nil {
 		return ExitOK
 	}
--- /dev/null
+++ b/oleander/process/operator/report.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/process/report"
+)
+
+// reportCommand prints how callers were served, by the logs of all processes.
+type reportCommand struct {
+	Logs   []string      `arg:"" optional:"" help:"Log files; none: standard input." type:"existingfile"`
+	Window time.Duration `default:"5m" help:"The shorter window of the burn; the longer one has twelve of them."`
+	JSON   bool          `name:"json" help:"Print JSON."`
+	Plots  string        `help:"Directory to draw pictures into." type:"existingdir" placeholder:"DIR"`
+}
+
+// Run implements the command.
+func (c *reportCommand) Run(_ context.Context, s *streams) error {
+	if c.Window <= 0 {
+		return errors.Wrap(errUsage, "--window must be longer than zero")
+	}
+	b := report.New(report.Settings{Window: c.Window})
+	if err := readLogs(c.Logs, func(name string, r io.Reader) error {
+		return b.Read(&progress{r: r, name: name, out: s.progress, lines: b.Lines})
+	}); err != nil {
+		return err
+	}
+	r := b.Build()
+	if c.Plots != "" {
+		if err := r.Plots(c.Plots); err != nil {
+			return err
+		}
+	}
+	if !c.JSON {
+		return r.Write(s.out)
+	}
+	e := json.NewEncoder(s.out)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(r), "report")
+}
+
+// readLogs reads files, or standard input if there are none.
+func readLogs(names []string, read func(name string, r io.Reader) error) error {
+	if len(names) == 0 {
+		return read("standard input", os.Stdin)
+	}
+	for _, name := range names {
+		if err := readLog(name, read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(name string, read func(string, io.Reader) error) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer func() { _ = f.Close() }()
+	return errors.Wrap(read(name, f), name)
+}
+
+// progressEvery is the time between two words on a long input.
+const progressEvery = 2 * time.Second
+
+// progress tells how much of a long input was read.
+type progress struct {
+	r     io.Reader
+	name  string
+	out   io.Writer
+	lines func() int
+	read  int64
+	told  time.Time
+}
+
+// Read implements io.Reader.
+func (p *progress) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	p.read += int64(n)
+	switch now := time.Now(); {
+	case p.told.IsZero():
+		p.told = now
+	case now.Sub(p.told) >= progressEvery:
+		p.told = now
+		fmt.Fprintf(p.out, "%s: %d MB, %d lines read\n", p.name, p.read>>20, p.lines())
+	}
+	return n, err
+}
--- /dev/null
+++ b/oleander/process/report/account.go
@@ -0,0 +1,146 @@
+package report
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Account is what a client account got of what it asked within its rate.
+type Account struct {
+	Name string `json:"name"`
+	// Asked counts all its requests, Within those that one token bucket with the
+	// account's rate and burst lets through, in the order in which they arrived.
+	Asked  int `json:"asked"`
+	Within int `json:"within"`
+	// Got is how many as many as Within were answered, Share its part.
+	Got   int     `json:"got"`
+	Share float64 `json:"share"`
+	// RefusedWithin were refused for the account's limit although that bucket
+	// had their tokens.
+	RefusedWithin int `json:"refused_within"`
+	// Beyond is how many tokens more than rate and burst allow were granted in
+	// the worst window of eight seconds; below zero: none.
+	Beyond float64 `json:"beyond"`
+}
+
+// reasonLimit is the reason of a refusal by an account's limit.
+const reasonLimit = "quota"
+
+// beyondWindow is the time over which what was granted is compared with rate
+// and burst.
+const beyondWindow = 8 * time.Second
+
+// judge is one account's token bucket that sees all its requests in order.
+type judge struct {
+	limits      []limit
+	at          int // in limits
+	level       float64
+	updated     int64
+	started     bool
+	row         Account
+	granted     []spent
+	sum, beyond float64
+}
+
+type spent struct {
+	at     int64
+	tokens float64
+}
+
+// accounts judges all accounts by the requests in order, the worst served first.
+func (b *Builder) accounts() []Account {
+	judges := make(map[string]*judge)
+	for _, r := range b.requests {
+		if r.account == "" {
+			continue
+		}
+		j := judges[r.account]
+		if j == nil {
+			limits := b.limits[r.account]
+			slices.SortFunc(limits, func(x, y limit) int { return cmp.Compare(x.since, y.since) })
+			j = &judge{limits: limits, row: Account{Name: r.account}}
+			judges[r.account] = j
+		}
+		j.take(r)
+	}
+	var rows []Account
+	for _, name := range slices.Sorted(maps.Keys(judges)) {
+		j := judges[name]
+		if j.row.Within > 0 {
+			j.row.Share = float64(j.row.Got) / float64(j.row.Within)
+		}
+		j.row.Beyond = j.beyond
+		rows = append(rows, j.row)
+	}
+	slices.SortStableFunc(rows, func(x, y Account) int { return cmp.Compare(x.Share, y.Share) })
+	return rows
+}
+
+func (j *judge) take(r request) {
+	j.row.Asked++
+	within := j.spend(r)
+	served := r.result == inTime || r.result == late
+	if within {
+		j.row.Within++
+		if r.reason == reasonLimit {
+			j.row.RefusedWithin++
+		}
+	}
+	if within && served {
+		j.row.Got++
+	}
+	if served || r.result == failed || r.result == gone {
+		j.grant(r)
+	}
+}
+
+// limit returns the limit in force at a moment, nil without one.
+func (j *judge) limit(at int64) *limit {
+	for j.at+1 < len(j.limits) && j.limits[j.at+1].since <= at {
+		j.at++
+	}
+	if j.at >= len(j.limits) || j.limits[j.at].rate <= 0 {
+		return nil
+	}
+	return &j.limits[j.at]
+}
+
+// spend takes a request's tokens from the bucket, and reports whether they were
+// there.
+func (j *judge) spend(r request) bool {
+	l := j.limit(r.arrived)
+	if l == nil {
+		return true
+	}
+	if !j.started {
+		j.started, j.level = true, l.burst
+	} else {
+		j.level += l.rate * time.Duration(r.arrived-j.updated).Seconds()
+	}
+	j.level, j.updated = min(j.level, l.burst), r.arrived
+	if j.level < min(r.cost, l.burst) {
+		return false
+	}
+	j.level -= r.cost
+	return true
+}
+
+// grant sums up what was granted within the window that ends with r.
+func (j *judge) grant(r request) {
+	l := j.limit(r.arrived)
+	if l == nil {
+		return
+	}
+	j.granted = append(j.granted, spent{r.arrived, r.cost})
+	j.sum += r.cost
+	for j.granted[0].at <= r.arrived-int64(beyondWindow) {
+		j.sum -= j.granted[0].tokens
+		j.granted = j.granted[1:]
+	}
+	over := j.sum - l.burst - l.rate*beyondWindow.Seconds()
+	if len(j.granted) == 1 || over > j.beyond {
+		j.beyond = over
+	}
+}
--- /dev/null
+++ b/oleander/process/report/line.go
@@ -0,0 +1,150 @@
+package report
+
+import (
+	"encoding/json"
+	"time"
+
+	"oleanderdale.org/core/config"
+	"oleanderdale.org/oleander/process/burn"
+)
+
+// line is what the report reads of a log line, of either interface.
+type line struct {
+	Time      time.Time `json:"time"`
+	Message   string    `json:"message"`
+	Account   string    `json:"account"`
+	Server    string    `json:"server"`
+	Model     string    `json:"model"`
+	Adapter   string    `json:"adapter"`
+	Route     string    `json:"route"`
+	Class     string    `json:"class"` // of the own interface
+	Reason    string    `json:"reason"`
+	Outcome   string    `json:"outcome"` // of the own interface
+	Order     string    `json:"order"`
+	Answer    string    `json:"answer"`
+	Rate      float64   `json:"rate"`
+	Burst     float64   `json:"burst"`
+	Cost      float64   `json:"cost"`
+	Sends     int       `json:"sends"`
+	InTime    bool      `json:"in_time"`
+	First     int64     `json:"first_ms"`
+	Total     int64     `json:"total_ms"`
+	Pause     int64     `json:"pause_ms"`
+	Objective int64     `json:"objective_ms"`
+	Limit     int64     `json:"limit_waited_ms"`
+	WaitMod   int64     `json:"model_wait_ms"`
+	WaitRoom  int64     `json:"room_wait_ms"`
+	Attempts  []int64   `json:"attempts_ms"`
+	Omitted   int       `json:"omitted"`
+}
+
+// The messages that the report reads.
+const (
+	messageRequest = "front: request ended"
+	messageOrder   = "placer: order"
+	messageLimit   = "config: limit of an account"
+)
+
+// result is how a request ended, for the report.
+type result uint8
+
+const (
+	inTime  result = iota
+	late           // answered, but not within its objectives
+	refused        // it has not run
+	failed         // it may have run
+	gone           // its caller left
+)
+
+// reasons of the gateway and outcomes of the own interface that say how a
+// request ended; every other reason is a refusal.
+var results = map[string]result{
+	"answered": late, "caller-gone": gone, "broken": failed, "timeout": failed, "broken-off-midway": failed,
+}
+
+// decode reads a line.
+func decode(text []byte) (line, bool) {
+	var l line
+	err := json.Unmarshal(text, &l)
+	return l, err == nil
+}
+
+// own reports whether the line is of the own interface.
+func (l *line) own() bool { return l.Outcome != "" }
+
+// result returns how the request of the line ended.
+func (l *line) result() result {
+	reason := l.Reason
+	if l.own() && (reason == "" || l.Outcome != "refused") {
+		reason = l.Outcome
+	}
+	r, ok := results[reason]
+	switch {
+	case !ok:
+		return refused
+	case r == late && l.met():
+		return inTime
+	}
+	return r
+}
+
+// met reports whether an answer met its objectives.
+func (l *line) met() bool {
+	if !l.own() {
+		return l.InTime
+	}
+	limit, ok := burn.InTime[config.Class(l.Class)]
+	return !ok || time.Duration(l.First)*time.Millisecond <= limit
+}
+
+// series names what the objective belongs to.
+func (l *line) series() string {
+	if l.own() {
+		return l.Class
+	}
+	return l.Route
+}
+
+// why names the reason for the table of reasons.
+func (l *line) why() string {
+	if l.Reason == "" {
+		return l.Outcome
+	}
+	return l.Reason
+}
+
+// Cause says where the time of a late answer went.
+type Cause string
+
+// The causes.
+const (
+	CauseLimit  Cause = "limit of the account"
+	CauseModel  Cause = "model not loaded"
+	CauseRoom   Cause = "servers full"
+	CauseRepeat Cause = "server broke off or was silent"
+	CauseServer Cause = "server's first part"
+	CausePause  Cause = "pause in the stream"
+)
+
+// cause returns the longest part of a late answer's time to its first part, or
+// the pause if that was in time.
+func (l *line) cause() Cause {
+	if l.Objective > 0 && l.First <= l.Objective && l.Pause > 0 {
+		return CausePause
+	}
+	last, before := int64(0), l.First-l.Limit-l.WaitMod-l.WaitRoom
+	if n := len(l.Attempts); n > 0 {
+		last = l.Attempts[n-1]
+		before -= last
+	}
+	if len(l.Attempts) < 2 {
+		last, before = last+before, 0
+	}
+	cause, most := CauseServer, last
+	for c, ms := range map[Cause]int64{CauseLimit: l.Limit, CauseModel: l.WaitMod, CauseRoom: l.WaitRoom, CauseRepeat: before} {
+		if ms > most || ms == most && c < cause {
+			cause, most = c, ms
+		}
+	}
+	return cause
+}
--- /dev/null
+++ b/oleander/process/report/plot.go
@@ -0,0 +1,62 @@
+package report
+
+import (
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// Plots draws the report into dir: cold-starts.png and windows.png.
+func (r *Report) Plots(dir string) error {
+	if err := r.plotColdStarts(filepath.Join(dir, "cold-starts.png")); err != nil {
+		return err
+	}
+	return r.plotWindows(filepath.Join(dir, "windows.png"))
+}
+
+// plotColdStarts draws the share of cold starts whose first part came within a
+// time.
+func (r *Report) plotColdStarts(name string) error {
+	p := plot.New()
+	p.Title.Text = "Cold starts"
+	p.X.Label.Text, p.Y.Label.Text = "time to the first part, ms", "share"
+	var points plotter.XYs
+	for i, ms := range r.ColdStarts.all {
+		points = append(points, plotter.XY{X: float64(ms), Y: float64(i+1) / float64(len(r.ColdStarts.all))})
+	}
+	return save(p, name, "cold starts", points)
+}
+
+// plotWindows draws how requests ended, by window.
+func (r *Report) plotWindows(name string) error {
+	p := plot.New()
+	p.Title.Text = "Requests by window"
+	p.X.Label.Text, p.Y.Label.Text = "seconds from the start", "requests"
+	var inTime, late, refused, failed plotter.XYs
+	for _, w := range r.Windows {
+		x := w.From.Sub(r.From).Seconds()
+		inTime = append(inTime, plotter.XY{X: x, Y: float64(w.InTime)})
+		late = append(late, plotter.XY{X: x, Y: float64(w.Late)})
+		refused = append(refused, plotter.XY{X: x, Y: float64(w.Refused)})
+		failed = append(failed, plotter.XY{X: x, Y: float64(w.Failed)})
+	}
+	return save(p, name, "in time", inTime, "late", late, "refused", refused, "failed", failed)
+}
+
+// save draws lines, given as names and points in turn.
+func save(p *plot.Plot, name string, lines ...any) error {
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return errors.Wrap(err, "report: plot")
+	}
+	p.Legend.Top = true
+	return errors.Wrap(p.Save(plotWidth, plotHeight, name), "report: plot")
+}
--- /dev/null
+++ b/oleander/process/report/report_test.go
@@ -0,0 +1,181 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+var begin = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// log writes lines as the processes do.
+type log struct{ strings.Builder }
+
+func (l *log) line(at time.Duration, message, fields string) {
+	fmt.Fprintf(l, `{"level":"info","instance":"i","time":%q,"message":%q,%s}`+"\n", begin.Add(at).Format("2006-01-02T15:04:05.000Z07:00"), message, fields)
+}
+
+func (l *log) request(at time.Duration, fields string) {
+	l.line(at, messageRequest, `"request":"r","status":200,"route":"chat","account":"a",`+fields)
+}
+
+func build(t *testing.T, l *log) *Report {
+	t.Helper()
+	b := New(Settings{Window: time.Second})
+	if err := b.Read(strings.NewReader(l.String())); err != nil {
+		t.Fatal(err)
+	}
+	return b.Build()
+}
+
+// A late answer each whose time went somewhere else, as the gateway logs it. The
+// report names the cause.
+func TestCauseOfLateness(t *testing.T) {
+	tests := []struct {
+		name   string
+		fields string
+		want   Cause
+	}{
+		{"its account was at its limit", `"first_ms":900,"objective_ms":500,"limit_waited_ms":700,"attempts_ms":[150]`, CauseLimit},
+		{"its model was not loaded", `"first_ms":1900,"objective_ms":500,"model_wait_ms":1500,"attempts_ms":[350]`, CauseModel},
+		{"all servers were full", `"first_ms":900,"objective_ms":500,"room_wait_ms":600,"attempts_ms":[250]`, CauseRoom},
+		{"a long prompt was ahead of it", `"first_ms":1100,"objective_ms":500,"limit_waited_ms":10,"attempts_ms":[1080]`, CauseServer},
+		{"the first server was silent", `"first_ms":2300,"objective_ms":500,"attempts_ms":[0,200]`, CauseRepeat},
+		{"it paused", `"first_ms":200,"objective_ms":500,"pause_ms":900,"pause_objective_ms":400,"attempts_ms":[190]`, CausePause},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var l log
+			l.request(time.Second, `"reason":"answered","in_time":false,"total_ms":3000,`+tc.fields)
+			r := build(t, &l)
+			if r.Late[tc.want].Count != 1 {
+				t.Errorf("late by %v", r.Late)
+			}
+		})
+	}
+}
+
+// An account asks for twice its rate. Half of it lies within; of that one request
+// was refused although the account had the tokens, and one failed.
+func TestAccountWithinItsRate(t *testing.T) {
+	var l log
+	l.line(0, messageLimit, `"account":"a","rate":100,"burst":100`)
+	for i := range 20 {
+		fields := `"reason":"answered","in_time":true,"first_ms":5,"total_ms":0,"cost":50`
+		switch {
+		case i == 0:
+			fields = `"reason":"quota","total_ms":0,"cost":50`
+		case i == 1:
+			fields = `"reason":"broken","total_ms":0,"cost":50`
+		case i > 2 && i%2 == 1:
+			fields = `"reason":"quota","total_ms":0,"cost":50`
+		}
+		l.request(time.Duration(1+i)*250*time.Millisecond, fields)
+	}
+	r := build(t, &l)
+	if len(r.Accounts) != 1 {
+		t.Fatalf("accounts %+v", r.Accounts)
+	}
+	a := r.Accounts[0]
+	// 100 at first and 25 with each request: the first three, and then every
+	// second one.
+	if a.Asked != 20 || a.Within != 11 || a.RefusedWithin != 1 || a.Got != 9 {
+		t.Errorf("%+v", a)
+	}
+	if a.Beyond > 0 {
+		t.Errorf("%.0f tokens granted beyond the rate", a.Beyond)
+	}
+}
+
+// An engine loads a model at 1 s, serves from 2 to 3 s and from 2.5 to 4 s, and
+// unloads it at 7 s: four of six seconds are idle.
+func TestIdleTime(t *testing.T) {
+	var l log
+	l.line(time.Second, messageOrder, `"server":"s","model":"m","adapter":"","order":"load","answer":"accepted"`)
+	l.line(time.Second, messageOrder, `"server":"s","model":"n","adapter":"","order":"load","answer":"busy"`)
+	l.request(3*time.Second, `"reason":"answered","in_time":true,"first_ms":5,"total_ms":1000,"server":"s","model":"m"`)
+	l.request(4*time.Second, `"reason":"answered","in_time":true,"first_ms":5,"total_ms":1500,"server":"s","model":"m"`)
+	l.line(7*time.Second, messageOrder, `"server":"s","model":"m","adapter":"","order":"unload","answer":"accepted"`)
+	r := build(t, &l)
+	const second = 1.0 / 3600
+	if d := r.Idle.Held - 6*second; d > 1e-9 || d < -1e-9 {
+		t.Errorf("held %.6f h", r.Idle.Held)
+	}
+	if d := r.Idle.Idle - 4*second; d > 1e-9 || d < -1e-9 {
+		t.Errorf("idle %.6f h", r.Idle.Idle)
+	}
+	if len(r.Idle.Worst) != 1 || r.Idle.Worst[0].Model != "m" {
+		t.Errorf("models %+v", r.Idle.Worst)
+	}
+}
+
+// One in fifty requests is late in each second but one, in which half are. The
+// objective allows one in a hundred: burn 2 as a rule, 50 in that window, and 8
+// over the eight windows that end with it.
+func TestBurnByWindow(t *testing.T) {
+	var l log
+	for s := range 20 {
+		for i := range 50 {
+			ok := i > 0 && (s != 7 || i >= 25)
+			l.request(time.Duration(s)*time.Second+time.Duration(i)*10*time.Millisecond,
+				fmt.Sprintf(`"reason":"answered","in_time":%t,"first_ms":600,"objective_ms":500,"total_ms":0`, ok))
+		}
+	}
+	r := build(t, &l)
+	s := r.Burn[0]
+	if s.Name != "chat" || s.WorstShort != 50 || s.EndShort != 2 || s.WorstLong != 8 {
+		t.Errorf("%+v", s)
+	}
+	if len(r.Windows) != 20 || r.Windows[7].Late != 25 {
+		t.Errorf("%d windows, %+v", len(r.Windows), r.Windows[7])
+	}
+}
+
+// Lines of the own interface name a class in place of a route, and an outcome.
+func TestOwnInterface(t *testing.T) {
+	var l log
+	l.line(time.Second, messageRequest, `"request":"1","outcome":"answered","class":"interactive","account":"a","model":"m","first_ms":200,"total_ms":300`)
+	l.line(time.Second, messageRequest, `"request":"2","outcome":"answered","class":"interactive","account":"a","model":"m","first_ms":31000,"total_ms":31000`)
+	l.line(time.Second, messageRequest, `"request":"3","outcome":"refused","reason":"deadline","class":"interactive","account":"a","model":"m","first_ms":0,"total_ms":10`)
+	l.line(time.Second, messageRequest, `"request":"4","outcome":"caller-gone","class":"interactive","account":"a","model":"m","first_ms":0,"total_ms":10`)
+	r := build(t, &l)
+	want := Counts{InTime: 1, Late: 1, Refused: 1, Gone: 1}
+	if len(r.Burn) != 1 || r.Burn[0].Counts != want || r.Burn[0].Name != "interactive" {
+		t.Errorf("%+v", r.Burn)
+	}
+}
+
+func TestUnreadableAndEmpty(t *testing.T) {
+	b := New(Settings{Window: time.Minute})
+	if err := b.Read(strings.NewReader("no json\n{\"half\":\n")); err != nil {
+		t.Fatal(err)
+	}
+	r := b.Build()
+	if r.Unreadable != 2 || r.Requests != 0 {
+		t.Errorf("%+v", r)
+	}
+	var out strings.Builder
+	if err := r.Write(&out); err != nil || !strings.Contains(out.String(), "2 lines could not be read") {
+		t.Errorf("%v, %s", err, out.String())
+	}
+}
+
+// BenchmarkMillionLines reads a million lines, one request in each.
+func BenchmarkMillionLines(b *testing.B) {
+	var l log
+	for i := range 10_000 {
+		l.request(time.Duration(i)*time.Millisecond, `"config":12,"in_time":true,"reason":"answered","first_ms":120,"pause_ms":40,"objective_ms":500,"pause_objective_ms":400,`+
+			`"attempts_ms":[118],"charged":1540,"cost":1540,"limit":"granted","limit_owner":"front-zone-a-1","limit_waited_ms":2,"limit_level":91827,"limit_ahead":0,`+
+			`"model":"daka510000","adapter":"a3","prompt_tokens":1460,"tokens":1540,"server":"i-57184ca455","sends":1,"ran":1,"events":14,"queued_ms":0,"total_ms":246`)
+	}
+	for b.Loop() {
+		r := New(Settings{Window: time.Minute})
+		for range 100 {
+			if err := r.Read(strings.NewReader(l.String())); err != nil {
+				b.Fatal(err)
+			}
+		}
+		r.Build()
+	}
+}
--- a/oleander/request/front/exchange.go
+++ b/oleander/request/front/exchange.go
@@ -210,7 +210,7 @@
 	if o == outcomeRefused {
 		level = zerolog.WarnLevel // kept before successes when lines are left out
 	}
-	e := x.front.log.WithLevel(level).Str("request", string(x.call.Request)).Str("outcome", string(o))
+	e := x.front.log.WithLevel(level).Str("request", string(x.call.Request)).Str("outcome", string(o)).Str("class", string(x.call.Class))
 	if reason != "" {
 		e = e.Str("reason", string(reason)).Bool("begun", x.begun)
 	}
