Rank an account's requests by their routes, with room for the urgent by their learnt inflow

Change: the route's priority ranks within an account; a less urgent request is let wait by what the more urgent ask for leave of the rate (learnt with 2 s), and is refused at once when it can't be in time any more.

--- a/core/gateway/quota/bucket.go
+++ b/core/gateway/quota/bucket.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,13 +18,14 @@
 	// all that wait: nobody notices the delay, and a status read of 200 tokens
 	// would be refused behind prompts of 9,000 that take their account 0.2 s each.
 	negligible = 10 * time.Millisecond
-	// roomForUrgent is the part of its patience that a request leaves for more
-	// urgent ones that come later and go before it. Without it, the patient fill
-	// the queue, none of them may be made late, and the urgent are refused: of an
-	// account at five times its rate 109 of 570 chats were, and 7 of 250 drafts.
-	roomForUrgent = 0.5
-	// urgentFor is how long a request counts as a sign that more as urgent come.
-	urgentFor = 5 * time.Second
+	// inflowWindow is the time constant in which the bucket learns how many
+	// tokens requests of each priority ask for.
+	inflowWindow = 2 * time.Second
+	// roomLeft of what more urgent requests leave of the rate is counted on; the
+	// rest is for their bursts.
+	roomLeft = 0.8
+	// leastRoom is the part of its patience that is left to a request in any case.
+	leastRoom = 0.0
 )
 
 // bucket is the token bucket of one client account, kept by its owner alone,
@@ -34,8 +36,8 @@
 	share   float64 // part of the rate that this owner hands out
 	level   float64 // below zero after a request larger than the burst
 	updated clock.Time
-	queue   []*waiter          // in the order in which they are granted
-	seen    map[int]clock.Time // when a request of a priority came last
+	queue   []*waiter       // in the order in which they are granted
+	inflow  map[int]*inflow // by priority
 }
 
 // waiter is a request that waits for tokens.
@@ -60,32 +62,51 @@
 func (b *bucket) need(a Ask) float64 { return min(a.Cost, b.account.Burst) }
 
 // admit grants a request, lets it wait, or refuses it. Wait is the time until
-// the tokens are there: for a refused one, behind all that wait.
-func (b *bucket) admit(now clock.Time, a Ask) (v Verdict, wait time.Duration) {
+// the tokens are there: for a refused one, behind all that wait. Displaced are
+// less urgent ones that can't have their tokens in time any more.
+func (b *bucket) admit(now clock.Time, a Ask) (v Verdict, wait time.Duration, displaced []Ask) {
 	b.refill(now)
-	if b.seen == nil {
-		b.seen = make(map[int]clock.Time)
-	}
-	b.seen[a.Priority] = now
+	b.asked(now, a)
 	if len(b.queue) == 0 && b.level >= b.need(a) {
 		b.level -= a.Cost
-		return Granted, 0
+		return Granted, 0, nil
 	}
 	w := &waiter{ask: a, latest: now.Add(a.Wait)}
 	patience := b.patience(now, a)
 	for at := b.place(a); at <= len(b.queue); at++ {
 		queue := slices.Insert(slices.Clone(b.queue), at, w)
-		delays := b.delays(queue)
-		if delays[at] > patience {
+		delay := b.delays(queue[:at+1])[at]
+		if delay > patience {
 			break
 		}
-		if inTime(now, queue[at:], delays[at:]) {
+		if queue, displaced, ok := b.fit(now, queue, at); ok {
 			b.queue = queue
-			return Waiting, delays[at]
+			return Waiting, delay, displaced
 		}
 	}
-	delays := b.delays(append(slices.Clone(b.queue), w))
-	return Refused, delays[len(delays)-1]
+	return Refused, b.behindAll(a), nil
+}
+
+// fit takes less urgent requests out of a queue, the newest first, until all
+// behind a new one are granted in time. It fails if the others are too many.
+func (b *bucket) fit(now clock.Time, queue []*waiter, at int) (fits []*waiter, displaced []Ask, ok bool) {
+	for !b.inTime(now, queue) {
+		last := len(queue) - 1
+		for last > at && queue[last].ask.Priority <= queue[at].ask.Priority {
+			last--
+		}
+		if last == at {
+			return nil, nil, false
+		}
+		displaced = append(displaced, queue[last].ask)
+		queue = slices.Delete(queue, last, last+1)
+	}
+	return queue, displaced, true
+}
+
+// behindAll is how long a request would wait behind all others.
+func (b *bucket) behindAll(a Ask) time.Duration {
+	return b.delays(append(slices.Clone(b.queue), &waiter{ask: a}))[len(b.queue)]
 }
 
 // place is the place of a new request: the first if it costs next to nothing,
@@ -102,21 +123,49 @@
 	return at
 }
 
-// patience is how long a new request may expect to wait.
+// inflow is the mean of what is asked for, in tokens a second.
+type inflow struct {
+	perSecond float64
+	at        clock.Time
+}
+
+func (i *inflow) add(now clock.Time, tokens float64) {
+	i.perSecond *= math.Exp(-now.Sub(i.at).Seconds() / inflowWindow.Seconds())
+	i.perSecond += tokens / inflowWindow.Seconds()
+	i.at = now
+}
+
+func (b *bucket) asked(now clock.Time, a Ask) {
+	if b.inflow == nil {
+		b.inflow = make(map[int]*inflow)
+	}
+	if b.inflow[a.Priority] == nil {
+		b.inflow[a.Priority] = &inflow{at: now}
+	}
+	b.inflow[a.Priority].add(now, a.Cost)
+}
+
+// patience is how long a new request may expect to wait by what is ahead of it:
+// less than it can wait, since more urgent ones will come and go before it.
 func (b *bucket) patience(now clock.Time, a Ask) time.Duration {
-	for priority, at := range b.seen {
-		if priority < a.Priority && now.Sub(at) < urgentFor {
-			return time.Duration(roomForUrgent * float64(a.Wait))
+	urgent := 0.0
+	for priority, i := range b.inflow {
+		if priority < a.Priority {
+			i.add(now, 0)
+			urgent += i.perSecond
 		}
 	}
-	return a.Wait
+	if urgent == 0 {
+		return a.Wait
+	}
+	room := roomLeft * (1 - urgent/b.rate())
+	return time.Duration(max(leastRoom, room) * float64(a.Wait))
 }
 
-// inTime reports whether all of a queue are granted by their latest moment. One
-// that was let wait is not passed over for a more urgent one that comes later.
-func inTime(now clock.Time, queue []*waiter, delays []time.Duration) bool {
-	for i, w := range queue {
-		if now.Add(delays[i]) > w.latest {
+// inTime reports whether all of a queue are granted by their latest moment.
+func (b *bucket) inTime(now clock.Time, queue []*waiter) bool {
+	for i, d := range b.delays(queue) {
+		if now.Add(d) > queue[i].latest {
 			return false
 		}
 	}
--- a/core/gateway/quota/tickets.go
+++ b/core/gateway/quota/tickets.go
@@ -271,11 +271,20 @@
 	m.look(now)
 	b.refill(now)
 	r := Reply{Level: b.level, Ahead: b.queued()}
-	r.Verdict, r.Wait = b.admit(now, a)
+	var displaced []Ask
+	r.Verdict, r.Wait, displaced = b.admit(now, a)
 	if r.Verdict != Waiting {
 		m.memory[a.ID] = decision{at: now, account: a.Account, cost: a.Cost, reply: r}
 	}
 	m.answer(now, a, r)
+	m.refuseAll(now, b, displaced)
+}
+
+// refuseAll refuses requests that were let wait, with when to come back.
+func (m *Meter) refuseAll(now clock.Time, b *bucket, asks []Ask) {
+	for _, a := range asks {
+		m.conclude(now, a, Reply{Verdict: Refused, Wait: b.behindAll(a), Level: b.level, Ahead: b.queued()})
+	}
 }
 
 // answer replies to an ask.
@@ -385,10 +394,7 @@
 	for _, a := range granted {
 		m.conclude(now, a, Reply{Verdict: Granted, Level: b.level, Ahead: b.queued()})
 	}
-	for _, a := range expired {
-		delays := b.delays(append(b.queue, &waiter{ask: a}))
-		m.conclude(now, a, Reply{Verdict: Refused, Wait: delays[len(delays)-1], Level: b.level, Ahead: b.queued()})
-	}
+	m.refuseAll(now, b, expired)
 }
 
 func (m *Meter) conclude(now clock.Time, a Ask, r Reply) {
--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -89,7 +89,9 @@
 		return nil
 	}
 	cost := x.tokenCost()
-	number, decided := x.g.requestTokens(x.account.Name, cost, x.urgency(), quota.Patience(x.route.Objective, x.route.Timeout))
+	// Within its account a request ranks by its route: the account's own priority
+	// is the same for all of them.
+	number, decided := x.g.requestTokens(x.account.Name, cost, x.route.Priority, quota.Patience(x.route.Objective, x.route.Timeout))
 	var o quota.Outcome
 	select {
 	case o = <-decided:
