Heartbeats through relays between zones, two watchers of the store a zone

Cause: each instance told every other one directly, 82 messages each 0.66 s with 83 instances, and all of them waited at the store for the configuration, read the rows five times at the start, and called a store that was away four times a second each. Another zone is told through one of its two strongest instances in turn, which passes messages on within its zone, 40 ms collected in a datagram; the state of the servers goes through both. The holder of the lease and new claims are told directly. Demand goes to the holder or the three next candidates. Two instances of a zone of five and more watch the configuration, the others hear of a version by the heartbeat that follows it. The rows are read once; calls that fail are repeated less often in a large fleet; a holder without the store is told by itself and not by heartbeats to all.

--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -7,7 +7,9 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/core/gateway/spread"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -87,42 +89,95 @@
 	return heard.Add(time.Duration(ms) * time.Millisecond)
 }
 
-// sendBeat tells all others, or only the holder of the lease. The holder is told
-// of demand too, which is more than half of a message; so is everybody while no
-// holder is heard, for one of them is the next.
-func (g *Gateway) sendBeat(onlyHolder bool) {
+// audience says whom a heartbeat is for.
+type audience int
+
+const (
+	toHolder    audience = iota // of the lease only
+	toAll                       // all, through relays
+	toAllAtOnce                 // all directly: it must not be late or lost
+)
+
+// candidatesTold is how many instances are told of demand while no holder is
+// heard: one of the strongest is the next.
+const candidatesTold = 3
+
+// sendBeat tells others of this instance. The holder is told of demand too, which
+// is more than half of a message; so are the next candidates while no holder is
+// heard.
+func (g *Gateway) sendBeat(to audience) {
 	g.mu.Lock()
 	now := boottime.Now()
-	var holder, others []recipient
-	noHolder := !g.lease.Holds(now) && now.Sub(g.holder.heard) > leaseSilence
-	for _, o := range g.members.All(now) {
+	all := g.members.All(now)
+	full := g.toldOfDemand(now, all)
+	var holder, others []*members.Member
+	for _, o := range all {
 		switch {
-		case noHolder || o.Name == g.holder.name:
-			holder = append(holder, g.recipient(o))
-		case !onlyHolder:
-			others = append(others, g.recipient(o))
+		case full[o.Name]:
+			holder = append(holder, o)
+		case to != toHolder:
+			others = append(others, o)
 		}
 	}
 	// The messages have maps that go on changing, so they are encoded under mu.
-	var short, full message
+	var out []outgoing
 	b := g.beat(now)
-	if len(others) > 0 {
-		short = g.encode(packet{Beat: b})
+	switch {
+	case len(others) == 0:
+	case to == toAllAtOnce || g.lease.Holds(now):
+		out = append(out, outgoing{message: g.encode(packet{Beat: b}), to: g.recipients(others)})
+	default:
+		out = g.toAll(now, g.encode(packet{Beat: b}), others, false)
 	}
 	if len(holder) > 0 {
 		g.demand(now, b)
-		full = g.encode(packet{Beat: b})
+		out = append(out, outgoing{message: g.encode(packet{Beat: b}), to: g.recipients(holder)})
 	}
 	g.mu.Unlock()
-	g.peers.send(short, others)
-	g.peers.send(full, holder)
+	g.sendAll(out)
+}
+
+// toldOfDemand returns the instances that place models now or are the next to.
+func (g *Gateway) toldOfDemand(now clock.Time, all []*members.Member) map[string]bool {
+	if g.lease.Holds(now) {
+		return nil
+	}
+	if now.Sub(g.holder.heard) <= leaseSilence {
+		return map[string]bool{g.holder.name: true}
+	}
+	told := make(map[string]bool)
+	for _, m := range spread.Strongest(now, all, candidatesTold) {
+		told[m.Name] = true
+	}
+	return told
 }
 
 // takePacket takes a message of another instance.
 func (g *Gateway) takePacket(m packet) {
 	g.mu.Lock()
-	now := boottime.Now()
-	var out []outgoing
+	out := append(g.takeAny(boottime.Now(), m), g.tokenMessages()...)
+	g.mu.Unlock()
+	g.sendAll(out)
+}
+
+// takeAny takes a message, or those that are wrapped in it. The caller holds mu.
+func (g *Gateway) takeAny(now clock.Time, m packet) []outgoing {
+	switch {
+	case m.Forward != nil:
+		g.passOn(m.Forward)
+		return g.takeInner(now, m.Forward)
+	case m.Relayed != nil:
+		var out []outgoing
+		for _, body := range m.Relayed {
+			out = append(out, g.takeInner(now, body)...)
+		}
+		return out
+	}
+	return g.takeOne(now, m)
+}
+
+// takeOne takes a message that is not wrapped. The caller holds mu.
+func (g *Gateway) takeOne(now clock.Time, m packet) []outgoing {
 	switch {
 	case m.Beat != nil:
 		g.takeBeat(now, m.Beat)
@@ -131,11 +186,9 @@
 	case m.Forecast != nil:
 		g.takeForecast(now, m.Forecast)
 	default:
-		out = g.takeTokenPacket(now, m)
+		return g.takeTokenPacket(now, m)
 	}
-	out = append(out, g.tokenMessages()...)
-	g.mu.Unlock()
-	g.sendAll(out)
+	return nil
 }
 
 func (g *Gateway) takeBeat(now clock.Time, b *beatMsg) {
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -175,7 +175,7 @@
 	case own:
 		g.poke()
 	default:
-		g.sendBeat(true)
+		g.sendBeat(toHolder)
 	}
 }
 
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -9,6 +9,8 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/members"
+	"oleanderdale.org/core/gateway/spread"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -39,14 +41,25 @@
 	// toldWithin is how long the holder may be silent before an instance reads
 	// the store itself.
 	toldWithin = 1100 * time.Millisecond
-	// retryPause is the time before a call to the store is made again.
-	retryPause = 250 * time.Millisecond
-	// peersEvery is the time between two readings of the instances' rows; new
-	// ones say so themselves, and a zone that was cut off is forgotten after 45 s.
-	// peersEarly is the same shortly after the start, when all join at once.
-	peersEvery = 30 * time.Second
-	peersEarly = time.Second
-	earlyFor   = 4 * time.Second
+	// retryPause is the time before a call to the store is made again. Instances
+	// that do not hold the lease add retryPauseMember for each of them, up to
+	// retryPauseMost: eighty-three made 660 calls a second to a store that was
+	// away.
+	retryPause       = 250 * time.Millisecond
+	retryPauseMember = 8 * time.Millisecond
+	retryPauseMost   = time.Second
+	// watcherPause is the time between two looks whether this instance has to
+	// wait for changes at the store.
+	watcherPause = 200 * time.Millisecond
+	// watcherLearn is the time after the start in which an instance hears who else
+	// is there; until then all of them would wait at the store.
+	watcherLearn = 1500 * time.Millisecond
+	// peersEvery is the time between two readings of the instances' rows: a zone
+	// that was cut off is forgotten after 45 s. Of two that start at once the later
+	// one reads the other's row and says so itself, so one reading is enough.
+	// peersRetry is the time to the next one if it failed.
+	peersEvery = 40 * time.Second
+	peersRetry = time.Second
 	// lapseGrace is how long an entry may be missing after the store was away
 	// before its server counts as gone.
 	lapseGrace = 2 * time.Second
@@ -95,6 +108,11 @@
 func (g *Gateway) followManifest() {
 	at := int64(-1)
 	for g.ctx.Err() == nil {
+		if g.manifest.Load() != nil && !g.watchesStore() {
+			at = -1
+			g.sleep(watcherPause)
+			continue
+		}
 		began := boottime.Now()
 		raw, next, err := g.nextManifest(at)
 		if errors.Is(err, errWatchAgain) {
@@ -108,7 +126,7 @@
 			continue
 		case err != nil:
 			at = -1
-			g.sleep(retryPause)
+			g.sleep(g.pauseOfRetry())
 			continue
 		case next < at:
 			at = -1 // an answer from the past
@@ -117,7 +135,7 @@
 		at = next
 		g.configHeard.Store(int64(boottime.Now()))
 		if raw != nil {
-			g.adopt(raw, "store")
+			g.adopt(raw, sourceStore)
 		} else if g.manifest.Load() == nil {
 			g.sleep(retryPause)
 		}
@@ -138,6 +156,9 @@
 	return raw, next, err
 }
 
+// sourceStore is the source of a manifest that did not come from an instance.
+const sourceStore = "store"
+
 // adopt puts a manifest in force if it is newer than the one that is.
 func (g *Gateway) adopt(raw []byte, source string) {
 	m, err := g.store.Decode(raw)
@@ -155,6 +176,10 @@
 	g.manifest.Store(m)
 	g.raw.Store(&raw)
 	g.configHeard.Store(int64(boottime.Now()))
+	if source == sourceStore {
+		g.tellClaim = true // of the version: the others of the zone wait to hear of it
+		g.poke()
+	}
 	g.quota.Configure(boottime.Now(), m.Accounts)
 	g.wake()
 	g.metrics.configVersion.Store(m.Version)
@@ -194,7 +219,7 @@
 		if err != nil {
 			at = -1
 			if !errors.Is(err, ports.ErrHistory) {
-				g.sleep(retryPause)
+				g.sleep(g.pauseOfRetry())
 			}
 			continue
 		}
@@ -207,6 +232,33 @@
 	}
 }
 
+// pauseOfRetry is the time before a call that failed is made again.
+func (g *Gateway) pauseOfRetry() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lease.Holds(boottime.Now()) {
+		return retryPause
+	}
+	return min(retryPauseMost, retryPause+time.Duration(g.members.Count()-1)*retryPauseMember)
+}
+
+// watchesStore reports whether this instance waits for changes of the
+// configuration at the store. The others of its zone hear of a version by the
+// heartbeat that follows it, and have it from whoever told.
+func (g *Gateway) watchesStore() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	if now.Sub(g.started) < watcherLearn && g.members.Count() > 1 {
+		return false
+	}
+	self := &members.Member{Name: g.set.Name, Zone: g.set.Zone, Strength: g.set.Strength}
+	return g.stopping.Load() || spread.Watches(now, self, g.members.All(now), func(name string) bool {
+		seen := g.peerSeen[name]
+		return seen != nil && !seen.storeDown
+	})
+}
+
 func (g *Gateway) pauseOfChanges() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -368,16 +420,14 @@
 
 // followPeers writes this instance's row and reads the others'.
 func (g *Gateway) followPeers() {
-	started := boottime.Now()
 	joined := false
 	for {
 		if !joined {
 			joined = g.join()
 		}
-		g.readPeers()
 		pause := peersEvery
-		if !joined || boottime.Now().Sub(started) < earlyFor {
-			pause = peersEarly
+		if read := g.readPeers(); !joined || !read {
+			pause = peersRetry
 		}
 		if !g.sleep(pause) {
 			return
@@ -394,14 +444,15 @@
 	return err == nil
 }
 
-func (g *Gateway) readPeers() {
+// readPeers reads the instances' rows, and reports whether it could.
+func (g *Gateway) readPeers() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	began := boottime.Now()
 	peers, err := g.store.Peers(ctx)
 	g.stored("peers", began, err)
 	if err != nil {
-		return
+		return false
 	}
 	g.mu.Lock()
 	g.knowsPeers = true
@@ -411,4 +462,5 @@
 	}
 	g.mu.Unlock()
 	g.joinTokens()
+	return true
 }
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -121,8 +121,10 @@
 	peerSeen   map[string]*peerSeen
 	changed    chan struct{} // closed when a waiting request should look again
 	holder     holder
-	tellClaim  bool // the lease was renewed, and the others don't know yet
-	knowsPeers bool // the rows of the instances were read
+	tellClaim  bool     // the lease was renewed, and the others don't know yet
+	turn       int      // messages to all others, for the choice of relays
+	passing    [][]byte // packets to pass on in this zone
+	knowsPeers bool     // the rows of the instances were read
 	// readUnder is the fencing number of the holder under which the servers were
 	// last read from the store.
 	readUnder int64
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -28,7 +28,7 @@
 func (g *Gateway) housekeep() {
 	t := time.NewTimer(0)
 	defer t.Stop()
-	var nextBeat, last clock.Time
+	var nextBeat, nextWord, last clock.Time
 	for {
 		select {
 		case <-g.ctx.Done():
@@ -42,9 +42,16 @@
 		}
 		now := boottime.Now()
 		last = now
-		if now.Reached(nextBeat) || g.claimUntold() {
-			g.sendBeat(false)
-			nextBeat = now.Add(g.beatInterval())
+		switch {
+		case g.claimUntold():
+			g.sendBeat(toAllAtOnce)
+			nextBeat, nextWord = now.Add(g.beatInterval()), now.Add(beatEvery)
+		case now.Reached(nextBeat):
+			g.sendBeat(toAll)
+			nextBeat, nextWord = now.Add(g.beatInterval()), now.Add(beatEvery)
+		case now.Reached(nextWord) && g.holderNeedsWord():
+			g.sendBeat(toHolder)
+			nextWord = now.Add(beatEvery)
 		}
 		t.Reset(g.round())
 	}
@@ -67,12 +74,18 @@
 	if g.lease.Holds(now) {
 		return beatEvery // its silence is what the others take for its end
 	}
-	if g.storeAway(now) {
-		return beatEvery // its word is what the holder goes on by
-	}
 	return beatIntervalOf(g.members.Count())
 }
 
+// holderNeedsWord reports whether the holder goes on by the word of the others,
+// since the store is away for it or for this instance.
+func (g *Gateway) holderNeedsWord() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	return g.storeAway(now) || g.holder.storeDown
+}
+
 // beatIntervalOf is the time between two messages of one of so many instances.
 func beatIntervalOf(instances int) time.Duration {
 	return max(beatEvery, time.Duration(instances)*beatPerMember)
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -104,7 +104,7 @@
 	}
 	held := g.lease.Holds(now)
 	g.lease.Written(now, step, a.Result, a.Version)
-	g.tellClaim = g.lease.Holds(now)
+	g.tellClaim = g.tellClaim || g.lease.Holds(now)
 	if !held && g.lease.Holds(now) {
 		g.holder = holder{name: g.set.Name, fencing: g.lease.Fencing(), heard: now}
 		g.metrics.leaseTaken.Inc()
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -137,6 +137,8 @@
 	Reply    *replyMsg    `cbor:"5,keyasint,omitempty"`
 	Return   *returnMsg   `cbor:"6,keyasint,omitempty"`
 	Ping     *pingMsg     `cbor:"7,keyasint,omitempty"`
+	Forward  []byte       `cbor:"8,keyasint,omitempty"` // a packet that is also for the other instances of the receiver's zone
+	Relayed  [][]byte     `cbor:"9,keyasint,omitempty"` // packets that another instance of the zone passes on
 }
 
 // encode encodes a packet.
@@ -159,6 +161,8 @@
 		return "state"
 	case p.Forecast != nil:
 		return "forecast"
+	case p.Relayed != nil:
+		return "relayed"
 	}
 	return "tokens"
 }
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -141,7 +141,7 @@
 	g.mu.Lock()
 	g.lease.Rest()
 	g.mu.Unlock()
-	g.sendBeat(false)
+	g.sendBeat(toAllAtOnce)
 	g.sleep(restFor)
 }
 
@@ -185,17 +185,20 @@
 	return mux
 }
 
-// behind fetches the manifest from an instance that has a newer one, when the
-// store did not bring it. The caller holds mu.
+// behind fetches the manifest from an instance that has a newer one. The caller
+// holds mu.
 func (g *Gateway) behind(from string) {
 	m := g.members.Get(from)
 	if m == nil || !g.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	address := m.Address
+	address, delay := m.Address, fetchDelay
+	if m.Zone == g.set.Zone {
+		delay = fetchDelayNear
+	}
 	go func() {
 		defer g.fetching.Store(false)
-		if !g.sleep(fetchDelay) {
+		if !g.sleep(delay) {
 			return
 		}
 		raw, err := g.fetch(address)
@@ -207,9 +210,14 @@
 	}()
 }
 
-// fetchDelay lets the store bring a version first; a configuration must be in
-// force two seconds after it was accepted.
-const fetchDelay = 300 * time.Millisecond
+const (
+	// fetchDelay lets the store, or an instance of the own zone, bring a version
+	// first; a configuration must be in force two seconds after it was accepted.
+	fetchDelay = 300 * time.Millisecond
+	// fetchDelayNear is the same for what an instance of the own zone has: the
+	// store tells its watchers within some milliseconds of each other.
+	fetchDelayNear = 30 * time.Millisecond
+)
 
 // peerClient is for calls between instances, which are rare.
 var peerClient = sync.OnceValue(func() *http.Client {
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -129,7 +129,11 @@
 	if len(to) == 0 {
 		return nil
 	}
-	return g.encodeState(changed, nil, to)
+	var out []outgoing
+	for _, m := range g.stateMessages(changed, nil) {
+		out = append(out, outgoing{message: m, to: to})
+	}
+	return out
 }
 
 // tellAll tells all instances what changed.
@@ -151,21 +155,22 @@
 	if len(servers) == 0 {
 		return nil
 	}
-	var to []recipient
-	for _, m := range g.members.All(now) {
-		to = append(to, g.recipient(m))
+	var out []outgoing
+	for _, m := range g.stateMessages(servers, gone) {
+		out = append(out, g.toAll(now, m, g.members.All(now), true)...)
 	}
-	return g.encodeState(servers, gone, to)
+	return out
 }
 
-func (g *Gateway) encodeState(servers []serverMsg, gone []string, to []recipient) []outgoing {
-	var out []outgoing
+// stateMessages encodes what is told of servers, some of them in each message.
+func (g *Gateway) stateMessages(servers []serverMsg, gone []string) []message {
+	var all []message
 	for part := range slices.Chunk(servers, serversPerState) {
-		out = append(out, outgoing{to: to, message: g.encode(packet{State: &stateMsg{
+		all = append(all, g.encode(packet{State: &stateMsg{
 			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone,
-		}})})
+		}}))
 	}
-	return out
+	return all
 }
 
 // takeState takes what the holder of the lease says of the backend servers.
