--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -41,6 +41,9 @@
 // testTokens is what each call counts.
 const testTokens = 10
 
+// testPrompt is how many of them are the prompt's.
+const testPrompt = 8
+
 type fakeDialect struct{}
 
 func (fakeDialect) ReadCall(r *http.Request) ports.Call {
@@ -48,7 +51,7 @@
 	ms, _ := strconv.Atoi(h.Get(testWait))
 	return ports.Call{
 		ID: h.Get(testID), Key: h.Get(testKey), Wait: time.Duration(ms) * time.Millisecond,
-		Model: h.Get(testModel), LastEventID: h.Get(testLast), Tokens: testTokens,
+		Model: h.Get(testModel), LastEventID: h.Get(testLast), Tokens: testTokens, Prompt: testPrompt,
 	}
 }
 
--- a/oleander/gateway/portstest/dialect.go
+++ b/oleander/gateway/portstest/dialect.go
@@ -33,7 +33,7 @@
 }
 
 func call() ports.Call {
-	return ports.Call{ID: "r1", Key: "secret", Wait: 1500 * time.Millisecond, Model: "m", LastEventID: "12", Tokens: 10}
+	return ports.Call{ID: "r1", Key: "secret", Wait: 1500 * time.Millisecond, Model: "m", LastEventID: "12", Tokens: 10, Prompt: 8}
 }
 
 func read(w Wire, h http.Header) ports.Call {
