Entry instances of the process tests have loopback addresses of their own

Cause: their ports were those of 127.0.0.1 that were free a moment ago, and outgoing connections of what ran beside took them meanwhile: beside load zone-b-3 could not bind, and the test counted refused connections as cut requests. Change: each cluster takes a loopback network of its own; a process that ended is reported as that, with its log.

--- a/proving/processes/cluster.go
+++ b/proving/processes/cluster.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +29,12 @@
 const (
 	startLimit = 60 * time.Second
 	pollEvery  = 50 * time.Millisecond
+	// firstEntry is the last byte of the first entry instance's address.
+	firstEntry = 11
+	// logLines are shown of a process that ended.
+	logLines = 20
+	// networkTries bounds the search for a network that nobody uses.
+	networkTries = 1000
 )
 
 // Cluster is a running deployment.
@@ -38,6 +45,12 @@
 	platform *process
 	backends []*process
 	urls     map[string]string // of the platform, by service
+	// network is the first three bytes of this cluster's loopback addresses, and
+	// claim what keeps another cluster from them. Ports of 127.0.0.1 that were
+	// free a moment ago are taken by outgoing connections of whatever runs beside;
+	// an instance then could not start, and its callers were refused.
+	network string
+	claim   net.Listener
 
 	mu      sync.Mutex
 	started []*process
@@ -54,6 +67,7 @@
 type process struct {
 	name string
 	cmd  *exec.Cmd
+	log  string // path
 	done chan struct{}
 	err  error
 }
@@ -71,7 +85,10 @@
 // calls. dir holds the binaries.
 func Start(ctx context.Context, dir, config string, perZone int) (*Cluster, error) {
 	c := &Cluster{Dir: dir, urls: make(map[string]string)}
-	err := c.start(ctx, config, perZone)
+	err := c.claimNetwork()
+	if err == nil {
+		err = c.start(ctx, config, perZone)
+	}
 	if err != nil {
 		c.Close()
 		return nil, err
@@ -212,11 +229,11 @@
 }
 
 func (c *Cluster) addEntry(ctx context.Context, zone string, n int) error {
-	ports, err := freePorts(3)
-	if err != nil {
-		return err
+	host := fmt.Sprintf("%s.%d", c.network, firstEntry+len(c.Entries))
+	e := &Entry{
+		Name: fmt.Sprintf("%s-%d", zone, n+1), Zone: zone,
+		Callers: host + ":8080", Admin: host + ":8081", Peers: host + ":8082",
 	}
-	e := &Entry{Name: fmt.Sprintf("%s-%d", zone, n+1), Zone: zone, Callers: ports[0], Admin: ports[1], Peers: ports[2]}
 	if err := c.list(ctx, e); err != nil {
 		return err
 	}
@@ -301,9 +318,14 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// AwaitReady waits until the instance takes calls.
+// AwaitReady waits until the instance takes calls. It fails at once, with the end
+// of its log, if the process has ended.
 func (e *Entry) AwaitReady(ctx context.Context) error {
-	return poll(ctx, e.Name, func() bool { return e.Ready(ctx) })
+	err := poll(ctx, e.Name, func() bool { return e.Ended() || e.Ready(ctx) })
+	if err == nil && e.Ended() {
+		return errors.Errorf("%s ended by itself: %v\n%s", e.Name, e.proc.err, lastLines(e.proc.log, logLines))
+	}
+	return err
 }
 
 // Metrics returns the instance's metrics page.
@@ -330,7 +352,8 @@
 		return nil, "", err
 	}
 	defer out.Close()
-	log, err := os.OpenFile(filepath.Join(c.Dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	logPath := filepath.Join(c.Dir, name+".log")
+	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, "", err
 	}
@@ -340,7 +363,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, "", errors.Wrapf(err, "start %s", name)
 	}
-	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	p := &process{name: name, cmd: cmd, log: logPath, done: make(chan struct{})}
 	go func() {
 		p.err = cmd.Wait()
 		close(p.done)
@@ -359,18 +382,25 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 	}
+	if c.claim != nil {
+		_ = c.claim.Close()
+	}
 }
 
 // Logs returns the last lines of each entry instance's log, for a failed test.
 func (c *Cluster) Logs(lines int) string {
 	var b strings.Builder
 	for _, e := range c.Entries {
-		all := strings.Split(strings.TrimSpace(readFile(filepath.Join(c.Dir, e.Name+".log"))), "\n")
-		fmt.Fprintf(&b, "== %s\n%s\n", e.Name, strings.Join(all[max(0, len(all)-lines):], "\n"))
+		fmt.Fprintf(&b, "== %s\n%s\n", e.Name, lastLines(filepath.Join(c.Dir, e.Name+".log"), lines))
 	}
 	return b.String()
 }
 
+func lastLines(path string, lines int) string {
+	all := strings.Split(strings.TrimSpace(readFile(path)), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
 func readFile(path string) string {
 	b, _ := os.ReadFile(path)
 	return string(b)
@@ -389,16 +419,15 @@
 	return nil
 }
 
-// freePorts returns addresses that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	var all []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+// claimNetwork takes a loopback network that no other cluster uses.
+func (c *Cluster) claimNetwork() error {
+	for range networkTries {
+		network := fmt.Sprintf("127.%d.%d", 130+rand.IntN(100), 1+rand.IntN(250))
+		l, err := net.Listen("tcp", network+".1:8079")
+		if err == nil {
+			c.network, c.claim = network, l
+			return nil
 		}
-		defer l.Close()
-		all = append(all, l.Addr().String())
 	}
-	return all, nil
+	return errors.New("no loopback network is free")
 }
