--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -36,7 +36,7 @@
 	busyRate = 3.0
 	// slotsUsed is the part of an engine's slots that the requests of one busy
 	// model should take; the rest is for bursts and for the other models there.
-	slotsUsed = 0.5
+	slotsUsed = 0.25
 	// storeAtOnce is how many loads from the weight store run at full speed;
 	// more only slow each other.
 	storeAtOnce = 4
--- /dev/null
+++ b/core/gateway/quota/grants.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const (
+	// probeFor is how long a doubted owner has to answer before it is replaced.
+	probeFor = 120 * time.Millisecond
+	// heardJustNow is how long ago an owner that others doubt may have been heard
+	// not to be asked itself.
+	heardJustNow = 100 * time.Millisecond
+	// verifiedFor is how long the answer of a doubted owner is relied on.
+	verifiedFor = 300 * time.Millisecond
+)
+
+// decision is what an owner said to an ask.
+type decision struct {
+	at       clock.Time
+	account  string
+	cost     float64
+	reply    Reply
+	returned bool
+}
+
+// TakeAsk takes an ask, of this instance too.
+func (m *Meter) TakeAsk(now clock.Time, a Ask) {
+	if a.ID.Asker != m.set.Self {
+		m.touch(now, a.ID.Asker)
+	}
+	if d, ok := m.memory[a.ID]; ok {
+		m.answer(now, a, d.reply)
+		return
+	}
+	b := m.buckets[a.Account]
+	if b == nil {
+		if b = m.succeed(now, a); b == nil {
+			return
+		}
+	}
+	m.decide(now, b, a)
+}
+
+// decide lets the bucket decide.
+func (m *Meter) decide(now clock.Time, b *bucket, a Ask) {
+	if wait, waits := b.waiting(a.ID); waits {
+		m.answer(now, a, Reply{Verdict: Waiting, Wait: wait})
+		return
+	}
+	m.look(now)
+	b.refill(now)
+	r := Reply{Level: b.level, Ahead: b.queued()}
+	var displaced []Ask
+	r.Verdict, r.Wait, displaced = b.admit(now, a)
+	if r.Verdict != Waiting {
+		m.memory[a.ID] = decision{at: now, account: a.Account, cost: a.Cost, reply: r}
+	}
+	m.answer(now, a, r)
+	m.refuseAll(now, b, displaced)
+}
+
+// refuseAll refuses requests that were let wait, with when to come back.
+func (m *Meter) refuseAll(now clock.Time, b *bucket, asks []Ask) {
+	for _, a := range asks {
+		m.conclude(now, a, Reply{Verdict: Refused, Wait: b.behindAll(a), Level: b.level, Ahead: b.queued()})
+	}
+}
+
+// answer replies to an ask.
+func (m *Meter) answer(now clock.Time, a Ask, r Reply) {
+	r.ID = a.ID
+	if a.ID.Asker != m.set.Self {
+		m.send(Message{To: a.ID.Asker, Reply: &r})
+		return
+	}
+	if t := m.tickets[a.ID.Number]; t != nil && a.ID.Incarnation == m.set.Incarnation {
+		m.answerSelf(now, t, r)
+	}
+}
+
+// answerSelf takes an answer of this instance to itself.
+func (m *Meter) answerSelf(now clock.Time, t *ticket, r Reply) {
+	t.asked = 0
+	switch r.Verdict {
+	case Granted, Refused:
+		m.finish(now, t, Outcome{Verdict: r.Verdict, RetryAfter: r.Wait, Owner: m.set.Self, Level: r.Level, Ahead: r.Ahead})
+	case Waiting:
+		t.waiting = true
+	case Elsewhere, Checking:
+		t.waiting = false
+		if r.Verdict == Elsewhere {
+			t.to = ""
+		}
+	}
+}
+
+// succeed returns the bucket of an account that this instance did not own, if it
+// is its turn to, and answers the ask if not.
+func (m *Meter) succeed(now clock.Time, a Ask) *bucket {
+	r := m.record(a.Account)
+	if a.Epoch > r.epoch && r.owner != m.set.Self {
+		r.epoch = a.Epoch // a claim that was not heard here
+		m.setOwner(a.Account, a.Doubted)
+	}
+	switch {
+	case m.limited(a.Account) == nil || !m.learned:
+		m.answer(now, a, Reply{Verdict: Checking})
+		return nil
+	case m.leaving && m.top(now, a.Account) != m.set.Self:
+		m.answer(now, a, Reply{Verdict: Elsewhere, Epoch: r.epoch})
+		return nil
+	case r.owner != "" && r.owner != a.Doubted && m.look(now).live[r.owner]:
+		m.answer(now, a, Reply{Verdict: Elsewhere, Owner: r.owner, Epoch: r.epoch})
+		return nil
+	case r.owner == "" || !m.look(now).live[r.owner]:
+		return m.claim(now, a.Account, 0)
+	}
+	return m.succeedDoubted(now, a, r)
+}
+
+// succeedDoubted replaces an owner that does not answer the asker, unless it is
+// heard here.
+func (m *Meter) succeedDoubted(now clock.Time, a Ask, r *record) *bucket {
+	alive := now.Sub(m.heard(r.owner)) <= heardJustNow || m.verified[r.owner] != 0 && now.Sub(m.verified[r.owner]) <= verifiedFor
+	if alive {
+		m.answer(now, a, Reply{Verdict: Elsewhere, Owner: r.owner, Epoch: r.epoch})
+		return nil
+	}
+	p := m.probes[r.owner]
+	if p == nil {
+		p = &probe{began: now}
+		m.probes[r.owner] = p
+		m.pursueProbe(now, r.owner)
+	}
+	if p.failed {
+		return m.claim(now, a.Account, 0)
+	}
+	m.answer(now, a, Reply{Verdict: Checking})
+	return nil
+}
+
+// probe is a question to an owner that another instance doubts.
+type probe struct {
+	began  clock.Time
+	next   clock.Time
+	failed bool
+}
+
+func (m *Meter) pursueProbe(now clock.Time, owner string) {
+	p := m.probes[owner]
+	switch {
+	case m.heard(owner) >= p.began:
+		m.verified[owner] = now
+		delete(m.probes, owner)
+	case p.failed && now.Reached(p.next):
+		delete(m.probes, owner)
+	case !p.failed && now.Sub(p.began) >= probeFor:
+		p.failed, p.next = true, now.Add(verifiedFor)
+	case !p.failed && now.Reached(p.next):
+		p.next = now.Add(repeatAfter)
+		m.send(Message{To: owner, Ping: true})
+	}
+}
+
+// mature grants what has its tokens now.
+func (m *Meter) mature(now clock.Time, account string) {
+	b := m.buckets[account]
+	if len(b.queue) == 0 {
+		return
+	}
+	m.look(now)
+	granted, expired := b.mature(now)
+	for _, a := range granted {
+		m.conclude(now, a, Reply{Verdict: Granted, Level: b.level, Ahead: b.queued()})
+	}
+	m.refuseAll(now, b, expired)
+}
+
+func (m *Meter) conclude(now clock.Time, a Ask, r Reply) {
+	m.memory[a.ID] = decision{at: now, account: a.Account, cost: a.Cost, reply: r}
+	m.answer(now, a, r)
+}
+
+// TakeReturn takes tokens back from another instance.
+func (m *Meter) TakeReturn(now clock.Time, from string, r Return) {
+	m.touch(now, from)
+	m.takeReturn(now, r)
+}
+
+// takeReturn gives tokens back to their bucket. What an owner before this one
+// granted is credited too if the asker knows that it was granted; a request that
+// the owner has not seen, or that was given back, is not.
+func (m *Meter) takeReturn(now clock.Time, r Return) {
+	b := m.buckets[r.Account]
+	if b == nil {
+		return
+	}
+	b.cancel(r.ID)
+	d, known := m.memory[r.ID]
+	amount := r.Granted
+	if known {
+		amount = 0
+		if d.reply.Verdict == Granted && !d.returned {
+			amount = d.cost
+		}
+		d.returned = true
+		m.memory[r.ID] = d
+	}
+	b.put(now, amount)
+}
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -100,6 +100,12 @@
 			m.drop(now, name, "", 0)
 		}
 	}
+	for name := range m.records {
+		if m.limited(name) == nil {
+			m.setOwner(name, "")
+			delete(m.records, name)
+		}
+	}
 }
 
 // limited returns an account that has a limit, or nil.
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -8,9 +8,6 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
-	"oleanderdale.org/core/gateway/manifest"
-	"oleanderdale.org/core/gateway/members"
-	"oleanderdale.org/core/gateway/spread"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -21,10 +18,6 @@
 	// watchWait is how long the store holds a call that waits for changes of the
 	// backend servers. A connection that went silent is found out a second later.
 	watchWait = 4 * time.Second
-	// manifestWait is the same for the configuration. Other instances tell of a
-	// newer version, so a silent connection may be found out later. With ninety
-	// instances each second less is a call to the store in seven seconds.
-	manifestWait = 25 * time.Second
 	// changesPause is the time between two calls for changes of the backend
 	// servers. Engines that swap models change all the time, and each change
 	// would cost a call; a leaving server must be known within two seconds.
@@ -48,18 +41,6 @@
 	retryPause       = 250 * time.Millisecond
 	retryPauseMember = 8 * time.Millisecond
 	retryPauseMost   = time.Second
-	// watcherPause is the time between two looks whether this instance has to
-	// wait for changes at the store.
-	watcherPause = 200 * time.Millisecond
-	// watcherLearn is the time after the start in which an instance hears who else
-	// is there; until then all of them would wait at the store.
-	watcherLearn = 1500 * time.Millisecond
-	// peersEvery is the time between two readings of the instances' rows: a zone
-	// that was cut off is forgotten after 45 s. Of two that start at once the later
-	// one reads the other's row and says so itself, so one reading is enough.
-	// peersRetry is the time to the next one if it failed.
-	peersEvery = 40 * time.Second
-	peersRetry = time.Second
 	// lapseGrace is how long an entry may be missing after the store was away
 	// before its server counts as gone.
 	lapseGrace = 2 * time.Second
@@ -104,102 +85,6 @@
 	g.storeDown = now
 }
 
-// followManifest keeps the newest manifest in force.
-func (g *Gateway) followManifest() {
-	at := int64(-1)
-	for g.ctx.Err() == nil {
-		if g.manifest.Load() != nil && !g.watchesStore() {
-			at = -1
-			g.sleep(watcherPause)
-			continue
-		}
-		began := boottime.Now()
-		raw, next, err := g.nextManifest(at)
-		if errors.Is(err, errWatchAgain) {
-			at = -1
-			continue
-		}
-		g.stored("manifest", began, err)
-		switch {
-		case errors.Is(err, ports.ErrHistory):
-			at = -1
-			continue
-		case err != nil:
-			at = -1
-			g.sleep(g.pauseOfRetry())
-			continue
-		case next < at:
-			at = -1 // an answer from the past
-			continue
-		}
-		at = next
-		g.configHeard.Store(int64(boottime.Now()))
-		if raw != nil {
-			g.adopt(raw, sourceStore)
-		} else if g.manifest.Load() == nil {
-			g.sleep(retryPause)
-		}
-	}
-}
-
-func (g *Gateway) nextManifest(at int64) ([]byte, int64, error) {
-	if at < 0 {
-		ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
-		defer cancel()
-		return g.store.Manifest(ctx)
-	}
-	ctx, returns := g.watches.begin(g.ctx, "manifest", manifestWait+storeTimeout)
-	raw, next, err := g.store.WatchManifest(ctx, at, manifestWait)
-	if again := g.watches.end("manifest", returns); again && err != nil {
-		err = errWatchAgain
-	}
-	return raw, next, err
-}
-
-// sourceStore is the source of a manifest that did not come from an instance.
-const sourceStore = "store"
-
-// adopt puts a manifest in force if it is newer than the one that is.
-func (g *Gateway) adopt(raw []byte, source string) {
-	m, err := g.store.Decode(raw)
-	if err != nil {
-		g.log.Error().Err(err).Str("source", source).Msg("config: version not usable, the last one stays")
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	// Two sources may bring versions in any order; an older one never returns.
-	if old := g.manifest.Load(); old != nil && old.Version >= m.Version {
-		return
-	}
-	g.logLimits(m)
-	g.manifest.Store(m)
-	g.raw.Store(&raw)
-	g.configHeard.Store(int64(boottime.Now()))
-	if source == sourceStore {
-		g.tellClaim = true // of the version: the others of the zone wait to hear of it
-		g.poke()
-	}
-	g.quota.Configure(boottime.Now(), m.Accounts)
-	g.wake()
-	g.metrics.configVersion.Store(m.Version)
-	g.log.Info().Uint64("version", m.Version).Str("source", source).Msg("config: version in force")
-}
-
-// logLimits tells the limits of accounts that a version changes.
-func (g *Gateway) logLimits(m *manifest.Manifest) {
-	var before map[string]*manifest.Account
-	if old := g.manifest.Load(); old != nil {
-		before = old.Accounts
-	}
-	for _, name := range sortedNames(m.Accounts) {
-		a, b := m.Accounts[name], before[name]
-		if b == nil || a.Rate != b.Rate || a.Burst != b.Burst {
-			g.log.Info().Uint64("version", m.Version).Str("account", name).Float64("rate", a.Rate).Float64("burst", a.Burst).Msg("config: limit of an account")
-		}
-	}
-}
-
 // followServers keeps the entries of the backend servers.
 func (g *Gateway) followServers() {
 	at := int64(-1)
@@ -242,23 +127,6 @@
 	return min(retryPauseMost, retryPause+time.Duration(g.members.Count()-1)*retryPauseMember)
 }
 
-// watchesStore reports whether this instance waits for changes of the
-// configuration at the store. The others of its zone hear of a version by the
-// heartbeat that follows it, and have it from whoever told.
-func (g *Gateway) watchesStore() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := boottime.Now()
-	if now.Sub(g.started) < watcherLearn && g.members.Count() > 1 {
-		return false
-	}
-	self := &members.Member{Name: g.set.Name, Zone: g.set.Zone, Strength: g.set.Strength}
-	return g.stopping.Load() || spread.Watches(now, self, g.members.All(now), func(name string) bool {
-		seen := g.peerSeen[name]
-		return seen != nil && !seen.storeDown
-	})
-}
-
 func (g *Gateway) pauseOfChanges() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -417,50 +285,3 @@
 		}
 	}
 }
-
-// followPeers writes this instance's row and reads the others'.
-func (g *Gateway) followPeers() {
-	joined := false
-	for {
-		if !joined {
-			joined = g.join()
-		}
-		pause := peersEvery
-		if read := g.readPeers(); !joined || !read {
-			pause = peersRetry
-		}
-		if !g.sleep(pause) {
-			return
-		}
-	}
-}
-
-func (g *Gateway) join() bool {
-	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
-	defer cancel()
-	began := boottime.Now()
-	err := g.store.Join(ctx, ports.Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone})
-	g.stored("join", began, err)
-	return err == nil
-}
-
-// readPeers reads the instances' rows, and reports whether it could.
-func (g *Gateway) readPeers() bool {
-	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
-	defer cancel()
-	began := boottime.Now()
-	peers, err := g.store.Peers(ctx)
-	g.stored("peers", began, err)
-	if err != nil {
-		return false
-	}
-	g.mu.Lock()
-	g.knowsPeers = true
-	now := boottime.Now()
-	for _, p := range peers {
-		g.members.Listed(now, p.Name, p.Address, p.Zone)
-	}
-	g.mu.Unlock()
-	g.joinTokens()
-	return true
-}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -187,7 +187,7 @@
 	g.quota = quota.New(quota.Settings{
 		Self: s.Name, Zone: s.Zone, Strength: s.Strength, Incarnation: g.incarnation, Interval: beatIntervalOf,
 	}, g.members)
-	g.tokenTimer = time.AfterFunc(time.Hour, g.tickTokens)
+	g.tokenTimer = time.AfterFunc(time.Hour, func() { g.withTokens(g.quota.Tick) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
 	g.placer = placer.New(invariant.Reporting(g.violated))
--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -133,11 +133,9 @@
 		return
 	}
 	g := x.g
-	g.mu.Lock()
-	g.quota.Refund(boottime.Now(), x.grant.number, x.account.Name, x.grant.tokens, x.grant.outcome.Owner)
-	out := g.tokenMessages()
-	g.mu.Unlock()
-	g.sendAll(out)
+	g.withTokens(func(now clock.Time) {
+		g.quota.Refund(now, x.grant.number, x.account.Name, x.grant.tokens, x.grant.outcome.Owner)
+	})
 	g.metrics.quotaRefunded.Add(int(x.grant.tokens))
 	x.grant.tokens = 0
 }
@@ -155,23 +153,20 @@
 // requestTokens asks for tokens; the outcome comes on the channel.
 func (g *Gateway) requestTokens(account string, cost float64, priority int, wait time.Duration) (uint64, <-chan quota.Outcome) {
 	decided := make(chan quota.Outcome, 1)
-	g.mu.Lock()
-	number := g.quota.Request(boottime.Now(), account, cost, priority, wait)
-	g.deciding[number] = decided
-	out := g.tokenMessages()
-	g.mu.Unlock()
-	g.sendAll(out)
+	var number uint64
+	g.withTokens(func(now clock.Time) {
+		number = g.quota.Request(now, account, cost, priority, wait)
+		g.deciding[number] = decided
+	})
 	return number, decided
 }
 
 // abandonTokens gives up a request for tokens.
 func (g *Gateway) abandonTokens(number uint64) {
-	g.mu.Lock()
-	delete(g.deciding, number)
-	g.quota.Abandon(boottime.Now(), number)
-	out := g.tokenMessages()
-	g.mu.Unlock()
-	g.sendAll(out)
+	g.withTokens(func(now clock.Time) {
+		delete(g.deciding, number)
+		g.quota.Abandon(now, number)
+	})
 }
 
 // tokenMessages takes what the meter wants sent, passes on what it decided, and
@@ -262,28 +257,10 @@
 	return []outgoing{{message: g.encode(packet{Beat: g.beat(now)}), to: []recipient{g.recipient(to)}}}
 }
 
-// tickTokens does what time alone brings to the buckets.
-func (g *Gateway) tickTokens() {
-	g.mu.Lock()
-	g.quota.Tick(boottime.Now())
-	out := g.tokenMessages()
-	g.mu.Unlock()
-	g.sendAll(out)
-}
-
-// joinTokens says that the other instances are known.
-func (g *Gateway) joinTokens() {
-	g.mu.Lock()
-	g.quota.Joined(boottime.Now())
-	out := g.tokenMessages()
-	g.mu.Unlock()
-	g.sendAll(out)
-}
-
-// leaveTokens hands the accounts over that this instance owns.
-func (g *Gateway) leaveTokens() {
+// withTokens calls do with the meter's lock held, and sends what follows.
+func (g *Gateway) withTokens(do func(now clock.Time)) {
 	g.mu.Lock()
-	g.quota.Leave(boottime.Now())
+	do(boottime.Now())
 	out := g.tokenMessages()
 	g.mu.Unlock()
 	g.sendAll(out)
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,7 +104,7 @@
 	g.stopping.Store(true)
 	began := time.Now()
 	g.restUnlessHolder()
-	g.leaveTokens()
+	g.withTokens(g.quota.Leave)
 	end := began.Add(g.set.Grace - stopMargin)
 	refuse := time.AfterFunc(g.set.Grace-stopMoment, func() { close(g.refuseWaiting) })
 	defer refuse.Stop()
@@ -184,55 +181,3 @@
 	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w, g) })
 	return mux
 }
-
-// behind fetches the manifest from an instance that has a newer one. The caller
-// holds mu.
-func (g *Gateway) behind(from string) {
-	m := g.members.Get(from)
-	if m == nil || !g.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	address, delay := m.Address, fetchDelay
-	if m.Zone == g.set.Zone {
-		delay = fetchDelayNear
-	}
-	go func() {
-		defer g.fetching.Store(false)
-		if !g.sleep(delay) {
-			return
-		}
-		raw, err := g.fetch(address)
-		if err != nil {
-			g.log.Warn().Err(err).Str("from", from).Msg("config: not had from another instance")
-			return
-		}
-		g.adopt(raw, from)
-	}()
-}
-
-const (
-	// fetchDelay lets the store, or an instance of the own zone, bring a version
-	// first; a configuration must be in force two seconds after it was accepted.
-	fetchDelay = 300 * time.Millisecond
-	// fetchDelayNear is the same for what an instance of the own zone has: the
-	// store tells its watchers within some milliseconds of each other.
-	fetchDelayNear = 30 * time.Millisecond
-)
-
-// peerClient is for calls between instances, which are rare.
-var peerClient = sync.OnceValue(func() *http.Client {
-	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}}
-})
-
-func (g *Gateway) fetch(address string) ([]byte, error) {
-	resp, err := peerClient().Get("http://" + address + pathManifest)
-	if err != nil {
-		return nil, errors.Wrap(err, "gateway: fetch")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("gateway: fetch: status %d", resp.StatusCode)
-	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
-	return slices.Clip(raw), errors.Wrap(err, "gateway: fetch")
-}
--- a/oleander/process/report/account.go
+++ b/oleander/process/report/account.go
@@ -34,19 +34,20 @@
 
 // judge is one account's token bucket that sees all its requests in order.
 type judge struct {
-	limits      []limit
-	at          int // in limits
-	level       float64
-	updated     int64
-	started     bool
-	row         Account
-	granted     []spent
-	sum, beyond float64
+	limits  []limit
+	at      int // in limits
+	level   float64
+	updated int64
+	started bool
+	row     Account
+	granted []spent
 }
 
+// spent is what a request was granted, and the limit that was in force.
 type spent struct {
 	at     int64
 	tokens float64
+	limit  limit
 }
 
 // accounts judges all accounts by the requests in order, the worst served first.
@@ -71,7 +72,7 @@
 		if j.row.Within > 0 {
 			j.row.Share = float64(j.row.Got) / float64(j.row.Within)
 		}
-		j.row.Beyond = j.beyond
+		j.row.Beyond = beyond(j.granted)
 		rows = append(rows, j.row)
 	}
 	slices.SortStableFunc(rows, func(x, y Account) int { return cmp.Compare(x.Share, y.Share) })
@@ -127,20 +128,28 @@
 	return true
 }
 
-// grant sums up what was granted within the window that ends with r.
+// grant notes what was granted, once the request had waited for it.
 func (j *judge) grant(r request) {
-	l := j.limit(r.arrived)
-	if l == nil {
-		return
+	if l := j.limit(r.arrived); l != nil {
+		at := r.arrived + int64(r.limit)*int64(time.Millisecond)
+		j.granted = append(j.granted, spent{at: at, tokens: r.cost, limit: *l})
 	}
-	j.granted = append(j.granted, spent{r.arrived, r.cost})
-	j.sum += r.cost
-	for j.granted[0].at <= r.arrived-int64(beyondWindow) {
-		j.sum -= j.granted[0].tokens
-		j.granted = j.granted[1:]
-	}
-	over := j.sum - l.burst - l.rate*beyondWindow.Seconds()
-	if len(j.granted) == 1 || over > j.beyond {
-		j.beyond = over
+}
+
+// beyond returns how much more than rate and burst was granted in the worst
+// window.
+func beyond(granted []spent) float64 {
+	slices.SortFunc(granted, func(x, y spent) int { return cmp.Compare(x.at, y.at) })
+	sum, most, first := 0.0, 0.0, 0
+	for i, g := range granted {
+		sum += g.tokens
+		for granted[first].at <= g.at-int64(beyondWindow) {
+			sum -= granted[first].tokens
+			first++
+		}
+		if over := sum - g.limit.burst - g.limit.rate*beyondWindow.Seconds(); i == 0 || over > most {
+			most = over
+		}
 	}
+	return most
 }
--- a/oleander/process/report/report.go
+++ b/oleander/process/report/report.go
@@ -48,6 +48,7 @@
 	reason  string
 	cause   Cause // of a late one
 	cost    float64
+	limit   int32 // milliseconds that it waited for tokens
 	first   int32 // milliseconds
 	cold    bool
 	result  result
@@ -116,7 +117,7 @@
 	r := request{
 		arrived: l.Time.Add(-time.Duration(l.Total) * time.Millisecond).UnixNano(), ended: l.Time.UnixNano(),
 		series: b.intern(l.series()), account: b.intern(l.Account), reason: b.intern(l.why()), cost: l.Cost,
-		first: int32(l.First), cold: l.WaitMod > 0, result: l.result(), sends: uint8(min(l.Sends, 255)),
+		limit: int32(l.Limit), first: int32(l.First), cold: l.WaitMod > 0, result: l.result(), sends: uint8(min(l.Sends, 255)),
 	}
 	if r.result == late {
 		r.cause = l.cause()
