--- a/core/gateway/quota/grants.go
+++ b/core/gateway/quota/grants.go
@@ -57,10 +57,19 @@
 	if r.Verdict != Waiting {
 		m.memory[a.ID] = decision{at: now, account: a.Account, cost: a.Cost, reply: r}
 	}
+	m.assert(a.Account, b)
 	m.answer(now, a, r)
 	m.refuseAll(now, b, displaced)
 }
 
+// assert checks what must hold of a bucket whenever it decided.
+func (m *Meter) assert(account string, b *bucket) {
+	if !m.set.Check.Hold(b.level <= b.account.Burst, "quota-over-burst", "%s: %.0f tokens, burst %.0f", account, b.level, b.account.Burst) {
+		b.level = b.account.Burst
+	}
+	m.set.Check.Hold(m.record(account).owner == m.set.Self, "quota-owner", "%s is owned by %s", account, m.record(account).owner)
+}
+
 // refuseAll refuses requests that were let wait, with when to come back.
 func (m *Meter) refuseAll(now clock.Time, b *bucket, asks []Ask) {
 	for _, a := range asks {
@@ -75,24 +84,13 @@
 		m.send(Message{To: a.ID.Asker, Reply: &r})
 		return
 	}
-	if t := m.tickets[a.ID.Number]; t != nil && a.ID.Incarnation == m.set.Incarnation {
-		m.answerSelf(now, t, r)
-	}
-}
-
-// answerSelf takes an answer of this instance to itself.
-func (m *Meter) answerSelf(now clock.Time, t *ticket, r Reply) {
-	t.asked = 0
-	switch r.Verdict {
-	case Granted, Refused:
-		m.finish(now, t, Outcome{Verdict: r.Verdict, RetryAfter: r.Wait, Owner: m.set.Self, Level: r.Level, Ahead: r.Ahead})
-	case Waiting:
-		t.waiting = true
-	case Elsewhere, Checking:
-		t.waiting = false
-		if r.Verdict == Elsewhere {
-			t.to = ""
-		}
+	t := m.tickets[a.ID.Number]
+	switch {
+	case t == nil || a.ID.Incarnation != m.set.Incarnation:
+	case r.Verdict == Elsewhere:
+		t.to, t.asked, t.waiting = "", 0, false // asks again with the next tick
+	default:
+		m.settle(now, t, m.set.Self, r)
 	}
 }
 
@@ -172,6 +170,7 @@
 	}
 	m.look(now)
 	granted, expired := b.mature(now)
+	m.assert(account, b)
 	for _, a := range granted {
 		m.conclude(now, a, Reply{Verdict: Granted, Level: b.level, Ahead: b.queued()})
 	}
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -22,6 +22,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/members"
+	"oleanderdale.org/core/invariant"
 )
 
 const (
@@ -40,6 +41,7 @@
 	Incarnation uint64
 	// Interval is the time between two heartbeats of one of so many instances.
 	Interval func(instances int) time.Duration
+	Check    *invariant.Checker
 }
 
 // Meter is one instance's part. It is not safe for concurrent use.
--- a/core/gateway/quota/tickets.go
+++ b/core/gateway/quota/tickets.go
@@ -189,16 +189,19 @@
 	if r.Verdict != Granted && from != t.to {
 		return // from an owner that is not asked any more
 	}
-	t.asked = 0
-	switch r.Verdict {
-	case Granted, Refused:
-		m.finish(now, t, Outcome{Verdict: r.Verdict, RetryAfter: r.Wait, Owner: from, Level: r.Level, Ahead: r.Ahead})
-	case Waiting:
-		t.waiting = true
-	case Elsewhere:
+	if r.Verdict == Elsewhere {
+		t.asked = 0
 		m.redirect(now, t, r)
-	case Checking:
-		t.waiting = false
+		return
+	}
+	m.settle(now, t, from, r)
+}
+
+// settle takes what an owner said.
+func (m *Meter) settle(now clock.Time, t *ticket, from string, r Reply) {
+	t.asked, t.waiting = 0, r.Verdict == Waiting
+	if r.Verdict == Granted || r.Verdict == Refused {
+		m.finish(now, t, Outcome{Verdict: r.Verdict, RetryAfter: r.Wait, Owner: from, Level: r.Level, Ahead: r.Ahead})
 	}
 }
 
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -186,6 +186,7 @@
 	}
 	g.quota = quota.New(quota.Settings{
 		Self: s.Name, Zone: s.Zone, Strength: s.Strength, Incarnation: g.incarnation, Interval: beatIntervalOf,
+		Check: invariant.Reporting(g.violated),
 	}, g.members)
 	g.tokenTimer = time.AfterFunc(time.Hour, func() { g.withTokens(g.quota.Tick) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -204,7 +205,7 @@
 
 func (g *Gateway) violated(v invariant.Violation) {
 	g.metrics.violation(v.Name).Inc()
-	g.log.Error().Str("invariant", v.Name).Str("detail", v.Detail).Msg("placer: invariant violated, order not given")
+	g.log.Error().Str("invariant", v.Name).Str("detail", v.Detail).Msg("core: invariant violated")
 }
 
 // wake lets waiting requests look again. The caller holds mu.
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -241,3 +241,17 @@
 }
 
 func (p *peers) close() { _ = p.conn.Close() }
+
+// heardAs returns another instance as its heartbeat describes it.
+func (b *beatMsg) heardAs() members.Member {
+	return members.Member{
+		Name: b.Name, Address: b.Address, Zone: b.Zone, Incarnation: b.Incarnation, Strength: b.Strength, Leaving: b.Leaving,
+	}
+}
+
+// sendAll sends messages.
+func (g *Gateway) sendAll(out []outgoing) {
+	for _, m := range out {
+		g.peers.send(m.message, m.to)
+	}
+}
