--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -215,12 +215,27 @@
 	}
 }
 
+// affinityFrom is the length, in tokens, from which shared prompt parts decide the
+// server. An engine reads some 40 tokens a millisecond, so shorter ones are read
+// anew within a few steps of its batch, and whoever has least to do is sooner there.
+// Value of five days with trouble on three deployments, with affinity for all, for
+// long parts, for none: 0.741, 0.751, 0.737 (parts of 6,300 and 200 tokens, ten
+// plays); 0.638, 0.646, 0.669 and 0.646, 0.643, 0.653 (mostly 155, five each).
+const affinityFrom = 1000
+
 // affinity is the hash of the prompt parts that other requests share, which
-// are all but the last.
+// are all but the last; 0 if they are short.
 func (x *exchange) affinity() uint64 {
 	if x.call.Model == "" || len(x.call.Parts) < 2 {
 		return 0
 	}
+	shared := 0
+	for _, p := range x.call.Parts[:len(x.call.Parts)-1] {
+		shared += p.Tokens
+	}
+	if shared < affinityFrom {
+		return 0
+	}
 	d := xxhash.New()
 	_, _ = d.WriteString(x.call.Model + "/" + x.call.Adapter)
 	for _, p := range x.call.Parts[:len(x.call.Parts)-1] {
