Versions of the configuration come from several sources, and watchers are replaced by their silence

Cause: on the large site a new version took 3 to 7 s to be in force in a zone of 39 (4 s are allowed). All instances fetched it, uncompressed, from whoever was heard first, over one link of 20 to 200 Mbit/s, within a second or not at all, and tried the same one again. Two watchers a zone were missed only after 2.2 s, or 25 s if their call was held by a silent store.

Change: core/gateway/configsync decides who waits at the store (two a zone; their word, every 0.4 s, stops when the store does not answer them in time, and the next strongest take over), and from whom a version is fetched: the own zone first, each instance from another source, another one after a failure, then the store. The body goes compressed between instances. A watcher's call is held 4 s, not 25.

--- /dev/null
+++ b/core/gateway/configsync/configsync.go
@@ -0,0 +1,229 @@
+// Package configsync decides how a new version of the configuration reaches an
+// instance.
+//
+// A few instances of each availability zone wait for changes at the store and
+// tell the others of their zone, several times a second, that they do. The others
+// hear of a version from any instance and fetch it from one of their own zone.
+// Two failures are answered here. If those that wait are killed, frozen, cut off
+// or held on a call that nobody answers, their word stops, and another instance
+// waits in their place within two seconds. If a source is slow, each next try
+// goes to another one and then to the store: with one source for all, 190
+// instances shared its link, and a large version took longer than the call.
+package configsync
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/id"
+	"oleanderdale.org/core/process/rendezvous"
+)
+
+const (
+	// Watchers are the instances of a zone that wait at the store: with two a
+	// version is there also when one of them is lost.
+	Watchers = 2
+	// SmallZone is the size up to which all instances of a zone wait there.
+	SmallZone = 4
+	// WordEvery is the time between two words of a watcher to its zone.
+	WordEvery = 400 * time.Millisecond
+	// wordWithin is when a zone without a word of any watcher counts as not
+	// watched: two words may be lost.
+	wordWithin = 1300 * time.Millisecond
+	// takeoverStep is the time between the candidates that take a silent
+	// watcher's place, so that the first one is heard before the next begins.
+	takeoverStep = 150 * time.Millisecond
+	// nearDelay is the time before a version is fetched in the own zone: the
+	// store tells its watchers within some milliseconds of each other.
+	nearDelay = 30 * time.Millisecond
+	// farDelay is the time before a version is fetched from another zone, where
+	// bytes are paid; the own zone has it sooner as a rule.
+	farDelay = 300 * time.Millisecond
+	// storeAfter is when a version that could not be had elsewhere is read from
+	// the store, and triesOfOthers how many failed tries make it sooner.
+	storeAfter    = 1200 * time.Millisecond
+	triesOfOthers = 2
+	// storeAgain is the time between two such readings.
+	storeAgain = 500 * time.Millisecond
+	// sourceFor is how long an instance counts as a source after it was heard.
+	sourceFor = 5 * time.Second
+)
+
+// Sync is what one instance knows of versions elsewhere. It is not safe for
+// concurrent use.
+type Sync struct {
+	self, zone string
+	began      clock.Time
+	inForce    uint64
+	sources    map[string]source
+	words      map[string]clock.Time // of the zone's watchers
+	lastWord   clock.Time
+	answered   clock.Time // the store's last answer to this instance
+	wordSent   clock.Time
+
+	newest     uint64 // that was heard of
+	newestAt   clock.Time
+	tried      map[string]bool // sources of the newest
+	failures   int
+	storeTried clock.Time
+}
+
+// source is an instance that has a version.
+type source struct {
+	zone    string
+	version uint64
+	heard   clock.Time
+}
+
+// New returns the Sync of an instance that starts at now.
+func New(now clock.Time, self, zone string) *Sync {
+	return &Sync{self: self, zone: zone, began: now, lastWord: now, sources: make(map[string]source), words: make(map[string]clock.Time)}
+}
+
+// Heard takes which version another instance has in force.
+func (s *Sync) Heard(now clock.Time, name, zone string, version uint64) {
+	s.sources[name] = source{zone: zone, version: version, heard: now}
+	if version > s.newest && version > s.inForce {
+		s.newest, s.newestAt = version, now
+		s.tried, s.failures, s.storeTried = make(map[string]bool), 0, 0
+	}
+}
+
+// Word takes the word of a watcher that it waits at the store.
+func (s *Sync) Word(now clock.Time, name, zone string, version uint64) {
+	s.Heard(now, name, zone, version)
+	if zone == s.zone {
+		s.words[name], s.lastWord = now, now
+	}
+}
+
+// InForce records the version that this instance uses.
+func (s *Sync) InForce(version uint64) { s.inForce = max(s.inForce, version) }
+
+// Behind reports whether a newer version is in force elsewhere.
+func (s *Sync) Behind() bool { return s.newest > s.inForce }
+
+// Answered records that the store answered this instance's call for changes.
+func (s *Sync) Answered(now clock.Time) { s.answered = now }
+
+// Peer is another instance of the zone for the choice of watchers.
+type Peer struct {
+	Name     string
+	Stronger bool // goes before this one
+	Reaches  bool // the store, as it says
+}
+
+// Watches reports whether this instance waits for changes at the store. Peers are
+// those of the own zone that are heard and not stopping.
+func (s *Sync) Watches(now clock.Time, peers []Peer) bool {
+	if len(peers) < SmallZone {
+		return true
+	}
+	rank, watching := 0, 0
+	for _, p := range peers {
+		if !p.Stronger || !p.Reaches {
+			continue
+		}
+		rank++
+		if at, ok := s.words[p.Name]; ok && now.Sub(at) <= wordWithin {
+			watching++
+		}
+	}
+	if rank < Watchers {
+		return true
+	}
+	unwatched := now.Sub(s.lastWord) > wordWithin+time.Duration(rank)*takeoverStep
+	return watching < Watchers && unwatched
+}
+
+// WordDue reports, once, that the zone is to be told that this instance waits at
+// the store. A call that should have returned within wait, and did not, may be
+// held by a store that will never answer: then nothing is said, and others take
+// over.
+func (s *Sync) WordDue(now clock.Time, wait time.Duration) bool {
+	if s.answered == 0 || now.Sub(s.answered) > wait || now.Sub(s.wordSent) < WordEvery {
+		return false
+	}
+	s.wordSent = now
+	return true
+}
+
+// Kind says what to do about a newer version.
+type Kind int
+
+// The kinds.
+const (
+	Wait  Kind = iota // until Until
+	Fetch             // from the instance From
+	Store             // read it from the store
+)
+
+// Step is what to do next while behind.
+type Step struct {
+	Kind  Kind
+	From  string
+	Until clock.Time
+}
+
+// Next returns the next step towards the newest version. A Fetch is marked as
+// tried.
+func (s *Sync) Next(now clock.Time) Step {
+	storeDue := s.newestAt.Add(storeAfter)
+	if s.failures >= triesOfOthers {
+		storeDue = now
+	}
+	if s.storeTried != 0 {
+		storeDue = max(storeDue, s.storeTried.Add(storeAgain))
+	}
+	if now.Reached(storeDue) {
+		s.storeTried = now
+		return Step{Kind: Store}
+	}
+	near, far := s.untried(now)
+	switch {
+	case len(near) > 0 && now.Reached(s.newestAt.Add(nearDelay)):
+		return s.fetch(near)
+	case len(near) > 0:
+		return Step{Until: s.newestAt.Add(nearDelay)}
+	case len(far) > 0 && now.Reached(s.newestAt.Add(farDelay)):
+		return s.fetch(far)
+	case len(far) > 0:
+		return Step{Until: min(storeDue, s.newestAt.Add(farDelay))}
+	}
+	return Step{Until: storeDue}
+}
+
+// untried returns the sources of the newest version that were not tried, those of
+// the own zone apart.
+func (s *Sync) untried(now clock.Time) (near, far []id.Instance) {
+	for name, o := range s.sources {
+		switch {
+		case o.version < s.newest || s.tried[name] || now.Sub(o.heard) > sourceFor:
+		case o.zone == s.zone:
+			near = append(near, id.Instance(name))
+		default:
+			far = append(far, id.Instance(name))
+		}
+	}
+	return near, far
+}
+
+// fetch chooses a source: every instance another one, so that they share the load.
+func (s *Sync) fetch(from []id.Instance) Step {
+	chosen := string(rendezvous.Owner(s.self, from))
+	s.tried[chosen] = true
+	return Step{Kind: Fetch, From: chosen}
+}
+
+// Failed records that the newest version was not had from another instance.
+func (s *Sync) Failed() { s.failures++ }
+
+// Forget drops instances that are not heard any more.
+func (s *Sync) Forget(now clock.Time) {
+	for name, o := range s.sources {
+		if now.Sub(o.heard) > sourceFor {
+			delete(s.sources, name)
+			delete(s.words, name)
+		}
+	}
+}
--- a/core/gateway/spread/spread.go
+++ b/core/gateway/spread/spread.go
@@ -1,5 +1,4 @@
-// Package spread decides how what one instance tells all others reaches them,
-// and which instances follow the store for their zone.
+// Package spread decides how what one instance tells all others reaches them.
 //
 // Within an availability zone every instance is told directly. Another zone is
 // told through one of its instances, which passes the message on within its zone:
@@ -26,10 +25,6 @@
 	relays = 2
 	// relaySilence is when a relay is missed: two heartbeats of a fleet of 83.
 	relaySilence = 1400 * time.Millisecond
-	// watchers are the instances of a zone that wait for changes at the store
-	// while they reach it. With two a version is there also when one is cut off,
-	// and 83 instances make 8 calls at a time in place of 83.
-	watchers = 2
 )
 
 // Route is how a message to all others goes.
@@ -85,19 +80,3 @@
 	slices.SortFunc(sorted, func(a, b []*members.Member) int { return cmp.Compare(a[0].Zone, b[0].Zone) })
 	return sorted
 }
-
-// Watches reports whether an instance waits for changes at the store: all do in a
-// small zone, else the strongest of those that reach the store.
-func Watches(now clock.Time, self *members.Member, others []*members.Member, reaches func(name string) bool) bool {
-	before, size := 0, 1
-	for _, m := range others {
-		if m.Zone != self.Zone || !m.Live(now) || m.Leaving {
-			continue
-		}
-		size++
-		if byStrength(m, self) < 0 && reaches(m.Name) {
-			before++
-		}
-	}
-	return size <= directZone || before < watchers
-}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -185,6 +185,8 @@
 		g.takeState(now, m.State)
 	case m.Forecast != nil:
 		g.takeForecast(now, m.Forecast)
+	case m.Word != nil:
+		g.takeWord(now, m.Word)
 	default:
 		return g.takeTokenPacket(now, m)
 	}
@@ -210,9 +212,8 @@
 	g.hearHolder(now, b)
 	g.takeLeft(now, b)
 	g.countArrivals(now, b)
-	if m := g.manifest.Load(); m == nil && b.Manifest > 0 || m != nil && b.Manifest > m.Version {
-		g.behind(b.Name)
-	}
+	g.sync.Heard(now, b.Name, b.Zone, b.Manifest)
+	g.catchUp()
 	if len(b.Wants) > 0 && g.lease.Holds(now) {
 		g.poke()
 	}
--- a/oleander/gateway/broadcast.go
+++ b/oleander/gateway/broadcast.go
@@ -58,15 +58,21 @@
 	g.sendAll(out)
 }
 
-// passed returns what was kept for the other instances of this zone. The caller
-// holds mu.
-func (g *Gateway) passed(now clock.Time) []outgoing {
+// ownZone returns the other instances of this zone. The caller holds mu.
+func (g *Gateway) ownZone(now clock.Time) []recipient {
 	var to []recipient
 	for _, m := range g.members.All(now) {
 		if m.Zone == g.set.Zone {
 			to = append(to, g.recipient(m))
 		}
 	}
+	return to
+}
+
+// passed returns what was kept for the other instances of this zone. The caller
+// holds mu.
+func (g *Gateway) passed(now clock.Time) []outgoing {
+	to := g.ownZone(now)
 	var out []outgoing
 	for len(g.passing) > 0 {
 		n, size := 0, 0
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -10,17 +10,18 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/members"
-	"oleanderdale.org/core/gateway/spread"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
 const (
-	// manifestWait is how long the store holds a call that waits for a new version.
-	// Other instances tell of one, so a silent connection may be found out later.
-	manifestWait = 25 * time.Second
+	// manifestWait is how long the store holds a call that waits for a new version,
+	// and so the time after which a call that nobody answers is missed.
+	manifestWait = 4 * time.Second
 	// watcherPause is the time between two looks whether this instance has to
 	// wait for changes at the store.
 	watcherPause = 200 * time.Millisecond
@@ -33,7 +34,9 @@
 func (g *Gateway) followManifest() {
 	at := int64(-1)
 	for g.ctx.Err() == nil {
-		if g.manifest.Load() != nil && !g.watchesStore() {
+		watches := g.watchesStore()
+		g.watching.Store(watches)
+		if g.manifest.Load() != nil && !watches {
 			at = -1
 			g.sleep(watcherPause)
 			continue
@@ -58,7 +61,7 @@
 			continue
 		}
 		at = next
-		g.configHeard.Store(int64(boottime.Now()))
+		g.storeAnswered()
 		if raw != nil {
 			g.adopt(raw, sourceStore)
 		} else if g.manifest.Load() == nil {
@@ -81,6 +84,16 @@
 	return raw, next, err
 }
 
+// storeAnswered records that the manifest in force was the store's newest a
+// moment ago.
+func (g *Gateway) storeAnswered() {
+	now := boottime.Now()
+	g.configHeard.Store(int64(now))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sync.Answered(now)
+}
+
 // sourceStore is the source of a manifest that did not come from an instance.
 const sourceStore = "store"
 
@@ -99,10 +112,13 @@
 	}
 	g.logLimits(m)
 	g.manifest.Store(m)
-	g.raw.Store(&raw)
+	g.raw.Store(newPacked(raw))
 	g.configHeard.Store(int64(boottime.Now()))
+	g.sync.InForce(m.Version)
 	if source == sourceStore {
-		g.tellClaim = true // of the version: the others of the zone wait to hear of it
+		// The others of the zone wait to hear of it: by a word, or where all wait
+		// at the store and no words are told, by a heartbeat.
+		g.tellClaim = g.tellClaim || len(g.zonePeers(boottime.Now())) < configsync.SmallZone
 		g.poke()
 	}
 	g.quota.Configure(boottime.Now(), m.Accounts)
@@ -135,46 +151,122 @@
 	if now.Sub(g.started) < watcherLearn && g.members.Count() > 1 {
 		return false
 	}
-	self := &members.Member{Name: g.set.Name, Zone: g.set.Zone, Strength: g.set.Strength}
-	return g.stopping.Load() || spread.Watches(now, self, g.members.All(now), func(name string) bool {
-		seen := g.peerSeen[name]
-		return seen != nil && !seen.storeDown
-	})
+	return g.stopping.Load() || g.sync.Watches(now, g.zonePeers(now))
+}
+
+// zonePeers returns the other instances of the zone that are heard and not
+// stopping. The caller holds mu.
+func (g *Gateway) zonePeers(now clock.Time) []configsync.Peer {
+	var peers []configsync.Peer
+	for _, m := range g.members.All(now) {
+		if m.Zone != g.set.Zone || !m.Live(now) || m.Leaving {
+			continue
+		}
+		seen := g.peerSeen[m.Name]
+		peers = append(peers, configsync.Peer{
+			Name: m.Name, Reaches: seen != nil && !seen.storeDown,
+			Stronger: m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name,
+		})
+	}
+	return peers
 }
 
-// behind fetches the manifest from an instance that has a newer one. The caller
+// wordMsg tells the zone that the sender waits at the store for changes of the
+// configuration, and which version it has.
+type wordMsg struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Zone    string
+	Version uint64
+}
+
+// tellWord returns the word of a watcher to its zone, when it is due. The caller
 // holds mu.
-func (g *Gateway) behind(from string) {
-	m := g.members.Get(from)
-	if m == nil || !g.fetching.CompareAndSwap(false, true) {
+func (g *Gateway) tellWord(now clock.Time) []outgoing {
+	m := g.manifest.Load()
+	if m == nil || !g.watching.Load() || len(g.zonePeers(now)) < configsync.SmallZone {
+		return nil
+	}
+	if !g.sync.WordDue(now, manifestWait+storeTimeout/2) {
+		return nil
+	}
+	word := g.encode(packet{Word: &wordMsg{Name: g.set.Name, Zone: g.set.Zone, Version: m.Version}})
+	return []outgoing{{message: word, to: g.ownZone(now)}}
+}
+
+// takeWord takes the word of a watcher. The caller holds mu.
+func (g *Gateway) takeWord(now clock.Time, w *wordMsg) {
+	if w.Name == g.set.Name {
 		return
 	}
-	address, delay := m.Address, fetchDelay
-	if m.Zone == g.set.Zone {
-		delay = fetchDelayNear
+	g.sync.Word(now, w.Name, w.Zone, w.Version)
+	g.catchUp()
+}
+
+// catchUp fetches the newest manifest that was heard of, from another instance or
+// the store. The caller holds mu.
+func (g *Gateway) catchUp() {
+	if !g.sync.Behind() || !g.fetching.CompareAndSwap(false, true) {
+		return
 	}
 	go func() {
 		defer g.fetching.Store(false)
-		if !g.sleep(delay) {
-			return
-		}
-		raw, err := g.fetch(address)
-		if err != nil {
-			g.log.Warn().Err(err).Str("from", from).Msg("config: not had from another instance")
-			return
+		for g.catchUpStep() {
 		}
-		g.adopt(raw, from)
 	}()
 }
 
-const (
-	// fetchDelay lets the store, or an instance of the own zone, bring a version
-	// first; a configuration must be in force two seconds after it was accepted.
-	fetchDelay = 300 * time.Millisecond
-	// fetchDelayNear is the same for what an instance of the own zone has: the
-	// store tells its watchers within some milliseconds of each other.
-	fetchDelayNear = 30 * time.Millisecond
-)
+// catchUpStep makes one step, and reports whether more are needed.
+func (g *Gateway) catchUpStep() bool {
+	g.mu.Lock()
+	now := boottime.Now()
+	behind, step := g.sync.Behind(), configsync.Step{}
+	var from *members.Member
+	if behind {
+		step = g.sync.Next(now)
+		from = g.members.Get(step.From)
+	}
+	g.mu.Unlock()
+	switch {
+	case !behind:
+		return false
+	case step.Kind == configsync.Wait:
+		return g.sleep(max(time.Millisecond, step.Until.Sub(now)))
+	case step.Kind == configsync.Store:
+		g.readManifest()
+	case from == nil:
+		g.fetchFailed()
+	default:
+		g.fetchFrom(from)
+	}
+	return g.ctx.Err() == nil
+}
+
+// readManifest reads the manifest from the store, since no other instance gave it.
+func (g *Gateway) readManifest() {
+	began := boottime.Now()
+	raw, _, err := g.nextManifest(-1)
+	g.stored("manifest", began, err)
+	if err == nil && raw != nil {
+		g.adopt(raw, sourceStore)
+	}
+}
+
+func (g *Gateway) fetchFrom(m *members.Member) {
+	raw, err := g.fetch(m.Address)
+	if err != nil {
+		g.log.Warn().Err(err).Str("from", m.Name).Msg("config: not had from another instance")
+		g.fetchFailed()
+		return
+	}
+	g.adopt(raw, m.Name)
+}
+
+func (g *Gateway) fetchFailed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sync.Failed()
+}
 
 // peerClient is for calls between instances, which are rare.
 var peerClient = sync.OnceValue(func() *http.Client {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/budget"
+	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
@@ -91,7 +92,7 @@
 	watches     watches
 
 	manifest atomic.Pointer[manifest.Manifest]
-	raw      atomic.Pointer[[]byte] // the manifest in force, as stored
+	raw      atomic.Pointer[packed] // the manifest in force, as stored
 	// configHeard is when the manifest in force was last known to be the
 	// newest, as a clock.Time.
 	configHeard atomic.Int64
@@ -100,6 +101,7 @@
 	active      atomic.Int64 // requests being served
 	kick        chan struct{}
 	fetching    atomic.Bool
+	watching    atomic.Bool // waits at the store for changes of the configuration
 	// refuseWaiting is closed when a stop is near its end.
 	refuseWaiting chan struct{}
 	ctx           context.Context
@@ -108,6 +110,7 @@
 	mu         sync.Mutex
 	dir        *directory.Directory
 	members    *members.Set
+	sync       *configsync.Sync
 	quota      *quota.Meter
 	deciding   map[uint64]chan quota.Outcome // requests for tokens that wait, by number
 	tokenTimer *time.Timer                   // when quota does something next
@@ -178,7 +181,7 @@
 		set: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
 		store: store, engines: engines, dialect: dialect, metrics: newMetrics(),
 		kick: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
-		dir: directory.New(), members: members.New(s.Name), deciding: make(map[uint64]chan quota.Outcome),
+		dir: directory.New(), members: members.New(s.Name), sync: configsync.New(boottime.Now(), s.Name, s.Zone), deciding: make(map[uint64]chan quota.Outcome),
 		budget: budget.New(s.Retry), poison: poison.New(),
 		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
 		waits:   make(map[placer.Key]placer.Want), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -96,7 +96,7 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	g.lookAround(now)
-	state := g.tokenMessages()
+	state := append(g.tokenMessages(), g.tellWord(now)...)
 	step := g.lease.Next(now, g.candidates(now))
 	var orders []placer.Order
 	var asks []question
@@ -127,6 +127,7 @@
 	g.dropLapsed(now)
 	g.dir.Expire(now)
 	g.outlook.Expire(now)
+	g.sync.Forget(now)
 	away := g.storeAway(now)
 	if g.wasAway && !away {
 		g.watches.storeReturned()
--- /dev/null
+++ b/oleander/gateway/packed.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"bytes"
+	"compress/gzip"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// packed is a manifest as stored, and compressed once for all instances that
+// fetch it. A version with a thousand routes is some hundred kilobytes, a tenth of
+// it compressed; uncompressed, forty instances waited seconds for the link of the
+// one that they had it from.
+type packed struct {
+	plain      []byte
+	compressed func() []byte // nil if it can't be compressed
+}
+
+func newPacked(plain []byte) *packed {
+	return &packed{plain: plain, compressed: sync.OnceValue(func() []byte { return compress(plain) })}
+}
+
+func compress(plain []byte) []byte {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil
+	}
+	if err := w.Close(); err != nil {
+		return nil
+	}
+	return b.Bytes()
+}
+
+// serveManifest answers an instance that fetches the manifest in force.
+func (g *Gateway) serveManifest(w http.ResponseWriter, r *http.Request) {
+	m := g.raw.Load()
+	if m == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body := m.plain
+	if c := m.compressed(); c != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		body = c
+	}
+	_, _ = w.Write(body) // an instance that left asks another one
+}
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -138,6 +138,7 @@
 	Return   *returnMsg   `cbor:"6,keyasint,omitempty"`
 	Ping     *pingMsg     `cbor:"7,keyasint,omitempty"`
 	Forward  []byte       `cbor:"8,keyasint,omitempty"` // a packet that is also for the other instances of the receiver's zone
+	Word     *wordMsg     `cbor:"10,keyasint,omitempty"`
 	Relayed  [][]byte     `cbor:"9,keyasint,omitempty"` // packets that another instance of the zone passes on
 }
 
@@ -163,6 +164,8 @@
 		return "forecast"
 	case p.Relayed != nil:
 		return "relayed"
+	case p.Word != nil:
+		return "word"
 	}
 	return "tokens"
 }
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -188,14 +188,7 @@
 // internal serves other instances and the metrics.
 func (g *Gateway) internal() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(pathManifest, func(w http.ResponseWriter, _ *http.Request) {
-		raw := g.raw.Load()
-		if raw == nil {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		_, _ = w.Write(*raw)
-	})
+	mux.HandleFunc(pathManifest, g.serveManifest)
 	mux.HandleFunc(pathLease, g.serveLease)
 	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w, g) })
 	return mux
