One instance chooses the backend servers for all

Cause: two hundred instances tell each other of their requests 1.6 s apart, a request lasts 0.3 s.

Change: core/gateway/dispatch. Each instance asks the holder of the lease, which counts exactly and keeps one queue where all servers are full; without a holder the strongest instance, and without an answer (60 ms) each chooses by what it believes, as before. Messages name all that an instance has under way, so a lost one is mended by the next and nothing has to last.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -115,11 +115,13 @@
 type Directory struct {
 	servers map[string]*Server
 	groups  map[string][]*Server // sorted by id; nil after a change
+	// loadedBy are the servers on which each other instance has requests.
+	loadedBy map[string][]string
 }
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*Server)}
+	return &Directory{servers: make(map[string]*Server), loadedBy: make(map[string][]string)}
 }
 
 // Get returns a server, or nil.
@@ -262,16 +264,61 @@
 
 // HeardRunning takes how many requests another instance has on each server.
 func (d *Directory) HeardRunning(now clock.Time, peer string, running map[string]map[string]int) {
-	for id, s := range d.servers {
-		old, had := s.peers[peer]
-		if n := running[id]; len(n) > 0 {
-			s.peers[peer] = peerLoad{running: n, heard: now}
-			s.running += sum(n) - sum(old.running)
-		} else if had {
-			delete(s.peers, peer)
-			s.running -= sum(old.running)
+	for _, id := range d.loadedBy[peer] {
+		if s := d.servers[id]; s != nil && len(running[id]) == 0 {
+			s.forgetPeer(peer)
 		}
 	}
+	loaded := make([]string, 0, len(running))
+	for id, n := range running {
+		s := d.servers[id]
+		if s == nil || len(n) == 0 {
+			continue
+		}
+		s.running += sum(n) - sum(s.peers[peer].running)
+		s.peers[peer] = peerLoad{running: n, heard: now}
+		loaded = append(loaded, id)
+	}
+	d.loadedBy[peer] = loaded
+}
+
+// AddRunning counts one more request of another instance, which that instance
+// does not tell of yet.
+func (d *Directory) AddRunning(now clock.Time, peer, id, model string) {
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	p, had := s.peers[peer]
+	if !had {
+		p.running = make(map[string]int)
+		d.loadedBy[peer] = append(d.loadedBy[peer], id)
+	}
+	p.running[model]++
+	p.heard = now
+	s.peers[peer] = p
+	s.running++
+	s.lastUsed = now
+}
+
+// Refresh keeps what an instance told counting: it is heard, and nothing changed.
+func (d *Directory) Refresh(now clock.Time, peer string) {
+	for _, id := range d.loadedBy[peer] {
+		s := d.servers[id]
+		if s == nil {
+			continue
+		}
+		if p, ok := s.peers[peer]; ok {
+			p.heard = now
+			s.peers[peer] = p
+		}
+	}
+}
+
+// forgetPeer drops what an instance said of its requests.
+func (s *Server) forgetPeer(peer string) {
+	s.running -= sum(s.peers[peer].running)
+	delete(s.peers, peer)
 }
 
 // Expire drops what instances said that are not heard any more.
@@ -279,8 +326,7 @@
 	for _, s := range d.servers {
 		for name, p := range s.peers {
 			if now.Sub(p.heard) > staleAfter {
-				delete(s.peers, name)
-				s.running -= sum(p.running)
+				s.forgetPeer(name)
 			}
 		}
 	}
--- /dev/null
+++ b/core/gateway/dispatch/dispatch.go
@@ -0,0 +1,313 @@
+// Package dispatch lets one instance, the dispatcher, choose the backend server
+// for the requests of all instances.
+//
+// Two hundred instances tell each other of their requests 1.6 s apart, while a
+// request lasts 0.3 s: what an instance believes of a server's load is another
+// load than it has, and all choose the same few servers. So each asks the
+// dispatcher before it sends a request, and tells it when one ended. The
+// dispatcher counts exactly; while all servers that could run a request are full,
+// it keeps the request in one queue, the most urgent first.
+//
+// The dispatcher keeps nothing that must last. Each message of an instance names
+// all that it has under way, so a lost one is mended by the next, and a new
+// dispatcher knows the fleet within a moment. An instance that gets no answer
+// chooses by what it believes itself, so no request waits for a dispatcher that
+// is gone.
+//
+// One dispatcher answers for a few hundred instances: a question is about 250
+// bytes and 30 microseconds. Larger fleets need one a group of servers.
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+)
+
+const (
+	// grantFor is how long a server counts a request that was let go to it and is
+	// not in what its instance tells: its answer may have been lost.
+	grantFor = 500 * time.Millisecond
+	// exactFor is how long what an instance told the dispatcher goes before its
+	// heartbeats, which are older when they arrive.
+	exactFor = 2 * time.Second
+	// queuedFor is how long a request stays in the queue without a sign of its
+	// instance, which asks again twice in this time.
+	queuedFor = time.Second
+)
+
+// Ask asks for a server.
+type Ask struct {
+	Number   uint64 // of the instance's requests; a repeated one keeps its place
+	Need     directory.Need
+	Priority int // 0 goes first
+}
+
+// Message is what an instance tells the dispatcher.
+type Message struct {
+	From        string
+	Incarnation uint64
+	Sequence    uint64 // of the messages of this incarnation
+	// Running are its requests by server and model.
+	Running map[string]map[string]int
+	// Open are the numbers of its asks that have no answer yet; a request that was
+	// let go and is not among them is in Running, or has ended.
+	Open []uint64
+	Ask  *Ask // nil: it only tells
+}
+
+// Verdict is what the dispatcher decided.
+type Verdict int
+
+// The verdicts.
+const (
+	Granted Verdict = iota // send it to Server
+	Queued                 // all servers are full; another reply follows
+	Missing                // no server holds what it needs
+)
+
+// String names a verdict for logs.
+func (v Verdict) String() string { return [...]string{"granted", "queued", "missing"}[v] }
+
+// Reply answers an Ask.
+type Reply struct {
+	To          string
+	Incarnation uint64
+	Number      uint64
+	Verdict     Verdict
+	Choice      directory.Choice // if granted
+}
+
+// Dispatcher is the state of the instance that chooses. It is not safe for
+// concurrent use.
+type Dispatcher struct {
+	self   string // whose own requests the directory counts itself
+	dir    *directory.Directory
+	askers map[string]*asker
+	queues map[key]*queue
+	number uint64 // of what waits, for the order among equals
+}
+
+type asker struct {
+	incarnation uint64
+	sequence    uint64
+	heard       clock.Time
+	open        []uint64
+	granted     []grant
+}
+
+// grant is a request that was let go and is not told yet.
+type grant struct {
+	number        uint64
+	server, model string
+	at            clock.Time
+}
+
+// key tells requests apart that need different things of a server.
+type key struct{ group, model, adapter string }
+
+type queue struct {
+	key     key
+	waiting []*waiting
+}
+
+type waiting struct {
+	from     string
+	ask      Ask
+	place    uint64
+	lastSign clock.Time
+}
+
+// New returns a Dispatcher that chooses among the servers of dir.
+func New(self string, dir *directory.Directory) *Dispatcher {
+	return &Dispatcher{self: self, dir: dir, askers: make(map[string]*asker), queues: make(map[key]*queue)}
+}
+
+// Take takes a message. The reply to its ask, if it has one, comes at once; one
+// that is queued gets a second reply of Serve.
+func (d *Dispatcher) Take(now clock.Time, m Message) (Reply, bool) {
+	a := d.asker(m)
+	if m.Sequence > a.sequence {
+		a.sequence, a.heard, a.open = m.Sequence, now, m.Open
+		a.settle(now)
+		if m.From != d.self {
+			d.dir.HeardRunning(now, m.From, m.Running)
+			for _, g := range a.granted {
+				d.dir.AddRunning(now, m.From, g.server, g.model)
+			}
+		}
+	}
+	if m.Ask == nil {
+		return Reply{}, false
+	}
+	return d.answer(now, m.From, a, *m.Ask), true
+}
+
+func (d *Dispatcher) asker(m Message) *asker {
+	a := d.askers[m.From]
+	if a == nil || a.incarnation != m.Incarnation {
+		a = &asker{incarnation: m.Incarnation}
+		d.askers[m.From] = a
+	}
+	return a
+}
+
+// settle drops the grants that the asker tells of itself, and those whose reply
+// it never had.
+func (a *asker) settle(now clock.Time) {
+	a.granted = slices.DeleteFunc(a.granted, func(g grant) bool {
+		return !slices.Contains(a.open, g.number) || now.Sub(g.at) > grantFor
+	})
+}
+
+// Exact reports whether what an instance has under way is known from its own
+// messages, which are newer than its heartbeats.
+func (d *Dispatcher) Exact(now clock.Time, from string) bool {
+	a := d.askers[from]
+	return a != nil && now.Sub(a.heard) < exactFor
+}
+
+func (d *Dispatcher) answer(now clock.Time, from string, a *asker, ask Ask) Reply {
+	reply := Reply{To: from, Incarnation: a.incarnation, Number: ask.Number}
+	if i := slices.IndexFunc(a.granted, func(g grant) bool { return g.number == ask.Number }); i >= 0 {
+		// The reply was lost; the same server again, or the count would be off.
+		reply.Choice = directory.Choice{Server: d.dir.Get(a.granted[i].server)}
+		if reply.Choice.Server != nil {
+			return reply
+		}
+	}
+	q := d.queueOf(ask.Need)
+	if w := q.find(from, ask.Number); w != nil {
+		w.lastSign = now
+		reply.Verdict = Queued
+		return reply
+	}
+	if len(q.waiting) > 0 && q.waiting[0].ask.Priority <= ask.Priority {
+		reply.Verdict = Queued
+		d.enqueue(now, q, from, ask)
+		return reply
+	}
+	c := d.dir.Pick(now, ask.Need)
+	switch {
+	case c.Server != nil:
+		d.grant(now, from, a, ask, c.Server)
+		reply.Choice = c
+	case c.Full:
+		reply.Verdict = Queued
+		d.enqueue(now, q, from, ask)
+	default:
+		reply.Verdict = Missing
+	}
+	return reply
+}
+
+// grant counts a request as under way.
+func (d *Dispatcher) grant(now clock.Time, from string, a *asker, ask Ask, s *directory.Server) {
+	if from == d.self {
+		return // the instance counts it itself in the same moment
+	}
+	a.granted = append(a.granted, grant{number: ask.Number, server: s.ID, model: ask.Need.Model, at: now})
+	d.dir.AddRunning(now, from, s.ID, ask.Need.Model)
+}
+
+func (d *Dispatcher) queueOf(n directory.Need) *queue {
+	k := key{group: n.Group, model: n.Model, adapter: n.Adapter}
+	q := d.queues[k]
+	if q == nil {
+		q = &queue{key: k}
+		d.queues[k] = q
+	}
+	return q
+}
+
+func (q *queue) find(from string, number uint64) *waiting {
+	for _, w := range q.waiting {
+		if w.from == from && w.ask.Number == number {
+			return w
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, ask Ask) {
+	d.number++
+	w := &waiting{from: from, ask: ask, place: d.number, lastSign: now}
+	i, _ := slices.BinarySearchFunc(q.waiting, w, compareWaiting)
+	q.waiting = slices.Insert(q.waiting, i, w)
+}
+
+func compareWaiting(a, b *waiting) int {
+	return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), cmp.Compare(a.place, b.place))
+}
+
+// Waiting returns how many requests are queued.
+func (d *Dispatcher) Waiting() int {
+	n := 0
+	for _, q := range d.queues {
+		n += len(q.waiting)
+	}
+	return n
+}
+
+// Serve lets go what waits and can run now.
+func (d *Dispatcher) Serve(now clock.Time) []Reply {
+	var replies []Reply
+	for _, q := range d.sortedQueues() {
+		q.waiting = slices.DeleteFunc(q.waiting, func(w *waiting) bool { return d.gone(now, w) })
+		for len(q.waiting) > 0 {
+			w := q.waiting[0]
+			c := d.dir.Pick(now, w.ask.Need)
+			if c.Full {
+				break
+			}
+			q.waiting = q.waiting[1:]
+			a := d.askers[w.from]
+			reply := Reply{To: w.from, Incarnation: a.incarnation, Number: w.ask.Number, Verdict: Missing}
+			if c.Server != nil {
+				d.grant(now, w.from, a, w.ask, c.Server)
+				reply.Verdict, reply.Choice = Granted, c
+			}
+			replies = append(replies, reply)
+			if w.from == d.self {
+				return replies // counted by the instance before the next choice
+			}
+		}
+		if len(q.waiting) == 0 {
+			delete(d.queues, q.key)
+		}
+	}
+	return replies
+}
+
+// gone reports whether nobody waits for an answer any more.
+func (d *Dispatcher) gone(now clock.Time, w *waiting) bool {
+	a := d.askers[w.from]
+	return a == nil || !slices.Contains(a.open, w.ask.Number) || now.Sub(w.lastSign) > queuedFor
+}
+
+// sortedQueues returns the queues by their most urgent request, so that models on
+// the same server are served in that order.
+func (d *Dispatcher) sortedQueues() []*queue {
+	var all []*queue
+	for k, q := range d.queues {
+		if len(q.waiting) == 0 {
+			delete(d.queues, k)
+			continue
+		}
+		all = append(all, q)
+	}
+	slices.SortFunc(all, func(a, b *queue) int { return compareWaiting(a.waiting[0], b.waiting[0]) })
+	return all
+}
+
+// Forget drops instances that are not heard any more.
+func (d *Dispatcher) Forget(now clock.Time) {
+	for name, a := range d.askers {
+		if now.Sub(a.heard) > exactFor && len(a.granted) == 0 && name != d.self {
+			delete(d.askers, name)
+		}
+	}
+}
--- /dev/null
+++ b/core/gateway/dispatch/dispatch_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+)
+
+const start = clock.Time(time.Minute)
+
+// two returns a dispatcher before two servers of two slots.
+func two(t *testing.T) *Dispatcher {
+	t.Helper()
+	dir := directory.New()
+	for _, id := range []string{"a", "b"} {
+		dir.Put(start, directory.Entry{ID: id, Zone: "z", Group: "g", Born: 1, Slots: 2, Holdings: []directory.Holding{{Model: "busy"}}})
+	}
+	return New("self", dir)
+}
+
+func ask(number uint64, priority int, open ...uint64) Message {
+	return Message{From: "n", Incarnation: 1, Sequence: number, Open: open, Ask: &Ask{Number: number, Need: need, Priority: priority}}
+}
+
+// fill lets six requests go, three to each server: more wait.
+func fill(t *testing.T, d *Dispatcher) {
+	t.Helper()
+	var open []uint64
+	for n := uint64(1); n <= 6; n++ {
+		open = append(open, n)
+		if r, ok := d.Take(start, ask(n, 5, open...)); !ok || r.Verdict != Granted {
+			t.Fatalf("ask %d: %v", n, r.Verdict)
+		}
+	}
+}
+
+// All servers are full. An urgent request that comes last is let go first.
+func TestUrgentGoesFirst(t *testing.T) {
+	d := two(t)
+	fill(t, d)
+	m := ask(7, 5, 1, 2, 3, 4, 5, 6, 7)
+	if r, _ := d.Take(start, m); r.Verdict != Queued {
+		t.Fatalf("verdict %v", r.Verdict)
+	}
+	if r, _ := d.Take(start, ask(8, 0, 1, 2, 3, 4, 5, 6, 7, 8)); r.Verdict != Queued {
+		t.Fatalf("verdict %v", r.Verdict)
+	}
+	if got := d.Serve(start); len(got) != 0 {
+		t.Fatalf("let go: %+v", got)
+	}
+	d.Take(start, Message{From: "n", Incarnation: 1, Sequence: 9, Open: []uint64{2, 3, 4, 5, 6, 7, 8}}) // 1 has ended
+	got := d.Serve(start)
+	if len(got) != 1 || got[0].Number != 8 {
+		t.Errorf("let go: %+v", got)
+	}
+}
+
+// A reply is lost, and the request asks again. It gets the same server, and counts
+// once.
+func TestRepeatedAsk(t *testing.T) {
+	d := two(t)
+	first, _ := d.Take(start, ask(1, 5, 1))
+	again := ask(1, 5, 1)
+	again.Sequence = 2
+	second, _ := d.Take(start, again)
+	if first.Choice.Server != second.Choice.Server {
+		t.Errorf("%s, then %s", first.Choice.Server.ID, second.Choice.Server.ID)
+	}
+	if n := first.Choice.Server.Running(); n != 1 {
+		t.Errorf("counted %d times", n)
+	}
+}
+
+// The caller of a queued request left; nothing says so but the next message of its
+// instance. It is not let go.
+func TestGivenUpIsNotLetGo(t *testing.T) {
+	d := two(t)
+	fill(t, d)
+	d.Take(start, ask(7, 5, 1, 2, 3, 4, 5, 6, 7))
+	d.Take(start, Message{From: "n", Incarnation: 1, Sequence: 8, Open: []uint64{2, 3, 4, 5, 6}})
+	if got := d.Serve(start); len(got) != 0 || d.Waiting() != 0 {
+		t.Errorf("let go: %+v, %d wait", got, d.Waiting())
+	}
+}
+
+// A message that was overtaken by a newer one does not bring ended requests back.
+func TestOvertakenMessage(t *testing.T) {
+	d := two(t)
+	d.Take(start, Message{From: "n", Incarnation: 1, Sequence: 5})
+	d.Take(start, Message{From: "n", Incarnation: 1, Sequence: 4, Running: map[string]map[string]int{"a": {"busy": 2}}})
+	if n := d.dir.Get("a").Running(); n != 0 {
+		t.Errorf("%d counted", n)
+	}
+}
+
+// An instance is started again: its numbers begin anew, and what the old process
+// had under way counts no more.
+func TestRestartedAsker(t *testing.T) {
+	d := two(t)
+	fill(t, d)
+	m := ask(1, 5, 1)
+	m.Incarnation = 2
+	if r, _ := d.Take(start, m); r.Verdict != Granted {
+		t.Errorf("verdict %v", r.Verdict)
+	}
+	if n := d.dir.Get("a").Running() + d.dir.Get("b").Running(); n != 1 {
+		t.Errorf("%d counted", n)
+	}
+}
+
+// No server holds the model any more while requests wait for room. They are told,
+// so that they wait for the model instead.
+func TestModelIsUnloadedMeanwhile(t *testing.T) {
+	d := two(t)
+	fill(t, d)
+	d.Take(start, ask(7, 5, 1, 2, 3, 4, 5, 6, 7))
+	for _, id := range []string{"a", "b"} {
+		d.dir.SetHoldings(start, id, 1, nil)
+	}
+	got := d.Serve(start)
+	if len(got) != 1 || got[0].Verdict != Missing {
+		t.Errorf("replies %+v", got)
+	}
+}
+
+// A dispatcher is silent. One request in half a second finds out whether it is
+// back; the others are not delayed.
+func TestSilentDispatcherIsDoubted(t *testing.T) {
+	c := NewClient()
+	if !c.MayAsk(start, "d") {
+		t.Fatal("not asked at first")
+	}
+	c.Silent(start, "d")
+	if c.MayAsk(start.Add(doubtFor/2), "d") {
+		t.Error("asked while doubted")
+	}
+	later := start.Add(doubtFor)
+	if !c.MayAsk(later, "d") || c.MayAsk(later, "d") {
+		t.Error("not asked by exactly one")
+	}
+	if c.Answered("d"); !c.MayAsk(later, "d") {
+		t.Error("not asked though it answers")
+	}
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -187,6 +187,10 @@
 		g.takeForecast(now, m.Forecast)
 	case m.Word != nil:
 		g.takeWord(now, m.Word)
+	case m.Dispatch != nil:
+		return g.takeDispatchMsg(now, m.Dispatch)
+	case m.Choice != nil:
+		g.takeChoiceMsg(now, m.Choice)
 	default:
 		return g.takeTokenPacket(now, m)
 	}
@@ -205,7 +209,11 @@
 	}
 	g.members.Heard(now, b.heardAs())
 	g.hearOwned(now, b)
-	g.dir.HeardRunning(now, b.Name, b.Running)
+	if g.dispatch.Exact(now, b.Name) {
+		g.dir.Refresh(now, b.Name)
+	} else {
+		g.dir.HeardRunning(now, b.Name, b.Running)
+	}
 	for d, n := range b.Broken {
 		g.poison.Heard(now, b.Name, d, n)
 	}
@@ -242,25 +250,36 @@
 
 // countArrivals feeds the difference of another instance's counters.
 func (g *Gateway) countArrivals(now clock.Time, b *beatMsg) {
-	seen := g.peerSeen[b.Name]
-	fresh := seen == nil || seen.incarnation != b.Incarnation
-	if fresh {
-		seen = &peerSeen{incarnation: b.Incarnation, arrived: make(map[string]uint64)}
-		g.peerSeen[b.Name] = seen
-	}
+	seen := g.seenOf(b.Name, b.Incarnation)
 	for model, n := range b.Arrived {
-		before, known := seen.arrived[model]
-		if !known {
-			before = n - 1 // its count from before this instance listened is old
-		}
-		if n > before && !fresh {
-			g.placer.Arrived(now, model, int(n-before))
-		}
-		seen.arrived[model] = n
+		g.countModel(now, seen, model, n)
 	}
+	seen.fresh = false
 	seen.wants, seen.heard, seen.storeDown = b.Wants, now, b.StoreDown
 }
 
+// seenOf returns what was seen of a life of another instance.
+func (g *Gateway) seenOf(name string, incarnation uint64) *peerSeen {
+	seen := g.peerSeen[name]
+	if seen == nil || seen.incarnation != incarnation {
+		seen = &peerSeen{incarnation: incarnation, fresh: true, arrived: make(map[string]uint64)}
+		g.peerSeen[name] = seen
+	}
+	return seen
+}
+
+// countModel feeds the difference of one counter.
+func (g *Gateway) countModel(now clock.Time, seen *peerSeen, model string, n uint64) {
+	before, known := seen.arrived[model]
+	if !known {
+		before = n - 1 // its count from before this instance listened is old
+	}
+	if n > before && !seen.fresh {
+		g.placer.Arrived(now, model, int(n-before))
+	}
+	seen.arrived[model] = max(before, n)
+}
+
 // wants returns what waits at all instances. The caller holds mu.
 func (g *Gateway) wants(now clock.Time) map[placer.Key]placer.Want {
 	all := make(map[placer.Key]placer.Want)
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -44,18 +44,26 @@
 		}
 	}()
 	for {
-		t, full, changed, ref := x.tryChoose()
-		if ref != nil || t.id != "" {
-			return t, ref
+		l, ref := x.look()
+		if ref != nil || l.target.id != "" {
+			return l.target, ref
 		}
-		if !full && !waiting {
+		if l.ask != nil {
+			t, ref := x.await(l, x.patience(began))
+			if ref != nil || t.id != "" {
+				return t, ref
+			}
+			continue
+		}
+		if !l.full && !waiting {
 			key, waiting = x.waitKey(), true
 			g.metrics.coldStarts.Inc()
 			g.startWaiting(key, x.want())
 		}
 		paused := boottime.Now()
-		ref = x.wait(x.patience(began), changed, full)
-		x.timing.waited(boottime.Now().Sub(paused), full)
+		ref = x.wait(x.patience(began), l.changed, l.full)
+		x.timing.waited(boottime.Now().Sub(paused), l.full)
+		x.alone = x.alone && l.full // the model that it waited for may be known to be there now
 		if ref != nil {
 			return target{}, ref
 		}
@@ -76,40 +84,62 @@
 	return placer.Key{Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter}
 }
 
-// tryChoose looks once. The configuration may have changed since the request
+// view is what a request saw when it looked for a server.
+type view struct {
+	target  target // that was chosen here
+	full    bool   // some hold what it needs, and none has room
+	changed <-chan struct{}
+	ask     *asked // the dispatcher chooses
+	number  uint64 // of the ask
+}
+
+// look looks once. The configuration may have changed since the request
 // arrived: a key that was withdrawn or a route that moved counts now.
-func (x *exchange) tryChoose() (t target, full bool, changed <-chan struct{}, ref *refusal) {
+func (x *exchange) look() (view, *refusal) {
 	g := x.g
 	if m := g.manifest.Load(); m != x.config {
 		if ref := x.resolve(); ref != nil {
-			return target{}, false, nil, ref
+			return view{}, ref
 		}
 		if x.ran == 0 && !x.started {
 			x.pickGroup()
 		}
 	}
 	if x.r.Context().Err() != nil {
-		return target{}, false, nil, refusalOf(reasonCallerGone, 0)
+		return view{}, refusalOf(reasonCallerGone, 0)
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := boottime.Now()
+	v, out, ref := x.lookLocked(boottime.Now())
+	g.mu.Unlock()
+	g.sendAll(out)
+	return v, ref
+}
+
+// lookLocked asks the dispatcher if a server has what the request needs, or
+// chooses one itself if nobody is to be asked. The caller holds mu.
+func (x *exchange) lookLocked(now clock.Time) (view, []outgoing, *refusal) {
+	g := x.g
 	if now.Reached(x.end) {
-		return target{}, false, nil, refusalOf(reasonTimeout, comeBack)
+		return view{}, nil, refusalOf(reasonTimeout, comeBack)
 	}
 	c := g.dir.Pick(now, x.need())
+	if (c.Server != nil || c.Full) && !x.alone {
+		if number, a := x.dispatchTo(now); a != nil {
+			return view{ask: a, number: number}, x.askServer(now, number, a), nil
+		}
+	}
 	if s := c.Server; s != nil {
 		x.timing.choice = c
 		g.dir.Started(now, s.ID, x.call.Model)
 		g.placer.AdapterUsed(now, s.ID, x.call.Model, x.call.Adapter)
-		return target{id: s.ID, address: s.Address}, false, nil, nil
+		return view{target: target{id: s.ID, address: s.Address}}, g.tellLoad(now), nil
 	}
 	if !c.Full {
 		if why := x.hopeless(now); why != "" {
-			return target{}, false, nil, refusalOf(why, comeBackLoad)
+			return view{}, nil, refusalOf(why, comeBackLoad)
 		}
 	}
-	return target{}, c.Full, g.changed, nil
+	return view{full: c.Full, changed: g.changed}, nil, nil
 }
 
 // hopeless returns why waiting can't help, or "" if a server of the group could
@@ -196,6 +226,9 @@
 // ended counts the end of an attempt.
 func (g *Gateway) ended(server, model string, o directory.Outcome) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.dir.Ended(boottime.Now(), server, model, o)
+	now := boottime.Now()
+	g.dir.Ended(now, server, model, o)
+	out := g.tellLoad(now)
+	g.mu.Unlock()
+	g.sendAll(out)
 }
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -165,7 +165,7 @@
 		seen := g.peerSeen[m.Name]
 		peers = append(peers, configsync.Peer{
 			Name: m.Name, Reaches: seen != nil && !seen.storeDown,
-			Stronger: m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name,
+			Stronger: !g.strongerThan(m),
 		})
 	}
 	return peers
--- /dev/null
+++ b/oleander/gateway/dispatch.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/core/gateway/outlook"
+	"oleanderdale.org/core/gateway/spread"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// serveEvery is the time between two looks of the dispatcher at what waits, while
+// something waits: each costs it some microseconds a model.
+const serveEvery = 3 * time.Millisecond
+
+// answersKept bounds the replies that wait to be read: words that the request is
+// queued, and one that ends the ask.
+const answersKept = 4
+
+// asked is a request of this instance that asked the dispatcher.
+type asked struct {
+	model, adapter string
+	dispatcher     string
+	answered       chan dispatched // queued, and then what was decided
+}
+
+// dispatched is what became of an ask.
+type dispatched struct {
+	verdict dispatch.Verdict
+	target  target
+	choice  directory.Choice
+}
+
+// dispatcher returns the instance that chooses servers for all: the holder of the
+// lease, who knows best what each server holds; without one the strongest that is
+// heard. The caller holds mu.
+func (g *Gateway) dispatcher(now clock.Time) string {
+	if g.lease.Holds(now) {
+		return g.set.Name
+	}
+	if g.holder.name != "" && g.holder.name != g.set.Name && now.Sub(g.holder.heard) <= leaseSilence {
+		return g.holder.name
+	}
+	strongest := spread.Strongest(now, g.members.All(now), 1)
+	if len(strongest) == 0 || g.strongerThan(strongest[0]) {
+		return g.set.Name
+	}
+	return strongest[0].Name
+}
+
+// dispatchTo asks the dispatcher for a server, and returns nil if nobody is to be
+// asked now. The caller holds mu.
+func (x *exchange) dispatchTo(now clock.Time) (uint64, *asked) {
+	g := x.g
+	name := g.dispatcher(now)
+	if name == g.set.Name && g.members.Count() == 1 || !g.client.MayAsk(now, name) {
+		return 0, nil
+	}
+	number := g.client.Begin()
+	a := &asked{model: x.call.Model, adapter: x.call.Adapter, dispatcher: name, answered: make(chan dispatched, answersKept)}
+	g.asks[number] = a
+	return number, a
+}
+
+// askServer tells the dispatcher what the request needs. It returns the messages to
+// send. The caller holds mu.
+func (x *exchange) askServer(now clock.Time, number uint64, a *asked) []outgoing {
+	ask := &dispatch.Ask{Number: number, Need: x.need(), Priority: x.urgency()}
+	return x.g.tellDispatcher(now, a.dispatcher, ask)
+}
+
+// tellDispatcher tells the dispatcher what this instance has under way, with a
+// request for a server or without. The caller holds mu.
+func (g *Gateway) tellDispatcher(now clock.Time, name string, ask *dispatch.Ask) []outgoing {
+	m := dispatch.Message{From: g.set.Name, Incarnation: g.incarnation, Running: g.dir.OwnRunning(), Ask: ask}
+	m.Sequence, m.Open = g.client.Stamp()
+	if name == g.set.Name {
+		return g.takeDispatch(now, m)
+	}
+	to := g.members.Get(name)
+	if to == nil {
+		return nil
+	}
+	return []outgoing{{message: g.encode(packet{Dispatch: g.dispatchOf(m)}), to: []recipient{g.recipient(to)}}}
+}
+
+// takeDispatch takes what an instance tells the dispatcher. The caller holds mu.
+func (g *Gateway) takeDispatch(now clock.Time, m dispatch.Message) []outgoing {
+	var out []outgoing
+	if reply, ok := g.dispatch.Take(now, m); ok {
+		out = g.sendReply(now, reply)
+	}
+	if g.dispatch.Waiting() > 0 && !g.serving {
+		g.serving = true
+		time.AfterFunc(serveEvery, g.serveQueues)
+	}
+	return out
+}
+
+// serveQueues lets go what waits at the dispatcher and can run now.
+func (g *Gateway) serveQueues() {
+	g.mu.Lock()
+	var out []outgoing
+	now := boottime.Now()
+	for replies := g.dispatch.Serve(now); len(replies) > 0; replies = g.dispatch.Serve(now) {
+		for _, r := range replies {
+			out = append(out, g.sendReply(now, r)...)
+		}
+	}
+	g.serving = g.dispatch.Waiting() > 0 && g.ctx.Err() == nil
+	if g.serving {
+		time.AfterFunc(serveEvery, g.serveQueues)
+	}
+	g.mu.Unlock()
+	g.sendAll(out)
+}
+
+// sendReply returns the message with a reply, or takes it if it is for this
+// instance. The caller holds mu.
+func (g *Gateway) sendReply(now clock.Time, r dispatch.Reply) []outgoing {
+	if r.To == g.set.Name {
+		if r.Incarnation == g.incarnation {
+			g.takeChoice(now, g.set.Name, r.Number, r.Verdict, r.Choice)
+		}
+		return nil
+	}
+	to := g.members.Get(r.To)
+	if to == nil {
+		return nil
+	}
+	return []outgoing{{message: g.encode(packet{Choice: g.choiceOf(r)}), to: []recipient{g.recipient(to)}}}
+}
+
+// takeChoice takes a reply of the dispatcher. A request that was let go is counted
+// in the same moment, so that the next message to the dispatcher has it. The caller
+// holds mu.
+func (g *Gateway) takeChoice(now clock.Time, from string, number uint64, v dispatch.Verdict, c directory.Choice) {
+	g.client.Answered(from)
+	a := g.asks[number]
+	if a == nil {
+		return // it was given up, and the next message says so
+	}
+	d := dispatched{verdict: v, choice: c}
+	if v == dispatch.Granted {
+		d.target = target{id: c.Server.ID, address: c.Server.Address}
+		g.dir.Started(now, c.Server.ID, a.model)
+		g.placer.AdapterUsed(now, c.Server.ID, a.model, a.adapter)
+	}
+	if v != dispatch.Queued {
+		g.endAsk(number)
+	}
+	if v != dispatch.Queued || len(a.answered) < answersKept-1 {
+		a.answered <- d
+	}
+}
+
+// endAsk closes an ask. The caller holds mu.
+func (g *Gateway) endAsk(number uint64) {
+	g.client.End(number)
+	delete(g.asks, number)
+}
+
+// tellLoad tells the dispatcher that what this instance has under way changed
+// without a question: a request ended, or went without being asked for. The caller
+// holds mu.
+func (g *Gateway) tellLoad(now clock.Time) []outgoing {
+	name := g.dispatcher(now)
+	if name == g.set.Name {
+		return nil // it counts its own itself
+	}
+	return g.tellDispatcher(now, name, nil)
+}
+
+// await waits for what the dispatcher says. If it says nothing, or is replaced
+// meanwhile, the target is empty, and the request looks again.
+func (x *exchange) await(v view, p outlook.Patience) (target, *refusal) {
+	w := dispatchWait{x: x, view: v, patience: p, began: boottime.Now()}
+	defer w.account()
+	for {
+		t := time.NewTimer(w.next())
+		select {
+		case d := <-v.ask.answered:
+			t.Stop()
+			switch d.verdict {
+			case dispatch.Granted:
+				x.timing.choice = d.choice
+				return d.target, nil
+			case dispatch.Missing:
+				x.alone = true
+				return target{}, nil
+			}
+			w.queued, w.asks = true, 0
+		case <-t.C:
+			if goesOn, ref := w.again(); !goesOn {
+				return target{}, ref
+			}
+		case <-x.r.Context().Done():
+			x.abandon(v, false)
+			return target{}, refusalOf(reasonCallerGone, 0)
+		case <-x.g.refuseWaiting:
+			x.abandon(v, false)
+			return target{}, refusalOf(reasonStopping, comeBack)
+		}
+	}
+}
+
+// dispatchWait is the wait for the dispatcher's answer to one ask.
+type dispatchWait struct {
+	x        *exchange
+	view     view
+	patience outlook.Patience
+	began    clock.Time
+	queued   bool // the dispatcher has it
+	asks     int  // again, without an answer
+}
+
+// next is how long to wait for a word of the dispatcher.
+func (w *dispatchWait) next() time.Duration {
+	if !w.queued {
+		return dispatch.AnswerWithin
+	}
+	return min(dispatch.AskAgain, max(0, boottime.Until(w.patience.Leaves)))
+}
+
+// again goes on after a silence. It returns false if the wait is over.
+func (w *dispatchWait) again() (bool, *refusal) {
+	x, v := w.x, w.view
+	switch {
+	case boottime.Now().Reached(w.patience.Leaves):
+		x.abandon(v, false)
+		return false, refusalOf(reasonNoRoom, comeBack)
+	case w.asks >= dispatch.AsksMost:
+		x.abandon(v, true)
+		x.alone = true
+		return false, nil
+	case !x.askAgain(v):
+		x.abandon(v, false)
+		return false, nil
+	}
+	w.asks++
+	return true, nil
+}
+
+// account adds the wait to where the request's time went.
+func (w *dispatchWait) account() {
+	if w.queued {
+		w.x.timing.waited(boottime.Now().Sub(w.began), true)
+	}
+}
+
+// askAgain repeats an ask. It returns false if another instance is the dispatcher
+// now.
+func (x *exchange) askAgain(v view) bool {
+	g := x.g
+	g.mu.Lock()
+	now := boottime.Now()
+	same := g.dispatcher(now) == v.ask.dispatcher
+	var out []outgoing
+	if same && g.asks[v.number] != nil {
+		out = x.askServer(now, v.number, v.ask)
+	}
+	g.mu.Unlock()
+	g.sendAll(out)
+	return same
+}
+
+// abandon gives an ask up. If the dispatcher let the request go in the same
+// moment, its count is taken back.
+func (x *exchange) abandon(v view, silent bool) {
+	g := x.g
+	g.mu.Lock()
+	now := boottime.Now()
+	if silent {
+		g.client.Silent(now, v.ask.dispatcher)
+		g.metrics.dispatchSilent.Inc()
+	}
+	g.endAsk(v.number)
+	for len(v.ask.answered) > 0 {
+		if d := <-v.ask.answered; d.verdict == dispatch.Granted {
+			g.dir.Ended(now, d.target.id, x.call.Model, directory.Neutral)
+		}
+	}
+	out := g.tellLoad(now)
+	g.mu.Unlock()
+	g.sendAll(out)
+}
--- /dev/null
+++ b/oleander/gateway/dispatchmsg.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/dispatch"
+)
+
+// dispatchMsg tells the dispatcher what the sender has under way.
+type dispatchMsg struct {
+	_           struct{} `cbor:",toarray"`
+	From        string
+	Incarnation uint64
+	Sequence    uint64
+	Running     map[string]map[string]int // by backend server and model
+	Open        []uint64                  // asks without an answer
+	Ask         *askServerMsg             // nil: nothing is asked
+	Model       string                    // that was asked for last
+	Arrived     uint64                    // requests for it since the start
+}
+
+// askServerMsg asks for a backend server.
+type askServerMsg struct {
+	_        struct{} `cbor:",toarray"`
+	Number   uint64
+	Group    string
+	Model    string
+	Adapter  string
+	Affinity uint64
+	Zone     string
+	Exclude  []string
+	Priority int
+}
+
+// choiceMsg answers an askServerMsg.
+type choiceMsg struct {
+	_           struct{} `cbor:",toarray"`
+	From        string
+	Incarnation uint64 // of the asker
+	Number      uint64
+	Verdict     dispatch.Verdict
+	Server      string
+	Born        int64
+	Candidates  int
+	By          directory.Reason
+	Load        float64
+	Next        float64
+}
+
+// dispatchOf puts a message to the dispatcher into its wire form. The caller holds
+// mu.
+func (g *Gateway) dispatchOf(m dispatch.Message) *dispatchMsg {
+	w := &dispatchMsg{From: m.From, Incarnation: m.Incarnation, Sequence: m.Sequence, Running: m.Running, Open: m.Open}
+	if a := m.Ask; a != nil {
+		n := a.Need
+		w.Ask = &askServerMsg{
+			Number: a.Number, Group: n.Group, Model: n.Model, Adapter: n.Adapter, Affinity: n.Affinity, Zone: n.Zone,
+			Exclude: sortedNames(n.Exclude), Priority: a.Priority,
+		}
+		w.Model, w.Arrived = n.Model, g.arrived[n.Model].count
+	}
+	return w
+}
+
+// message is the reverse of dispatchOf.
+func (w *dispatchMsg) message() dispatch.Message {
+	m := dispatch.Message{From: w.From, Incarnation: w.Incarnation, Sequence: w.Sequence, Running: w.Running, Open: w.Open}
+	if a := w.Ask; a != nil {
+		need := directory.Need{
+			Group: a.Group, Model: a.Model, Adapter: a.Adapter, Affinity: a.Affinity, Zone: a.Zone,
+			Exclude: make(map[string]bool, len(a.Exclude)),
+		}
+		for _, id := range a.Exclude {
+			need.Exclude[id] = true
+		}
+		m.Ask = &dispatch.Ask{Number: a.Number, Need: need, Priority: a.Priority}
+	}
+	return m
+}
+
+// choiceOf puts a reply of the dispatcher into its wire form.
+func (g *Gateway) choiceOf(r dispatch.Reply) *choiceMsg {
+	c := &choiceMsg{
+		From: g.set.Name, Incarnation: r.Incarnation, Number: r.Number, Verdict: r.Verdict,
+		Candidates: r.Choice.Candidates, By: r.Choice.By, Load: r.Choice.Load, Next: r.Choice.Next,
+	}
+	if s := r.Choice.Server; s != nil {
+		c.Server, c.Born = s.ID, s.Born
+	}
+	return c
+}
+
+// takeDispatchMsg takes a message to the dispatcher. The caller holds mu.
+func (g *Gateway) takeDispatchMsg(now clock.Time, w *dispatchMsg) []outgoing {
+	if w.Model != "" {
+		g.countModel(now, g.seenOf(w.From, w.Incarnation), w.Model, w.Arrived)
+	}
+	return g.takeDispatch(now, w.message())
+}
+
+// takeChoiceMsg takes a reply of the dispatcher. One that names a server which is
+// not known here is as good as none: the request chooses itself. The caller holds mu.
+func (g *Gateway) takeChoiceMsg(now clock.Time, w *choiceMsg) {
+	if w.Incarnation != g.incarnation {
+		return
+	}
+	c := directory.Choice{Candidates: w.Candidates, By: w.By, Load: w.Load, Next: w.Next}
+	verdict := w.Verdict
+	if verdict == dispatch.Granted {
+		c.Server = g.dir.Get(w.Server)
+		if c.Server == nil || c.Server.Born != w.Born {
+			verdict = dispatch.Missing
+		}
+	}
+	g.takeChoice(now, w.From, w.Number, verdict, c)
+}
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -212,10 +212,12 @@
 // unreachable records that a server could not be connected to.
 func (g *Gateway) unreachable(id, model string) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.dir.Ended(now, id, model, directory.Neutral)
 	g.dir.Unreachable(now, id)
+	out := g.tellLoad(now)
+	g.mu.Unlock()
+	g.sendAll(out)
 }
 
 // broke ends an attempt whose connection failed after something was sent.
@@ -287,7 +289,9 @@
 	case x.call.Model != "":
 		g.dir.Lacks(t.id, x.call.Model, x.call.Adapter)
 	}
+	out := g.tellLoad(now)
 	g.mu.Unlock()
+	g.sendAll(out)
 	g.log.Info().Str("request", x.call.ID).Str("server", t.id).Int("status", resp.StatusCode).Msg("front: server did not run it")
 	return resultNotRun
 }
@@ -322,11 +326,14 @@
 	x.ran++
 	g := x.g
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.dir.Ended(boottime.Now(), t.id, x.call.Model, o)
+	now := boottime.Now()
+	g.dir.Ended(now, t.id, x.call.Model, o)
 	if x.digest != 0 {
-		g.poison.Answered(boottime.Now(), x.digest)
+		g.poison.Answered(now, x.digest)
 	}
+	out := g.tellLoad(now)
+	g.mu.Unlock()
+	g.sendAll(out)
 }
 
 // outcomeOf judges a server by the status of its answer.
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// inForceWithin is when a version must be in force at the latest.
+const inForceWithin = 2 * time.Second
+
 // The store goes silent for all while they wait for changes, and the operator
 // writes a new version. The calls that were held are never answered, though the
 // store is back. They are made anew, and the version is in force soon after.
@@ -74,7 +77,7 @@
 	for i := range f.gateways {
 		f.store.Fail(i, portstest.None)
 	}
-	for end := time.Now().Add(manifestWait / 4); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(inForceWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if f.gateways[0].manifest.Load().Version == 2 && f.gateways[1].manifest.Load().Version == 2 {
 			return
 		}
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -89,6 +89,7 @@
 
 	arrived  clock.Time
 	end      clock.Time // of the caller's patience or the route's timeout
+	alone    bool       // the attempt chooses its server itself
 	sends    int
 	ran      int // sends that the server did not reject
 	excluded map[string]bool
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"oleanderdale.org/core/gateway/budget"
 	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/dispatch"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/members"
@@ -111,6 +112,10 @@
 	dir        *directory.Directory
 	members    *members.Set
 	sync       *configsync.Sync
+	dispatch   *dispatch.Dispatcher
+	client     *dispatch.Client
+	asks       map[uint64]*asked // of this instance, by number
+	serving    bool              // a look at what waits for a server is due
 	quota      *quota.Meter
 	deciding   map[uint64]chan quota.Outcome // requests for tokens that wait, by number
 	tokenTimer *time.Timer                   // when quota does something next
@@ -153,6 +158,7 @@
 // peerSeen is what the counters of another instance were.
 type peerSeen struct {
 	incarnation uint64
+	fresh       bool // no heartbeat of this life was heard
 	arrived     map[string]uint64
 	wants       []wantMsg
 	heard       clock.Time
@@ -188,6 +194,7 @@
 		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time), removed: make(map[string]removedServer),
 		publisher: newPublisher(), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
+	g.dispatch, g.client, g.asks = dispatch.New(s.Name, g.dir), dispatch.NewClient(), make(map[uint64]*asked)
 	g.quota = quota.New(quota.Settings{
 		Self: s.Name, Zone: s.Zone, Strength: s.Strength, Incarnation: g.incarnation, Interval: beatIntervalOf,
 		Check: invariant.Reporting(g.violated),
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -128,6 +129,7 @@
 	g.dir.Expire(now)
 	g.outlook.Expire(now)
 	g.sync.Forget(now)
+	g.dispatch.Forget(now)
 	away := g.storeAway(now)
 	if g.wasAway && !away {
 		g.watches.storeReturned()
@@ -143,6 +145,12 @@
 	}
 }
 
+// strongerThan reports whether this instance goes before another one where the
+// strongest is chosen.
+func (g *Gateway) strongerThan(m *members.Member) bool {
+	return g.set.Strength > m.Strength || g.set.Strength == m.Strength && g.set.Name < m.Name
+}
+
 // candidates tells the lease which other instances are heard, and returns the
 // place of this one among the candidates for it. The caller holds mu.
 func (g *Gateway) candidates(now clock.Time) (rank int) {
@@ -152,7 +160,7 @@
 			continue
 		}
 		names = append(names, machine(m.Name, m.Address))
-		if m.Strength > g.set.Strength || m.Strength == g.set.Strength && m.Name < g.set.Name {
+		if !g.strongerThan(m) {
 			rank++
 		}
 	}
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -26,8 +26,10 @@
 	quotaDenied   *metrics.Counter
 	quotaUnknown  *metrics.Counter
 	coldStarts    *metrics.Counter
-	queueWait     *metrics.Histogram
-	configVersion atomic.Uint64
+	// dispatchSilent counts the asks that the dispatcher did not answer.
+	dispatchSilent *metrics.Counter
+	queueWait      *metrics.Histogram
+	configVersion  atomic.Uint64
 }
 
 func newMetrics() *instruments {
@@ -41,8 +43,9 @@
 		damaged:     s.NewCounter("oleanderd_peer_messages_damaged_total"),
 		quotaSpent:  s.NewCounter("oleanderd_quota_spent_total"), quotaRefunded: s.NewCounter("oleanderd_quota_refunded_total"),
 		quotaDenied: s.NewCounter("oleanderd_quota_denied_total"), quotaUnknown: s.NewCounter("oleanderd_quota_unknown_total"),
-		coldStarts: s.NewCounter("oleanderd_cold_starts_total"),
-		queueWait:  s.NewHistogram("oleanderd_queue_wait_seconds"),
+		coldStarts:     s.NewCounter("oleanderd_cold_starts_total"),
+		dispatchSilent: s.NewCounter("oleanderd_dispatcher_silent_total"),
+		queueWait:      s.NewHistogram("oleanderd_queue_wait_seconds"),
 	}
 }
 
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -138,6 +138,8 @@
 	Return   *returnMsg   `cbor:"6,keyasint,omitempty"`
 	Ping     *pingMsg     `cbor:"7,keyasint,omitempty"`
 	Forward  []byte       `cbor:"8,keyasint,omitempty"` // a packet that is also for the other instances of the receiver's zone
+	Dispatch *dispatchMsg `cbor:"11,keyasint,omitempty"`
+	Choice   *choiceMsg   `cbor:"12,keyasint,omitempty"`
 	Word     *wordMsg     `cbor:"10,keyasint,omitempty"`
 	Relayed  [][]byte     `cbor:"9,keyasint,omitempty"` // packets that another instance of the zone passes on
 }
@@ -166,6 +168,8 @@
 		return "relayed"
 	case p.Word != nil:
 		return "word"
+	case p.Dispatch != nil, p.Choice != nil:
+		return "dispatch"
 	}
 	return "tokens"
 }
