Ends are told to the dispatcher, and callers that wait for room count

Change: the message that ends a request says how it ended, and the dispatcher judges servers by the requests of all. What waits in its queue is a want like that for a model that is not loaded, by its age, and may take the place of any idle model.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -215,12 +215,13 @@
 	Neutral          // says nothing of the server: the caller left, or it was full
 )
 
-// Ended counts the end of a request.
+// Ended counts the end of a request of this instance.
 func (d *Directory) Ended(now clock.Time, id, model string, o Outcome) {
 	s := d.servers[id]
 	if s == nil {
 		return
 	}
+	d.Judge(now, id, o)
 	// An entry of a new life counts from zero; what ran in the old one doesn't.
 	if s.own[model] > 0 {
 		s.running--
@@ -228,6 +229,15 @@
 			delete(s.own, model)
 		}
 	}
+}
+
+// Judge takes how a request of any instance ended at a server. What one instance of
+// two hundred sees of a server is too little to tell that it fails.
+func (d *Directory) Judge(now clock.Time, id string, o Outcome) {
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
 	switch o {
 	case Answered:
 		s.failures *= 1 - failureWeight
--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -55,8 +55,18 @@
 	Running map[string]map[string]int
 	// Open are the numbers of its asks that have no answer yet; a request that was
 	// let go and is not among them is in Running, or has ended.
-	Open []uint64
-	Ask  *Ask // nil: it only tells
+	Open  []uint64
+	Ask   *Ask // nil: it only tells
+	Ended *End // nil: none ended
+}
+
+// End is how a request ended at a server.
+type End struct {
+	Server  string
+	Born    int64
+	Outcome directory.Outcome
+	// Unreachable says that the server could not be connected to.
+	Unreachable bool
 }
 
 // Verdict is what the dispatcher decided.
@@ -118,6 +128,7 @@
 	from     string
 	ask      Ask
 	place    uint64
+	since    clock.Time
 	lastSign clock.Time
 }
 
@@ -130,6 +141,9 @@
 // that is queued gets a second reply of Serve.
 func (d *Dispatcher) Take(now clock.Time, m Message) (Reply, bool) {
 	a := d.asker(m)
+	if m.Ended != nil && m.From != d.self {
+		d.judge(now, *m.Ended)
+	}
 	if m.Sequence > a.sequence {
 		a.sequence, a.heard, a.open = m.Sequence, now, m.Open
 		a.settle(now)
@@ -146,6 +160,19 @@
 	return d.answer(now, m.From, a, *m.Ask), true
 }
 
+// judge takes what another instance saw of a server.
+func (d *Dispatcher) judge(now clock.Time, e End) {
+	s := d.dir.Get(e.Server)
+	if s == nil || s.Born != e.Born {
+		return
+	}
+	if e.Unreachable {
+		d.dir.Unreachable(now, e.Server)
+		return
+	}
+	d.dir.Judge(now, e.Server, e.Outcome)
+}
+
 func (d *Dispatcher) asker(m Message) *asker {
 	a := d.askers[m.From]
 	if a == nil || a.incarnation != m.Incarnation {
@@ -234,7 +261,7 @@
 
 func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, ask Ask) {
 	d.number++
-	w := &waiting{from: from, ask: ask, place: d.number, lastSign: now}
+	w := &waiting{from: from, ask: ask, place: d.number, since: now, lastSign: now}
 	i, _ := slices.BinarySearchFunc(q.waiting, w, compareWaiting)
 	q.waiting = slices.Insert(q.waiting, i, w)
 }
@@ -243,6 +270,30 @@
 	return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), cmp.Compare(a.place, b.place))
 }
 
+// Demand is what waits since all servers that hold a model are full.
+type Demand struct {
+	Group, Model string
+	Requests     int
+	Since        clock.Time // of the oldest
+	Priority     int        // of the most urgent
+}
+
+// Demands returns what waits, by model.
+func (d *Dispatcher) Demands() []Demand {
+	var all []Demand
+	for _, q := range d.sortedQueues() {
+		if q.key.model == "" {
+			continue
+		}
+		o := Demand{Group: q.key.group, Model: q.key.model, Requests: len(q.waiting), Priority: q.waiting[0].ask.Priority, Since: clock.Never}
+		for _, w := range q.waiting {
+			o.Since = min(o.Since, w.since)
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
 // Waiting returns how many requests are queued.
 func (d *Dispatcher) Waiting() int {
 	n := 0
--- a/core/gateway/dispatch/dispatch_test.go
+++ b/core/gateway/dispatch/dispatch_test.go
@@ -144,3 +144,18 @@
 		t.Error("not asked though it answers")
 	}
 }
+
+// A server fails all that it is sent. Two hundred instances have one or two requests
+// on it each, too few to tell; together they have it set aside after a few.
+func TestFailuresOfManyInstancesCount(t *testing.T) {
+	d := two(t)
+	for i := range 6 {
+		m := Message{From: string(rune('n' + i)), Incarnation: 1, Sequence: 1, Ended: &End{Server: "a", Born: 1, Outcome: directory.Failed}}
+		d.Take(start, m)
+	}
+	for n := uint64(1); n <= 2; n++ {
+		if r, _ := d.Take(start, ask(n, 5, n)); r.Choice.Server == nil || r.Choice.Server.ID != "b" {
+			t.Errorf("ask %d: %+v", n, r)
+		}
+	}
+}
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -89,13 +89,15 @@
 	Priority int        // of the most urgent; 0 goes first
 	// Due is when the objective of the newest is missed; 0: it has none.
 	Due clock.Time
+	// Room says that some engines hold the model, and all of them are full.
+	Room bool
 }
 
 // Join returns what waits for a key in two places.
 func (w Want) Join(o Want) Want {
 	return Want{
 		Requests: w.Requests + o.Requests, Since: min(w.Since, o.Since),
-		Priority: min(w.Priority, o.Priority), Due: max(w.Due, o.Due),
+		Priority: min(w.Priority, o.Priority), Due: max(w.Due, o.Due), Room: w.Room || o.Room,
 	}
 }
 
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -126,7 +126,8 @@
 	if held >= need {
 		return Order{}, false
 	}
-	return p.place(now, model, held == 0)
+	// Callers that wait for room are as urgent as those that wait for a model.
+	return p.place(now, model, held == 0 || p.wants[k].Room)
 }
 
 // option is one way to load a model.
@@ -144,7 +145,7 @@
 }
 
 // place orders a load of a model where it is ready first, or makes room there.
-// first says that no engine has it yet.
+// first says that callers wait for it.
 func (p *Placer) place(now clock.Time, k Key, first bool) (Order, bool) {
 	var options []option // that are there now
 	var later []option   // that were there if a lane had an idle model
--- /dev/null
+++ b/core/gateway/placer/room_test.go
@@ -0,0 +1,39 @@
+package placer
+
+import (
+	"testing"
+	"time"
+)
+
+// jump plays rare models that all are used all the time, and a model whose demand
+// jumps to sixty a second: twelve callers wait for room on its one engine. It
+// returns how many engines hold the model after five seconds.
+func jump(t *testing.T, room bool) int {
+	const engines, models, rarePerSecond, busyPerSecond = 20, 60, 8, 60
+	p := newPlay(t, 11, engines, models)
+	busy := Key{Group: group, Model: model(7)}
+	p.run(5*time.Second, rarePerSecond, nil)
+	p.run(5*time.Second, rarePerSecond, func() {
+		for _, l := range p.placer.lanes {
+			for _, m := range l.models {
+				m.usedAt = p.now // none rests
+			}
+		}
+		if p.rng.Float64() < busyPerSecond*testTick.Seconds() {
+			p.placer.Arrived(p.now, busy.Model, 1)
+		}
+		p.wants[busy] = Want{Requests: 12, Since: p.now.Add(-100 * time.Millisecond), Room: room}
+	})
+	return p.holders(busy.Model)
+}
+
+// A model's demand jumps while no model on any engine rests: the callers that wait
+// for room on its engines count like those that wait for a rare model, and take the
+// place of the model that was used longest ago. Otherwise it stayed where it was,
+// and they were turned away for ten seconds.
+func TestCallersThatWaitForRoom(t *testing.T) {
+	before, after := jump(t, false), jump(t, true)
+	if need := 60/int(arrivalsPerReplica) + 1; after < need || before >= need {
+		t.Errorf("%d engines hold it, %d if nobody counted", after, before)
+	}
+}
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -228,7 +228,7 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	g.dir.Ended(now, server, model, o)
-	out := g.tellLoad(now)
+	out := g.tellEnd(now, server, o)
 	g.mu.Unlock()
 	g.sendAll(out)
 }
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -68,13 +68,13 @@
 // send. The caller holds mu.
 func (x *exchange) askServer(now clock.Time, number uint64, a *asked) []outgoing {
 	ask := &dispatch.Ask{Number: number, Need: x.need(), Priority: x.urgency()}
-	return x.g.tellDispatcher(now, a.dispatcher, ask)
+	return x.g.tellDispatcher(now, a.dispatcher, dispatch.Message{Ask: ask})
 }
 
-// tellDispatcher tells the dispatcher what this instance has under way, with a
-// request for a server or without. The caller holds mu.
-func (g *Gateway) tellDispatcher(now clock.Time, name string, ask *dispatch.Ask) []outgoing {
-	m := dispatch.Message{From: g.set.Name, Incarnation: g.incarnation, Running: g.dir.OwnRunning(), Ask: ask}
+// tellDispatcher tells the dispatcher what this instance has under way, with an ask
+// or an end that m has. The caller holds mu.
+func (g *Gateway) tellDispatcher(now clock.Time, name string, m dispatch.Message) []outgoing {
+	m.From, m.Incarnation, m.Running = g.set.Name, g.incarnation, g.dir.OwnRunning()
 	m.Sequence, m.Open = g.client.Stamp()
 	if name == g.set.Name {
 		return g.takeDispatch(now, m)
@@ -163,14 +163,40 @@
 }
 
 // tellLoad tells the dispatcher that what this instance has under way changed
-// without a question: a request ended, or went without being asked for. The caller
-// holds mu.
+// without a question. The caller holds mu.
 func (g *Gateway) tellLoad(now clock.Time) []outgoing {
+	return g.tellLoadOf(now, dispatch.Message{})
+}
+
+// tellEnd tells it how a request ended at a server. The caller holds mu.
+func (g *Gateway) tellEnd(now clock.Time, server string, o directory.Outcome) []outgoing {
+	return g.tellLoadOf(now, dispatch.Message{Ended: g.endAt(server, o)})
+}
+
+// tellUnreachable tells it that a server could not be connected to. The caller
+// holds mu.
+func (g *Gateway) tellUnreachable(now clock.Time, server string) []outgoing {
+	e := g.endAt(server, directory.Neutral)
+	if e != nil {
+		e.Unreachable = true
+	}
+	return g.tellLoadOf(now, dispatch.Message{Ended: e})
+}
+
+func (g *Gateway) endAt(server string, o directory.Outcome) *dispatch.End {
+	s := g.dir.Get(server)
+	if s == nil {
+		return nil
+	}
+	return &dispatch.End{Server: server, Born: s.Born, Outcome: o}
+}
+
+func (g *Gateway) tellLoadOf(now clock.Time, m dispatch.Message) []outgoing {
 	name := g.dispatcher(now)
 	if name == g.set.Name {
 		return nil // it counts its own itself
 	}
-	return g.tellDispatcher(now, name, nil)
+	return g.tellDispatcher(now, name, m)
 }
 
 // await waits for what the dispatcher says. If it says nothing, or is replaced
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -15,6 +15,7 @@
 	Running     map[string]map[string]int // by backend server and model
 	Open        []uint64                  // asks without an answer
 	Ask         *askServerMsg             // nil: nothing is asked
+	Ended       *endMsg                   // nil: no request ended
 	Model       string                    // that was asked for last
 	Arrived     uint64                    // requests for it since the start
 }
@@ -32,6 +33,15 @@
 	Priority int
 }
 
+// endMsg tells how a request ended at a backend server.
+type endMsg struct {
+	_           struct{} `cbor:",toarray"`
+	Server      string
+	Born        int64
+	Outcome     directory.Outcome
+	Unreachable bool
+}
+
 // choiceMsg answers an askServerMsg.
 type choiceMsg struct {
 	_           struct{} `cbor:",toarray"`
@@ -59,6 +69,9 @@
 		}
 		w.Model, w.Arrived = n.Model, g.arrived[n.Model].count
 	}
+	if e := m.Ended; e != nil {
+		w.Ended = &endMsg{Server: e.Server, Born: e.Born, Outcome: e.Outcome, Unreachable: e.Unreachable}
+	}
 	return w
 }
 
@@ -75,6 +88,9 @@
 		}
 		m.Ask = &dispatch.Ask{Number: a.Number, Need: need, Priority: a.Priority}
 	}
+	if e := w.Ended; e != nil {
+		m.Ended = &dispatch.End{Server: e.Server, Born: e.Born, Outcome: e.Outcome, Unreachable: e.Unreachable}
+	}
 	return m
 }
 
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -215,7 +215,7 @@
 	now := boottime.Now()
 	g.dir.Ended(now, id, model, directory.Neutral)
 	g.dir.Unreachable(now, id)
-	out := g.tellLoad(now)
+	out := g.tellUnreachable(now, id)
 	g.mu.Unlock()
 	g.sendAll(out)
 }
@@ -331,7 +331,7 @@
 	if x.digest != 0 {
 		g.poison.Answered(now, x.digest)
 	}
-	out := g.tellLoad(now)
+	out := g.tellEnd(now, t.id, o)
 	g.mu.Unlock()
 	g.sendAll(out)
 }
