--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -185,6 +185,12 @@
 		g.takeState(now, m.State)
 	case m.Forecast != nil:
 		g.takeForecast(now, m.Forecast)
+	case m.Word != nil:
+		g.takeWord(now, m.Word)
+	case m.Dispatch != nil:
+		return g.takeDispatchMsg(now, m.Dispatch)
+	case m.Choice != nil:
+		g.takeChoiceMsg(now, m.Choice)
 	default:
 		return g.takeTokenPacket(now, m)
 	}
@@ -203,16 +209,19 @@
 	}
 	g.members.Heard(now, b.heardAs())
 	g.hearOwned(now, b)
-	g.dir.HeardRunning(now, b.Name, b.Running)
+	if g.dispatch.Exact(now, b.Name) {
+		g.dir.Refresh(now, b.Name)
+	} else {
+		g.dir.HeardRunning(now, b.Name, b.Running)
+	}
 	for d, n := range b.Broken {
 		g.poison.Heard(now, b.Name, d, n)
 	}
 	g.hearHolder(now, b)
 	g.takeLeft(now, b)
 	g.countArrivals(now, b)
-	if m := g.manifest.Load(); m == nil && b.Manifest > 0 || m != nil && b.Manifest > m.Version {
-		g.behind(b.Name)
-	}
+	g.sync.Heard(now, b.Name, b.Zone, b.Manifest)
+	g.catchUp()
 	if len(b.Wants) > 0 && g.lease.Holds(now) {
 		g.poke()
 	}
@@ -241,25 +250,36 @@
 
 // countArrivals feeds the difference of another instance's counters.
 func (g *Gateway) countArrivals(now clock.Time, b *beatMsg) {
-	seen := g.peerSeen[b.Name]
-	fresh := seen == nil || seen.incarnation != b.Incarnation
-	if fresh {
-		seen = &peerSeen{incarnation: b.Incarnation, arrived: make(map[string]uint64)}
-		g.peerSeen[b.Name] = seen
-	}
+	seen := g.seenOf(b.Name, b.Incarnation)
 	for model, n := range b.Arrived {
-		before, known := seen.arrived[model]
-		if !known {
-			before = n - 1 // its count from before this instance listened is old
-		}
-		if n > before && !fresh {
-			g.placer.Arrived(now, model, int(n-before))
-		}
-		seen.arrived[model] = n
+		g.countModel(now, seen, model, n)
 	}
+	seen.fresh = false
 	seen.wants, seen.heard, seen.storeDown = b.Wants, now, b.StoreDown
 }
 
+// seenOf returns what was seen of a life of another instance.
+func (g *Gateway) seenOf(name string, incarnation uint64) *peerSeen {
+	seen := g.peerSeen[name]
+	if seen == nil || seen.incarnation != incarnation {
+		seen = &peerSeen{incarnation: incarnation, fresh: true, arrived: make(map[string]uint64)}
+		g.peerSeen[name] = seen
+	}
+	return seen
+}
+
+// countModel feeds the difference of one counter.
+func (g *Gateway) countModel(now clock.Time, seen *peerSeen, model string, n uint64) {
+	before, known := seen.arrived[model]
+	if !known {
+		before = n - 1 // its count from before this instance listened is old
+	}
+	if n > before && !seen.fresh {
+		g.placer.Arrived(now, model, int(n-before))
+	}
+	seen.arrived[model] = max(before, n)
+}
+
 // wants returns what waits at all instances. The caller holds mu.
 func (g *Gateway) wants(now clock.Time) map[placer.Key]placer.Want {
 	all := make(map[placer.Key]placer.Want)
@@ -272,6 +292,11 @@
 	for k, w := range g.wanted(now) {
 		add(k, w)
 	}
+	for _, d := range g.dispatch.Demands() {
+		add(placer.Key{Group: d.Group, Model: d.Model}, placer.Want{
+			Requests: d.Requests, Since: d.Since, Priority: d.Priority, Room: true,
+		})
+	}
 	const fresh = 2200 * time.Millisecond // three messages in the largest fleet
 	for _, s := range g.peerSeen {
 		if now.Sub(s.heard) > fresh {
