The holder names all servers, and an instance asks the store for less

Change: the holder names all servers when it has read them under its lease, so the others need not. An instance that knows of a holder, or waits for the next one, does not read before half of the time in which a leaving server must be known. Candidates for the lease rank by the strengths in the rows before they hear each other; the first version is waited for by the zone's watchers; rows are read again only while somebody is missed.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -81,8 +81,15 @@
 	suspected   clock.Time // until when
 	unreachable clock.Time
 	lastUsed    clock.Time
+	putAt       clock.Time // its entry was last taken
 }
 
+// recentFor is how long after its entry was read a server counts as recent.
+const recentFor = 2 * time.Second
+
+// Recent reports whether the server's entry was read a moment ago.
+func (s *Server) Recent(now clock.Time) bool { return now.Sub(s.putAt) < recentFor }
+
 type peerLoad struct {
 	running map[string]int
 	heard   clock.Time
@@ -144,10 +151,10 @@
 	s := d.servers[e.ID]
 	d.groups = nil
 	if s == nil || s.Born != e.Born {
-		d.servers[e.ID] = &Server{Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad)}
+		d.servers[e.ID] = &Server{Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad), putAt: now}
 		return
 	}
-	s.claimed = e
+	s.claimed, s.putAt = e, now
 	// An entry lags; the owner of the orders knows sooner what it changed.
 	if s.told != 0 && now.Sub(s.told) < toldFor {
 		e.Holdings = s.Holdings
--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -14,6 +14,11 @@
 	// heardWithin is how long an instance counts as heard: two of its messages
 	// may be lost in the largest fleet measured, where they are 0.7 s apart.
 	heardWithin = 2200 * time.Millisecond
+	// greetedWithin is how long an instance that is listed and was never heard is
+	// expected: one that starts says so as soon as it has read the others' rows.
+	greetedWithin = 1500 * time.Millisecond
+	// missedFor is how long instances that went silent are looked for in the rows.
+	missedFor = 5 * time.Minute
 	// forgetAfter is when a silent instance is no longer written to. A zone
 	// that is cut off for longer is found again through the rows.
 	forgetAfter = 45 * time.Second
@@ -35,19 +40,20 @@
 type Set struct {
 	self    string
 	members map[string]*Member
+	missed  clock.Time // an instance was last forgotten; 0: none was
 }
 
 // New returns the set of an instance that knows no other.
 func New(self string) *Set { return &Set{self: self, members: make(map[string]*Member)} }
 
-// Listed takes an instance from its row.
-func (s *Set) Listed(now clock.Time, name, address, zone string) {
+// Listed takes an instance from its row. A strength of 0 is not known.
+func (s *Set) Listed(now clock.Time, name, address, zone string, strength int) {
 	if name == s.self {
 		return
 	}
 	m := s.members[name]
 	if m == nil {
-		s.members[name] = &Member{Name: name, Address: address, Zone: zone, known: now}
+		s.members[name] = &Member{Name: name, Address: address, Zone: zone, Strength: strength, known: now}
 		return
 	}
 	// What it says itself goes before its row.
@@ -71,6 +77,7 @@
 	for name, m := range s.members {
 		if now.Sub(m.known) > forgetAfter {
 			delete(s.members, name)
+			s.missed = now
 			continue
 		}
 		all = append(all, m)
@@ -82,6 +89,26 @@
 // Get returns an instance, or nil.
 func (s *Set) Get(name string) *Member { return s.members[name] }
 
+// Misses reports whether an instance that is known is not heard, or was forgotten
+// some minutes ago.
+func (s *Set) Misses(now clock.Time) bool {
+	if s.missed != 0 && now.Sub(s.missed) < missedFor {
+		return true
+	}
+	for _, m := range s.members {
+		if !m.Live(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Expected reports whether an instance is listed and may only not have been heard
+// yet.
+func (m *Member) Expected(now clock.Time) bool {
+	return m.Heard == 0 && now.Sub(m.known) <= greetedWithin
+}
+
 // Live reports whether an instance was heard of late.
 func (m *Member) Live(now clock.Time) bool { return m.Heard != 0 && now.Sub(m.Heard) <= heardWithin }
 
--- a/core/gateway/quota/fleet_test.go
+++ b/core/gateway/quota/fleet_test.go
@@ -130,7 +130,7 @@
 			return
 		}
 		for _, o := range f.nodes {
-			x.set.Listed(f.now, o.name, o.name, o.zone)
+			x.set.Listed(f.now, o.name, o.name, o.zone, 0)
 		}
 		x.meter.Joined(f.now)
 		x.flush()
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -28,6 +28,8 @@
 	// watcherLearn is the time after the start in which an instance hears who else
 	// is there; until then all of them would wait at the store.
 	watcherLearn = 1500 * time.Millisecond
+	// firstWithin is how long an instance waits to be told of the first version.
+	firstWithin = 3 * time.Second
 )
 
 // followManifest keeps the newest manifest in force.
@@ -65,7 +67,7 @@
 		if raw != nil {
 			g.adopt(raw, sourceStore)
 		} else if g.manifest.Load() == nil {
-			g.sleep(retryPause)
+			g.awaitFirst()
 		}
 	}
 }
@@ -84,6 +86,15 @@
 	return raw, next, err
 }
 
+// awaitFirst waits for the first version, which the operator has not written yet.
+// Those that wait at the store for their zone tell the others.
+func (g *Gateway) awaitFirst() {
+	g.sleep(retryPause)
+	for waited := retryPause; waited < firstWithin && g.manifest.Load() == nil && !g.watchesStore(); waited += watcherPause {
+		g.sleep(watcherPause)
+	}
+}
+
 // storeAnswered records that the manifest in force was the store's newest a
 // moment ago.
 func (g *Gateway) storeAnswered() {
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -221,8 +221,8 @@
 	}
 	s := Settings{
 		Name: fmt.Sprint("g", n), Zone: "z", Front: address(), Ready: address(), Peer: address(), Grace: testGrace,
-		OrderQuiet: 100 * time.Millisecond,
-		Retry:      budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
+		OrderQuiet: 100 * time.Millisecond, LeavingWithin: 2 * time.Second,
+		Retry: budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 	}
 	g, err := New(s, f.reach(f.store.Store(n)), f.engines, fakeDialect{}, zerolog.New(&f.log).With().Timestamp().Str("instance", s.Name).Logger())
 	if err != nil {
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -31,9 +31,10 @@
 	// an instance that the holder of the lease tells of them; it is told of a
 	// change within flushEvery, and again every repeatEvery if that was lost.
 	serversPause = 40 * time.Second
-	// toldWithin is how long the holder may be silent before an instance reads
-	// the store itself.
-	toldWithin = 1100 * time.Millisecond
+	// toldPart of the time in which a leaving server must be known is how long an
+	// instance waits for a holder, the next one if need be, to tell it of the
+	// servers, before it reads the store itself.
+	toldPart = 0.55
 	// retryPause is the time before a call to the store is made again. Instances
 	// that do not hold the lease add retryPauseMember for each of them, up to
 	// retryPauseMost: eighty-three made 660 calls a second to a store that was
@@ -160,17 +161,35 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.readUnder = under
+	if g.sure == 0 {
+		g.sure = boottime.Now()
+	}
 }
 
-// hearsHolder reports whether another instance follows the engines closely, and
-// the servers were read since it does. What the holder before saw last it may not
-// have told, and this one never knew a server that was gone when it began: without
-// the reading, requests went to such a server for another seven seconds.
+// hearsHolder reports whether another instance follows the servers closely and
+// tells of them, or did a moment ago.
 func (g *Gateway) hearsHolder() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	return !g.lease.Holds(now) && g.readUnder == g.holder.fencing && !g.holder.storeDown && now.Sub(g.holder.heard) < toldWithin && now.Sub(g.holder.told) < repeatEvery+toldWithin
+	switch {
+	case g.lease.Holds(now) || g.holder.storeDown:
+		return false
+	case g.isTold(now):
+		g.sure = g.holder.heard
+		return true
+	}
+	return now.Sub(g.sure) < time.Duration(toldPart*float64(g.set.LeavingWithin))
+}
+
+// isTold reports whether the holder of the lease is heard and told which servers
+// there are, or they were read since it holds the lease. What the holder before saw
+// last it may not have told, and this one never knew a server that was gone when it
+// began: without either, requests went to such a server for another seven seconds.
+// The caller holds mu.
+func (g *Gateway) isTold(now clock.Time) bool {
+	since := g.readUnder == g.holder.fencing || g.toldUnder == g.holder.fencing
+	return since && g.holder.fencing > 0 && now.Sub(g.holder.heard) <= leaseSilence && now.Sub(g.holder.told) < repeatEvery+leaseSilence
 }
 
 func (g *Gateway) readServers() (int64, error) {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -44,6 +44,8 @@
 	// Strength orders the candidates for the lease: the holder has more to do
 	// than the others, and a machine with more of a core does it in time.
 	Strength int
+	// LeavingWithin is when a server that leaves must be known everywhere.
+	LeavingWithin time.Duration
 	// OrderQuiet is the time without orders between two holders of the lease.
 	OrderQuiet time.Duration
 	Retry      budget.Settings
@@ -137,6 +139,11 @@
 	// readUnder is the fencing number of the holder under which the servers were
 	// last read from the store.
 	readUnder int64
+	// toldUnder is the fencing number of the holder that told last which servers
+	// there are, and sure when one that tells was last heard; at first, when the
+	// servers were first read.
+	toldUnder int64
+	sure      clock.Time
 	storeDown clock.Time // last failure of a call to the store
 	wasAway   bool       // the store, for this instance, in the last round
 	removed   map[string]removedServer
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -156,10 +156,12 @@
 func (g *Gateway) candidates(now clock.Time) (rank int) {
 	var names []string
 	for _, m := range g.members.All(now) {
-		if !m.Live(now) {
+		if !m.Live(now) && !m.Expected(now) {
 			continue
 		}
-		names = append(names, machine(m.Name, m.Address))
+		if m.Live(now) {
+			names = append(names, machine(m.Name, m.Address))
+		}
 		if !g.strongerThan(m) {
 			rank++
 		}
--- a/oleander/gateway/join.go
+++ b/oleander/gateway/join.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// peersEvery is the time between two readings of the instances' rows: a zone
-	// that was cut off is forgotten after 45 s. Of two that start at once the later
-	// one reads the other's row and says so itself, so one reading is enough.
-	// peersRetry is the time to the next one if it failed.
+	// peersEvery is the time between two readings of the instances' rows while some
+	// that are known are silent: a zone that was cut off is forgotten after 45 s, and
+	// found again through the rows. Of two that start at once the later one reads
+	// the other's row and says so itself, so one reading is enough while all are
+	// heard. peersRetry is the time to the next one if it failed.
 	peersEvery = 40 * time.Second
 	peersRetry = time.Second
 )
@@ -28,17 +29,26 @@
 		if read := g.readPeers(); !joined || !read {
 			pause = peersRetry
 		}
-		if !g.sleep(pause) {
-			return
+		for again := false; !again; again = !joined || g.missesPeers() {
+			if !g.sleep(pause) {
+				return
+			}
 		}
 	}
 }
 
+// missesPeers reports whether an instance that was known is not heard.
+func (g *Gateway) missesPeers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Misses(boottime.Now())
+}
+
 func (g *Gateway) join() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	began := boottime.Now()
-	err := g.store.Join(ctx, ports.Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone})
+	err := g.store.Join(ctx, ports.Peer{Name: g.set.Name, Address: g.set.Peer, Zone: g.set.Zone, Strength: g.set.Strength})
 	g.stored("join", began, err)
 	return err == nil
 }
@@ -57,7 +67,7 @@
 	g.knowsPeers = true
 	now := boottime.Now()
 	for _, p := range peers {
-		g.members.Listed(now, p.Name, p.Address, p.Zone)
+		g.members.Listed(now, p.Name, p.Address, p.Zone, p.Strength)
 	}
 	g.mu.Unlock()
 	g.withTokens(g.quota.Joined)
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -109,6 +109,9 @@
 	Fencing int64
 	Servers []serverMsg
 	Gone    []string // servers that left of late
+	// All names all servers that the sender knows, where it read them from the
+	// store since it holds the lease; nil: it is not told.
+	All []string
 }
 
 // forecastMsg is what the holder of the lease tells those that wait for models
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -74,6 +74,8 @@
 	Name    string
 	Address string
 	Zone    string
+	// Strength orders the candidates for the lease and for watching the store.
+	Strength int
 }
 
 // ServerChange is a change of one backend server's entry. Removed entries have
--- a/oleander/gateway/portstest/store.go
+++ b/oleander/gateway/portstest/store.go
@@ -164,7 +164,7 @@
 func testInstances(t *testing.T, b Backing) {
 	s := b.Store(0)
 	first := ports.Peer{Name: "a", Address: "10.0.0.1:1", Zone: "z"}
-	moved := ports.Peer{Name: "a", Address: "10.0.0.2:1", Zone: "y"}
+	moved := ports.Peer{Name: "a", Address: "10.0.0.2:1", Zone: "y", Strength: 7}
 	other := ports.Peer{Name: "b", Address: "10.0.0.3:1", Zone: "z"}
 	for _, p := range []ports.Peer{first, other, moved} {
 		if err := s.Join(soon(t), p); err != nil {
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -28,7 +28,10 @@
 	flushed  clock.Time
 	repeated clock.Time
 	forecast clock.Time // last told
-	gone     map[string]clock.Time
+	// readUnder is the fencing number under which the servers were read when
+	// everything was told last.
+	readUnder int64
+	gone      map[string]clock.Time
 }
 
 func newPublisher() publisher {
@@ -45,7 +48,8 @@
 // the others are to be told. The caller holds mu.
 func (g *Gateway) publish(now clock.Time) []outgoing {
 	p := &g.publisher
-	full := now.Sub(p.repeated) >= repeatEvery
+	full := now.Sub(p.repeated) >= repeatEvery || p.readUnder != g.readUnder
+	p.readUnder = g.readUnder
 	var changed []serverMsg
 	for _, id := range g.dir.IDs() {
 		m := g.describe(now, g.dir.Get(id))
@@ -71,7 +75,7 @@
 		p.repeated = now
 	}
 	p.flushed = now
-	return g.tellAll(now)
+	return g.tellAll(now, full)
 }
 
 // describe says what a server is and holds. The caller holds mu.
@@ -130,14 +134,14 @@
 		return nil
 	}
 	var out []outgoing
-	for _, m := range g.stateMessages(changed, nil) {
+	for _, m := range g.stateMessages(changed, nil, nil) {
 		out = append(out, outgoing{message: m, to: to})
 	}
 	return out
 }
 
-// tellAll tells all instances what changed.
-func (g *Gateway) tellAll(now clock.Time) []outgoing {
+// tellAll tells all instances what changed, or with full everything.
+func (g *Gateway) tellAll(now clock.Time, full bool) []outgoing {
 	p := &g.publisher
 	var servers []serverMsg
 	for _, id := range sortedNames(p.pending) {
@@ -156,21 +160,26 @@
 		return nil
 	}
 	var out []outgoing
-	for _, m := range g.stateMessages(servers, gone) {
+	var all []string
+	if full && g.readUnder == g.lease.Fencing() && !g.storeAway(now) {
+		all = g.dir.IDs()
+	}
+	for _, m := range g.stateMessages(servers, gone, all) {
 		out = append(out, g.toAll(now, m, g.members.All(now), true)...)
 	}
 	return out
 }
 
 // stateMessages encodes what is told of servers, some of them in each message.
-func (g *Gateway) stateMessages(servers []serverMsg, gone []string) []message {
-	var all []message
+func (g *Gateway) stateMessages(servers []serverMsg, gone, all []string) []message {
+	var messages []message
 	for part := range slices.Chunk(servers, serversPerState) {
-		all = append(all, g.encode(packet{State: &stateMsg{
-			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone,
+		messages = append(messages, g.encode(packet{State: &stateMsg{
+			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone, All: all,
 		}}))
+		all = nil // once is enough
 	}
-	return all
+	return messages
 }
 
 // takeState takes what the holder of the lease says of the backend servers.
@@ -187,11 +196,28 @@
 	for _, m := range s.Servers {
 		g.takeServer(now, m)
 	}
+	if s.All != nil {
+		g.dropUnnamed(now, s.All)
+		g.toldUnder = s.Fencing
+	}
 	if len(g.waits) > 0 {
 		g.wake()
 	}
 }
 
+// dropUnnamed drops the servers that the holder does not know: they left before it
+// held the lease, and the holder before may not have told. They are not remembered
+// as gone, since one that has just come may be known here first. The caller holds mu.
+func (g *Gateway) dropUnnamed(now clock.Time, all []string) {
+	for _, id := range g.dir.IDs() {
+		if s := g.dir.Get(id); !slices.Contains(all, id) && !s.Recent(now) {
+			g.dir.Remove(id)
+			delete(g.lapsed, id)
+			g.log.Info().Str("server", id).Msg("servers: gone, by the holder's list")
+		}
+	}
+}
+
 // takeServer takes what the holder says of one server.
 func (g *Gateway) takeServer(now clock.Time, m serverMsg) {
 	old := g.dir.Get(m.Server)
--- /dev/null
+++ b/oleander/gateway/told_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/oleander/gateway/portstest"
+	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// calls returns how many calls of a kind an instance made to the store.
+func (g *Gateway) calls(what string) uint64 {
+	return g.metrics.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_store_calls_total{call=%q,ok="true"}`, what)).Get()
+}
+
+// An instance that starts beside a holder of the lease reads the servers once: from
+// then on the holder tells it which there are.
+func TestServersAreReadOnce(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.startHolder()
+	f.start()
+	g := f.gateways[1]
+	testutil.WaitFor(t, g.toldOfServers)
+	time.Sleep(2 * serversSeen)
+	if n := g.calls("servers"); n != 1 {
+		t.Errorf("%d calls for the servers", n)
+	}
+}
+
+// serversSeen is some looks of an instance whether it has to read the store.
+const serversSeen = 500 * time.Millisecond
+
+// toldOfServers reports whether the holder told which servers there are.
+func (g *Gateway) toldOfServers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isTold(boottime.Now())
+}
+
+// A server leaves while nobody holds the lease, and an instance does not reach the
+// store. The next holder names all servers, and the instance drops the one that is
+// not among them; it does not drop one that it has just read itself.
+func TestServerThatTheHolderDoesNotName(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	f.store.Fail(0, portstest.Silent)
+	g.mu.Lock()
+	now := boottime.Now()
+	old := directory.Entry{ID: "gone", Group: "plain", Born: 1, Slots: 4}
+	g.dir.Put(now.Add(-time.Minute), old)
+	g.dir.Put(now, directory.Entry{ID: "new", Group: "plain", Born: 2, Slots: 4})
+	g.holder = holder{name: "other", fencing: 9, heard: now}
+	g.takeState(now, &stateMsg{Name: "other", Fencing: 9, All: []string{"a"}})
+	defer g.mu.Unlock()
+	if g.dir.Get("gone") != nil || g.dir.Get("new") == nil {
+		t.Errorf("servers %v", g.dir.IDs())
+	}
+	if !g.isTold(now) {
+		t.Error("not told, though the holder named all")
+	}
+	g.takeServer(now, serverMsg{Server: "gone", Born: 1, Info: &infoMsg{Group: "plain", Slots: 4}})
+	if g.dir.Get("gone") == nil {
+		t.Error("a server that came back is not taken")
+	}
+}
