A lane whose count of orders is too high mends itself

Cause: an engine that answers "holds" to the unload of an adapter which it did not have has not counted the order; the lane counts it. All further orders are refused, and the reports that say so were taken for old ones for ever: the engine took no orders until it was restarted or the holder changed. Found by reading, while a busy model got no engine for 15 s.

Change: a report with a lower count that was asked for a second after the last order is believed. TestCountTooHighIsMended.

--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -58,6 +58,11 @@
 	until clock.Time
 }
 
+// reportLag is how old a report may be. A lower count of orders in a later one is
+// right: an answer that was read as if the engine had counted an order, which it had
+// not, would else keep the engine from all orders for ever.
+const reportLag = time.Second
+
 // reserveFor bounds a reservation: an unload waits for runs that began just
 // before it.
 const reserveFor = 1500 * time.Millisecond
@@ -185,7 +190,7 @@
 }
 
 func (l *lane) reported(now, asked clock.Time, r Report) {
-	if l.pending != nil || r.Sequence < l.sequence {
+	if l.pending != nil || r.Sequence < l.sequence && asked.Sub(l.changedAt) < reportLag {
 		return // from before an order of ours
 	}
 	l.mustAsk, l.conflicts = false, 0
