--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -208,7 +208,6 @@
 		g.lease.Echoed(machine(b.Name, b.Address), leader.Echo{Fencing: b.Echo.Fencing, Sequence: b.Echo.Sequence})
 	}
 	g.members.Heard(now, b.heardAs())
-	g.isolation.Heard(now, b.Zone)
 	g.hearOwned(now, b)
 	if g.dispatch.Exact(now, b.Name) {
 		g.dir.Refresh(now, b.Name)
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -106,7 +106,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.stopping.Load() || g.cutOff.Load() {
+	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{g: g, w: w, r: r, arrived: boottime.Now(), excluded: make(map[string]bool)}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
-	"oleanderdale.org/core/gateway/isolation"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/members"
@@ -105,7 +104,6 @@
 	active      atomic.Int64 // requests being served
 	kick        chan struct{}
 	fetching    atomic.Bool
-	cutOff      atomic.Bool // from the others and the store
 	watching    atomic.Bool // waits at the store for changes of the configuration
 	// refuseWaiting is closed when a stop is near its end.
 	refuseWaiting chan struct{}
@@ -116,7 +114,6 @@
 	dir        *directory.Directory
 	members    *members.Set
 	sync       *configsync.Sync
-	isolation  *isolation.Detector
 	dispatch   *dispatch.Dispatcher
 	client     *dispatch.Client
 	asks       map[uint64]*asked // of this instance, by number
@@ -197,8 +194,7 @@
 		set: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
 		store: store, engines: engines, dialect: dialect, metrics: newMetrics(),
 		kick: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
-		dir: directory.New(), members: members.New(s.Name), sync: configsync.New(boottime.Now(), s.Name, s.Zone),
-		isolation: isolation.New(s.Zone), deciding: make(map[uint64]chan quota.Outcome),
+		dir: directory.New(), members: members.New(s.Name), sync: configsync.New(boottime.Now(), s.Name, s.Zone), deciding: make(map[uint64]chan quota.Outcome),
 		budget: budget.New(s.Retry), poison: poison.New(),
 		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
 		waits:   make(map[placer.Key]placer.Want), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -130,7 +130,6 @@
 	g.outlook.Expire(now)
 	g.sync.Forget(now)
 	g.dispatch.Forget(now)
-	g.lookIfCutOff(now)
 	away := g.storeAway(now)
 	if g.wasAway && !away {
 		g.watches.storeReturned()
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -163,7 +163,7 @@
 
 // readiness answers the balancer.
 func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.cutOff.Load() || g.manifest.Load() == nil || !g.knowsFleet() {
+	if g.stopping.Load() || g.manifest.Load() == nil || !g.knowsFleet() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
