Who can't be on time for want of room is told at once; a busy model gets the store

Change: the dispatcher lets a request wait only if there will be room, by the rate at which requests were let go of late, within 0.6 of what is left of its objective; the others are refused at once. An engine is given its slots, not half as many more. A model whose callers find no room may take half of the store's loads, before rare ones; no model is unloaded for a load that the store can't begin.

TestBusyModelGetsTheStore fails without the claim.

--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -30,9 +30,11 @@
 	// remotePenalty is the load that the way to another zone is worth, in
 	// requests. A millisecond is little, but bytes between zones are paid.
 	remotePenalty = 0.6
-	// fullFactor of the slots is what a server is given before it counts as
+	// fullFactor of the slots is what a plain server is given before it counts as
 	// full: some wait there, so that no slot rests while the next request is on
 	// its way. What waits here instead can still go to whichever is free first.
+	// An engine's requests last long beside that way, and one that waits there holds
+	// up the first tokens of others: it is given its slots.
 	fullFactor = 1.5
 )
 
@@ -106,7 +108,7 @@
 			return choiceOf(s, ByPrompt, candidates, n)
 		}
 	}
-	if s := pickLeast(candidates, n); !s.full() {
+	if s := pickLeast(candidates, n); !s.full(n) {
 		return choiceOf(s, ByLoad, candidates, n)
 	}
 	return Choice{Full: true, Candidates: len(candidates)}
@@ -134,8 +136,12 @@
 	return float64(s.Running())
 }
 
-func (s *Server) full() bool {
-	return s.Slots > 0 && float64(s.Running()) >= fullFactor*float64(s.Slots)
+func (s *Server) full(n Need) bool {
+	most := float64(s.Slots)
+	if n.Model == "" {
+		most *= fullFactor
+	}
+	return s.Slots > 0 && float64(s.Running()) >= most
 }
 
 // pickAffine returns the first server in the order of the affinity's hash
@@ -149,7 +155,7 @@
 	var best *Server
 	var most uint64
 	for _, s := range candidates {
-		if float64(s.Running()) > bound || s.full() {
+		if float64(s.Running()) > bound || s.full(n) {
 			continue
 		}
 		if w := weight(n.Affinity, s.ID); best == nil || w > most {
--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -40,6 +40,8 @@
 	Number   uint64 // of the instance's requests; a repeated one keeps its place
 	Need     directory.Need
 	Priority int // 0 goes first
+	// Within is how long the request can wait for room and still be on time.
+	Within time.Duration
 }
 
 // Message is what an instance tells the dispatcher.
@@ -73,10 +75,11 @@
 	Granted Verdict = iota // send it to Server
 	Queued                 // all servers are full; another reply follows
 	Missing                // no server holds what it needs
+	Refused                // there will be no room within the time that it has
 )
 
 // String names a verdict for logs.
-func (v Verdict) String() string { return [...]string{"granted", "queued", "missing"}[v] }
+func (v Verdict) String() string { return [...]string{"granted", "queued", "missing", "refused"}[v] }
 
 // Reply answers an Ask.
 type Reply struct {
@@ -193,18 +196,17 @@
 		return reply
 	}
 	if len(q.waiting) > 0 && q.waiting[0].ask.Priority <= ask.Priority {
-		reply.Verdict = Queued
-		d.enqueue(now, q, from, ask)
+		reply.Verdict = d.wait(now, q, from, ask)
 		return reply
 	}
 	c := d.dir.Pick(now, ask.Need)
 	switch {
 	case c.Server != nil:
+		q.granted(now)
 		d.grant(now, from, a, ask, c.Server)
 		reply.Choice = c
 	case c.Full:
-		reply.Verdict = Queued
-		d.enqueue(now, q, from, ask)
+		reply.Verdict = d.wait(now, q, from, ask)
 	default:
 		reply.Verdict = Missing
 	}
@@ -220,11 +222,16 @@
 	d.dir.AddRunning(now, from, s.ID, ask.Need.Model)
 }
 
-// Forget drops instances that are not heard any more.
+// Forget drops instances that are not heard any more, and queues that rest.
 func (d *Dispatcher) Forget(now clock.Time) {
 	for name, a := range d.askers {
 		if now.Sub(a.heard) > exactFor && len(a.granted) == 0 && name != d.self {
 			delete(d.askers, name)
 		}
 	}
+	for k, q := range d.queues {
+		if q.idle(now) {
+			delete(d.queues, k)
+		}
+	}
 }
--- a/core/gateway/dispatch/queue.go
+++ b/core/gateway/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -9,16 +10,40 @@
 	"oleanderdale.org/core/gateway/directory"
 )
 
-// queuedFor is how long a request stays in the queue without a sign of its
-// instance, which asks again twice in this time.
-const queuedFor = time.Second
+const (
+	// queuedFor is how long a request stays in the queue without a sign of its
+	// instance, which asks again twice in this time.
+	queuedFor = time.Second
+	// rateWindow is the time constant in which a queue learns how many requests a
+	// second are let go.
+	rateWindow = time.Second
+	// leastRate, in requests a second, is what a queue counts on at least: one that
+	// has just begun has let none go.
+	leastRate = 10.0
+	// shortFor is how long after the last request that found no room a model counts
+	// as short of engines.
+	shortFor = time.Second
+	// runTypical turns refused requests a second into requests that would be under
+	// way.
+	runTypical = 400 * time.Millisecond
+)
 
 // key tells requests apart that need different things of a server.
 type key struct{ group, model, adapter string }
 
+// queue is what waits for one key. It is kept a moment longer than something waits.
+//
+// While more arrives than the servers can run, a queue in the order of arrival makes
+// all late: each waits until its caller is about to leave. So a request is refused at
+// once if there will be no room for it within the time in which it can be on time.
+// Those that are let in are on time, and the others know at once.
 type queue struct {
-	key     key
-	waiting []*waiting
+	key        key
+	waiting    []*waiting
+	let        rate // let go
+	refused    rate
+	shortSince clock.Time
+	shortLast  clock.Time
 }
 
 type waiting struct {
@@ -29,6 +54,18 @@
 	lastSign clock.Time
 }
 
+// rate is a decaying count of events a second.
+type rate struct {
+	perSecond float64
+	at        clock.Time
+}
+
+func (r *rate) add(now clock.Time, n float64) float64 {
+	r.perSecond = r.perSecond*math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds()) + n/rateWindow.Seconds()
+	r.at = now
+	return r.perSecond
+}
+
 func (d *Dispatcher) queueOf(n directory.Need) *queue {
 	k := key{group: n.Group, model: n.Model, adapter: n.Adapter}
 	q := d.queues[k]
@@ -48,38 +85,57 @@
 	return nil
 }
 
-func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, ask Ask) {
+func (q *queue) granted(now clock.Time) { q.let.add(now, 1) }
+
+// wait puts a request into the queue, or refuses it.
+func (d *Dispatcher) wait(now clock.Time, q *queue, from string, ask Ask) Verdict {
+	if now.Sub(q.shortLast) > shortFor {
+		q.shortSince = now
+	}
+	q.shortLast = now
 	d.number++
 	w := &waiting{from: from, ask: ask, place: d.number, since: now, lastSign: now}
 	i, _ := slices.BinarySearchFunc(q.waiting, w, compareWaiting)
+	if ask.Within > 0 && q.delay(now, i) > ask.Within {
+		q.refused.add(now, 1)
+		return Refused
+	}
 	q.waiting = slices.Insert(q.waiting, i, w)
+	return Queued
+}
+
+// delay is how long a request behind ahead others waits, by the rate of late.
+func (q *queue) delay(now clock.Time, ahead int) time.Duration {
+	perSecond := max(leastRate, q.let.add(now, 0))
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
 func compareWaiting(a, b *waiting) int {
 	return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), cmp.Compare(a.place, b.place))
 }
 
-// Demand is what waits since all servers that hold a model are full.
+// Demand is what finds no room since all servers that hold a model are full.
 type Demand struct {
 	Group, Model string
-	Requests     int
-	Since        clock.Time // of the oldest
-	Priority     int        // of the most urgent
+	Requests     int // that wait, or would be under way
+	Since        clock.Time
 }
 
-// Demands returns what waits, by model.
-func (d *Dispatcher) Demands() []Demand {
+// Demands returns what finds no room, by model and adapter.
+func (d *Dispatcher) Demands(now clock.Time) []Demand {
 	var all []Demand
-	for _, q := range d.sortedQueues() {
-		if q.key.model == "" {
+	for _, q := range d.queues {
+		if q.key.model == "" || q.shortLast == 0 || now.Sub(q.shortLast) > shortFor {
 			continue
 		}
-		o := Demand{Group: q.key.group, Model: q.key.model, Requests: len(q.waiting), Priority: q.waiting[0].ask.Priority, Since: clock.Never}
-		for _, w := range q.waiting {
-			o.Since = min(o.Since, w.since)
-		}
-		all = append(all, o)
+		refused := q.refused.add(now, 0) * runTypical.Seconds()
+		all = append(all, Demand{
+			Group: q.key.group, Model: q.key.model, Requests: len(q.waiting) + int(math.Ceil(refused)), Since: q.shortSince,
+		})
 	}
+	slices.SortFunc(all, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.Model, b.Model))
+	})
 	return all
 }
 
@@ -100,24 +156,27 @@
 		for len(q.waiting) > 0 {
 			w := q.waiting[0]
 			c := d.dir.Pick(now, w.ask.Need)
-			if c.Full {
+			late := w.ask.Within > 0 && now.Sub(w.since) > w.ask.Within
+			if c.Full && !late {
 				break
 			}
 			q.waiting = q.waiting[1:]
 			a := d.askers[w.from]
 			reply := Reply{To: w.from, Incarnation: a.incarnation, Number: w.ask.Number, Verdict: Missing}
-			if c.Server != nil {
+			switch {
+			case c.Server != nil:
+				q.granted(now)
 				d.grant(now, w.from, a, w.ask, c.Server)
 				reply.Verdict, reply.Choice = Granted, c
+			case c.Full:
+				q.refused.add(now, 1)
+				reply.Verdict = Refused
 			}
 			replies = append(replies, reply)
 			if w.from == d.self {
 				return replies // counted by the instance before the next choice
 			}
 		}
-		if len(q.waiting) == 0 {
-			delete(d.queues, q.key)
-		}
 	}
 	return replies
 }
@@ -128,17 +187,20 @@
 	return a == nil || !slices.Contains(a.open, w.ask.Number) || now.Sub(w.lastSign) > queuedFor
 }
 
-// sortedQueues returns the queues by their most urgent request, so that models on
-// the same server are served in that order.
+// sortedQueues returns the queues in which something waits by their most urgent
+// request, so that models on the same server are served in that order.
 func (d *Dispatcher) sortedQueues() []*queue {
 	var all []*queue
-	for k, q := range d.queues {
-		if len(q.waiting) == 0 {
-			delete(d.queues, k)
-			continue
+	for _, q := range d.queues {
+		if len(q.waiting) > 0 {
+			all = append(all, q)
 		}
-		all = append(all, q)
 	}
 	slices.SortFunc(all, func(a, b *queue) int { return compareWaiting(a.waiting[0], b.waiting[0]) })
 	return all
 }
+
+// idle reports whether a queue can be dropped.
+func (q *queue) idle(now clock.Time) bool {
+	return len(q.waiting) == 0 && now.Sub(q.let.at) > 2*rateWindow && now.Sub(q.shortLast) > shortFor
+}
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -152,7 +152,10 @@
 	tokens   float64          // loads from the weight store that may begin
 	tokensAt clock.Time
 	refused  map[Key]clock.Time
-	expected map[Key]clock.Time // when a model that waits is there; without adapters
+	// storeClaimed is when a model whose callers find no room last asked for the
+	// weight store.
+	storeClaimed clock.Time
+	expected     map[Key]clock.Time // when a model that waits is there; without adapters
 
 	// Made anew for each plan.
 	ordered []*lane                 // by id
@@ -262,7 +265,9 @@
 	p.waitsOn = make(map[Key]bool, len(p.wants))
 	for k, w := range p.wants {
 		p.waitsOn[Key{Group: k.Group, Model: k.Model}] = true
-		p.running[k.Model] += w.Requests
+		// What finds no room counts as far as it is like what runs: the first engines
+		// more show how much they take.
+		p.running[k.Model] += min(w.Requests, max(p.running[k.Model], p.slots))
 	}
 }
 
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -166,12 +166,12 @@
 	switch {
 	case !best.lane.free(now):
 		return Order{}, false // its lane is free soon, and waiting is faster
+	case best.store && !p.mayUseStore(now, best.lane, k):
+		return Order{}, false // and no model makes room in vain meanwhile
 	case best.victim != "":
 		best.lane.reservation = reservation{model: k.Model, until: now.Add(reserveFor)}
 		p.held[k]++
 		return p.order(now, best.lane, Unload, best.victim, "")
-	case best.store && !p.storeRoom(now, best.lane):
-		return Order{}, false
 	}
 	return p.order(now, best.lane, Load, k.Model, "")
 }
@@ -395,6 +395,32 @@
 	return n
 }
 
+// mayUseStore reports whether a model may be loaded from the weight store now. One
+// whose callers find no room goes first, with half of the store's loads: a busy model
+// has hundreds of callers a second, and rare ones that come by turns left it none.
+func (p *Placer) mayUseStore(now clock.Time, l *lane, k Key) bool {
+	if p.wants[k].Room && p.storeLoadsOf(k.Model) < storeAtOnce/2 {
+		p.storeClaimed = now
+		return p.storeRoom(now, l)
+	}
+	return now.Sub(p.storeClaimed) > storeClaimFor && p.storeRoom(now, l)
+}
+
+// storeClaimFor is how long a claim to the store's next load holds; it is renewed
+// with each plan.
+const storeClaimFor = 200 * time.Millisecond
+
+// storeLoadsOf counts the loads of a model from the weight store under way.
+func (p *Placer) storeLoadsOf(model string) int {
+	n := 0
+	for _, l := range p.lanes {
+		if l.loading != nil && l.loading.store && l.loading.model == model {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Placer) lanesLoading() int {
 	n := 0
 	for _, l := range p.lanes {
--- a/core/gateway/placer/room_test.go
+++ b/core/gateway/placer/room_test.go
@@ -37,3 +37,27 @@
 		t.Errorf("%d engines hold it, %d if nobody counted", after, before)
 	}
 }
+
+// No engine has a copy of anything but what it holds, so all loads come from the
+// weight store, and rare models are asked for all the time. The model whose callers
+// find no room gets its share of the store's loads, and rare ones the rest.
+func TestBusyModelGetsTheStore(t *testing.T) {
+	const engines, models, rarePerSecond = 20, 120, 4
+	p := newPlay(t, 12, engines, models)
+	for _, e := range p.engines {
+		e.onDisk = nil
+		p.write(e)
+	}
+	busy := Key{Group: group, Model: model(7)}
+	p.run(10*time.Second, rarePerSecond, nil)
+	loads := len(p.loads)
+	p.run(20*time.Second, rarePerSecond, func() {
+		p.placer.Arrived(p.now, busy.Model, 1)
+		p.wants[busy] = Want{Requests: 12, Since: p.now.Add(-100 * time.Millisecond), Room: true}
+	})
+	got := p.holders(busy.Model)
+	rare := len(p.loads) - loads - (got - 1)
+	if got < 5 || rare < 3 {
+		t.Errorf("%d engines hold the busy model, %d loads for rare ones", got, rare)
+	}
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -292,10 +292,8 @@
 	for k, w := range g.wanted(now) {
 		add(k, w)
 	}
-	for _, d := range g.dispatch.Demands() {
-		add(placer.Key{Group: d.Group, Model: d.Model}, placer.Want{
-			Requests: d.Requests, Since: d.Since, Priority: d.Priority, Room: true,
-		})
+	for _, d := range g.dispatch.Demands(now) {
+		add(placer.Key{Group: d.Group, Model: d.Model}, placer.Want{Requests: d.Requests, Since: d.Since, Room: true})
 	}
 	const fresh = 2200 * time.Millisecond // three messages in the largest fleet
 	for _, s := range g.peerSeen {
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -15,6 +15,15 @@
 // something waits: each costs it some microseconds a model.
 const serveEvery = 3 * time.Millisecond
 
+const (
+	// roomPart of what is left of its objective is what a request waits for room;
+	// the rest is for its first token.
+	roomPart = 0.6
+	// leastRoomWait is what it waits in any case: a slot is free some milliseconds
+	// later as a rule.
+	leastRoomWait = 40 * time.Millisecond
+)
+
 // answersKept bounds the replies that wait to be read: words that the request is
 // queued, and one that ends the ask.
 const answersKept = 4
@@ -67,10 +76,20 @@
 // askServer tells the dispatcher what the request needs. It returns the messages to
 // send. The caller holds mu.
 func (x *exchange) askServer(now clock.Time, number uint64, a *asked) []outgoing {
-	ask := &dispatch.Ask{Number: number, Need: x.need(), Priority: x.urgency()}
+	ask := &dispatch.Ask{Number: number, Need: x.need(), Priority: x.urgency(), Within: x.roomWithin(now)}
 	return x.g.tellDispatcher(now, a.dispatcher, dispatch.Message{Ask: ask})
 }
 
+// roomWithin is how long the request can wait for room and still be on time; 0: for
+// as long as its caller waits.
+func (x *exchange) roomWithin(now clock.Time) time.Duration {
+	if x.started || x.route.Objective == 0 {
+		return 0
+	}
+	left := x.arrived.Add(x.route.Objective).Sub(now)
+	return max(leastRoomWait, time.Duration(roomPart*float64(left)))
+}
+
 // tellDispatcher tells the dispatcher what this instance has under way, with an ask
 // or an end that m has. The caller holds mu.
 func (g *Gateway) tellDispatcher(now clock.Time, name string, m dispatch.Message) []outgoing {
@@ -216,6 +235,8 @@
 			case dispatch.Missing:
 				x.alone = true
 				return target{}, nil
+			case dispatch.Refused:
+				return target{}, refusalOf(reasonNoRoom, comeBackLoad)
 			}
 			w.queued, w.asks = true, 0
 		case <-t.C:
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
@@ -31,6 +33,7 @@
 	Zone     string
 	Exclude  []string
 	Priority int
+	WithinMS int64
 }
 
 // endMsg tells how a request ended at a backend server.
@@ -65,7 +68,7 @@
 		n := a.Need
 		w.Ask = &askServerMsg{
 			Number: a.Number, Group: n.Group, Model: n.Model, Adapter: n.Adapter, Affinity: n.Affinity, Zone: n.Zone,
-			Exclude: sortedNames(n.Exclude), Priority: a.Priority,
+			Exclude: sortedNames(n.Exclude), Priority: a.Priority, WithinMS: a.Within.Milliseconds(),
 		}
 		w.Model, w.Arrived = n.Model, g.arrived[n.Model].count
 	}
@@ -86,7 +89,9 @@
 		for _, id := range a.Exclude {
 			need.Exclude[id] = true
 		}
-		m.Ask = &dispatch.Ask{Number: a.Number, Need: need, Priority: a.Priority}
+		m.Ask = &dispatch.Ask{
+			Number: a.Number, Need: need, Priority: a.Priority, Within: time.Duration(a.WithinMS) * time.Millisecond,
+		}
 	}
 	if e := w.Ended; e != nil {
 		m.Ended = &dispatch.End{Server: e.Server, Born: e.Born, Outcome: e.Outcome, Unreachable: e.Unreachable}
