A holder that sees the servers is not taken for blind

Change: the holder says apart whether it sees servers come and leave. While it does not, the two watchers of each zone follow them and tell it who leaves, and it tells all; others read the store only if a group has no server left.

--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -30,7 +30,7 @@
 		Name: g.set.Name, Incarnation: g.incarnation, Address: g.set.Peer, Zone: g.set.Zone,
 		Leaving: g.stopping.Load(), Strength: g.set.Strength,
 		Running: g.dir.OwnTotals(), Broken: g.poison.Own(now, brokenFor),
-		StoreDown: g.storeAway(now),
+		StoreDown: g.storeAway(now), Blind: g.blind(now),
 	}
 	g.tellOwned(now, b)
 	if m := g.manifest.Load(); m != nil {
@@ -239,7 +239,7 @@
 	if g.holder.storeDown && !b.StoreDown {
 		g.watches.storeReturned()
 	}
-	g.holder.heard, g.holder.storeDown = now, b.StoreDown
+	g.holder.heard, g.holder.storeDown, g.holder.blind = now, b.StoreDown, b.Blind
 	claim := leader.Claim{
 		Fencing: c.Fencing, Sequence: c.Sequence, Version: c.Version,
 		Left: time.Duration(c.LeftMS) * time.Millisecond, OrdersIn: time.Duration(c.OrdersInMS) * time.Millisecond,
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -160,7 +161,7 @@
 func (g *Gateway) haveRead(under int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.readUnder = under
+	g.readUnder, g.serversSeen = under, boottime.Now()
 	if g.sure == 0 {
 		g.sure = boottime.Now()
 	}
@@ -173,8 +174,12 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	switch {
-	case g.lease.Holds(now) || g.holder.storeDown:
+	case g.lease.Holds(now):
 		return false
+	case g.holder.blind:
+		// Those that watch the store for their zone see servers leave, and tell it; all
+		// others hear of that from the holder. New servers they don't hear of.
+		return !g.watching.Load() && g.servesAll(now)
 	case g.isTold(now):
 		g.sure = g.holder.heard
 		return true
@@ -182,6 +187,21 @@
 	return now.Sub(g.sure) < time.Duration(toldPart*float64(g.set.LeavingWithin))
 }
 
+// servesAll reports whether a server of each group can be used. The caller holds mu.
+func (g *Gateway) servesAll(now clock.Time) bool {
+	m := g.manifest.Load()
+	if m == nil {
+		return false
+	}
+	for name := range m.Groups {
+		usable := func(s *directory.Server) bool { return s.Usable(now) }
+		if !slices.ContainsFunc(g.dir.All(name), usable) {
+			return false
+		}
+	}
+	return true
+}
+
 // isTold reports whether the holder of the lease is heard and told which servers
 // there are, or they were read since it holds the lease. What the holder before saw
 // last it may not have told, and this one never knew a server that was gone when it
@@ -286,6 +306,12 @@
 	g.log.Info().Str("server", id).Msg("servers: gone")
 }
 
+// blind reports whether this instance does not see servers come and leave: a call
+// failed, and none for the servers was answered since. The caller holds mu.
+func (g *Gateway) blind(now clock.Time) bool {
+	return g.storeAway(now) && g.serversSeen < g.storeDown
+}
+
 // storeAway reports whether a call of this instance to the store failed of late.
 // The caller holds mu.
 func (g *Gateway) storeAway(now clock.Time) bool {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -144,11 +144,13 @@
 	// servers were first read.
 	toldUnder int64
 	sure      clock.Time
-	storeDown clock.Time // last failure of a call to the store
-	wasAway   bool       // the store, for this instance, in the last round
-	removed   map[string]removedServer
-	lapsed    map[string]clock.Time
-	publisher publisher
+	// serversSeen is when a call for the servers was last answered.
+	serversSeen clock.Time
+	storeDown   clock.Time // last failure of a call to the store
+	wasAway     bool       // the store, for this instance, in the last round
+	removed     map[string]removedServer
+	lapsed      map[string]clock.Time
+	publisher   publisher
 }
 
 // holder is the instance that gives orders, as it says itself.
@@ -157,9 +159,10 @@
 	fencing int64
 	heard   clock.Time
 	told    clock.Time // it last told of the backend servers
-	// storeDown says that it does not reach the store, and does not see servers
-	// come and leave.
+	// storeDown says that a call of its own to the store failed, and blind that it
+	// does not see servers come and leave.
 	storeDown bool
+	blind     bool
 }
 
 // peerSeen is what the counters of another instance were.
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -47,6 +47,7 @@
 	Claim       *claimMsg                 // of the holder of the lease
 	Echo        *echoMsg                  // to it
 	StoreDown   bool                      // a call of its own to the store failed of late
+	Blind       bool                      // and it does not see servers come and leave
 	Owned       []claimedMsg              // accounts whose tokens this instance hands out
 	Handed      []handedMsg               // those that it left to others, since it stops
 	Running     map[string]map[string]int // by backend server and model; under "" if the model is not told
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -83,7 +83,7 @@
 	m := serverMsg{Server: s.ID, Born: s.Born, Info: &infoMsg{
 		Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining,
 	}}
-	if g.storeAway(now) {
+	if g.blind(now) && !s.Draining {
 		m.Info = nil // the others know better who is there
 	}
 	born, holdings, ok := g.placer.Holdings(now, s.ID)
@@ -161,7 +161,7 @@
 	}
 	var out []outgoing
 	var all []string
-	if full && g.readUnder == g.lease.Fencing() && !g.storeAway(now) {
+	if full && g.readUnder == g.lease.Fencing() && !g.blind(now) {
 		all = g.dir.IDs()
 	}
 	for _, m := range g.stateMessages(servers, gone, all) {
--- a/oleander/gateway/told_test.go
+++ b/oleander/gateway/told_test.go
@@ -69,3 +69,26 @@
 		t.Error("a server that came back is not taken")
 	}
 }
+
+// A call of the holder of the lease to the store is lost, for the lease and not for
+// the servers. It still sees who comes and leaves, and nobody else asks the store.
+func TestHolderThatSeesServersIsNotBlind(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.startHolder()
+	g := f.gateways[0]
+	failed := boottime.Now()
+	g.mu.Lock()
+	g.storeDown, g.serversSeen = failed, failed.Add(-time.Millisecond)
+	blind := g.blind(failed)
+	g.mu.Unlock()
+	if !blind {
+		t.Error("not blind though no call for the servers was answered since")
+	}
+	g.haveRead(g.holderFencing())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.blind(boottime.Now()) {
+		t.Error("blind though the servers were read since")
+	}
+}
