A removed entry is taken for lapsed only just after the store's return

Change: entries count as lapsed while the store is away and for two seconds after its first answer. Beside it: a server that leaves is told of several times in 0.6 s, for a datagram may be lost; the dispatcher's choice says what the server is, and an instance that knows that it leaves does not take it; after a server broke off a request waits for room as long as its caller does. Tests: TestEntryRemovedAfterTheStoreIsBack, TestGoneIsToldAgain, TestServerIsDescribedWithTheChoice, TestServerThatLeavesIsNotTaken, and the dispatcher before real sockets.

--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -84,8 +84,8 @@
 	return placer.Key{Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter}
 }
 
-// view is what a request saw when it looked for a server.
-type view struct {
+// lookResult is what a request saw when it looked for a server.
+type lookResult struct {
 	target  target // that was chosen here
 	full    bool   // some hold what it needs, and none has room
 	changed <-chan struct{}
@@ -95,18 +95,18 @@
 
 // look looks once. The configuration may have changed since the request
 // arrived: a key that was withdrawn or a route that moved counts now.
-func (x *exchange) look() (view, *refusal) {
+func (x *exchange) look() (lookResult, *refusal) {
 	g := x.g
 	if m := g.manifest.Load(); m != x.config {
 		if ref := x.resolve(); ref != nil {
-			return view{}, ref
+			return lookResult{}, ref
 		}
 		if x.ran == 0 && !x.started {
 			x.pickGroup()
 		}
 	}
 	if x.r.Context().Err() != nil {
-		return view{}, refusalOf(reasonCallerGone, 0)
+		return lookResult{}, refusalOf(reasonCallerGone, 0)
 	}
 	g.mu.Lock()
 	v, out, ref := x.lookLocked(boottime.Now())
@@ -117,29 +117,29 @@
 
 // lookLocked asks the dispatcher if a server has what the request needs, or
 // chooses one itself if nobody is to be asked. The caller holds mu.
-func (x *exchange) lookLocked(now clock.Time) (view, []outgoing, *refusal) {
+func (x *exchange) lookLocked(now clock.Time) (lookResult, []outgoing, *refusal) {
 	g := x.g
 	if now.Reached(x.end) {
-		return view{}, nil, refusalOf(reasonTimeout, comeBack)
+		return lookResult{}, nil, refusalOf(reasonTimeout, comeBack)
 	}
 	c := g.dir.Pick(now, x.need())
 	if (c.Server != nil || c.Full) && !x.alone {
 		if number, a := x.dispatchTo(now); a != nil {
-			return view{ask: a, number: number}, x.askServer(now, number, a), nil
+			return lookResult{ask: a, number: number}, x.askServer(now, number, a), nil
 		}
 	}
 	if s := c.Server; s != nil {
 		x.timing.choice = c
 		g.dir.Started(now, s.ID, x.call.Model)
 		g.placer.AdapterUsed(now, s.ID, x.call.Model, x.call.Adapter)
-		return view{target: target{id: s.ID, address: s.Address}}, g.tellLoad(now), nil
+		return lookResult{target: target{id: s.ID, address: s.Address}}, g.tellLoad(now), nil
 	}
 	if !c.Full {
 		if why := x.hopeless(now); why != "" {
-			return view{}, nil, refusalOf(why, comeBackLoad)
+			return lookResult{}, nil, refusalOf(why, comeBackLoad)
 		}
 	}
-	return view{full: c.Full, changed: g.changed}, nil, nil
+	return lookResult{full: c.Full, changed: g.changed}, nil, nil
 }
 
 // hopeless returns why waiting can't help, or "" if a server of the group could
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -7,14 +7,9 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
 	"oleanderdale.org/core/gateway/outlook"
-	"oleanderdale.org/core/gateway/spread"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
-// serveEvery is the time between two looks of the dispatcher at what waits, while
-// something waits: each costs it some microseconds a model.
-const serveEvery = 3 * time.Millisecond
-
 const (
 	// roomPart of what is left of its objective is what a request waits for room;
 	// the rest is for its first token.
@@ -42,23 +37,6 @@
 	choice  directory.Choice
 }
 
-// dispatcher returns the instance that chooses servers for all: the holder of the
-// lease, who knows best what each server holds; without one the strongest that is
-// heard. The caller holds mu.
-func (g *Gateway) dispatcher(now clock.Time) string {
-	if g.lease.Holds(now) {
-		return g.set.Name
-	}
-	if g.holder.name != "" && g.holder.name != g.set.Name && now.Sub(g.holder.heard) <= leaseSilence {
-		return g.holder.name
-	}
-	strongest := spread.Strongest(now, g.members.All(now), 1)
-	if len(strongest) == 0 || g.strongerThan(strongest[0]) {
-		return g.set.Name
-	}
-	return strongest[0].Name
-}
-
 // dispatchTo asks the dispatcher for a server, and returns nil if nobody is to be
 // asked now. The caller holds mu.
 func (x *exchange) dispatchTo(now clock.Time) (uint64, *asked) {
@@ -83,8 +61,8 @@
 // roomWithin is how long the request can wait for room and still be on time; 0: for
 // as long as its caller waits.
 func (x *exchange) roomWithin(now clock.Time) time.Duration {
-	if x.started || x.route.Objective == 0 {
-		return 0
+	if x.sends > 0 || x.route.Objective == 0 {
+		return 0 // after a server broke off, late is better than not at all
 	}
 	left := x.arrived.Add(x.route.Objective).Sub(now)
 	return max(leastRoomWait, time.Duration(roomPart*float64(left)))
@@ -105,53 +83,6 @@
 	return []outgoing{{message: g.encode(packet{Dispatch: g.dispatchOf(m)}), to: []recipient{g.recipient(to)}}}
 }
 
-// takeDispatch takes what an instance tells the dispatcher. The caller holds mu.
-func (g *Gateway) takeDispatch(now clock.Time, m dispatch.Message) []outgoing {
-	var out []outgoing
-	if reply, ok := g.dispatch.Take(now, m); ok {
-		out = g.sendReply(now, reply)
-	}
-	if g.dispatch.Waiting() > 0 && !g.serving {
-		g.serving = true
-		time.AfterFunc(serveEvery, g.serveQueues)
-	}
-	return out
-}
-
-// serveQueues lets go what waits at the dispatcher and can run now.
-func (g *Gateway) serveQueues() {
-	g.mu.Lock()
-	var out []outgoing
-	now := boottime.Now()
-	for replies := g.dispatch.Serve(now); len(replies) > 0; replies = g.dispatch.Serve(now) {
-		for _, r := range replies {
-			out = append(out, g.sendReply(now, r)...)
-		}
-	}
-	g.serving = g.dispatch.Waiting() > 0 && g.ctx.Err() == nil
-	if g.serving {
-		time.AfterFunc(serveEvery, g.serveQueues)
-	}
-	g.mu.Unlock()
-	g.sendAll(out)
-}
-
-// sendReply returns the message with a reply, or takes it if it is for this
-// instance. The caller holds mu.
-func (g *Gateway) sendReply(now clock.Time, r dispatch.Reply) []outgoing {
-	if r.To == g.set.Name {
-		if r.Incarnation == g.incarnation {
-			g.takeChoice(now, g.set.Name, r.Number, r.Verdict, r.Choice)
-		}
-		return nil
-	}
-	to := g.members.Get(r.To)
-	if to == nil {
-		return nil
-	}
-	return []outgoing{{message: g.encode(packet{Choice: g.choiceOf(r)}), to: []recipient{g.recipient(to)}}}
-}
-
 // takeChoice takes a reply of the dispatcher. A request that was let go is counted
 // in the same moment, so that the next message to the dispatcher has it. The caller
 // holds mu.
@@ -220,8 +151,8 @@
 
 // await waits for what the dispatcher says. If it says nothing, or is replaced
 // meanwhile, the target is empty, and the request looks again.
-func (x *exchange) await(v view, p outlook.Patience) (target, *refusal) {
-	w := dispatchWait{x: x, view: v, patience: p, began: boottime.Now()}
+func (x *exchange) await(v lookResult, p outlook.Patience) (target, *refusal) {
+	w := dispatchWait{x: x, look: v, patience: p, began: boottime.Now()}
 	defer w.account()
 	for {
 		t := time.NewTimer(w.next())
@@ -256,7 +187,7 @@
 // dispatchWait is the wait for the dispatcher's answer to one ask.
 type dispatchWait struct {
 	x        *exchange
-	view     view
+	look     lookResult
 	patience outlook.Patience
 	began    clock.Time
 	queued   bool // the dispatcher has it
@@ -273,7 +204,7 @@
 
 // again goes on after a silence. It returns false if the wait is over.
 func (w *dispatchWait) again() (bool, *refusal) {
-	x, v := w.x, w.view
+	x, v := w.x, w.look
 	switch {
 	case boottime.Now().Reached(w.patience.Leaves):
 		x.abandon(v, false)
@@ -299,7 +230,7 @@
 
 // askAgain repeats an ask. It returns false if another instance is the dispatcher
 // now.
-func (x *exchange) askAgain(v view) bool {
+func (x *exchange) askAgain(v lookResult) bool {
 	g := x.g
 	g.mu.Lock()
 	now := boottime.Now()
@@ -315,7 +246,7 @@
 
 // abandon gives an ask up. If the dispatcher let the request go in the same
 // moment, its count is taken back.
-func (x *exchange) abandon(v view, silent bool) {
+func (x *exchange) abandon(v lookResult, silent bool) {
 	g := x.g
 	g.mu.Lock()
 	now := boottime.Now()
--- /dev/null
+++ b/oleander/gateway/dispatch_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// pair starts a holder of the lease and another instance that knows it.
+func pair(t *testing.T, f *fixture) (url string, other *Gateway) {
+	t.Helper()
+	f.startHolder()
+	url = f.start()
+	other = f.gateways[1]
+	testutil.WaitFor(t, func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return other.dispatcher(boottime.Now()) == "g0" && len(other.dir.IDs()) > 0
+	})
+	return url, other
+}
+
+// Requests of one instance are counted at the dispatcher while they run, and no
+// longer when they have ended.
+func TestDispatcherCountsRequestsOfOthers(t *testing.T) {
+	f := newFixture(t, config(1))
+	release := make(chan struct{})
+	f.backend("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		ok(w, r)
+	})
+	url, _ := pair(t, f)
+	running := func() int {
+		g := f.gateways[0]
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.dir.Get("a").Running()
+	}
+	var wait sync.WaitGroup
+	for range 3 {
+		wait.Go(func() { f.ask(http.MethodPost, url+"/order/") })
+	}
+	testutil.WaitFor(t, func() bool { return running() == 3 })
+	close(release)
+	wait.Wait()
+	testutil.WaitFor(t, func() bool { return running() == 0 })
+}
+
+// The dispatcher is silent, though it was heard a moment ago. Requests are answered
+// all the same, and only the first ones are delayed by it.
+func TestSilentDispatcherDelaysLittle(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	url, other := pair(t, f)
+	other.mu.Lock()
+	m := *other.members.Get("g0")
+	m.Address = "127.0.0.1:9" // nobody answers there
+	other.members.Heard(boottime.Now(), m)
+	other.mu.Unlock()
+	silent := other.metrics.dispatchSilent.Get()
+	for range 5 {
+		if got := f.ask(http.MethodPost, url+"/order/"); got.status != http.StatusOK {
+			t.Errorf("status %d", got.status)
+		}
+	}
+	if n := other.metrics.dispatchSilent.Get() - silent; n > 2 {
+		t.Errorf("%d of five requests waited for a silent dispatcher", n)
+	}
+}
+
+// The dispatcher has not heard yet that a server leaves, and names it. The instance
+// has read so itself, and does not send there.
+func TestServerThatLeavesIsNotTaken(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	number := g.client.Begin()
+	a := &asked{answered: make(chan dispatched, answersKept)}
+	g.asks[number] = a
+	g.dir.Put(now, directory.Entry{ID: "leaving", Group: "plain", Born: 1, Slots: 4, Draining: true})
+	g.takeChoiceMsg(now, &choiceMsg{
+		From: "g9", Incarnation: g.incarnation, Number: number, Verdict: dispatch.Granted,
+		Server: &serverMsg{Server: "leaving", Born: 1},
+	})
+	select {
+	case d := <-a.answered:
+		if d.verdict != dispatch.Missing || g.dir.Get("leaving").Running() != 0 {
+			t.Errorf("%+v", d)
+		}
+	case <-time.After(time.Second):
+		t.Error("no answer")
+	}
+}
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -52,8 +52,7 @@
 	Incarnation uint64 // of the asker
 	Number      uint64
 	Verdict     dispatch.Verdict
-	Server      string
-	Born        int64
+	Server      *serverMsg // what it is, so that it can be used where it is not known yet
 	Candidates  int
 	By          directory.Reason
 	Load        float64
@@ -106,7 +105,7 @@
 		Candidates: r.Choice.Candidates, By: r.Choice.By, Load: r.Choice.Load, Next: r.Choice.Next,
 	}
 	if s := r.Choice.Server; s != nil {
-		c.Server, c.Born = s.ID, s.Born
+		c.Server = &serverMsg{Server: s.ID, Born: s.Born, Info: infoOf(s)}
 	}
 	return c
 }
@@ -119,19 +118,21 @@
 	return g.takeDispatch(now, w.message())
 }
 
-// takeChoiceMsg takes a reply of the dispatcher. One that names a server which is
-// not known here is as good as none: the request chooses itself. The caller holds mu.
+// takeChoiceMsg takes a reply of the dispatcher. One that names a server which has
+// left, or leaves, by what this instance knows itself is as good as none: the request
+// chooses itself. The caller holds mu.
 func (g *Gateway) takeChoiceMsg(now clock.Time, w *choiceMsg) {
 	if w.Incarnation != g.incarnation {
 		return
 	}
 	c := directory.Choice{Candidates: w.Candidates, By: w.By, Load: w.Load, Next: w.Next}
 	verdict := w.Verdict
-	if verdict == dispatch.Granted {
-		c.Server = g.dir.Get(w.Server)
-		if c.Server == nil || c.Server.Born != w.Born {
-			verdict = dispatch.Missing
-		}
+	if verdict == dispatch.Granted && w.Server != nil {
+		g.takeServer(now, *w.Server)
+		c.Server = g.dir.Get(w.Server.Server)
+	}
+	if s := c.Server; verdict == dispatch.Granted && (s == nil || s.Born != w.Server.Born || !s.Usable(now)) {
+		verdict = dispatch.Missing
 	}
 	g.takeChoice(now, w.From, w.Number, verdict, c)
 }
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -72,6 +72,9 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	if err == nil {
+		if g.storeBack < g.storeDown {
+			g.storeBack = now
+		}
 		if g.storeDown != 0 && now.Sub(g.storeDown) >= troubleFor {
 			g.storeDown = 0
 			g.log.Info().Str("call", what).Msg("store: reached again")
@@ -278,15 +281,17 @@
 	g.dir.Put(now, e)
 }
 
-// missing takes the lack of an entry: its server is gone, but for a moment
-// after the store was away, when entries that lapsed are still to come back.
-// The caller holds mu.
+// missing takes the lack of an entry: its server is gone, but while the store is away
+// and for a moment after it answers again, when entries that lapsed are still to come
+// back. What goes later has left: taken for lapsed, it got requests for two seconds
+// more. The caller holds mu.
 func (g *Gateway) missing(now clock.Time, id string) {
 	s := g.dir.Get(id)
 	if s == nil {
 		return
 	}
-	if s.Draining || g.storeDown == 0 || now.Sub(g.storeDown) > troubleFor {
+	away := g.storeDown != 0 && (g.storeBack < g.storeDown || now.Sub(g.storeBack) < lapseGrace)
+	if s.Draining || !away {
 		g.drop(now, id)
 		return
 	}
@@ -301,7 +306,7 @@
 	}
 	delete(g.lapsed, id)
 	delete(g.publisher.told, id)
-	g.publisher.gone[id] = now
+	g.publisher.gone[id], g.publisher.left[id] = now, now
 	g.dir.Remove(id)
 	g.log.Info().Str("server", id).Msg("servers: gone")
 }
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -293,3 +293,25 @@
 		t.Error("still there after its time to come back")
 	}
 }
+
+// One call to the store is lost, the next ones are answered, and two and a half seconds
+// later a server's entry is removed. It has left, and gets no request more; an entry
+// that goes within two seconds of the store's return may come back.
+func TestEntryRemovedAfterTheStoreIsBack(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	down := g.storeDown + 1000*1000*1000*1000
+	g.storeDown, g.storeBack = down, down.Add(300*time.Millisecond)
+	g.missing(down.Add(lapseGrace), "a")
+	if g.dir.Get("a") == nil {
+		t.Fatal("dropped at once although the store was away a moment ago")
+	}
+	g.missing(down.Add(2500*time.Millisecond), "a")
+	if g.dir.Get("a") != nil {
+		t.Error("still there")
+	}
+}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -147,6 +147,7 @@
 	// serversSeen is when a call for the servers was last answered.
 	serversSeen clock.Time
 	storeDown   clock.Time // last failure of a call to the store
+	storeBack   clock.Time // first answer after it
 	wasAway     bool       // the store, for this instance, in the last round
 	removed     map[string]removedServer
 	lapsed      map[string]clock.Time
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -17,6 +17,10 @@
 	repeatEvery = 2 * time.Second
 	// serversPerState bounds one datagram to some kilobytes.
 	serversPerState = 20
+	// leftAgain is how long it is told again and again that a server leaves: a
+	// datagram may be lost, and requests went to such a server until everything was
+	// told again, two seconds later.
+	leftAgain = 600 * time.Millisecond
 	// goneFor is how long a server that left is named.
 	goneFor = 5 * time.Second
 )
@@ -32,10 +36,27 @@
 	// everything was told last.
 	readUnder int64
 	gone      map[string]clock.Time
+	left      map[string]clock.Time // servers that began to leave, or are gone
+}
+
+// leftOfLate reports whether a server began to leave, or left, a moment ago.
+func (p *publisher) leftOfLate(now clock.Time, id string) bool {
+	at, ok := p.left[id]
+	return ok && now.Sub(at) < leftAgain
+}
+
+// anyLeftOfLate reports that of any server, and forgets the others.
+func (p *publisher) anyLeftOfLate(now clock.Time) bool {
+	for id := range p.left {
+		if !p.leftOfLate(now, id) {
+			delete(p.left, id)
+		}
+	}
+	return len(p.left) > 0
 }
 
 func newPublisher() publisher {
-	return publisher{told: make(map[string]serverMsg), pending: make(map[string]serverMsg), gone: make(map[string]clock.Time)}
+	return publisher{told: make(map[string]serverMsg), pending: make(map[string]serverMsg), gone: make(map[string]clock.Time), left: make(map[string]clock.Time)}
 }
 
 // outgoing is one message with those that it goes to.
@@ -54,9 +75,12 @@
 	for _, id := range g.dir.IDs() {
 		m := g.describe(now, g.dir.Get(id))
 		old, told := p.told[id]
-		if told && !full && sameServer(old, m) {
+		if told && !full && sameServer(old, m) && !p.leftOfLate(now, id) {
 			continue
 		}
+		if m.Info != nil && m.Info.Leaving && !(told && old.Info != nil && old.Info.Leaving) {
+			p.left[id] = now
+		}
 		p.told[id] = m
 		if told && !full && m.Info != nil && sameInfo(old.Info, m.Info) {
 			// Only its models changed; what it is may wait to be told, though.
@@ -80,9 +104,7 @@
 
 // describe says what a server is and holds. The caller holds mu.
 func (g *Gateway) describe(now clock.Time, s *directory.Server) serverMsg {
-	m := serverMsg{Server: s.ID, Born: s.Born, Info: &infoMsg{
-		Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining,
-	}}
+	m := serverMsg{Server: s.ID, Born: s.Born, Info: infoOf(s)}
 	if g.blind(now) && !s.Draining {
 		m.Info = nil // the others know better who is there
 	}
@@ -98,6 +120,11 @@
 	return m
 }
 
+// infoOf returns what a server is.
+func infoOf(s *directory.Server) *infoMsg {
+	return &infoMsg{Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining}
+}
+
 func sameServer(a, b serverMsg) bool {
 	return a.Born == b.Born && a.Engine == b.Engine && sameInfo(a.Info, b.Info) &&
 		slices.EqualFunc(a.Models, b.Models, func(x, y modelMsg) bool {
@@ -147,7 +174,6 @@
 	for _, id := range sortedNames(p.pending) {
 		servers = append(servers, p.pending[id])
 	}
-	clear(p.pending)
 	var gone []string
 	for id, at := range p.gone {
 		if now.Sub(at) > goneFor {
@@ -156,10 +182,11 @@
 		}
 		gone = append(gone, id)
 	}
-	if len(servers) == 0 {
+	var out []outgoing
+	clear(p.pending)
+	if len(servers) == 0 && !p.anyLeftOfLate(now) {
 		return nil
 	}
-	var out []outgoing
 	var all []string
 	if full && g.readUnder == g.lease.Fencing() && !g.blind(now) {
 		all = g.dir.IDs()
@@ -173,7 +200,9 @@
 // stateMessages encodes what is told of servers, some of them in each message.
 func (g *Gateway) stateMessages(servers []serverMsg, gone, all []string) []message {
 	var messages []message
-	for part := range slices.Chunk(servers, serversPerState) {
+	for first := true; first || len(servers) > 0; first = false {
+		part := servers[:min(serversPerState, len(servers))]
+		servers = servers[len(part):]
 		messages = append(messages, g.encode(packet{State: &stateMsg{
 			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone, All: all,
 		}}))
--- a/oleander/gateway/state_test.go
+++ b/oleander/gateway/state_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -47,3 +50,47 @@
 		t.Errorf("told %+v, info %+v", s, s.Info)
 	}
 }
+
+// The message that a server is gone is lost on its way to one instance, which rests
+// while it is told of the servers. The next messages say it again, though nothing else
+// changed; otherwise it would go on sending there for two seconds.
+func TestGoneIsToldAgain(t *testing.T) {
+	g := lone(t, "a", "z")
+	now := boottime.Now()
+	g.dir.Put(now, directory.Entry{ID: "s", Group: "plain", Born: 1, Slots: 4})
+	g.members.Heard(now, members.Member{Name: "b", Address: "127.0.0.1:9", Zone: "z"})
+	g.publisher.repeated, g.publisher.flushed = now, now
+	g.drop(now, "s")
+	told := 0
+	for at := now; at.Sub(now) < leftAgain; at = at.Add(flushEvery) {
+		for _, m := range g.publish(at) {
+			if p := decoded(t, m.message); p.State != nil && slices.Contains(p.State.Gone, "s") {
+				told++
+			}
+		}
+	}
+	if told < 3 {
+		t.Errorf("told %d times", told)
+	}
+	if out := g.publish(now.Add(leftAgain + flushEvery)); len(out) > 0 {
+		t.Errorf("%d messages though nothing changed of late", len(out))
+	}
+}
+
+// The dispatcher names a server that this instance has not heard of yet. It is used as
+// it is described.
+func TestServerIsDescribedWithTheChoice(t *testing.T) {
+	g := lone(t, "a", "z")
+	now := boottime.Now()
+	number := g.client.Begin()
+	a := &asked{answered: make(chan dispatched, answersKept)}
+	g.asks[number] = a
+	g.takeChoiceMsg(now, &choiceMsg{
+		From: "b", Incarnation: g.incarnation, Number: number, Verdict: dispatch.Granted,
+		Server: &serverMsg{Server: "new", Born: 3, Info: &infoMsg{Address: "10.0.0.9:1", Group: "plain", Slots: 4}},
+	})
+	d := <-a.answered
+	if d.target.address != "10.0.0.9:1" || g.dir.Get("new").Running() != 1 {
+		t.Errorf("%+v", d)
+	}
+}
