--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -165,8 +165,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.readUnder, g.serversSeen = under, boottime.Now()
-	if g.sure == 0 {
-		g.sure = boottime.Now()
+	if g.toldAt == 0 {
+		g.toldAt = boottime.Now()
 	}
 }
 
@@ -179,15 +179,15 @@
 	switch {
 	case g.lease.Holds(now):
 		return false
-	case g.holder.blind:
-		// Those that watch the store for their zone see servers leave, and tell it; all
-		// others hear of that from the holder. New servers they don't hear of.
+	case g.holder.blind && now.Sub(g.holder.heard) <= leaseSilence:
+		// Those that watch the store for their zone see servers leave, and tell the
+		// holder, who tells all others. New servers these don't hear of.
 		return !g.watching.Load() && g.servesAll(now)
 	case g.isTold(now):
-		g.sure = g.holder.heard
+		g.toldAt = g.holder.heard
 		return true
 	}
-	return now.Sub(g.sure) < time.Duration(toldPart*float64(g.set.LeavingWithin))
+	return now.Sub(g.toldAt) < time.Duration(toldPart*float64(g.set.LeavingWithin))
 }
 
 // servesAll reports whether a server of each group can be used. The caller holds mu.
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -140,10 +140,10 @@
 	// last read from the store.
 	readUnder int64
 	// toldUnder is the fencing number of the holder that told last which servers
-	// there are, and sure when one that tells was last heard; at first, when the
-	// servers were first read.
+	// there are, and toldAt when a holder that tells was last heard; at first, when
+	// the servers were first read.
 	toldUnder int64
-	sure      clock.Time
+	toldAt    clock.Time
 	// serversSeen is when a call for the servers was last answered.
 	serversSeen clock.Time
 	storeDown   clock.Time // last failure of a call to the store
--- a/oleander/gateway/told_test.go
+++ b/oleander/gateway/told_test.go
@@ -92,3 +92,21 @@
 		t.Error("blind though the servers were read since")
 	}
 }
+
+// The holder did not reach the store when it died. Its last word must not keep the
+// others from reading the servers themselves: one may have left meanwhile.
+func TestBlindHolderThatDied(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	g.mu.Lock()
+	now := boottime.Now()
+	g.watching.Store(false)
+	g.holder = holder{name: "dead", fencing: 9, heard: now.Add(-time.Minute), blind: true}
+	g.toldAt = now.Add(-time.Minute)
+	g.mu.Unlock()
+	if g.hearsHolder() {
+		t.Error("rests though nobody tells")
+	}
+}
