--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -14,8 +14,8 @@
 // chooses by what it believes itself, so no request waits for a dispatcher that
 // is gone.
 //
-// One dispatcher answers for a few hundred instances: a question is about 250
-// bytes and 30 microseconds. Larger fleets need one a group of servers.
+// One dispatcher answers for a few hundred instances. Larger fleets need one a group
+// of servers.
 package dispatch
 
 import (
--- a/oleander/gateway/packed.go
+++ b/oleander/gateway/packed.go
@@ -9,8 +9,8 @@
 )
 
 // packed is a manifest as stored, and compressed once for all instances that
-// fetch it. A version with a thousand routes is some hundred kilobytes, a tenth of
-// it compressed; uncompressed, forty instances waited seconds for the link of the
+// fetch it. A version with a thousand routes is some hundred kilobytes, and
+// repeats itself; uncompressed, forty instances waited seconds for the link of the
 // one that they had it from.
 type packed struct {
 	plain      []byte
