An entry lapses only while the store answers nobody

Callers' requests reached a server up to 2,132 ms after the store had accepted that it leaves (2,000 are allowed), when it left within two seconds after the holder of the lease had been cut off from the store alone.

Cause: the holder took its own failed calls for an outage of the store. Entries that are missing just after an outage may have lapsed, so it kept the server for two seconds; the others rest while the holder tells them of the servers, and went on sending.

Change: core/gateway/lapse, without I/O or clock. An outage is a second or more in which the store is not known to have answered any instance: the answers of lease calls made through another instance, and renewals that the holder tells, count. Entries expire after three missed renewals of 1.2 s, so a shorter one lapses none.

TestEntryRemovedAfterTheStoreIsBack took an outage of 0.3 s for one in which entries lapse, which can't be; it now has one of four seconds, with the same two moments, and TestEntryRemovedAfterOneLostCall demands what it left open: after a short one, a removed server is gone at once.

--- /dev/null
+++ b/core/gateway/lapse/lapse_test.go
@@ -0,0 +1,111 @@
+package lapse
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const (
+	start = clock.Time(time.Hour)
+	// renewal is the time between two renewals of the lease.
+	renewal = 420 * time.Millisecond
+	// timeout is that of a call.
+	timeout = 1200 * time.Millisecond
+)
+
+// The store is away for all for four seconds, and entries lapse. Their servers stay
+// until the entries had time to come back; one that stays away is gone then.
+func TestEntriesLapseWhileTheStoreIsAway(t *testing.T) {
+	for _, timeout := range []time.Duration{time.Millisecond, timeout} {
+		tr := New()
+		tr.Answered(start)
+		now := start
+		for now.Sub(start) < 4*time.Second {
+			tr.Failed(now.Add(10 * time.Millisecond))
+			now = now.Add(timeout + 250*time.Millisecond)
+		}
+		tr.Answered(now)
+		if tr.Missing(now, "back") || tr.Missing(now, "gone") {
+			t.Fatalf("taken for gone right after an outage; calls fail after %v", timeout)
+		}
+		tr.Forget("back")
+		if got := tr.Overdue(now.Add(Grace)); len(got) > 0 {
+			t.Errorf("overdue %v though the time is not over", got)
+		}
+		if got := tr.Overdue(now.Add(Grace + 1)); !slices.Equal(got, []string{"gone"}) {
+			t.Errorf("overdue %v", got)
+		}
+		if !tr.Missing(now.Add(Grace), "late") {
+			t.Error("an entry that goes later is taken for lapsed")
+		}
+	}
+}
+
+// A call that waits for changes was held when the store went silent, so it was sent
+// before the last answer. When it times out, the outage began with that answer.
+func TestCallHeldWhenTheStoreWentSilent(t *testing.T) {
+	tr := New()
+	held := start
+	down := start.Add(3 * time.Second)
+	tr.Answered(down)
+	tr.Failed(held)
+	back := down.Add(4 * time.Second)
+	tr.Answered(back)
+	if tr.Missing(back, "a") {
+		t.Error("taken for gone right after an outage")
+	}
+}
+
+// The store turns one instance away, at once or by silence. It renews its lease through
+// another one, so a server whose entry goes has left, meanwhile and right afterwards.
+func TestTurnedAwayAlone(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		tr := New()
+		tr.Answered(start)
+		now := start
+		for now.Sub(start) < 5*time.Second {
+			if !silent {
+				tr.Failed(now)
+			} else if sent := now.Add(-timeout); !sent.Before(start) {
+				tr.Failed(sent)
+			}
+			tr.Answered(now.Add(120 * time.Millisecond)) // through another instance
+			now = now.Add(renewal)
+			if !tr.Missing(now, "meanwhile") {
+				t.Fatalf("taken for lapsed, silent %v", silent)
+			}
+		}
+		tr.Answered(now)
+		if !tr.Missing(now, "afterwards") {
+			t.Errorf("taken for lapsed, silent %v", silent)
+		}
+	}
+}
+
+// One call is lost, and the next ones are answered. An entry that goes has not lapsed.
+func TestOneCallIsLost(t *testing.T) {
+	tr := New()
+	tr.Answered(start)
+	tr.Failed(start.Add(time.Millisecond))
+	tr.Answered(start.Add(300 * time.Millisecond))
+	if !tr.Missing(start.Add(400*time.Millisecond), "a") {
+		t.Error("taken for lapsed though the store was hardly away")
+	}
+}
+
+// The store goes away again while entries are missing. They can't come back, so their
+// servers stay.
+func TestStoreGoesAwayAgain(t *testing.T) {
+	tr := New()
+	tr.Failed(start)
+	now := start.Add(3 * time.Second)
+	tr.Answered(now)
+	tr.Missing(now, "a")
+	tr.Failed(now.Add(time.Second))
+	if got := tr.Overdue(now.Add(3 * time.Second)); len(got) > 0 {
+		t.Errorf("overdue %v while the store is away", got)
+	}
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -239,6 +239,10 @@
 	if g.holder.storeDown && !b.StoreDown {
 		g.watches.storeReturned()
 	}
+	if g.holder.version != 0 && c.Version > g.holder.version {
+		g.lapse.Answered(now) // the store took a renewal a moment ago
+	}
+	g.holder.version = max(c.Version, g.holder.version)
 	g.holder.heard, g.holder.storeDown, g.holder.blind = now, b.StoreDown, b.Blind
 	claim := leader.Claim{
 		Fencing: c.Fencing, Sequence: c.Sequence, Version: c.Version,
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -43,9 +43,6 @@
 	retryPause       = 250 * time.Millisecond
 	retryPauseMember = 8 * time.Millisecond
 	retryPauseMost   = time.Second
-	// lapseGrace is how long an entry may be missing after the store was away
-	// before its server counts as gone.
-	lapseGrace = 2 * time.Second
 	// removedFor is how long a server that left is remembered, so that an
 	// instance that was cut off from the store does not bring it back.
 	removedFor = time.Minute
@@ -72,9 +69,7 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	if err == nil {
-		if g.storeBack < g.storeDown {
-			g.storeBack = now
-		}
+		g.lapse.Answered(now)
 		if g.storeDown != 0 && now.Sub(g.storeDown) >= troubleFor {
 			g.storeDown = 0
 			g.log.Info().Str("call", what).Msg("store: reached again")
@@ -88,6 +83,7 @@
 		g.log.Warn().Str("call", what).Err(err).Msg("store: lost")
 	}
 	g.storeDown = now
+	g.lapse.Failed(began)
 }
 
 // followServers keeps the entries of the backend servers.
@@ -225,6 +221,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	g.lapse.Answered(now)
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.ID] = true
@@ -257,11 +254,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.lapse.Answered(now)
 	for _, c := range changes {
 		if c.Removed {
-			g.missing(boottime.Now(), c.Entry.ID)
+			g.missing(now, c.Entry.ID)
 		} else {
-			g.putServer(boottime.Now(), c.Entry)
+			g.putServer(now, c.Entry)
 		}
 	}
 	g.wake()
@@ -271,7 +270,7 @@
 
 // putServer takes an entry. The caller holds mu.
 func (g *Gateway) putServer(now clock.Time, e directory.Entry) {
-	delete(g.lapsed, e.ID)
+	g.lapse.Forget(e.ID)
 	delete(g.removed, e.ID)
 	old := g.dir.Get(e.ID)
 	if old == nil || old.Born != e.Born || old.Draining != e.Draining {
@@ -281,22 +280,12 @@
 	g.dir.Put(now, e)
 }
 
-// missing takes the lack of an entry: its server is gone, but while the store is away
-// and for a moment after it answers again, when entries that lapsed are still to come
-// back. What goes later has left: taken for lapsed, it got requests for two seconds
-// more. The caller holds mu.
+// missing takes the lack of an entry. A server that said that it leaves is gone, however
+// the store is. The caller holds mu.
 func (g *Gateway) missing(now clock.Time, id string) {
 	s := g.dir.Get(id)
-	if s == nil {
-		return
-	}
-	away := g.storeDown != 0 && (g.storeBack < g.storeDown || now.Sub(g.storeBack) < lapseGrace)
-	if s.Draining || !away {
+	if s != nil && (s.Draining || g.lapse.Missing(now, id)) {
 		g.drop(now, id)
-		return
-	}
-	if _, ok := g.lapsed[id]; !ok {
-		g.lapsed[id] = now
 	}
 }
 
@@ -304,7 +293,7 @@
 	if s := g.dir.Get(id); s != nil {
 		g.removed[id] = removedServer{born: s.Born, at: now}
 	}
-	delete(g.lapsed, id)
+	g.lapse.Forget(id)
 	delete(g.publisher.told, id)
 	g.publisher.gone[id], g.publisher.left[id] = now, now
 	g.dir.Remove(id)
@@ -329,9 +318,7 @@
 			delete(g.removed, id)
 		}
 	}
-	for id, since := range g.lapsed {
-		if now.Sub(since) > lapseGrace && now.Sub(g.storeDown) > lapseGrace {
-			g.drop(now, id)
-		}
+	for _, id := range g.lapse.Overdue(now) {
+		g.drop(now, id)
 	}
 }
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/lapse"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/gateway/portstest"
@@ -306,6 +307,9 @@
 	}
 }
 
+// outage is longer than an entry takes to lapse.
+const outage = 4 * time.Second
+
 // Entries are missing just after the store was away: their servers stay until
 // they had time to come back. In quiet times a missing entry is a server gone.
 func TestMissingEntries(t *testing.T) {
@@ -315,27 +319,28 @@
 	g := f.gateways[0]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.storeDown + 1000*1000*1000*1000
-	g.storeDown = now
+	down := boottime.Now().Add(time.Hour)
+	g.lapse.Failed(down)
+	now := down.Add(outage)
+	g.lapse.Answered(now)
 	g.missing(now, "a")
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped at once although the store was away")
 	}
 	g.putServer(now, directory.Entry{ID: "a", Group: "plain", Born: 1})
-	g.dropLapsed(now.Add(2 * lapseGrace))
+	g.dropLapsed(now.Add(2 * lapse.Grace))
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped although its entry came back")
 	}
 	g.missing(now, "a")
-	g.dropLapsed(now.Add(2 * lapseGrace))
+	g.dropLapsed(now.Add(2 * lapse.Grace))
 	if g.dir.Get("a") != nil {
 		t.Error("still there after its time to come back")
 	}
 }
 
-// One call to the store is lost, the next ones are answered, and two and a half seconds
-// later a server's entry is removed. It has left, and gets no request more; an entry
-// that goes within two seconds of the store's return may come back.
+// The store was away, and is back. An entry that goes within two seconds of its return
+// may come back; the server of one that goes later has left, and gets no request more.
 func TestEntryRemovedAfterTheStoreIsBack(t *testing.T) {
 	f := newFixture(t, config(1))
 	f.backend("a", "plain", ok)
@@ -343,14 +348,37 @@
 	g := f.gateways[0]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	down := g.storeDown + 1000*1000*1000*1000
-	g.storeDown, g.storeBack = down, down.Add(300*time.Millisecond)
-	g.missing(down.Add(lapseGrace), "a")
+	down := boottime.Now().Add(time.Hour)
+	back := down.Add(outage)
+	g.lapse.Failed(down)
+	g.lapse.Answered(back)
+	g.missing(back.Add(lapse.Grace-300*time.Millisecond), "a")
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped at once although the store was away a moment ago")
 	}
-	g.missing(down.Add(2500*time.Millisecond), "a")
+	g.missing(back.Add(lapse.Grace+200*time.Millisecond), "a")
 	if g.dir.Get("a") != nil {
 		t.Error("still there")
 	}
 }
+
+// One call to the store is lost, the next one is answered. Neither right after it nor
+// two and a half seconds later is a removed entry taken for one that lapsed.
+func TestEntryRemovedAfterOneLostCall(t *testing.T) {
+	for _, later := range []time.Duration{0, 2500 * time.Millisecond} {
+		f := newFixture(t, config(1))
+		f.backend("a", "plain", ok)
+		f.start()
+		g := f.gateways[0]
+		g.mu.Lock()
+		down := boottime.Now().Add(time.Hour)
+		back := down.Add(300 * time.Millisecond)
+		g.lapse.Failed(down)
+		g.lapse.Answered(back)
+		g.missing(back.Add(later), "a")
+		if g.dir.Get("a") != nil {
+			t.Errorf("still there, removed %v after the store's answer", later)
+		}
+		g.mu.Unlock()
+	}
+}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/core/gateway/lapse"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/members"
@@ -147,10 +148,9 @@
 	// serversSeen is when a call for the servers was last answered.
 	serversSeen clock.Time
 	storeDown   clock.Time // last failure of a call to the store
-	storeBack   clock.Time // first answer after it
 	wasAway     bool       // the store, for this instance, in the last round
 	removed     map[string]removedServer
-	lapsed      map[string]clock.Time
+	lapse       *lapse.Tracker
 	publisher   publisher
 }
 
@@ -158,6 +158,7 @@
 type holder struct {
 	name    string
 	fencing int64
+	version int64 // of the row of the lease, as it last wrote it
 	heard   clock.Time
 	told    clock.Time // it last told of the backend servers
 	// storeDown says that a call of its own to the store failed, and blind that it
@@ -202,7 +203,7 @@
 		budget: budget.New(s.Retry), poison: poison.New(),
 		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
 		waits:   make(map[placer.Key]placer.Want), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
-		peerSeen: make(map[string]*peerSeen), lapsed: make(map[string]clock.Time), removed: make(map[string]removedServer),
+		peerSeen: make(map[string]*peerSeen), lapse: lapse.New(), removed: make(map[string]removedServer),
 		publisher: newPublisher(), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
 	g.dispatch, g.client, g.asks = dispatch.New(s.Name, g.dir), dispatch.NewClient(), make(map[uint64]*asked)
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -110,6 +110,11 @@
 		return unknown
 	}
 	g.metrics.storeCall("lease-through", a.OK, boottime.Now().Sub(began))
+	if a.OK {
+		g.mu.Lock()
+		g.lapse.Answered(boottime.Now())
+		g.mu.Unlock()
+	}
 	return a
 }
 
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -241,7 +241,7 @@
 	for _, id := range g.dir.IDs() {
 		if s := g.dir.Get(id); !slices.Contains(all, id) && !s.Recent(now) {
 			g.dir.Remove(id)
-			delete(g.lapsed, id)
+			g.lapse.Forget(id)
 			g.log.Info().Str("server", id).Msg("servers: gone, by the holder's list")
 		}
 	}
