Gateways of tests have a loopback address of their own

A gateway's ports were chosen by listening and closing, and used a moment later; meanwhile the machine may give such a port to another process. Now they lie on a loopback address that follows from the process's id, and all of a gateway's are held until the last is chosen.

--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -214,13 +214,9 @@
 // start starts a gateway and waits until it is ready.
 func (f *fixture) start() string {
 	n := len(f.gateways)
-	address := func() string {
-		l := testutil.Listen(f.t)
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
+	own := testutil.FreeAddresses(f.t, 3)
 	s := Settings{
-		Name: fmt.Sprint("g", n), Zone: "z", Front: address(), Ready: address(), Peer: address(), Grace: testGrace,
+		Name: fmt.Sprint("g", n), Zone: "z", Front: own[0], Ready: own[1], Peer: own[2], Grace: testGrace,
 		OrderQuiet: 100 * time.Millisecond, LeavingWithin: 2 * time.Second,
 		Retry: budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 	}
--- a/oleander/internal/testutil/testutil.go
+++ b/oleander/internal/testutil/testutil.go
@@ -2,10 +2,12 @@
 package testutil
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 )
@@ -36,6 +38,23 @@
 	return l
 }
 
+// FreeAddresses returns addresses to listen at later. They lie on a loopback address of
+// this test process: elsewhere another process may be given a port before it is used.
+func FreeAddresses(t testing.TB, n int) []string {
+	t.Helper()
+	host := fmt.Sprintf("127.240.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	addresses := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close() // all are open until the last one is chosen
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
 // Serve answers with h on loopback until the test ends, and returns the URL.
 func Serve(t testing.TB, h http.Handler) string {
 	t.Helper()
