Servers are told again by parts, at most 200 every two seconds

Cause: the holder of the lease told all servers again every two seconds to all instances: 368,154 bytes with 3,000 engines (BenchmarkSize), 0.18 MB/s into each instance, where the users allow 15 KB/s for control.

Change: of more than 200 servers the next 200 are told each time, in turn; a new holder still tells all at once. What must be known soon (a server that leaves) was told again for 0.6 s already.

--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -12,9 +12,6 @@
 	// flushEvery is the time between two messages of changes to all instances.
 	// One that waits for a model is told of it at once.
 	flushEvery = 100 * time.Millisecond
-	// repeatEvery is how often everything is told again, for those that lost a
-	// message or started since.
-	repeatEvery = 2 * time.Second
 	// serversPerState bounds one datagram to some kilobytes.
 	serversPerState = 20
 	// leftAgain is how long it is told again and again that a server leaves: a
@@ -30,7 +27,7 @@
 	told     map[string]serverMsg // by server, as told last
 	pending  map[string]serverMsg // changed, not yet told to all
 	flushed  clock.Time
-	repeated clock.Time
+	repeats  repeats
 	forecast clock.Time // last told
 	// readUnder is the fencing number under which the servers were read when
 	// everything was told last.
@@ -69,20 +66,22 @@
 // the others are to be told. The caller holds mu.
 func (g *Gateway) publish(now clock.Time) []outgoing {
 	p := &g.publisher
-	full := now.Sub(p.repeated) >= repeatEvery || p.readUnder != g.readUnder
+	ids := g.dir.IDs()
+	again := p.repeats.next(now, ids, p.readUnder != g.readUnder)
 	p.readUnder = g.readUnder
 	var changed []serverMsg
-	for _, id := range g.dir.IDs() {
+	for i, id := range ids {
 		m := g.describe(now, g.dir.Get(id))
 		old, told := p.told[id]
-		if told && !full && sameServer(old, m) && !p.leftOfLate(now, id) {
+		repeated := again.has(i)
+		if told && !repeated && sameServer(old, m) && !p.leftOfLate(now, id) {
 			continue
 		}
 		if m.Info != nil && m.Info.Leaving && !(told && old.Info != nil && old.Info.Leaving) {
 			p.left[id] = now
 		}
 		p.told[id] = m
-		if told && !full && m.Info != nil && sameInfo(old.Info, m.Info) {
+		if told && !repeated && m.Info != nil && sameInfo(old.Info, m.Info) {
 			// Only its models changed; what it is may wait to be told, though.
 			m.Info = p.pending[id].Info
 		}
@@ -92,14 +91,11 @@
 	if len(changed) > 0 {
 		g.wake()
 	}
-	if !full && now.Sub(p.flushed) < flushEvery {
+	if !again.due && now.Sub(p.flushed) < flushEvery {
 		return g.tellWaiting(now, changed)
 	}
-	if full {
-		p.repeated = now
-	}
 	p.flushed = now
-	return g.tellAll(now, full)
+	return g.tellAll(now, again.due && again.from == 0)
 }
 
 // describe says what a server is and holds. The caller holds mu.
@@ -167,8 +163,9 @@
 	return out
 }
 
-// tellAll tells all instances what changed, or with full everything.
-func (g *Gateway) tellAll(now clock.Time, full bool) []outgoing {
+// tellAll tells all instances what changed or is repeated, and with name
+// which servers there are.
+func (g *Gateway) tellAll(now clock.Time, name bool) []outgoing {
 	p := &g.publisher
 	var servers []serverMsg
 	for _, id := range sortedNames(p.pending) {
@@ -188,7 +185,7 @@
 		return nil
 	}
 	var all []string
-	if full && g.readUnder == g.lease.Fencing() && !g.blind(now) {
+	if name && g.readUnder == g.lease.Fencing() && !g.blind(now) {
 		all = g.dir.IDs()
 	}
 	for _, m := range g.stateMessages(servers, gone, all) {
--- a/oleander/gateway/state_test.go
+++ b/oleander/gateway/state_test.go
@@ -59,7 +59,7 @@
 	now := boottime.Now()
 	g.dir.Put(now, directory.Entry{ID: "s", Group: "plain", Born: 1, Slots: 4})
 	g.members.Heard(now, members.Member{Name: "b", Address: "127.0.0.1:9", Zone: "z"})
-	g.publisher.repeated, g.publisher.flushed = now, now
+	g.publisher.repeats.at, g.publisher.flushed = now, now
 	g.drop(now, "s")
 	told := 0
 	for at := now; at.Sub(now) < leftAgain; at = at.Add(flushEvery) {
