--- a/core/gateway/lapse/lapse.go
+++ b/core/gateway/lapse/lapse.go
@@ -67,12 +67,18 @@
 	if !t.away(now) && (t.returned == 0 || now.Sub(t.returned) >= Grace) {
 		return true
 	}
-	if _, ok := t.missing[id]; !ok {
+	if !t.Awaits(id) {
 		t.missing[id] = now
 	}
 	return false
 }
 
+// Awaits reports whether an entry is missing and may come back.
+func (t *Tracker) Awaits(id string) bool {
+	_, ok := t.missing[id]
+	return ok
+}
+
 // Forget drops what is known of an entry: it is there again, or its server has left.
 func (t *Tracker) Forget(id string) { delete(t.missing, id) }
 
--- a/core/gateway/quota/owners.go
+++ b/core/gateway/quota/owners.go
@@ -15,8 +15,8 @@
 	// silenceSlack beyond two and a half heartbeats is when an instance counts
 	// as silent: one of them may be lost, and a machine with a fifth of a core
 	// sends them up to 0.3 s late.
-	silenceSlack   = 300 * time.Millisecond
-	silenceIn2Beat = 5 // in halves of a heartbeat's interval
+	silenceSlack = 300 * time.Millisecond
+	silenceBeats = 2.5 // intervals between heartbeats
 	// zoneSilence beyond the mean time between the messages of a zone is when
 	// the zone counts as cut off. A whole zone is noticed sooner than a single
 	// instance: until then both sides grant the whole rate.
@@ -218,7 +218,7 @@
 		return &m.view
 	}
 	all := m.counted(now)
-	silence := m.set.Interval(m.members.Count())*silenceIn2Beat/2 + silenceSlack
+	silence := time.Duration(silenceBeats*float64(m.set.Interval(m.members.Count()))) + silenceSlack
 	zones := m.zonesHeard(now, all)
 	v := view{at: now, live: make(map[string]bool)}
 	strongest := 0
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -284,8 +284,15 @@
 // the store is. The caller holds mu.
 func (g *Gateway) missing(now clock.Time, id string) {
 	s := g.dir.Get(id)
-	if s != nil && (s.Draining || g.lapse.Missing(now, id)) {
+	if s == nil {
+		return
+	}
+	awaited := g.lapse.Awaits(id)
+	switch {
+	case s.Draining || g.lapse.Missing(now, id):
 		g.drop(now, id)
+	case !awaited:
+		g.log.Warn().Str("server", id).Msg("servers: entry missing after an outage of the store, may be back")
 	}
 }
 
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -327,6 +328,9 @@
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped at once although the store was away")
 	}
+	if !strings.Contains(f.log.String(), "servers: entry missing after an outage of the store, may be back") {
+		t.Error("no line says that the server is kept")
+	}
 	g.putServer(now, directory.Entry{ID: "a", Group: "plain", Born: 1})
 	g.dropLapsed(now.Add(2 * lapse.Grace))
 	if g.dir.Get("a") == nil {
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -90,6 +90,7 @@
 	now := boottime.Now()
 	holds, waits, members := g.lease.Holds(now), len(g.waits), g.members.Count()
 	left, promised := g.budget.Left(now, members), len(g.promises)
+	quotas := g.quota.Status()
 	g.mu.Unlock()
 	metrics.WriteGaugeUint64(w, "oleanderd_config_version", i.configVersion.Load())
 	metrics.WriteGaugeUint64(w, "oleanderd_requests_active", uint64(g.active.Load()))
@@ -97,6 +98,8 @@
 	metrics.WriteGaugeUint64(w, "oleanderd_instances_known", uint64(members))
 	metrics.WriteGaugeUint64(w, "oleanderd_models_promised", uint64(promised))
 	metrics.WriteGaugeFloat64(w, "oleanderd_repeats_left", left)
+	metrics.WriteGaugeUint64(w, "oleanderd_quota_accounts_owned", uint64(quotas.Owned))
+	metrics.WriteGaugeUint64(w, "oleanderd_quota_requests_waiting", uint64(quotas.Waiting))
 	if heard := g.configHeard.Load(); heard != 0 {
 		metrics.WriteGaugeFloat64(w, "oleanderd_config_age_seconds", now.Sub(clock.Time(heard)).Seconds())
 	}
--- a/oleander/process/report/line.go
+++ b/oleander/process/report/line.go
@@ -35,7 +35,6 @@
 	WaitMod   int64     `json:"model_wait_ms"`
 	WaitRoom  int64     `json:"room_wait_ms"`
 	Attempts  []int64   `json:"attempts_ms"`
-	Omitted   int       `json:"omitted"`
 }
 
 // The messages that the report reads.
