--- a/core/gateway/lapse/lapse_test.go
+++ b/core/gateway/lapse/lapse_test.go
@@ -19,17 +19,17 @@
 // The store is away for all for four seconds, and entries lapse. Their servers stay
 // until the entries had time to come back; one that stays away is gone then.
 func TestEntriesLapseWhileTheStoreIsAway(t *testing.T) {
-	for _, timeout := range []time.Duration{time.Millisecond, timeout} {
+	for _, failsAfter := range []time.Duration{time.Millisecond, timeout} {
 		tr := New()
 		tr.Answered(start)
 		now := start
 		for now.Sub(start) < 4*time.Second {
 			tr.Failed(now.Add(10 * time.Millisecond))
-			now = now.Add(timeout + 250*time.Millisecond)
+			now = now.Add(failsAfter + 250*time.Millisecond)
 		}
 		tr.Answered(now)
 		if tr.Missing(now, "back") || tr.Missing(now, "gone") {
-			t.Fatalf("taken for gone right after an outage; calls fail after %v", timeout)
+			t.Fatalf("taken for gone right after an outage; calls fail after %v", failsAfter)
 		}
 		tr.Forget("back")
 		if got := tr.Overdue(now.Add(Grace)); len(got) > 0 {
