--- a/oleander/gateway/dispatch_test.go
+++ b/oleander/gateway/dispatch_test.go
@@ -77,10 +77,7 @@
 // The dispatcher has not heard yet that a server leaves, and names it. The instance
 // has read so itself, and does not send there.
 func TestServerThatLeavesIsNotTaken(t *testing.T) {
-	f := newFixture(t, config(1))
-	f.backend("a", "plain", ok)
-	f.start()
-	g := f.gateways[0]
+	_, g := single(t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -244,6 +244,14 @@
 	return "http://" + s.Front
 }
 
+// single returns a running gateway before one plain server, a.
+func single(t *testing.T) (*fixture, *Gateway) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	return f, f.gateways[0]
+}
+
 // startHolder starts the first gateway and waits until it holds the lease: one
 // that starts later might take it first on a busy machine.
 func (f *fixture) startHolder() {
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -314,10 +314,7 @@
 // Entries are missing just after the store was away: their servers stay until
 // they had time to come back. In quiet times a missing entry is a server gone.
 func TestMissingEntries(t *testing.T) {
-	f := newFixture(t, config(1))
-	f.backend("a", "plain", ok)
-	f.start()
-	g := f.gateways[0]
+	f, g := single(t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	down := boottime.Now().Add(time.Hour)
@@ -346,10 +343,7 @@
 // The store was away, and is back. An entry that goes within two seconds of its return
 // may come back; the server of one that goes later has left, and gets no request more.
 func TestEntryRemovedAfterTheStoreIsBack(t *testing.T) {
-	f := newFixture(t, config(1))
-	f.backend("a", "plain", ok)
-	f.start()
-	g := f.gateways[0]
+	_, g := single(t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	down := boottime.Now().Add(time.Hour)
@@ -370,10 +364,7 @@
 // two and a half seconds later is a removed entry taken for one that lapsed.
 func TestEntryRemovedAfterOneLostCall(t *testing.T) {
 	for _, later := range []time.Duration{0, 2500 * time.Millisecond} {
-		f := newFixture(t, config(1))
-		f.backend("a", "plain", ok)
-		f.start()
-		g := f.gateways[0]
+		_, g := single(t)
 		g.mu.Lock()
 		down := boottime.Now().Add(time.Hour)
 		back := down.Add(300 * time.Millisecond)
--- a/oleander/gateway/told_test.go
+++ b/oleander/gateway/told_test.go
@@ -45,10 +45,7 @@
 // store. The next holder names all servers, and the instance drops the one that is
 // not among them; it does not drop one that it has just read itself.
 func TestServerThatTheHolderDoesNotName(t *testing.T) {
-	f := newFixture(t, config(1))
-	f.backend("a", "plain", ok)
-	f.start()
-	g := f.gateways[0]
+	f, g := single(t)
 	f.store.Fail(0, portstest.Silent)
 	g.mu.Lock()
 	now := boottime.Now()
@@ -96,10 +93,7 @@
 // The holder did not reach the store when it died. Its last word must not keep the
 // others from reading the servers themselves: one may have left meanwhile.
 func TestBlindHolderThatDied(t *testing.T) {
-	f := newFixture(t, config(1))
-	f.backend("a", "plain", ok)
-	f.start()
-	g := f.gateways[0]
+	_, g := single(t)
 	g.mu.Lock()
 	now := boottime.Now()
 	g.watching.Store(false)
