--- a/core/gateway/lapse/lapse.go
+++ b/core/gateway/lapse/lapse.go
@@ -31,7 +31,7 @@
 // that are missing. It is not safe for concurrent use.
 type Tracker struct {
 	answered clock.Time // the store last answered an instance
-	since    clock.Time // begin of the time without an answer; 0: the store answers
+	since    clock.Time // start of the time without an answer; 0: the store answers
 	returned clock.Time // end of the last outage; 0: there was none
 	missing  map[string]clock.Time
 }
--- a/oleander/connection/rawhttp/rawhttp_test.go
+++ b/oleander/connection/rawhttp/rawhttp_test.go
@@ -200,10 +200,7 @@
 }
 
 func TestNotSent(t *testing.T) {
-	l := testutil.Listen(t)
-	address := l.Addr().String()
-	_ = l.Close()
-	if _, err := do(NewPool(time.Second, nil), address, http.MethodPost); !errors.Is(err, ErrNotSent) {
+	if _, err := do(NewPool(time.Second, nil), testutil.ClosedAddress(t), http.MethodPost); !errors.Is(err, ErrNotSent) {
 		t.Errorf("error %v, want one that says that nothing was sent", err)
 	}
 }
--- a/oleander/connection/upstream/upstream_test.go
+++ b/oleander/connection/upstream/upstream_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +10,7 @@
 	"testing"
 
 	"oleanderdale.org/core/event"
+	"oleanderdale.org/oleander/internal/testutil"
 )
 
 func post(t *testing.T, url string) *http.Request {
@@ -68,12 +68,7 @@
 // TestFailuresAreTold: what a failure means for a repeat depends on how far the
 // call came; each kind must be told apart.
 func TestFailuresAreTold(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed := "http://" + l.Addr().String()
-	_ = l.Close()
+	closed := "http://" + testutil.ClosedAddress(t)
 	refuse := func(leaving bool) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) {
 			if leaving {
--- a/oleander/gateway/repeat.go
+++ b/oleander/gateway/repeat.go
@@ -25,7 +25,7 @@
 // repetition are the servers that are told again now, by their places.
 type repetition struct {
 	due      bool
-	from, to int // without to
+	from, to int // to is not among them
 }
 
 func (r repetition) has(i int) bool { return r.due && r.from <= i && i < r.to }
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -163,9 +163,9 @@
 	return out
 }
 
-// tellAll tells all instances what changed or is repeated, and with name
-// which servers there are.
-func (g *Gateway) tellAll(now clock.Time, name bool) []outgoing {
+// tellAll tells all instances what changed or is repeated, and with nameAll also
+// which servers there are: those that it doesn't name have left.
+func (g *Gateway) tellAll(now clock.Time, nameAll bool) []outgoing {
 	p := &g.publisher
 	var servers []serverMsg
 	for _, id := range sortedNames(p.pending) {
@@ -185,7 +185,7 @@
 		return nil
 	}
 	var all []string
-	if name && g.readUnder == g.lease.Fencing() && !g.blind(now) {
+	if nameAll && g.readUnder == g.lease.Fencing() && !g.blind(now) {
 		all = g.dir.IDs()
 	}
 	for _, m := range g.stateMessages(servers, gone, all) {
--- a/oleander/internal/testutil/testutil.go
+++ b/oleander/internal/testutil/testutil.go
@@ -76,7 +76,5 @@
 // ClosedAddress returns an address on loopback at which nothing listens.
 func ClosedAddress(t testing.TB) string {
 	t.Helper()
-	l := Listen(t)
-	defer l.Close()
-	return l.Addr().String()
+	return FreeAddresses(t, 1)[0]
 }
