--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/warmup"
 )
 
 // Holding is a model that is resident on a backend server.
@@ -30,9 +32,11 @@
 	// Remaining is how long a server that is reclaimed still has; 0 if it
 	// does not say.
 	Remaining time.Duration
-	Holdings  []Holding
-	InMemory  []string // models of which a copy lies in the server's memory
-	OnDisk    []string
+	// Cold is how long a server that started of late still bears little; 0: it is warm.
+	Cold     time.Duration
+	Holdings []Holding
+	InMemory []string // models of which a copy lies in the server's memory
+	OnDisk   []string
 }
 
 // Holds returns what the entry says of a model.
@@ -82,8 +86,24 @@
 	unreachable clock.Time
 	lastUsed    clock.Time
 	putAt       clock.Time // its entry was last taken
+	zoneState   evacuation.State
+	coldUntil   clock.Time
+	pace        warmup.Pace
 }
 
+// Cold reports whether the server bears little now.
+func (s *Server) Cold(now clock.Time) bool { return now.Before(s.coldUntil) }
+
+// ColdFor is how long the server still bears little.
+func (s *Server) ColdFor(now clock.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
+
+// Closed reports whether nothing at all may be sent to the server, since its zone is
+// evacuated.
+func (s *Server) Closed() bool { return s.zoneState == evacuation.Closed }
+
+// Stays reports whether the server goes on serving, so that a model is of use there.
+func (s *Server) Stays() bool { return !s.Draining && s.zoneState == evacuation.Open }
+
 // recentFor is how long after its entry was read a server counts as recent.
 const recentFor = 2 * time.Second
 
@@ -124,11 +144,17 @@
 	groups  map[string][]*Server // sorted by id; nil after a change
 	// loadedBy are the servers on which each other instance has requests.
 	loadedBy map[string][]string
+	zones    map[string]evacuation.State
+	limits   map[string]warmup.Limit // by group
+	share    warmup.Share
 }
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*Server), loadedBy: make(map[string][]string)}
+	return &Directory{
+		servers: make(map[string]*Server), loadedBy: make(map[string][]string),
+		zones: make(map[string]evacuation.State), limits: make(map[string]warmup.Limit),
+	}
 }
 
 // Get returns a server, or nil.
@@ -151,10 +177,14 @@
 	s := d.servers[e.ID]
 	d.groups = nil
 	if s == nil || s.Born != e.Born {
-		d.servers[e.ID] = &Server{Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad), putAt: now}
+		d.servers[e.ID] = &Server{
+			Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad), putAt: now,
+			zoneState: d.zones[e.Zone], coldUntil: now.Add(e.Cold),
+		}
 		return
 	}
-	s.claimed, s.putAt = e, now
+	s.claimed, s.putAt, s.zoneState = e, now, d.zones[e.Zone]
+	s.coldUntil = max(s.coldUntil, now.Add(e.Cold))
 	// An entry lags; the owner of the orders knows sooner what it changed.
 	if s.told != 0 && now.Sub(s.told) < toldFor {
 		e.Holdings = s.Holdings
@@ -208,6 +238,7 @@
 		s.own[model]++
 		s.running++
 		s.lastUsed = now
+		d.paced(now, s)
 	}
 }
 
@@ -316,6 +347,7 @@
 	s.peers[peer] = p
 	s.running++
 	s.lastUsed = now
+	d.paced(now, s)
 }
 
 // Refresh keeps what an instance told counting: it is heard, and nothing changed.
@@ -374,7 +406,7 @@
 
 // Usable reports whether new requests may go to the server at all.
 func (s *Server) Usable(now clock.Time) bool {
-	return !s.Draining && !now.Before(s.unreachable)
+	return !s.Draining && !s.Closed() && !now.Before(s.unreachable)
 }
 
 // IDs returns the ids of all servers.
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -91,6 +92,7 @@
 type Choice struct {
 	Server     *Server // nil: none can run the request
 	Full       bool    // there are some, but none with room
+	Paced      bool    // of those that are full, one has room and bears no more just now
 	Candidates int
 	By         Reason
 	Load       float64 // of the chosen one, in requests
@@ -103,15 +105,31 @@
 	if len(candidates) == 0 {
 		return Choice{}
 	}
+	able := d.able(now, candidates, n)
 	if n.Affinity != 0 {
-		if s := pickAffine(candidates, n); s != nil {
+		if s := pickAffine(able, candidates, n); s != nil {
 			return choiceOf(s, ByPrompt, candidates, n)
 		}
 	}
-	if s := pickLeast(candidates, n); !s.full(n) {
+	if s := pickLeast(able, n); s != nil {
 		return choiceOf(s, ByLoad, candidates, n)
 	}
-	return Choice{Full: true, Candidates: len(candidates)}
+	return Choice{Full: true, Paced: anyRoom(candidates, n), Candidates: len(candidates)}
+}
+
+func anyRoom(candidates []*Server, n Need) bool {
+	return slices.ContainsFunc(candidates, func(s *Server) bool { return !s.full(n) })
+}
+
+// able returns the candidates that have room for a request and bear it now.
+func (d *Directory) able(now clock.Time, candidates []*Server, n Need) []*Server {
+	var able []*Server
+	for _, s := range candidates {
+		if !s.full(n) && d.mayStart(now, s) {
+			able = append(able, s)
+		}
+	}
+	return able
 }
 
 func choiceOf(chosen *Server, by Reason, candidates []*Server, n Need) Choice {
@@ -144,9 +162,9 @@
 	return s.Slots > 0 && float64(s.Running()) >= most
 }
 
-// pickAffine returns the first server in the order of the affinity's hash
-// whose load is near the mean.
-func pickAffine(candidates []*Server, n Need) *Server {
+// pickAffine returns the first able server in the order of the affinity's hash
+// whose load is near the mean of all.
+func pickAffine(able, candidates []*Server, n Need) *Server {
 	total := 0
 	for _, s := range candidates {
 		total += s.Running()
@@ -154,8 +172,8 @@
 	bound := loadSpread*float64(total)/float64(len(candidates)) + loadSlack
 	var best *Server
 	var most uint64
-	for _, s := range candidates {
-		if float64(s.Running()) > bound || s.full(n) {
+	for _, s := range able {
+		if float64(s.Running()) > bound {
 			continue
 		}
 		if w := weight(n.Affinity, s.ID); best == nil || w > most {
@@ -165,11 +183,11 @@
 	return best
 }
 
-// pickLeast returns the server with the least load, the own zone's first.
-func pickLeast(candidates []*Server, n Need) *Server {
+// pickLeast returns the server with the least load, the own zone's first, or nil.
+func pickLeast(servers []*Server, n Need) *Server {
 	var best *Server
 	var least float64
-	for _, s := range candidates {
+	for _, s := range servers {
 		load := s.load(n)
 		if best == nil || load < least || load == least && s.lastUsed < best.lastUsed {
 			best, least = s, load
--- a/core/gateway/lapse/lapse.go
+++ b/core/gateway/lapse/lapse.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// Restored records that the store came back from an older copy. Entries that were written
+// since are gone from it, and are written again as after an outage.
+func (t *Tracker) Restored(now clock.Time) {
+	t.answered, t.since, t.returned = now, 0, now
+}
+
 // away reports whether the store has answered nobody for long enough that entries may
 // have lapsed.
 func (t *Tracker) away(now clock.Time) bool {
--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/revision"
 )
 
 // rankDelay is the time by which candidates of one rank are ahead of the next:
@@ -74,7 +75,16 @@
 type Step struct {
 	Action Action
 	Record Record
-	Expect int64 // version of the row; 0: it must not exist
+	// Expect is the store's era, and the version of the row; 0: it must not exist.
+	Expect revision.Revision
+}
+
+// Row is the row as it was read.
+type Row struct {
+	Record
+	At revision.Revision // its version, 0 if there is none in the store's era
+	// Earlier says that rows of earlier eras are there.
+	Earlier bool
 }
 
 // Result says what became of a write.
@@ -100,6 +110,7 @@
 	version   int64
 	firstSeen clock.Time // of version
 	seen      bool
+	era       eras
 
 	heldUntil  clock.Time // own right by the row
 	ordersFrom clock.Time // no order before
@@ -182,7 +193,8 @@
 // passed. After a holder's death orders begin 0.9 s sooner (4.3 s instead of
 // 5.2 s), and 4 s sooner if the holder died while the store was away.
 func (l *Lease) HeardHolder(now clock.Time, c Claim) {
-	if c.Fencing < l.row.Fencing || c.Fencing < l.told.fencing {
+	l.EraIs(now, eraOf(c.Fencing))
+	if c.Fencing < l.row.Fencing || c.Fencing < l.told.fencing || eraOf(c.Fencing) < l.era.now {
 		return
 	}
 	if l.holding && c.Fencing > l.row.Fencing {
@@ -212,27 +224,38 @@
 		return Step{}
 	case !l.seen:
 		return l.begin(now, Step{Action: Read})
+	case l.holding && l.era.carried && !l.Holds(now):
+		l.lose()
+		return Step{}
 	case l.holding:
 		r := l.row
+		r.Fencing = max(r.Fencing, firstFencing(l.era.now))
 		r.Settled, r.Voters = now.Reached(l.ordersFrom), VotersOf(l.votes.names)
-		return l.begin(now, Step{Action: Write, Expect: l.version, Record: r})
-	case l.version == 0 || l.ours() || now.Sub(l.rightEnds()) > l.set.Margin+time.Duration(rank)*rankDelay:
+		return l.begin(now, Step{Action: Write, Expect: l.at(), Record: r})
+	case l.unclaimed() || l.ours() || now.Sub(l.rightEnds()) > l.set.Margin+time.Duration(rank)*rankDelay:
 		l.keepQuiet()
 		l.taking = l.version
-		return l.begin(now, Step{Action: Write, Expect: l.version, Record: Record{
-			Holder: l.set.Self, Incarnation: l.incarnation, Fencing: l.row.Fencing + 1,
+		return l.begin(now, Step{Action: Write, Expect: l.at(), Record: Record{
+			Holder: l.set.Self, Incarnation: l.incarnation, Fencing: max(l.row.Fencing+1, firstFencing(l.era.now)),
 			Voters: VotersOf(l.votes.names), // not settled: whether it is carried out, and when, is not known
 		}})
 	}
 	return Step{}
 }
 
+// at returns the revision that the next write expects.
+func (l *Lease) at() revision.Revision { return revision.Revision{Era: l.era.now, Version: l.version} }
+
+// unclaimed reports whether nobody has held the right: there is no row, nor was there one
+// before the store came back from an older copy.
+func (l *Lease) unclaimed() bool { return l.version == 0 && !l.era.earlier }
+
 // keepQuiet sets when orders may begin, before a write that may take the right
 // over. It is set here and not when the write is known to be done: a write
 // without an answer is found done when the row is read again, and by then the
 // row no longer says who held the right before.
 func (l *Lease) keepQuiet() {
-	if l.version == 0 || l.own() || l.ours() && l.row.Settled {
+	if l.unclaimed() || l.own() || l.ours() && l.row.Settled {
 		return // no other machine ordered since
 	}
 	l.ordersFrom = l.rightEnds().Add(l.set.Quiet)
@@ -243,6 +266,9 @@
 func (l *Lease) rightEnds() clock.Time {
 	byRow := l.firstSeen.Add(l.set.Term)
 	switch {
+	case l.version == 0:
+		// Who held the right in an earlier era, and by whose word, is not known any more.
+		return byRow.Add(l.set.Beyond)
 	case l.ours() || l.row.Voters == "":
 		return byRow
 	case l.row.Voters.Has(l.set.Self):
@@ -272,20 +298,25 @@
 func (l *Lease) begin(now clock.Time, s Step) Step {
 	l.busy, l.sentAt = true, now
 	if s.Action == Write {
-		l.votes.writing(s.Expect, s.Record.Voters)
+		l.votes.writing(s.Expect.Version, s.Record.Voters)
 	}
 	return s
 }
 
-// Seen takes the row as read; version 0 says that there is none. ok is false
-// if it could not be read.
-func (l *Lease) Seen(now clock.Time, r Record, version int64, ok bool) {
+// Seen takes the row as read. ok is false if it could not be read.
+func (l *Lease) Seen(now clock.Time, r Row, ok bool) {
 	l.busy, l.next = false, now.Add(l.set.RenewEvery)
-	if !ok {
+	l.EraIs(now, r.At.Era)
+	if !ok || r.At.Era < l.era.now {
 		return
 	}
+	version := r.At.Version
+	l.era.earlier = l.era.earlier || r.Earlier
 	if version != l.version || l.firstSeen == 0 {
-		l.firstSeen, l.version, l.row = now, version, r
+		l.firstSeen, l.version = now, version
+		if version != 0 || !l.holding {
+			l.row = r.Record // one that carries its right over keeps its own
+		}
 	}
 	if version == l.told.version && version != 0 {
 		l.firstSeen = min(l.firstSeen, l.told.seen)
@@ -297,26 +328,34 @@
 	switch {
 	case l.holding && l.own():
 		l.votes.settled(version, r.Voters)
-	case l.holding:
+	case l.holding && (version != 0 || !l.era.carried):
 		l.lose() // while this instance was frozen or cut off
 	}
 	switch {
-	case l.ours() || version == 0:
+	case l.ours() || l.unclaimed() || l.holding:
 		l.next = now
 	default:
 		l.next = l.rightEnds().Add(l.set.Margin)
 	}
 }
 
-// Written takes the result of a write; version is the row's new version.
-func (l *Lease) Written(now clock.Time, s Step, res Result, version int64) {
+// Written takes the result of a write; at is the row's new revision.
+func (l *Lease) Written(now clock.Time, s Step, res Result, at revision.Revision) {
 	l.busy, l.next = false, now.Add(l.set.RenewEvery)
-	if l.resting && !l.holding {
+	version := at.Version
+	switch {
+	case l.resting && !l.holding:
+		return
+	case s.Expect.Era < l.era.now:
+		l.seen, l.next = false, now // it went to a row that nobody reads any more
 		return
 	}
 	switch res {
 	case Done:
-		l.holding, l.taking = true, 0
+		if l.era.carried {
+			l.votes.reset()
+		}
+		l.holding, l.taking, l.era.carried = true, 0, false
 		l.votes.settled(version, s.Record.Voters)
 		l.row, l.version, l.seen, l.firstSeen = s.Record, version, true, now
 		l.heldUntil = l.sentAt.Add(l.set.Term)
@@ -331,7 +370,7 @@
 }
 
 func (l *Lease) lose() {
-	l.holding = false
+	l.holding, l.era.carried = false, false
 	l.heldUntil = 0
 	l.votes.reset()
 }
--- a/core/gateway/leader/leader_test.go
+++ b/core/gateway/leader/leader_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/revision"
 )
 
 const (
@@ -27,9 +28,50 @@
 
 // table is the row of the lease with its faults.
 type table struct {
-	record  Record
-	version int64
+	rows    map[int64]Row // by era
+	version int64         // of the store
+	era     int64
 	late    []lateWrite
+	copied  []Row // of the eras so far, as of a moment ago
+	copyAt  int64
+	shared  bool // the safeguard is out: all eras have one row
+}
+
+func (t *table) key(era int64) int64 {
+	if t.shared {
+		return 0
+	}
+	return era
+}
+
+func (t *table) read() Row {
+	r := t.rows[t.key(t.era)]
+	r.At.Era = t.era
+	r.Earlier = !t.shared && t.era > 0 && (len(t.rows) > 1 || r.At.Version == 0 && len(t.rows) > 0)
+	return r
+}
+
+// keep copies the rows as they are.
+func (t *table) keep() {
+	t.copied, t.copyAt = nil, t.version
+	for era := range t.era + 1 {
+		t.copied = append(t.copied, t.rows[era])
+	}
+}
+
+// restore brings the copy back.
+func (t *table) restore() {
+	if t.copyAt == 0 {
+		return
+	}
+	t.rows = make(map[int64]Row)
+	for era, r := range t.copied {
+		if r.At.Version != 0 {
+			t.rows[int64(era)] = r
+		}
+	}
+	t.version, t.era = t.copyAt, t.era+1
+	t.keep()
 }
 
 type lateWrite struct {
@@ -37,13 +79,21 @@
 	step Step
 }
 
-func (t *table) write(s Step) (Result, int64) {
-	if s.Expect != t.version {
-		return Conflict, 0
+func (t *table) write(s Step) (Result, revision.Revision) {
+	era := t.key(s.Expect.Era)
+	if s.Expect.Version != t.rows[era].At.Version {
+		return Conflict, revision.Revision{}
 	}
 	t.version++
-	t.record = s.Record
-	return Done, t.version
+	at := revision.Revision{Era: t.era, Version: t.version}
+	if t.rows == nil {
+		t.rows = make(map[int64]Row)
+	}
+	t.rows[era] = Row{Record: s.Record, At: at}
+	if !t.shared && s.Expect.Era != t.era {
+		return Conflict, revision.Revision{}
+	}
+	return Done, at
 }
 
 // node is one instance of a play.
@@ -77,6 +127,11 @@
 	orders    int
 	holders   map[string]bool
 	calm      bool // nothing is lost or carried out late, and messages arrive at once
+	eras      bool // the store comes back from older copies
+	fences    map[int64]string
+	fence     int64 // the highest that an order had
+	expected  bool  // breaches are, since a safeguard is out
+	breaches  int
 }
 
 func (p *play) local(n *node) clock.Time { return p.now + n.offset }
@@ -117,11 +172,11 @@
 	lease := n.lease
 	away := p.now < n.cut || p.now < p.down
 	if s.Action == Read {
-		r, v := p.table.record, p.table.version
-		n.flight = append(n.flight, answer{after, func(now clock.Time) { lease.Seen(now, r, v, !away) }})
+		r := p.table.read()
+		n.flight = append(n.flight, answer{after, func(now clock.Time) { lease.Seen(now, r, !away) }})
 		return
 	}
-	result, version := Unknown, int64(0)
+	result, version := Unknown, revision.Revision{}
 	switch {
 	case away && !p.calm && p.rng.IntN(2) == 0:
 		// carried out later, if its condition still holds
@@ -130,24 +185,40 @@
 	default:
 		result, version = p.table.write(s)
 		if !p.calm && p.rng.IntN(8) == 0 {
-			result, version = Unknown, 0 // done, and the answer lost
+			result, version = Unknown, revision.Revision{} // done, and the answer lost
 		}
 	}
 	n.flight = append(n.flight, answer{after, func(now clock.Time) { lease.Written(now, s, result, version) }})
 }
 
+// broke records that what must hold did not.
+func (p *play) broke(format string, args ...any) {
+	p.breaches++
+	if !p.expected {
+		p.t.Fatalf("at %v "+format, append([]any{time.Duration(p.now)}, args...)...)
+	}
+}
+
 // order checks that no other machine gave an order within the quiet time. A
 // process that was started again on its machine is the same holder to engines.
 func (p *play) order(n *node) {
 	id := n.name
 	for other, at := range p.lastOrder {
 		if other != id && p.now.Sub(at) < testQuiet {
-			p.t.Fatalf("at %v %s orders, %v after %s did", time.Duration(p.now), id, p.now.Sub(at), other)
+			p.broke("%s orders, %v after %s did", id, p.now.Sub(at), other)
 		}
 	}
 	p.lastOrder[id] = p.now
 	p.holders[id] = true
 	p.orders++
+	fence := n.lease.Fencing()
+	if by, ok := p.fences[fence]; ok && by != id {
+		p.broke("%s orders with number %d, as %s did", id, fence, by)
+	}
+	if fence < p.fence {
+		p.broke("%s orders with number %d after %d", id, fence, p.fence)
+	}
+	p.fences[fence], p.fence = id, fence
 }
 
 func (p *play) lateWrites() {
@@ -162,6 +233,16 @@
 	p.table.late = later
 }
 
+// drill brings the store back from a copy some seconds old, now and then.
+func (p *play) drill() {
+	switch p.rng.IntN(800) {
+	case 0:
+		p.table.keep()
+	case 1:
+		p.table.restore()
+	}
+}
+
 // restart starts a node that is stopping again, as the platform does.
 func (p *play) restart() {
 	for _, n := range p.nodes {
@@ -199,6 +280,9 @@
 		if every > 0 && p.rng.IntN(every) == 0 {
 			p.faults()
 		}
+		if p.eras {
+			p.drill()
+		}
 		for i, n := range p.nodes {
 			p.step(n, i)
 		}
@@ -224,11 +308,13 @@
 		from.told = from.lease.version
 		claim, holds := from.lease.Tell(p.local(from))
 		echo, echoes := from.lease.Echo()
+		era := from.lease.era.now
 		for _, to := range p.nodes {
 			if to == from || p.now < from.alone || p.now < to.alone || !p.calm && p.rng.IntN(8) == 0 {
 				continue
 			}
 			p.deliver(from, to, func(now clock.Time, lease *Lease) {
+				lease.EraIs(now, era)
 				if holds {
 					lease.HeardHolder(now, claim)
 				}
@@ -265,7 +351,7 @@
 func newPlay(t *testing.T, seed uint64, n int) *play {
 	p := &play{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Time(time.Hour),
-		lastOrder: make(map[string]clock.Time), holders: make(map[string]bool),
+		lastOrder: make(map[string]clock.Time), holders: make(map[string]bool), fences: make(map[int64]string),
 	}
 	for i := range n {
 		node := &node{name: fmt.Sprint("n", i), offset: clock.Time(p.rng.Int64N(int64(time.Hour)))}
@@ -288,6 +374,64 @@
 	}
 }
 
+// The store comes back from older copies again and again, beside all the other faults.
+// Still no two order within the quiet time, no fencing number is given out twice, and none
+// is lower than one before.
+func TestOneHolderWhileTheStoreGoesBack(t *testing.T) {
+	for seed := range uint64(60) {
+		p := newPlay(t, seed, 4)
+		p.eras = true
+		p.run(4*time.Minute, 250)
+		if p.orders == 0 || p.table.era < 3 {
+			t.Errorf("seed %d: %d orders in %d eras: the play shows nothing", seed, p.orders, p.table.era)
+		}
+	}
+}
+
+// With one row for all eras, two order within the quiet time, or with one number.
+func TestOneRowForAllEras(t *testing.T) {
+	breaches := 0
+	for seed := range uint64(20) {
+		p := newPlay(t, seed, 4)
+		p.eras, p.expected, p.table.shared = true, true, true
+		p.run(4*time.Minute, 250)
+		breaches += p.breaches
+	}
+	if breaches == 0 {
+		t.Error("the play does not notice that the safeguard is taken out")
+	}
+}
+
+// The store comes back from a copy in which the lease is older, with another holder. The
+// holder goes on at once, with a higher fencing number.
+func TestHolderGoesOnInANewEra(t *testing.T) {
+	p := newPlay(t, 2, 3)
+	p.calm = true
+	p.run(5*time.Second, 0)
+	p.table.keep()
+	p.nodes[0].frozen = p.now.Add(20 * time.Second)
+	p.run(10*time.Second, 0)
+	holder := p.nodes[1].lease
+	before := holder.Fencing()
+	if !holder.MayOrder(p.local(p.nodes[1])) {
+		t.Fatal("the play shows nothing: no second holder")
+	}
+	p.table.restore()
+	for range 30 {
+		p.run(100*time.Millisecond, 0)
+		if !holder.MayOrder(p.local(p.nodes[1])) {
+			t.Fatal("the holder gives no orders after the store's return")
+		}
+	}
+	if holder.Fencing() <= before {
+		t.Errorf("fencing number %d after %d", holder.Fencing(), before)
+	}
+	p.run(12*time.Second, 0) // the earlier holder wakes up
+	if p.nodes[0].lease.Holds(p.local(p.nodes[0])) {
+		t.Error("the holder that the copy names has the right again")
+	}
+}
+
 // The holder dies. Another instance gives orders after the silence, the term
 // and the quiet time, and not much later.
 func TestTakeoverTime(t *testing.T) {
@@ -375,7 +519,7 @@
 	p.run(4*time.Second, 0)
 	next := p.nodes[1]
 	if !next.lease.Holds(p.local(next)) || next.lease.MayOrder(p.local(next)) {
-		t.Fatalf("the play shows nothing: the next holder is not in its quiet time: %+v, orders in %v", p.table.record, next.lease.ordersFrom.Sub(p.local(next)))
+		t.Fatalf("the play shows nothing: the next holder is not in its quiet time: %+v, orders in %v", p.table.read().Record, next.lease.ordersFrom.Sub(p.local(next)))
 	}
 	restartAll()
 	p.run(time.Second, 0)
@@ -401,7 +545,7 @@
 		p.start(holder)
 		p.run(400*time.Millisecond, 0)
 		if !holder.lease.MayOrder(p.local(holder)) {
-			t.Errorf("seed %d: no orders 0.4 s after the start: row %+v", seed, p.table.record)
+			t.Errorf("seed %d: no orders 0.4 s after the start: row %+v", seed, p.table.read().Record)
 		}
 	}
 }
--- a/core/gateway/leader/voters_test.go
+++ b/core/gateway/leader/voters_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/revision"
 )
 
 // The store is away for all, for longer than the term. The holder goes on as
@@ -65,16 +66,16 @@
 	const now = clock.Time(time.Hour)
 	l := New(settings("h"), 1, now)
 	l.SetVoters([]string{"a"})
-	l.Seen(now, Record{}, 0, true)
+	l.Seen(now, Row{}, true)
 	step := l.Next(now, 0)
-	l.Written(now, step, Done, 7)
+	l.Written(now, step, Done, version(7))
 	l.SetVoters([]string{"a", "b"})
 	later := now.Add(testTerm / 2)
 	step = l.Next(later, 0)
 	if step.Action != Write {
 		t.Fatalf("step %+v, want a renewal", step)
 	}
-	l.Written(later, step, Unknown, 0)
+	l.Written(later, step, Unknown, version(0))
 	c, _ := l.Tell(later)
 	l.Echoed("a", Echo{Fencing: c.Fencing, Sequence: c.Sequence})
 	past := now.Add(testTerm + 100*time.Millisecond)
@@ -85,7 +86,7 @@
 	if !l.Holds(past) {
 		t.Error("does not hold with the word of all")
 	}
-	l.Seen(past, Record{Holder: "h", Incarnation: 1, Fencing: 1, Voters: VotersOf([]string{"a"})}, 7, true)
+	l.Seen(past, Row{Record: Record{Holder: "h", Incarnation: 1, Fencing: 1, Voters: VotersOf([]string{"a"})}, At: version(7)}, true)
 	l.votes.acked[voterOf("b")] = 0
 	if l.Holds(past) {
 		t.Error("holds without the word of b, and the write may still be carried out")
@@ -105,7 +106,7 @@
 	if l.Next(now, 0).Action != Read {
 		t.Fatal("the row is not read at the start")
 	}
-	l.Seen(now, row, 4, true)
+	l.Seen(now, Row{Record: row, At: version(4)}, true)
 	l.HeardHolder(now, Claim{Fencing: 3, Sequence: 1, Version: 5})
 	if _, ok := l.Echo(); !ok {
 		t.Fatal("no word to a holder that is heard")
@@ -117,13 +118,13 @@
 	if l.Next(at, 0).Action != Read {
 		t.Fatal("the row is not read")
 	}
-	l.Seen(at, row, 5, true)
+	l.Seen(at, Row{Record: row, At: version(5)}, true)
 	at = at.Add(testTerm)
 	step := l.Next(at, 0)
 	if step.Action != Write {
 		t.Fatalf("step %+v, want to take over", step)
 	}
-	l.Written(at, step, Unknown, 0)
+	l.Written(at, step, Unknown, version(0))
 	l.HeardHolder(at, Claim{Fencing: 3, Sequence: 2, Version: 5})
 	if _, ok := l.Echo(); ok {
 		t.Error("a word to the old holder, and the write may be carried out")
@@ -132,9 +133,11 @@
 	if l.Next(at, 0).Action != Read {
 		t.Fatal("the row is not read to find out")
 	}
-	l.Seen(at, row, 6, true)
+	l.Seen(at, Row{Record: row, At: version(6)}, true)
 	l.HeardHolder(at, Claim{Fencing: 3, Sequence: 3, Version: 6})
 	if _, ok := l.Echo(); !ok {
 		t.Error("no word to the holder, though the write can't be carried out")
 	}
 }
+
+func version(v int64) revision.Revision { return revision.Revision{Version: v} }
--- a/core/gateway/manifest/manifest.go
+++ b/core/gateway/manifest/manifest.go
@@ -77,6 +77,7 @@
 type Group struct {
 	Name           string
 	MaxConnections int     // that one backend server takes from all callers
+	ColdPerSecond  float64 // requests that a cold server bears; 0: it bears all
 	Engine         *Engine // nil for a plain service
 }
 
--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -112,5 +112,16 @@
 // Live reports whether an instance was heard of late.
 func (m *Member) Live(now clock.Time) bool { return m.Heard != 0 && now.Sub(m.Heard) <= heardWithin }
 
+// Live returns how many other instances were heard of late.
+func (s *Set) Live(now clock.Time) int {
+	n := 0
+	for _, m := range s.members {
+		if m.Live(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Count returns the number of instances, this one included.
 func (s *Set) Count() int { return len(s.members) + 1 }
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -15,7 +15,7 @@
 	born                     int64
 	engine                   *manifest.Engine
 	server                   *directory.Server
-	leaving                  bool
+	leaving                  bool // it serves no more, or not for long
 
 	known    bool // sequence and holdings can be relied on
 	sequence int64
@@ -91,7 +91,7 @@
 
 // sync takes the engine's entry.
 func (l *lane) sync(now clock.Time, s *directory.Server, entry *directory.Entry, e *manifest.Engine) {
-	l.server, l.engine, l.address, l.leaving = s, e, s.Address, s.Draining
+	l.server, l.engine, l.address, l.leaving = s, e, s.Address, !s.Stays()
 	l.inMemory, l.onDisk = s.InMemory, s.OnDisk
 	if l.loading != nil && now.Reached(l.loading.expected) {
 		if _, ok := entry.Holds(l.loading.model); ok {
@@ -183,7 +183,7 @@
 
 // askDue reports whether the engine must be asked what it holds.
 func (l *lane) askDue(now clock.Time) bool {
-	if now.Sub(l.askedAt) < askAgain && l.askedAt != 0 {
+	if now.Sub(l.askedAt) < askAgain && l.askedAt != 0 || l.server.Closed() {
 		return false
 	}
 	return l.mustAsk || !l.known || l.loading != nil && now.Reached(l.loading.expected.Add(loadSlack))
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -30,7 +30,7 @@
 func (p *Placer) repeat(now clock.Time) []Order {
 	var orders []Order
 	for _, l := range p.ordered {
-		if q := l.pending; q != nil && !q.flying && now.Sub(q.sentAt) >= orderRepeat {
+		if q := l.pending; q != nil && !q.flying && now.Sub(q.sentAt) >= orderRepeat && !l.server.Closed() {
 			q.sentAt, q.flying, q.again = now, true, true
 			orders = append(orders, q.order)
 		}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -30,7 +30,7 @@
 		Name: g.set.Name, Incarnation: g.incarnation, Address: g.set.Peer, Zone: g.set.Zone,
 		Leaving: g.stopping.Load(), Strength: g.set.Strength,
 		Running: g.dir.OwnTotals(), Broken: g.poison.Own(now, brokenFor),
-		StoreDown: g.storeAway(now), Blind: g.blind(now),
+		StoreDown: g.storeAway(now), Blind: g.blind(now), Era: g.era.now, Zones: g.zonesOf(now),
 	}
 	g.tellOwned(now, b)
 	if m := g.manifest.Load(); m != nil {
@@ -201,6 +201,8 @@
 	if b.Name == g.set.Name {
 		return
 	}
+	g.eraIs(now, b.Era)
+	g.takeZones(now, b.Zones)
 	if b.Leaving && b.Claim == nil && g.holder.name == b.Name {
 		g.lease.HolderLeft(now)
 	}
--- a/oleander/gateway/catchup.go
+++ b/oleander/gateway/catchup.go
@@ -22,6 +22,7 @@
 	Name    string
 	Zone    string
 	Version uint64
+	Zones   []zoneMsg // evacuations
 }
 
 // tellWord returns the word of a watcher to its zone, when it is due. The caller
@@ -31,10 +32,12 @@
 	if m == nil || !g.watching.Load() || len(g.zonePeers(now)) < configsync.SmallZone {
 		return nil
 	}
-	if !g.sync.WordDue(now, manifestWait+storeTimeout/2) {
+	if !g.sync.WordDue(now, operatorWait+storeTimeout/2) {
 		return nil
 	}
-	word := g.encode(packet{Word: &wordMsg{Name: g.set.Name, Zone: g.set.Zone, Version: m.Version}})
+	word := g.encode(packet{Word: &wordMsg{
+		Name: g.set.Name, Zone: g.set.Zone, Version: m.Version, Zones: g.zonesOf(now),
+	}})
 	return []outgoing{{message: word, to: g.ownZone(now)}}
 }
 
@@ -43,6 +46,7 @@
 	if w.Name == g.set.Name {
 		return
 	}
+	g.takeZones(now, w.Zones)
 	g.sync.Word(now, w.Name, w.Zone, w.Version)
 	g.catchUp()
 }
@@ -89,10 +93,14 @@
 // readManifest reads the manifest from the store, since no other instance gave it.
 func (g *Gateway) readManifest() {
 	began := boottime.Now()
-	raw, _, err := g.nextManifest(-1)
-	g.stored("manifest", began, err)
-	if err == nil && raw != nil {
-		g.adopt(raw, sourceStore)
+	o, at, err := g.nextOfOperator(unread)
+	g.stored("operator", began, err)
+	if err != nil {
+		return
+	}
+	g.takeEvacuations(o.Evacuations, at, true, true)
+	if o.Manifest != nil {
+		g.adopt(o.Manifest, sourceStore)
 	}
 }
 
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -63,7 +63,9 @@
 		paused := boottime.Now()
 		ref = x.wait(x.patience(began), l.changed, l.full)
 		x.timing.waited(boottime.Now().Sub(paused), l.full)
-		x.alone = x.alone && l.full // the model that it waited for may be known to be there now
+		// The model that it waited for may be known to be there now; and what a cold server
+		// bears is known to whoever chooses for all.
+		x.alone = x.alone && l.full && !l.paced
 		if ref != nil {
 			return target{}, ref
 		}
@@ -88,6 +90,7 @@
 type lookResult struct {
 	target  target // that was chosen here
 	full    bool   // some hold what it needs, and none has room
+	paced   bool   // some have room, and bear no more just now
 	changed <-chan struct{}
 	ask     *asked // the dispatcher chooses
 	number  uint64 // of the ask
@@ -139,7 +142,7 @@
 			return lookResult{}, nil, refusalOf(why, comeBackLoad)
 		}
 	}
-	return lookResult{full: c.Full, changed: g.changed}, nil, nil
+	return lookResult{full: c.Full, paced: c.Paced, changed: g.changed}, nil, nil
 }
 
 // hopeless returns why waiting can't help, or "" if a server of the group could
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -9,14 +9,15 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
 const (
-	// manifestWait is how long the store holds a call that waits for a new version,
-	// and so the time after which a call that nobody answers is missed.
-	manifestWait = 4 * time.Second
+	// operatorWait is how long the store holds a call that waits for what the operator
+	// writes, and so the time after which a call that nobody answers is missed.
+	operatorWait = 4 * time.Second
 	// watcherPause is the time between two looks whether this instance has to
 	// wait for changes at the store.
 	watcherPause = 200 * time.Millisecond
@@ -27,58 +28,65 @@
 	firstWithin = 3 * time.Second
 )
 
-// followManifest keeps the newest manifest in force.
-func (g *Gateway) followManifest() {
-	at := int64(-1)
+// followOperator keeps in force what the operator has written: the newest manifest, and
+// the evacuations of zones.
+func (g *Gateway) followOperator() {
+	at := unread
 	for g.ctx.Err() == nil {
 		watches := g.watchesStore()
 		g.watching.Store(watches)
 		if g.manifest.Load() != nil && !watches {
-			at = -1
+			at = unread
 			g.sleep(watcherPause)
 			continue
 		}
 		began := boottime.Now()
-		raw, next, err := g.nextManifest(at)
+		late := g.missesStore()
+		o, next, err := g.nextOfOperator(at)
 		if errors.Is(err, errWatchAgain) {
-			at = -1
+			at = unread
 			continue
 		}
-		g.stored("manifest", began, err)
+		g.stored("operator", began, err)
 		switch {
 		case errors.Is(err, ports.ErrHistory):
-			at = -1
+			at = unread
 			continue
 		case err != nil:
-			at = -1
+			at = unread
 			g.sleep(g.pauseOfRetry())
 			continue
-		case next < at:
-			at = -1 // an answer from the past
+		case next.Before(at):
+			at = unread // an answer from the past
 			continue
 		}
+		g.takeEvacuations(o.Evacuations, next, at == unread, late)
 		at = next
 		g.storeAnswered()
-		if raw != nil {
-			g.adopt(raw, sourceStore)
+		if o.Manifest != nil {
+			g.adopt(o.Manifest, sourceStore)
 		} else if g.manifest.Load() == nil {
 			g.awaitFirst()
 		}
 	}
 }
 
-func (g *Gateway) nextManifest(at int64) ([]byte, int64, error) {
-	if at < 0 {
+// unread is the revision of a store that was not read yet.
+var unread = revision.Revision{Version: -1}
+
+// nextOfOperator reads what the operator has written, or waits for what is new since at.
+func (g *Gateway) nextOfOperator(at revision.Revision) (ports.Operator, revision.Revision, error) {
+	if at == unread {
 		ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 		defer cancel()
-		return g.store.Manifest(ctx)
+		return g.store.Operator(ctx)
 	}
-	ctx, returns := g.watches.begin(g.ctx, "manifest", manifestWait+storeTimeout)
-	raw, next, err := g.store.WatchManifest(ctx, at, manifestWait)
-	if again := g.watches.end("manifest", returns); again && err != nil {
+	ctx, returns := g.watches.begin(g.ctx, "operator", operatorWait+storeTimeout)
+	o, next, err := g.store.WatchOperator(ctx, at, operatorWait)
+	if again := g.watches.end("operator", returns); again && err != nil {
 		err = errWatchAgain
 	}
-	return raw, next, err
+	return o, next, err
 }
 
 // awaitFirst waits for the first version, which the operator has not written yet.
@@ -128,6 +136,7 @@
 		g.poke()
 	}
 	g.quota.Configure(boottime.Now(), m.Accounts)
+	g.dir.SetWarmup(g.warmupLimits(m))
 	g.wake()
 	g.metrics.configVersion.Store(m.Version)
 	g.log.Info().Uint64("version", m.Version).Str("source", source).Msg("config: version in force")
--- a/oleander/gateway/dispatcher.go
+++ b/oleander/gateway/dispatcher.go
@@ -74,5 +74,5 @@
 	if to == nil {
 		return nil
 	}
-	return []outgoing{{message: g.encode(packet{Choice: g.choiceOf(r)}), to: []recipient{g.recipient(to)}}}
+	return []outgoing{{message: g.encode(packet{Choice: g.choiceOf(now, r)}), to: []recipient{g.recipient(to)}}}
 }
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -99,13 +99,13 @@
 }
 
 // choiceOf puts a reply of the dispatcher into its wire form.
-func (g *Gateway) choiceOf(r dispatch.Reply) *choiceMsg {
+func (g *Gateway) choiceOf(now clock.Time, r dispatch.Reply) *choiceMsg {
 	c := &choiceMsg{
 		From: g.set.Name, Incarnation: r.Incarnation, Number: r.Number, Verdict: r.Verdict,
 		Candidates: r.Choice.Candidates, By: r.Choice.By, Load: r.Choice.Load, Next: r.Choice.Next,
 	}
 	if s := r.Choice.Server; s != nil {
-		c.Server = &serverMsg{Server: s.ID, Born: s.Born, Info: infoOf(s)}
+		c.Server = &serverMsg{Server: s.ID, Born: s.Born, Info: infoOf(now, s)}
 	}
 	return c
 }
--- /dev/null
+++ b/oleander/gateway/evacuate_test.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/gateway/portstest"
+	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// zoneState is what an instance believes of a zone.
+func (g *Gateway) zoneState(zone string) evacuation.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.State(boottime.Now(), zone)
+}
+
+// moveServer puts the entry of a backend into another zone.
+func (f *fixture) moveServer(id, zone string) {
+	e := f.store.Server(id)
+	e.Zone = zone
+	f.store.PutServer(e)
+}
+
+// A zone is evacuated while one instance does not reach the store: requests went there
+// from that instance for as long as its outage lasted. It hears of the evacuation, and of
+// its end, from the others.
+func TestEvacuationIsHeardWithoutTheStore(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	away := f.backend("b", "plain", ok)
+	f.moveServer("b", "y")
+	f.startHolder()
+	url := f.start()
+	f.store.Fail(1, portstest.Silent)
+	f.store.Evacuate("y", true)
+	g := f.gateways[1]
+	testutil.WaitFor(t, func() bool { return g.zoneState("y") == evacuation.Closed })
+	before := away.requests()
+	for range 20 {
+		if a := f.ask(http.MethodGet, url+"/read/x"); a.status != http.StatusOK {
+			t.Fatalf("status %d with a server in another zone", a.status)
+		}
+	}
+	if n := away.requests() - before; n > 0 {
+		t.Errorf("%d requests to the evacuated zone", n)
+	}
+	f.store.Evacuate("y", false)
+	testutil.WaitFor(t, func() bool { return g.zoneState("y") == evacuation.Open })
+}
+
+// All zones are evacuated. A request is refused at once, not held until its end.
+func TestAllZonesEvacuated(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	url := f.start()
+	f.store.Evacuate("z", true)
+	testutil.WaitFor(t, func() bool { return f.gateways[0].zoneState("z") == evacuation.Closed })
+	began := time.Now()
+	a := f.ask(http.MethodGet, url+"/read/x")
+	if took := time.Since(began); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || took > time.Second {
+		t.Errorf("status %d, Retry-After %q after %v", a.status, a.header.Get("Retry-After"), took)
+	}
+}
+
+// No order goes to a server of an evacuated zone, and it is not asked what it holds.
+func TestNoOrdersToAnEvacuatedZone(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.backend("e", "llm", ok, "warm")
+	f.startHolder()
+	g := f.gateways[0]
+	f.store.Evacuate("z", true)
+	testutil.WaitFor(t, func() bool { return g.zoneState("z") == evacuation.Closed })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.waits[placer.Key{Group: "llm", Model: "cold"}] = placer.Want{Requests: 1, Since: now}
+	orders, asks := g.plan(now.Add(time.Minute))
+	if len(orders)+len(asks) > 0 {
+		t.Errorf("orders %v, questions %v", orders, asks)
+	}
+}
+
+// The servers of a zone may have been started again while it was evacuated, and their
+// entries say so late: they count as cold when it is over.
+func TestReopenedZoneCountsAsCold(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	g := f.gateways[0]
+	f.store.Evacuate("z", true)
+	testutil.WaitFor(t, func() bool { return g.zoneState("z") == evacuation.Closed })
+	f.store.Evacuate("z", false)
+	testutil.WaitFor(t, func() bool { return g.zoneState("z") == evacuation.Open })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.dir.Get("a").Cold(boottime.Now()) {
+		t.Error("the server counts as warm")
+	}
+}
+
+// An entry says that a server is cold; an instance that reads no entries hears it of the
+// holder, and of the server's second cold time in one life too.
+func TestColdIsTold(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.startHolder()
+	f.start()
+	cold := func() bool {
+		g := f.gateways[1]
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		s := g.dir.Get("a")
+		return s != nil && s.Cold(boottime.Now())
+	}
+	testutil.WaitFor(t, func() bool { return f.gateways[1].hearsHolder() })
+	for range 2 {
+		testutil.WaitFor(t, func() bool { return !cold() })
+		e := f.store.Server("a")
+		e.Cold = time.Second
+		f.store.PutServer(e)
+		testutil.WaitFor(t, cold)
+		e.Cold = 0
+		f.store.PutServer(e)
+	}
+}
+
+// The store comes back from a copy in which a server that left is still there. It gets no
+// request more, and one that lives and is missing from the copy stays.
+func TestServersAfterTheStoreWentBack(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.backend("left", "plain", ok)
+	f.startHolder()
+	g := f.gateways[0]
+	testutil.WaitFor(t, func() bool { return g.knowsServer("left") })
+	f.store.Copy()
+	f.store.RemoveServer("left")
+	f.backend("new", "plain", ok)
+	testutil.WaitFor(t, func() bool { return !g.knowsServer("left") && g.knowsServer("new") })
+	f.store.Restore()
+	testutil.WaitFor(t, func() bool { return g.eraNow() == 1 })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if g.knowsServer("left") {
+			t.Fatal("a server that left is back")
+		}
+		if !g.knowsServer("new") {
+			t.Fatal("a server that lives is gone, since the copy does not have its entry")
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dir.Get("left") != nil {
+		t.Error("a server that left is back")
+	}
+	g.putServer(boottime.Now(), directory.Entry{ID: "left", Group: "plain", Born: 2})
+	if g.dir.Get("left") == nil {
+		t.Error("its next life is not taken")
+	}
+}
+
+func (g *Gateway) eraNow() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.era.now
+}
+
+// The store comes back from a copy without the last version of the configuration, the
+// evacuation and the rows of the instances. Nothing of it is taken back; what is written
+// then comes into force, though its revision was there before; and the rows are written
+// again.
+func TestStoreWentBack(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.store.Copy()
+	f.startHolder()
+	f.start()
+	f.store.SetManifest(config(2))
+	f.store.Evacuate("y", true)
+	all := func(holds func(g *Gateway) bool) func() bool {
+		return func() bool {
+			for _, g := range f.gateways {
+				if !holds(g) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	testutil.WaitFor(t, all(func(g *Gateway) bool {
+		return g.manifest.Load().Version == 2 && g.zoneState("y") == evacuation.Closed
+	}))
+	holder := f.gateways[0]
+	holder.mu.Lock()
+	fencing := holder.lease.Fencing()
+	holder.mu.Unlock()
+	f.store.Restore()
+	testutil.WaitFor(t, all(func(g *Gateway) bool { return g.eraNow() == 1 }))
+	for _, g := range f.gateways {
+		if v := g.manifest.Load().Version; v != 2 {
+			t.Errorf("version %d in force after 2", v)
+		}
+		if s := g.zoneState("y"); s != evacuation.Closed {
+			t.Errorf("the zone is %v before the operator wrote again", s)
+		}
+	}
+	f.store.SetManifest(config(3))
+	f.store.Evacuate("x", true)
+	testutil.WaitFor(t, all(func(g *Gateway) bool {
+		return g.manifest.Load().Version == 3 && g.zoneState("x") == evacuation.Closed
+	}))
+	testutil.WaitFor(t, func() bool {
+		peers, err := f.store.Store(9).Peers(t.Context())
+		return err == nil && len(peers) == 2
+	})
+	testutil.WaitFor(t, func() bool {
+		holder.mu.Lock()
+		defer holder.mu.Unlock()
+		return holder.lease.MayOrder(boottime.Now()) && holder.lease.Fencing() > fencing
+	})
+}
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -18,6 +18,7 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/gateway/portstest"
 	"oleanderdale.org/oleander/internal/testutil"
@@ -116,8 +117,8 @@
 // noLease is a store that takes no write of the lease.
 type noLease struct{ ports.Store }
 
-func (noLease) WriteLease(context.Context, leader.Record, int64) (leader.Result, int64) {
-	return leader.Unknown, 0
+func (noLease) WriteLease(context.Context, leader.Record, revision.Revision) (leader.Result, revision.Revision) {
+	return leader.Unknown, revision.Revision{}
 }
 
 // backend is a server whose answers a test scripts.
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -68,6 +69,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	g.eraIs(now, g.store.Era())
 	if err == nil {
 		g.lapse.Answered(now)
 		if g.storeDown != 0 && now.Sub(g.storeDown) >= troubleFor {
@@ -88,22 +90,22 @@
 
 // followServers keeps the entries of the backend servers.
 func (g *Gateway) followServers() {
-	at := int64(-1)
+	at := unread
 	for g.ctx.Err() == nil {
 		var err error
 		began, under := boottime.Now(), g.holderFencing()
-		if at < 0 {
+		if at == unread {
 			at, err = g.readServers()
 		} else {
 			at, err = g.watchServers(at)
 		}
 		if errors.Is(err, errWatchAgain) {
-			at = -1
+			at = unread
 			continue
 		}
 		g.stored("servers", began, err)
 		if err != nil {
-			at = -1
+			at = unread
 			if !errors.Is(err, ports.ErrHistory) {
 				g.sleep(g.pauseOfRetry())
 			}
@@ -111,7 +113,7 @@
 		}
 		g.haveRead(under)
 		if g.restWhileTold() {
-			at = -1
+			at = unread
 		} else {
 			g.sleep(g.pauseOfChanges())
 		}
@@ -211,16 +213,17 @@
 	return since && g.holder.fencing > 0 && now.Sub(g.holder.heard) <= leaseSilence && now.Sub(g.holder.told) < repeatEvery+leaseSilence
 }
 
-func (g *Gateway) readServers() (int64, error) {
+func (g *Gateway) readServers() (revision.Revision, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	entries, at, err := g.store.Servers(ctx)
 	if err != nil {
-		return -1, err
+		return unread, err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	g.eraIs(now, at.Era)
 	g.lapse.Answered(now)
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -237,17 +240,17 @@
 	return at, nil
 }
 
-func (g *Gateway) watchServers(at int64) (int64, error) {
+func (g *Gateway) watchServers(at revision.Revision) (revision.Revision, error) {
 	ctx, returns := g.watches.begin(g.ctx, "servers", watchWait+storeTimeout)
 	changes, next, err := g.store.WatchServers(ctx, at, watchWait)
 	if again := g.watches.end("servers", returns); again && err != nil {
-		return -1, errWatchAgain
+		return unread, errWatchAgain
 	}
 	if err != nil {
-		return -1, err
+		return unread, err
 	}
-	if next < at {
-		return -1, errors.Wrap(ports.ErrUnavailable, "an answer from the past")
+	if next.Before(at) {
+		return unread, errors.Wrap(ports.ErrUnavailable, "an answer from the past")
 	}
 	if len(changes) == 0 {
 		return next, nil
@@ -270,6 +273,9 @@
 
 // putServer takes an entry. The caller holds mu.
 func (g *Gateway) putServer(now clock.Time, e directory.Entry) {
+	if g.staleRow(now, e.ID, e.Born) {
+		return
+	}
 	g.lapse.Forget(e.ID)
 	delete(g.removed, e.ID)
 	old := g.dir.Get(e.ID)
@@ -313,6 +319,13 @@
 	return g.storeAway(now) && g.serversSeen < g.storeDown
 }
 
+// missesStore reports whether a call of this instance to the store failed of late.
+func (g *Gateway) missesStore() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.storeAway(boottime.Now())
+}
+
 // storeAway reports whether a call of this instance to the store failed of late.
 // The caller holds mu.
 func (g *Gateway) storeAway(now clock.Time) bool {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"oleanderdale.org/core/gateway/configsync"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/core/gateway/evacuation"
 	"oleanderdale.org/core/gateway/lapse"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
@@ -47,6 +48,11 @@
 	Strength int
 	// LeavingWithin is when a server that leaves must be known everywhere.
 	LeavingWithin time.Duration
+	// EvacuatedWithin is when nothing may be sent any more to an evacuated zone.
+	EvacuatedWithin time.Duration
+	// ColdFactor times the rate that a cold server bears, and ColdSlack requests more,
+	// are the most that it survives in a second.
+	ColdFactor, ColdSlack float64
 	// OrderQuiet is the time without orders between two holders of the lease.
 	OrderQuiet time.Duration
 	Retry      budget.Settings
@@ -104,6 +110,7 @@
 	stopBegan   atomic.Int64 // a clock.Time
 	active      atomic.Int64 // requests being served
 	kick        chan struct{}
+	rejoin      chan struct{} // the store may have lost this instance's row
 	fetching    atomic.Bool
 	watching    atomic.Bool // waits at the store for changes of the configuration
 	// refuseWaiting is closed when a stop is near its end.
@@ -152,6 +159,8 @@
 	removed     map[string]removedServer
 	lapse       *lapse.Tracker
 	publisher   publisher
+	evacuations *evacuation.Set
+	era         eraSeen
 }
 
 // holder is the instance that gives orders, as it says itself.
@@ -198,13 +207,13 @@
 	g := &Gateway{
 		set: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
 		store: store, engines: engines, dialect: dialect, metrics: newMetrics(),
-		kick: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
+		kick: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
 		dir: directory.New(), members: members.New(s.Name), sync: configsync.New(boottime.Now(), s.Name, s.Zone), deciding: make(map[uint64]chan quota.Outcome),
 		budget: budget.New(s.Retry), poison: poison.New(),
 		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
 		waits:   make(map[placer.Key]placer.Want), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
 		peerSeen: make(map[string]*peerSeen), lapse: lapse.New(), removed: make(map[string]removedServer),
-		publisher: newPublisher(), watches: watches{cancels: make(map[string]context.CancelFunc)},
+		publisher: newPublisher(), evacuations: evacuation.New(s.EvacuatedWithin), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
 	g.dispatch, g.client, g.asks = dispatch.New(s.Name, g.dir), dispatch.NewClient(), make(map[uint64]*asked)
 	g.quota = quota.New(quota.Settings{
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -126,6 +126,10 @@
 // holds mu.
 func (g *Gateway) lookAround(now clock.Time) {
 	g.dropLapsed(now)
+	g.applyEvacuations(now)
+	if g.dir.Paces() {
+		g.dir.SetShare(g.shareOfWarmup(now))
+	}
 	g.dir.Expire(now)
 	g.outlook.Expire(now)
 	g.sync.Forget(now)
--- a/oleander/gateway/join.go
+++ b/oleander/gateway/join.go
@@ -30,13 +30,30 @@
 			pause = peersRetry
 		}
 		for again := false; !again; again = !joined || g.missesPeers() {
-			if !g.sleep(pause) {
+			lost, ends := g.awaitRow(pause)
+			if ends {
 				return
 			}
+			joined = joined && !lost
 		}
 	}
 }
 
+// awaitRow waits for a time, or until the store may have lost this instance's row, which
+// it reports.
+func (g *Gateway) awaitRow(d time.Duration) (lost, ends bool) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-g.rejoin:
+		lost = true
+	case <-g.ctx.Done():
+		ends = true
+	}
+	return lost, ends
+}
+
 // missesPeers reports whether an instance that was known is not heard.
 func (g *Gateway) missesPeers() bool {
 	g.mu.Lock()
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -26,30 +27,31 @@
 
 // leaseCall is a call for the row of the lease.
 type leaseCall struct {
-	Write  bool          `json:"write"`
-	Record leader.Record `json:"record"`
-	Expect int64         `json:"expect"`
+	Write  bool              `json:"write"`
+	Record leader.Record     `json:"record"`
+	Expect revision.Revision `json:"expect"`
 }
 
 // leaseAnswer is what came of it. OK is false if that is not known.
 type leaseAnswer struct {
-	OK      bool          `json:"ok"`
-	Result  leader.Result `json:"result"`
-	Record  leader.Record `json:"record"`
-	Version int64         `json:"version"`
+	OK     bool              `json:"ok"`
+	Result leader.Result     `json:"result"`
+	Row    leader.Row        `json:"row"` // as read
+	At     revision.Revision `json:"at"`  // as written
+	Era    int64             `json:"era"` // of the store, as the caller knows it
 }
 
 // callStore makes a call from this instance.
 func (g *Gateway) callStore(ctx context.Context, c leaseCall) leaseAnswer {
 	began := boottime.Now()
 	if c.Write {
-		result, version := g.store.WriteLease(ctx, c.Record, c.Expect)
+		result, at := g.store.WriteLease(ctx, c.Record, c.Expect)
 		g.stored("lease-write", began, unknownIs(result))
-		return leaseAnswer{OK: result != leader.Unknown, Result: result, Version: version}
+		return leaseAnswer{OK: result != leader.Unknown, Result: result, At: at, Era: g.store.Era()}
 	}
-	record, version, err := g.store.Lease(ctx)
+	row, err := g.store.Lease(ctx)
 	g.stored("lease-read", began, err)
-	return leaseAnswer{OK: err == nil, Record: record, Version: version}
+	return leaseAnswer{OK: err == nil, Row: row, Era: g.store.Era()}
 }
 
 func unknownIs(r leader.Result) error {
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -98,14 +98,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	g.eraIs(now, a.Era)
 	if step.Action == leader.Read {
-		g.lease.Seen(now, a.Record, a.Version, a.OK)
+		g.lease.Seen(now, a.Row, a.OK)
 		return
 	}
 	held := g.lease.Holds(now)
-	g.lease.Written(now, step, a.Result, a.Version)
+	fencing := g.lease.Fencing()
+	g.lease.Written(now, step, a.Result, a.At)
 	g.tellClaim = g.tellClaim || g.lease.Holds(now)
-	if !held && g.lease.Holds(now) {
+	if g.lease.Holds(now) && (!held || g.lease.Fencing() != fencing) {
 		g.holder = holder{name: g.set.Name, fencing: g.lease.Fencing(), heard: now}
 		g.metrics.leaseTaken.Inc()
 		g.log.Info().Int64("fencing", g.lease.Fencing()).Msg("lease: taken, this instance gives orders")
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -56,6 +56,8 @@
 	Left        []leftMsg                 // to the holder of the lease
 	Strength    int                       // for the choice among candidates for the lease
 	Broken      map[poison.Digest]uint32
+	Era         int64     // of the store
+	Zones       []zoneMsg // evacuations
 }
 
 // claimMsg tells the right of the holder of the lease.
@@ -94,6 +96,7 @@
 	Group   string
 	Slots   int
 	Leaving bool
+	ColdMS  int64 // that it still bears little
 }
 
 type modelMsg struct {
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -12,9 +12,11 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/evacuation"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/core/gateway/revision"
 )
 
 // Errors of a Store.
@@ -85,27 +87,40 @@
 	Removed bool
 }
 
+// Operator is what the operator has written.
+type Operator struct {
+	Manifest []byte // as stored; nil: there is none, or no newer one
+	// Evacuations are all that stand, or those that changed.
+	Evacuations []evacuation.Row
+}
+
 // Store is what lasts. Calls fail with ErrUnavailable or ErrHistory.
+//
+// A store may come back from an older copy of itself. It tells so by its era, and what
+// was read before holds no more: a watch that began in another era ends with ErrHistory.
 type Store interface {
-	// Manifest returns the newest manifest, as stored, and the version of the
-	// store that it was read at. nil: there is none yet.
-	Manifest(ctx context.Context) (raw []byte, at int64, err error)
-	// WatchManifest waits for a manifest written after a version of the store.
-	// nil: there was none within wait.
-	WatchManifest(ctx context.Context, after int64, wait time.Duration) (raw []byte, at int64, err error)
+	// Era returns the newest era that any answer named; 0: none did.
+	Era() int64
+	// Operator returns what the operator has written, and the revision of the store
+	// that it was read at.
+	Operator(ctx context.Context) (o Operator, at revision.Revision, err error)
+	// WatchOperator waits for what the operator writes after a revision of the store,
+	// and returns what changed within wait.
+	WatchOperator(ctx context.Context, after revision.Revision, wait time.Duration) (o Operator, at revision.Revision, err error)
 	// Decode decodes a manifest.
 	Decode(raw []byte) (*manifest.Manifest, error)
 	// Servers returns the entries of all backend servers.
-	Servers(ctx context.Context) (entries []directory.Entry, at int64, err error)
-	// WatchServers waits for changes after a version of the store.
-	WatchServers(ctx context.Context, after int64, wait time.Duration) (changes []ServerChange, at int64, err error)
+	Servers(ctx context.Context) (entries []directory.Entry, at revision.Revision, err error)
+	// WatchServers waits for changes after a revision of the store.
+	WatchServers(ctx context.Context, after revision.Revision, wait time.Duration) (changes []ServerChange, at revision.Revision, err error)
 	// Peers returns the rows of all instances, Join writes one.
 	Peers(ctx context.Context) ([]Peer, error)
 	Join(ctx context.Context, p Peer) error
-	// Lease reads the row of the lease; version 0: there is none.
-	Lease(ctx context.Context) (leader.Record, int64, error)
-	// WriteLease replaces a version of the row.
-	WriteLease(ctx context.Context, r leader.Record, expect int64) (leader.Result, int64)
+	// Lease reads the row of the lease of the store's era.
+	Lease(ctx context.Context) (leader.Row, error)
+	// WriteLease replaces the row of an era as it was at a revision. It conflicts if the
+	// store has another era meanwhile.
+	WriteLease(ctx context.Context, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision)
 }
 
 // Engines takes orders and tells what it holds.
--- a/oleander/gateway/portstest/memory.go
+++ b/oleander/gateway/portstest/memory.go
@@ -14,8 +14,10 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/evacuation"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/oleander/gateway/ports"
 )
 
@@ -43,28 +45,71 @@
 type Memory struct {
 	mu      sync.Mutex
 	configs map[string]*manifest.Manifest // by what is stored
-	config  []byte
-	servers map[string]directory.Entry
-	removed map[string]int64
-	written map[string]int64 // version of a server's last change
-	peers   map[string]ports.Peer
-	record  leader.Record
-	lease   int64 // version of the record
-	version int64 // of the store
+	state   state
+	copied  state
+	era     int64
 	forgot  int64 // version up to which history is gone
 	faults  map[int]Fault
 	changed chan struct{}
 }
 
+// state is what the store keeps, and loses when it returns from a copy.
+type state struct {
+	config      []byte
+	configAt    int64 // its version
+	servers     map[string]directory.Entry
+	removed     map[string]int64
+	written     map[string]int64 // version of a server's last change
+	evacuations map[string]evacuation.Row
+	peers       map[string]ports.Peer
+	leases      map[int64]leader.Row // by era
+	version     int64
+}
+
+func newState() state {
+	return state{
+		servers: make(map[string]directory.Entry), removed: make(map[string]int64), written: make(map[string]int64),
+		evacuations: make(map[string]evacuation.Row), peers: make(map[string]ports.Peer), leases: make(map[int64]leader.Row),
+	}
+}
+
+func (s state) clone() state {
+	s.servers, s.removed, s.written = maps.Clone(s.servers), maps.Clone(s.removed), maps.Clone(s.written)
+	s.evacuations, s.peers, s.leases = maps.Clone(s.evacuations), maps.Clone(s.peers), maps.Clone(s.leases)
+	return s
+}
+
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
 	return &Memory{
-		configs: make(map[string]*manifest.Manifest), servers: make(map[string]directory.Entry),
-		removed: make(map[string]int64), written: make(map[string]int64), peers: make(map[string]ports.Peer),
+		configs: make(map[string]*manifest.Manifest), state: newState(), copied: newState(),
 		faults: make(map[int]Fault), changed: make(chan struct{}),
 	}
 }
 
+// Copy keeps a copy of the store as it is.
+func (m *Memory) Copy() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.copied = m.state.clone()
+}
+
+// Restore brings the copy back, in a new era.
+func (m *Memory) Restore() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = m.copied.clone()
+	m.era++
+	m.wake()
+}
+
+// Evacuate asks for a zone to be evacuated, or takes that back.
+func (m *Memory) Evacuate(zone string, active bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.evacuations[zone] = evacuation.Row{Zone: zone, Version: m.change(), Removed: !active}
+}
+
 // Store returns the store as one caller reaches it.
 func (m *Memory) Store(caller int) ports.Store { return &view{memory: m, caller: caller} }
 
@@ -78,9 +123,9 @@
 
 // change makes a change under the next version. The caller holds mu.
 func (m *Memory) change() int64 {
-	m.version++
+	m.state.version++
 	m.wake()
-	return m.version
+	return m.state.version
 }
 
 func (m *Memory) wake() {
@@ -93,8 +138,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	raw := strconv.FormatUint(c.Version, 10)
-	m.configs[raw], m.config = c, []byte(raw)
-	m.change()
+	m.configs[raw], m.state.config = c, []byte(raw)
+	m.state.configAt = m.change()
 }
 
 // SetConfig stores an empty manifest of a version.
@@ -106,23 +151,23 @@
 func (m *Memory) PutServer(e directory.Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.removed, e.ID)
-	m.servers[e.ID], m.written[e.ID] = e, m.change()
+	delete(m.state.removed, e.ID)
+	m.state.servers[e.ID], m.state.written[e.ID] = e, m.change()
 }
 
 // Server returns the entry of a backend server.
 func (m *Memory) Server(id string) directory.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.servers[id]
+	return m.state.servers[id]
 }
 
 // RemoveServer drops an entry.
 func (m *Memory) RemoveServer(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.servers, id)
-	m.removed[id] = m.change()
+	delete(m.state.servers, id)
+	m.state.removed[id] = m.change()
 }
 
 // PutForeign does nothing: there are no bytes here that could be unreadable.
@@ -179,18 +224,38 @@
 	f()
 }
 
-// Manifest implements ports.Store.
-func (v *view) Manifest(ctx context.Context) (raw []byte, at int64, err error) {
-	err = v.do(ctx, func() { raw, at = v.memory.config, v.memory.version })
-	return raw, at, err
+// Era implements ports.Store.
+func (v *view) Era() int64 {
+	v.memory.mu.Lock()
+	defer v.memory.mu.Unlock()
+	return v.memory.era
 }
 
-// await waits for a version after one.
-func (v *view) await(ctx context.Context, after int64, wait time.Duration) {
+// at returns the revision of the store. The caller holds mu.
+func (m *Memory) at() revision.Revision {
+	return revision.Revision{Era: m.era, Version: m.state.version}
+}
+
+// Operator implements ports.Store.
+func (v *view) Operator(ctx context.Context) (o ports.Operator, at revision.Revision, err error) {
+	m := v.memory
+	err = v.do(ctx, func() {
+		o.Manifest, at = m.state.config, m.at()
+		for _, zone := range slices.Sorted(maps.Keys(m.state.evacuations)) {
+			if r := m.state.evacuations[zone]; !r.Removed {
+				o.Evacuations = append(o.Evacuations, r)
+			}
+		}
+	})
+	return o, at, err
+}
+
+// await waits for a revision after one.
+func (v *view) await(ctx context.Context, after revision.Revision, wait time.Duration) {
 	end := time.After(wait)
 	for {
 		v.memory.mu.Lock()
-		reached, changed := v.memory.version > after, v.memory.changed
+		reached, changed := after.Before(v.memory.at()), v.memory.changed
 		v.memory.mu.Unlock()
 		if reached {
 			return
@@ -205,14 +270,25 @@
 	}
 }
 
-// WatchManifest implements ports.Store.
-func (v *view) WatchManifest(ctx context.Context, after int64, wait time.Duration) ([]byte, int64, error) {
+// WatchOperator implements ports.Store.
+func (v *view) WatchOperator(ctx context.Context, after revision.Revision, wait time.Duration) (o ports.Operator, at revision.Revision, err error) {
+	m := v.memory
 	v.await(ctx, after, wait)
-	raw, at, err := v.Manifest(ctx)
-	if at <= after {
-		raw = nil
+	err = v.do(ctx, func() {
+		at = m.at()
+		if m.state.configAt > after.Version {
+			o.Manifest = m.state.config
+		}
+		for _, zone := range slices.Sorted(maps.Keys(m.state.evacuations)) {
+			if r := m.state.evacuations[zone]; r.Version > after.Version {
+				o.Evacuations = append(o.Evacuations, r)
+			}
+		}
+	})
+	if err == nil && at.Era != after.Era {
+		return ports.Operator{}, at, ports.ErrHistory
 	}
-	return raw, at, err
+	return o, at, err
 }
 
 // Decode implements ports.Store.
@@ -227,40 +303,40 @@
 }
 
 // Servers implements ports.Store.
-func (v *view) Servers(ctx context.Context) (entries []directory.Entry, at int64, err error) {
+func (v *view) Servers(ctx context.Context) (entries []directory.Entry, at revision.Revision, err error) {
 	m := v.memory
 	err = v.do(ctx, func() {
-		at = m.version
-		for _, id := range slices.Sorted(maps.Keys(m.servers)) {
-			entries = append(entries, m.servers[id])
+		at = m.at()
+		for _, id := range slices.Sorted(maps.Keys(m.state.servers)) {
+			entries = append(entries, m.state.servers[id])
 		}
 	})
 	return entries, at, err
 }
 
 // WatchServers implements ports.Store.
-func (v *view) WatchServers(ctx context.Context, after int64, wait time.Duration) (changes []ports.ServerChange, at int64, err error) {
+func (v *view) WatchServers(ctx context.Context, after revision.Revision, wait time.Duration) (changes []ports.ServerChange, at revision.Revision, err error) {
 	m := v.memory
 	v.await(ctx, after, wait)
 	gone := false
 	err = v.do(ctx, func() {
-		if gone = after < m.forgot; gone {
+		if gone = after.Era != m.era || after.Version < m.forgot; gone {
 			return
 		}
-		at = m.version
-		for _, id := range slices.Sorted(maps.Keys(m.servers)) {
-			if m.written[id] > after {
-				changes = append(changes, ports.ServerChange{Entry: m.servers[id]})
+		at = m.at()
+		for _, id := range slices.Sorted(maps.Keys(m.state.servers)) {
+			if m.state.written[id] > after.Version {
+				changes = append(changes, ports.ServerChange{Entry: m.state.servers[id]})
 			}
 		}
-		for _, id := range slices.Sorted(maps.Keys(m.removed)) {
-			if m.removed[id] > after {
+		for _, id := range slices.Sorted(maps.Keys(m.state.removed)) {
+			if m.state.removed[id] > after.Version {
 				changes = append(changes, ports.ServerChange{Entry: directory.Entry{ID: id}, Removed: true})
 			}
 		}
 	})
 	if gone {
-		return nil, 0, ports.ErrHistory
+		return nil, at, ports.ErrHistory
 	}
 	return changes, at, err
 }
@@ -269,8 +345,8 @@
 func (v *view) Peers(ctx context.Context) (all []ports.Peer, err error) {
 	m := v.memory
 	err = v.do(ctx, func() {
-		for _, name := range slices.Sorted(maps.Keys(m.peers)) {
-			all = append(all, m.peers[name])
+		for _, name := range slices.Sorted(maps.Keys(m.state.peers)) {
+			all = append(all, m.state.peers[name])
 		}
 	})
 	return all, err
@@ -278,29 +354,40 @@
 
 // Join implements ports.Store.
 func (v *view) Join(ctx context.Context, p ports.Peer) error {
-	return v.do(ctx, func() { v.memory.peers[p.Name] = p; v.memory.change() })
+	return v.do(ctx, func() { v.memory.state.peers[p.Name] = p; v.memory.change() })
 }
 
 // Lease implements ports.Store.
-func (v *view) Lease(ctx context.Context) (r leader.Record, version int64, err error) {
-	err = v.do(ctx, func() { r, version = v.memory.record, v.memory.lease })
-	return r, version, err
+func (v *view) Lease(ctx context.Context) (r leader.Row, err error) {
+	m := v.memory
+	err = v.do(ctx, func() {
+		r = m.state.leases[m.era]
+		r.At.Era = m.era
+		for era := range m.state.leases {
+			r.Earlier = r.Earlier || era != m.era
+		}
+	})
+	return r, err
 }
 
 // WriteLease implements ports.Store.
-func (v *view) WriteLease(ctx context.Context, r leader.Record, expect int64) (leader.Result, int64) {
+func (v *view) WriteLease(ctx context.Context, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision) {
 	m := v.memory
 	var result leader.Result
-	var version int64
+	var at revision.Revision
 	err := v.do(ctx, func() {
 		result = leader.Conflict
-		if expect == m.lease {
-			m.record, m.lease = r, m.change()
-			result, version = leader.Done, m.lease
+		if expect.Version != m.state.leases[expect.Era].At.Version {
+			return
+		}
+		m.change()
+		m.state.leases[expect.Era] = leader.Row{Record: r, At: m.at()}
+		if expect.Era == m.era {
+			result, at = leader.Done, m.at()
 		}
 	})
 	if err != nil {
-		return leader.Unknown, 0
+		return leader.Unknown, revision.Revision{}
 	}
-	return result, version
+	return result, at
 }
--- a/oleander/gateway/portstest/store.go
+++ b/oleander/gateway/portstest/store.go
@@ -11,6 +11,7 @@
 
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/oleander/gateway/ports"
 )
 
@@ -26,6 +27,10 @@
 	// good ones.
 	PutForeign()
 	Forget()
+	Evacuate(zone string, active bool)
+	// Copy keeps a copy of the store, and Restore brings it back in a new era.
+	Copy()
+	Restore()
 }
 
 // Store runs the contract of ports.Store. open returns a fresh backing for each
@@ -37,6 +42,9 @@
 	}{
 		{"empty", testEmpty},
 		{"configuration", testConfiguration},
+		{"evacuations", testEvacuations},
+		{"back from a copy", testRestored},
+		{"lease in a new era", testLeaseInNewEra},
 		{"servers", testServers},
 		{"instances", testInstances},
 		{"lease", testLease},
@@ -59,13 +67,19 @@
 
 // reads are the calls that have an error.
 var reads = map[string]func(s ports.Store, ctx context.Context) error{
-	"manifest":       func(s ports.Store, ctx context.Context) error { _, _, err := s.Manifest(ctx); return err },
-	"watch manifest": func(s ports.Store, ctx context.Context) error { _, _, err := s.WatchManifest(ctx, 0, 0); return err },
-	"servers":        func(s ports.Store, ctx context.Context) error { _, _, err := s.Servers(ctx); return err },
-	"watch servers":  func(s ports.Store, ctx context.Context) error { _, _, err := s.WatchServers(ctx, 0, 0); return err },
-	"peers":          func(s ports.Store, ctx context.Context) error { _, err := s.Peers(ctx); return err },
-	"lease":          func(s ports.Store, ctx context.Context) error { _, _, err := s.Lease(ctx); return err },
-	"join":           func(s ports.Store, ctx context.Context) error { return s.Join(ctx, ports.Peer{Name: "x"}) },
+	"operator": func(s ports.Store, ctx context.Context) error { _, _, err := s.Operator(ctx); return err },
+	"watch operator": func(s ports.Store, ctx context.Context) error {
+		_, _, err := s.WatchOperator(ctx, revision.Revision{}, 0)
+		return err
+	},
+	"servers": func(s ports.Store, ctx context.Context) error { _, _, err := s.Servers(ctx); return err },
+	"watch servers": func(s ports.Store, ctx context.Context) error {
+		_, _, err := s.WatchServers(ctx, revision.Revision{}, 0)
+		return err
+	},
+	"peers": func(s ports.Store, ctx context.Context) error { _, err := s.Peers(ctx); return err },
+	"lease": func(s ports.Store, ctx context.Context) error { _, err := s.Lease(ctx); return err },
+	"join":  func(s ports.Store, ctx context.Context) error { return s.Join(ctx, ports.Peer{Name: "x"}) },
 }
 
 // soon bounds a call that should be answered at once.
@@ -82,8 +96,8 @@
 
 func testEmpty(t *testing.T, b Backing) {
 	s := b.Store(0)
-	if raw, _, err := s.Manifest(soon(t)); raw != nil || err != nil {
-		t.Errorf("manifest %q, %v", raw, err)
+	if o, _, err := s.Operator(soon(t)); o.Manifest != nil || len(o.Evacuations) > 0 || err != nil {
+		t.Errorf("operator %+v, %v", o, err)
 	}
 	if all, _, err := s.Servers(soon(t)); len(all) != 0 || err != nil {
 		t.Errorf("servers %v, %v", all, err)
@@ -91,8 +105,8 @@
 	if all, err := s.Peers(soon(t)); len(all) != 0 || err != nil {
 		t.Errorf("instances %v, %v", all, err)
 	}
-	if _, v, err := s.Lease(soon(t)); v != 0 || err != nil {
-		t.Errorf("lease at version %d, %v", v, err)
+	if r, err := s.Lease(soon(t)); r.At.Version != 0 || r.Earlier || err != nil {
+		t.Errorf("lease %+v, %v", r, err)
 	}
 }
 
@@ -101,26 +115,113 @@
 func testConfiguration(t *testing.T, b Backing) {
 	s := b.Store(0)
 	b.SetConfig(7)
-	raw, at, err := s.Manifest(soon(t))
+	o, at, err := s.Operator(soon(t))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c, err := s.Decode(raw); err != nil || c.Version != 7 {
+	if c, err := s.Decode(o.Manifest); err != nil || c.Version != 7 {
 		t.Fatalf("decoded %+v, %v", c, err)
 	}
-	if raw, next, err := s.WatchManifest(soon(t), at, 20*time.Millisecond); raw != nil || next < at || err != nil {
-		t.Errorf("without a change: %q at %d after %d, %v", raw, next, at, err)
+	if o, next, err := s.WatchOperator(soon(t), at, 20*time.Millisecond); o.Manifest != nil || next.Before(at) || err != nil {
+		t.Errorf("without a change: %+v at %d after %d, %v", o, next, at, err)
 	}
 	time.AfterFunc(50*time.Millisecond, func() { b.SetConfig(9) })
-	raw, next, err := s.WatchManifest(soon(t), at, time.Second)
-	if c, derr := s.Decode(raw); err != nil || derr != nil || c.Version != 9 || next <= at {
-		t.Errorf("after a change: %q at %d after %d, %v, %v", raw, next, at, err, derr)
+	o, next, err := s.WatchOperator(soon(t), at, time.Second)
+	if c, derr := s.Decode(o.Manifest); err != nil || derr != nil || c.Version != 9 || !at.Before(next) {
+		t.Errorf("after a change: %+v at %d after %d, %v, %v", o, next, at, err, derr)
 	}
 	if _, err := s.Decode([]byte("\x00")); err == nil {
 		t.Error("bytes that are no manifest were decoded")
 	}
 }
 
+// Requests to evacuate zones are read as they stand, and told as they come and go; rows of
+// another shape name no zone.
+func testEvacuations(t *testing.T, b Backing) {
+	s := b.Store(0)
+	b.PutForeign()
+	b.Evacuate("x", true)
+	b.Evacuate("y", true)
+	b.Evacuate("x", false)
+	o, at, err := s.Operator(soon(t))
+	if err != nil || len(o.Evacuations) != 1 || o.Evacuations[0].Zone != "y" || o.Evacuations[0].Removed {
+		t.Fatalf("evacuations %+v, %v", o.Evacuations, err)
+	}
+	b.Evacuate("y", false)
+	b.Evacuate("z", true)
+	o, _, err = s.WatchOperator(soon(t), at, time.Second)
+	told := make(map[string]bool)
+	for _, r := range o.Evacuations {
+		if r.Version <= at.Version {
+			t.Errorf("version %d of a change after %d", r.Version, at.Version)
+		}
+		told[r.Zone] = r.Removed
+	}
+	if err != nil || !reflect.DeepEqual(told, map[string]bool{"y": true, "z": false}) || o.Manifest != nil {
+		t.Errorf("changes %+v, %v", o, err)
+	}
+}
+
+// The store comes back from an older copy. What was written since is gone, versions are
+// given out again, and a watch of before ends, also when the counter has passed it.
+func testRestored(t *testing.T, b Backing) {
+	s := b.Store(0)
+	b.PutServer(entry("s0"))
+	_, before, err := s.Servers(soon(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Copy()
+	b.PutServer(entry("s1"))
+	_, late, err := s.Servers(soon(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Restore()
+	for range 5 {
+		b.PutServer(entry("s2"))
+	}
+	for _, after := range []revision.Revision{before, late} {
+		if _, _, err := s.WatchServers(soon(t), after, 20*time.Millisecond); !errors.Is(err, ports.ErrHistory) {
+			t.Errorf("watch of servers that began at %+v: %v", after, err)
+		}
+		if _, _, err := s.WatchOperator(soon(t), after, 20*time.Millisecond); !errors.Is(err, ports.ErrHistory) {
+			t.Errorf("watch of the operator that began at %+v: %v", after, err)
+		}
+	}
+	all, at, err := s.Servers(soon(t))
+	if err != nil || !reflect.DeepEqual(all, []directory.Entry{entry("s0"), entry("s2")}) {
+		t.Errorf("servers %+v, %v", all, err)
+	}
+	if !late.Before(at) || s.Era() != at.Era {
+		t.Errorf("revision %+v after %+v, era %d", at, late, s.Era())
+	}
+}
+
+// In a new era the lease has no holder, and a write that expects a version of before does
+// not take effect, though a row of that number is there.
+func testLeaseInNewEra(t *testing.T, b Backing) {
+	s, other := b.Store(0), b.Store(1)
+	b.SetConfig(1)
+	b.Copy()
+	_, old := s.WriteLease(soon(t), record(1), revision.Revision{})
+	b.Restore()
+	r, err := other.Lease(soon(t))
+	if r.At.Version != 0 || r.At.Era == old.Era || err != nil {
+		t.Fatalf("lease %+v, %v", r, err)
+	}
+	res, at := other.WriteLease(soon(t), record(2), r.At)
+	if res != leader.Done {
+		t.Fatalf("first write of the era: %v", res)
+	}
+	if res, _ := s.WriteLease(soon(t), record(3), old); res == leader.Done {
+		t.Errorf("a write of the old era took effect")
+	}
+	if r, err := s.Lease(soon(t)); r.Record != record(2) || r.At != at || err != nil {
+		t.Errorf("lease %+v, %v", r, err)
+	}
+}
+
 func entry(id string) directory.Entry {
 	return directory.Entry{
 		ID: id, Address: "10.0.0.1:80", Zone: "z", Group: "g", Born: 5, Slots: 4,
@@ -145,7 +246,7 @@
 	b.RemoveServer("s0")
 	b.PutServer(leaving)
 	changes, next, err := s.WatchServers(soon(t), at, time.Second)
-	if err != nil || next <= at || len(changes) != 2 {
+	if err != nil || !at.Before(next) || len(changes) != 2 {
 		t.Fatalf("changes %+v at %d after %d, %v", changes, next, at, err)
 	}
 	for _, c := range changes {
@@ -185,45 +286,45 @@
 // A write takes effect only on the version that it expects.
 func testLease(t *testing.T, b Backing) {
 	s := b.Store(0)
-	res, v := s.WriteLease(soon(t), record(1), 0)
-	if res != leader.Done || v == 0 {
+	res, v := s.WriteLease(soon(t), record(1), revision.Revision{})
+	if res != leader.Done || v.Version == 0 {
 		t.Fatalf("first write: %v at %d", res, v)
 	}
-	if res, _ := b.Store(1).WriteLease(soon(t), record(2), 0); res != leader.Conflict {
+	if res, _ := b.Store(1).WriteLease(soon(t), record(2), revision.Revision{}); res != leader.Conflict {
 		t.Errorf("write as if there were no row: %v", res)
 	}
 	res, next := b.Store(1).WriteLease(soon(t), record(2), v)
-	if res != leader.Done || next <= v {
+	if res != leader.Done || !v.Before(next) {
 		t.Errorf("write on version %d: %v at %d", v, res, next)
 	}
-	if r, at, err := s.Lease(soon(t)); r != record(2) || at != next || err != nil {
-		t.Errorf("read %+v at %d, %v", r, at, err)
+	if r, err := s.Lease(soon(t)); r.Record != record(2) || r.At != next || err != nil {
+		t.Errorf("read %+v after %d, %v", r, next, err)
 	}
 }
 
 func testLostWrite(t *testing.T, b Backing) {
 	b.Fail(0, Lost)
-	if res, _ := b.Store(0).WriteLease(soon(t), record(1), 0); res != leader.Unknown {
+	if res, _ := b.Store(0).WriteLease(soon(t), record(1), revision.Revision{}); res != leader.Unknown {
 		t.Errorf("write without an answer: %v", res)
 	}
 	b.Fail(0, None)
-	if r, v, err := b.Store(0).Lease(soon(t)); r != record(1) || v == 0 || err != nil {
-		t.Errorf("read %+v at %d, %v", r, v, err)
+	if r, err := b.Store(0).Lease(soon(t)); r.Record != record(1) || r.At.Version == 0 || err != nil {
+		t.Errorf("read %+v, %v", r, err)
 	}
 }
 
 func testLateWrite(t *testing.T, b Backing) {
 	b.Fail(0, Late)
-	if res, _ := b.Store(0).WriteLease(brief(t), record(1), 0); res != leader.Unknown {
+	if res, _ := b.Store(0).WriteLease(brief(t), record(1), revision.Revision{}); res != leader.Unknown {
 		t.Errorf("write without an answer: %v", res)
 	}
 	b.Fail(0, None)
-	if _, v, err := b.Store(0).Lease(soon(t)); v != 0 || err != nil {
-		t.Errorf("read at version %d before it was carried out, %v", v, err)
+	if r, err := b.Store(0).Lease(soon(t)); r.At.Version != 0 || err != nil {
+		t.Errorf("read %+v before it was carried out, %v", r, err)
 	}
 	time.Sleep(2 * LateBy)
-	if r, v, err := b.Store(0).Lease(soon(t)); r != record(1) || v == 0 || err != nil {
-		t.Errorf("read %+v at %d, %v", r, v, err)
+	if r, err := b.Store(0).Lease(soon(t)); r.Record != record(1) || r.At.Version == 0 || err != nil {
+		t.Errorf("read %+v, %v", r, err)
 	}
 }
 
@@ -231,14 +332,14 @@
 // not take effect.
 func testLateWriteAfterAnother(t *testing.T, b Backing) {
 	b.Fail(0, Late)
-	if res, _ := b.Store(0).WriteLease(brief(t), record(1), 0); res != leader.Unknown {
+	if res, _ := b.Store(0).WriteLease(brief(t), record(1), revision.Revision{}); res != leader.Unknown {
 		t.Errorf("write without an answer: %v", res)
 	}
-	if res, _ := b.Store(1).WriteLease(soon(t), record(2), 0); res != leader.Done {
+	if res, _ := b.Store(1).WriteLease(soon(t), record(2), revision.Revision{}); res != leader.Done {
 		t.Fatalf("another's write: %v", res)
 	}
 	time.Sleep(2 * LateBy)
-	if r, _, err := b.Store(1).Lease(soon(t)); r != record(2) || err != nil {
+	if r, err := b.Store(1).Lease(soon(t)); r.Record != record(2) || err != nil {
 		t.Errorf("read %+v, %v", r, err)
 	}
 }
@@ -246,7 +347,7 @@
 func testHistoryGone(t *testing.T, b Backing) {
 	b.PutServer(entry("s0"))
 	b.Forget()
-	if _, _, err := b.Store(0).WatchServers(soon(t), 0, 0); !errors.Is(err, ports.ErrHistory) {
+	if _, _, err := b.Store(0).WatchServers(soon(t), revision.Revision{}, 0); !errors.Is(err, ports.ErrHistory) {
 		t.Errorf("error %v", err)
 	}
 	if all, _, err := b.Store(0).Servers(soon(t)); len(all) != 1 || err != nil {
@@ -258,11 +359,11 @@
 func testDownForOne(t *testing.T, b Backing) {
 	b.SetConfig(3)
 	b.Fail(0, Unavailable)
-	if _, _, err := b.Store(0).Manifest(soon(t)); !errors.Is(err, ports.ErrUnavailable) {
+	if _, _, err := b.Store(0).Operator(soon(t)); !errors.Is(err, ports.ErrUnavailable) {
 		t.Errorf("error %v", err)
 	}
-	if raw, _, err := b.Store(1).Manifest(soon(t)); raw == nil || err != nil {
-		t.Errorf("another caller: %q, %v", raw, err)
+	if o, _, err := b.Store(1).Operator(soon(t)); o.Manifest == nil || err != nil {
+		t.Errorf("another caller: %+v, %v", o, err)
 	}
 }
 
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -92,7 +92,7 @@
 
 // start starts what runs for the life of the process.
 func (g *Gateway) start() {
-	for _, f := range []func(){g.followManifest, g.followServers, g.followPeers, g.housekeep, g.receive} {
+	for _, f := range []func(){g.followOperator, g.followServers, g.followPeers, g.housekeep, g.receive} {
 		go f()
 	}
 }
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -100,7 +100,7 @@
 
 // describe says what a server is and holds. The caller holds mu.
 func (g *Gateway) describe(now clock.Time, s *directory.Server) serverMsg {
-	m := serverMsg{Server: s.ID, Born: s.Born, Info: infoOf(s)}
+	m := serverMsg{Server: s.ID, Born: s.Born, Info: infoOf(now, s)}
 	if g.blind(now) && !s.Draining {
 		m.Info = nil // the others know better who is there
 	}
@@ -117,8 +117,10 @@
 }
 
 // infoOf returns what a server is.
-func infoOf(s *directory.Server) *infoMsg {
-	return &infoMsg{Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining}
+func infoOf(now clock.Time, s *directory.Server) *infoMsg {
+	return &infoMsg{
+		Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining, ColdMS: s.ColdFor(now).Milliseconds(),
+	}
 }
 
 func sameServer(a, b serverMsg) bool {
@@ -132,7 +134,12 @@
 	if a == nil || b == nil {
 		return a == b
 	}
-	return *a == *b
+	x, y := *a, *b
+	if (x.ColdMS > 0) != (y.ColdMS > 0) {
+		return false
+	}
+	x.ColdMS, y.ColdMS = 0, 0 // how long is told again with everything else
+	return x == y
 }
 
 // tellWaiting tells changes at once to the instances that wait for a model.
@@ -255,6 +262,9 @@
 			ID: m.Server, Born: m.Born, Address: i.Address, Zone: i.Zone, Group: i.Group, Slots: i.Slots, Draining: i.Leaving,
 		})
 	}
+	if m.Info != nil {
+		g.dir.SetCold(now, m.Server, m.Born, time.Duration(m.Info.ColdMS)*time.Millisecond)
+	}
 	if !m.Engine {
 		return
 	}
