Homes of routes and accounts bind where requests run

Cause: allowed regions were not read. Choice of servers, the dispatcher's queues, the placing of models and their forecasts ask the region of a server's zone; route and account bind together, and what no region is left for is refused at once. Bodies go through no other instance, so nothing else was to be bound.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -86,6 +86,7 @@
 	unreachable clock.Time
 	lastUsed    clock.Time
 	putAt       clock.Time // its entry was last taken
+	region      string
 	zoneState   evacuation.State
 	coldUntil   clock.Time
 	pace        warmup.Pace
@@ -97,6 +98,9 @@
 // ColdFor is how long the server still bears little.
 func (s *Server) ColdFor(now clock.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
 
+// Region is the region of the server's zone; "" if it is not known.
+func (s *Server) Region() string { return s.region }
+
 // Closed reports whether nothing at all may be sent to the server, since its zone is
 // evacuated.
 func (s *Server) Closed() bool { return s.zoneState == evacuation.Closed }
@@ -145,6 +149,7 @@
 	// loadedBy are the servers on which each other instance has requests.
 	loadedBy map[string][]string
 	zones    map[string]evacuation.State
+	regions  map[string]string       // by zone
 	limits   map[string]warmup.Limit // by group
 	share    warmup.Share
 }
@@ -157,6 +162,9 @@
 	}
 }
 
+// SetRegions says in which region each zone lies, before any server is put.
+func (d *Directory) SetRegions(byZone map[string]string) { d.regions = byZone }
+
 // Get returns a server, or nil.
 func (d *Directory) Get(id string) *Server { return d.servers[id] }
 
@@ -179,11 +187,11 @@
 	if s == nil || s.Born != e.Born {
 		d.servers[e.ID] = &Server{
 			Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad), putAt: now,
-			zoneState: d.zones[e.Zone], coldUntil: now.Add(e.Cold),
+			region: d.regions[e.Zone], zoneState: d.zones[e.Zone], coldUntil: now.Add(e.Cold),
 		}
 		return
 	}
-	s.claimed, s.putAt, s.zoneState = e, now, d.zones[e.Zone]
+	s.claimed, s.putAt, s.region, s.zoneState = e, now, d.regions[e.Zone], d.zones[e.Zone]
 	s.coldUntil = max(s.coldUntil, now.Add(e.Cold))
 	// An entry lags; the owner of the orders knows sooner what it changed.
 	if s.told != 0 && now.Sub(s.told) < toldFor {
--- a/core/gateway/directory/directory_test.go
+++ b/core/gateway/directory/directory_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/regions"
+	"oleanderdale.org/core/gateway/warmup"
 )
 
 const start = clock.Time(time.Hour)
@@ -192,3 +195,79 @@
 		t.Errorf("running %d after the others fell silent, want the own one", s.Running())
 	}
 }
+
+// Requests that must stay in their regions run there, whatever the load; servers of a zone
+// whose region is not known get none of them.
+func TestPickAtHome(t *testing.T) {
+	d := New()
+	d.SetRegions(map[string]string{"a": "east", "b": "west", "c": "north"})
+	for i, zone := range []string{"a", "b", "c", "nowhere"} {
+		d.Put(start, Entry{ID: fmt.Sprint("s", i), Group: "g", Zone: zone, Born: 1, Slots: 4})
+	}
+	for range 6 {
+		d.Started(start, "s1", "")
+	}
+	tests := []struct {
+		homes []string
+		want  string // "": none
+		full  bool
+	}{
+		{[]string{"west"}, "", true},
+		{[]string{"west", "north"}, "s2", false},
+		{[]string{"east"}, "s0", false},
+		{[]string{"south"}, "", false},
+	}
+	for _, tc := range tests {
+		c := d.Pick(start, Need{Group: "g", Zone: "a", Homes: regions.Of(tc.homes)})
+		got := ""
+		if c.Server != nil {
+			got = c.Server.ID
+		}
+		if got != tc.want || c.Full != tc.full {
+			t.Errorf("homes %v: picked %q, full %v", tc.homes, got, c.Full)
+		}
+	}
+}
+
+// A zone is closed: its servers get nothing, those that come later neither. It is emptied:
+// they serve, and are no place for a model.
+func TestPickInEvacuatedZones(t *testing.T) {
+	d := servers(2)
+	d.SetZone(start, "a", evacuation.Emptying)
+	if s := d.Get("s0"); !s.Usable(start) || s.Stays() {
+		t.Errorf("while the zone is emptied: usable %v, stays %v", s.Usable(start), s.Stays())
+	}
+	d.SetZone(start, "a", evacuation.Closed)
+	d.Put(start, Entry{ID: "s9", Group: "g", Zone: "a", Born: 1, Slots: 4})
+	for range 5 {
+		if s := d.Pick(start, Need{Group: "g", Zone: "a"}).Server; s == nil || s.Zone == "a" {
+			t.Fatalf("picked %+v", s)
+		}
+	}
+	d.SetZone(start, "a", evacuation.Open)
+	if !d.Get("s9").Cold(start) || d.Get("s9").Cold(start.Add(reopenedCold)) {
+		t.Error("after an evacuation a server must count as cold for a while")
+	}
+}
+
+// A cold server is paced, and a warm one beside it takes what it may not.
+func TestPickBesideAColdServer(t *testing.T) {
+	d := servers(2)
+	d.SetWarmup(map[string]warmup.Limit{"g": {Cold: 10, Survived: 20}})
+	d.SetShare(warmup.Share{Chooses: true, Heard: 1, Known: 1})
+	d.SetCold(start, "s0", 1, 10*time.Second)
+	count := make(map[string]int)
+	for ms := range 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if c := d.Pick(now, Need{Group: "g", Zone: "a"}); c.Server != nil {
+			d.Started(now, c.Server.ID, "")
+			d.Ended(now, c.Server.ID, "", Answered)
+			count[c.Server.ID]++
+		} else if !c.Full || !c.Paced {
+			t.Fatalf("choice %+v, want full since paced", c)
+		}
+	}
+	if count["s0"] < 5 || count["s0"] > 10 || count["s1"] < 10 || count["s1"] > 20 {
+		t.Errorf("requests in a second: %v", count)
+	}
+}
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/regions"
 )
 
 // Need is what a request needs of a backend server.
@@ -18,7 +19,8 @@
 	// with equal affinity go to the same server as long as its load allows, so
 	// that its prompt cache is used. 0: none.
 	Affinity uint64
-	Zone     string // of the instance
+	Zone     string      // of the instance
+	Homes    regions.Set // where the request may run
 	Exclude  map[string]bool
 }
 
@@ -61,7 +63,7 @@
 func (d *Directory) Candidates(now clock.Time, n Need) []*Server {
 	var sound, suspected []*Server
 	for _, s := range d.All(n.Group) {
-		if !s.Usable(now) || n.Exclude[s.ID] || !s.holds(n) {
+		if !s.Usable(now) || n.Exclude[s.ID] || !n.Homes.Has(s.region) || !s.holds(n) {
 			continue
 		}
 		if now.Before(s.suspected) {
--- a/core/gateway/dispatch/queue.go
+++ b/core/gateway/dispatch/queue.go
@@ -8,6 +8,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/regions"
 )
 
 const (
@@ -29,7 +30,10 @@
 )
 
 // key tells requests apart that need different things of a server.
-type key struct{ group, model, adapter string }
+type key struct {
+	group, model, adapter string
+	homes                 regions.Set
+}
 
 // queue is what waits for one key. It is kept a moment longer than something waits.
 //
@@ -67,7 +71,7 @@
 }
 
 func (d *Dispatcher) queueOf(n directory.Need) *queue {
-	k := key{group: n.Group, model: n.Model, adapter: n.Adapter}
+	k := key{group: n.Group, model: n.Model, adapter: n.Adapter, homes: n.Homes}
 	q := d.queues[k]
 	if q == nil {
 		q = &queue{key: k}
@@ -117,6 +121,7 @@
 // Demand is what finds no room since all servers that hold a model are full.
 type Demand struct {
 	Group, Model string
+	Homes        regions.Set
 	Requests     int // that wait, or would be under way
 	Since        clock.Time
 }
@@ -130,7 +135,7 @@
 		}
 		refused := q.refused.add(now, 0) * runTypical.Seconds()
 		all = append(all, Demand{
-			Group: q.key.group, Model: q.key.model, Requests: len(q.waiting) + int(math.Ceil(refused)), Since: q.shortSince,
+			Group: q.key.group, Model: q.key.model, Homes: q.key.homes, Requests: len(q.waiting) + int(math.Ceil(refused)), Since: q.shortSince,
 		})
 	}
 	slices.SortFunc(all, func(a, b Demand) int {
--- a/core/gateway/manifest/manifest.go
+++ b/core/gateway/manifest/manifest.go
@@ -5,8 +5,12 @@
 
 import (
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"strings"
 	"time"
+
+	"oleanderdale.org/core/gateway/regions"
 )
 
 // Kind says whether a request may be repeated.
@@ -40,6 +44,7 @@
 	MaxAttempts int  // backend servers that one request may be sent to
 	Public      bool // needs no key
 	Resumable   bool // a stream may go on at another backend server
+	Homes       regions.Set
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
@@ -120,6 +125,7 @@
 	PlainCost   int // tokens that a request without a token count stands for
 	Rate        float64
 	Burst       float64 // Rate of 0 means no limit
+	Homes       regions.Set
 }
 
 // Limits bound what a caller may send.
@@ -161,6 +167,20 @@
 // AddKey gives a key to an account.
 func (m *Manifest) AddKey(d Digest, a *Account) { m.keys[d] = a }
 
+// Homes returns the homes of all routes and accounts, each once.
+func (m *Manifest) Homes() []regions.Set {
+	all := make(map[regions.Set]bool)
+	for _, routes := range m.routes {
+		for _, r := range routes {
+			all[r.Homes] = true
+		}
+	}
+	for _, a := range m.Accounts {
+		all[a.Homes] = true
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
 // Match returns the route of host with the longest prefix that begins path,
 // or nil.
 func (m *Manifest) Match(host, path string) *Route {
--- a/core/gateway/placer/forecast.go
+++ b/core/gateway/placer/forecast.go
@@ -52,7 +52,7 @@
 // forget drops the forecasts of what is not waited for any more.
 func (p *Placer) forget() {
 	for k := range p.expected {
-		if !p.waitsOn[k] {
+		if !p.waitsOn[k.model()] {
 			delete(p.expected, k)
 		}
 	}
--- /dev/null
+++ b/core/gateway/placer/homes_test.go
@@ -0,0 +1,48 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/gateway/regions"
+)
+
+// A model is loaded in one region, and requests that must stay in another one wait for it:
+// it is loaded there too, and only there.
+func TestModelIsLoadedAtHome(t *testing.T) {
+	p := newPlay(t, 1, 6, 30)
+	names := []string{"east", "west", "north"}
+	byZone := map[string]string{}
+	zone := make(map[string]string)
+	for i, id := range sortedKeys(p.engines) {
+		zone[id] = names[i%len(names)]
+		byZone[names[i%len(names)]] = names[i%len(names)]
+	}
+	p.dir.SetRegions(byZone)
+	for id, e := range p.engines {
+		s := *p.dir.Get(id).Claimed()
+		s.Zone = zone[id]
+		p.dir.Put(p.now, s)
+		e.models = map[string]map[string]bool{model(0): {}}
+		if zone[id] == "west" {
+			e.models = map[string]map[string]bool{}
+		}
+	}
+	home := Key{Group: group, Model: model(0), Homes: regions.Of([]string{"west"})}
+	began := p.now
+	for p.now.Sub(began) < 10*time.Second {
+		p.now = p.now.Add(testTick)
+		p.placer.SetWants(map[Key]Want{home: {Requests: 1, Since: began}})
+		p.placer.Sync(p.now, p.dir.All(group), p.groups)
+		for _, id := range p.placer.Asks(p.now) {
+			p.placer.Reported(p.now, id, 1, p.now, Report{Holdings: p.engines[id].holdings()})
+		}
+		for _, o := range p.placer.Plan(p.now) {
+			if zone[o.Server] != "west" || o.Model != model(0) {
+				t.Fatalf("order %+v to an engine in %s", o, zone[o.Server])
+			}
+			return
+		}
+	}
+	t.Error("no order in ten seconds")
+}
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -19,6 +19,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/regions"
 	"oleanderdale.org/core/invariant"
 )
 
@@ -80,8 +81,13 @@
 	Group   string
 	Model   string
 	Adapter string // "": the model itself
+	// Homes are the regions in which the requests may run.
+	Homes regions.Set
 }
 
+// model returns the key of the model itself, wherever it is.
+func (k Key) model() Key { return Key{Group: k.Group, Model: k.Model} }
+
 // Want is what waits for a key over all instances.
 type Want struct {
 	Requests int
@@ -264,7 +270,7 @@
 	}
 	p.waitsOn = make(map[Key]bool, len(p.wants))
 	for k, w := range p.wants {
-		p.waitsOn[Key{Group: k.Group, Model: k.Model}] = true
+		p.waitsOn[k.model()] = true
 		// What finds no room counts as far as it is like what runs: the first engines
 		// more show how much they take.
 		p.running[k.Model] += min(w.Requests, max(p.running[k.Model], p.slots))
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -67,7 +67,7 @@
 func (p *Placer) wanted(now clock.Time) []Key {
 	var keys []Key
 	for k := range p.wants {
-		if !p.impossible(now, k) {
+		if !p.impossible(now, Key{Group: k.Group, Model: k.Model, Adapter: k.Adapter}) {
 			keys = append(keys, k)
 		}
 	}
@@ -98,7 +98,8 @@
 }
 
 func compareKeys(a, b Key) int {
-	return cmp.Or(strings.Compare(a.Group, b.Group), strings.Compare(a.Model, b.Model), strings.Compare(a.Adapter, b.Adapter))
+	return cmp.Or(strings.Compare(a.Group, b.Group), strings.Compare(a.Model, b.Model),
+		strings.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Homes, b.Homes))
 }
 
 // groupsOf returns the groups whose engines know a model.
@@ -114,8 +115,8 @@
 
 // serve returns the next order that brings a key nearer to being served.
 func (p *Placer) serve(now clock.Time, k Key) (Order, bool) {
-	model := Key{Group: k.Group, Model: k.Model}
-	held := p.held[model]
+	model := k.model()
+	held := p.heldIn(now, k)
 	if k.Adapter != "" && held > 0 {
 		return p.serveAdapter(now, k)
 	}
@@ -127,7 +128,22 @@
 		return Order{}, false
 	}
 	// Callers that wait for room are as urgent as those that wait for a model.
-	return p.place(now, model, held == 0 || p.wants[k].Room)
+	return p.place(now, Key{Group: k.Group, Model: k.Model, Homes: k.Homes}, held == 0 || p.wants[k].Room)
+}
+
+// heldIn returns how many engines hold a model, or will, where its requests may run.
+func (p *Placer) heldIn(now clock.Time, k Key) int {
+	if k.Homes == "" {
+		return p.held[k.model()]
+	}
+	n := 0
+	for _, l := range p.ordered {
+		holds := l.models[k.Model] != nil || l.coming() == k.Model || l.reserved(now) == k.Model
+		if l.group == k.Group && !l.leaving && holds && k.Homes.Has(l.server.Region()) {
+			n++
+		}
+	}
+	return n
 }
 
 // option is one way to load a model.
@@ -170,7 +186,7 @@
 		return Order{}, false // and no model makes room in vain meanwhile
 	case best.victim != "":
 		best.lane.reservation = reservation{model: k.Model, until: now.Add(reserveFor)}
-		p.held[k]++
+		p.held[k.model()]++
 		return p.order(now, best.lane, Unload, best.victim, "")
 	}
 	return p.order(now, best.lane, Load, k.Model, "")
@@ -189,7 +205,7 @@
 	if l.reserved(now) != "" {
 		return option{}, false
 	}
-	if l.group != k.Group || l.leaving || !l.known || !knows || l.models[k.Model] != nil {
+	if l.group != k.Group || !k.Homes.Has(l.server.Region()) || l.leaving || !l.known || !knows || l.models[k.Model] != nil {
 		return option{}, false
 	}
 	o := option{lane: l, idle: time.Hour}
@@ -281,7 +297,7 @@
 func (p *Placer) serveAdapter(now clock.Time, k Key) (Order, bool) {
 	var best *lane
 	for _, l := range p.ordered {
-		if l.group != k.Group || l.leaving || l.models[k.Model] == nil {
+		if l.group != k.Group || !k.Homes.Has(l.server.Region()) || l.leaving || l.models[k.Model] == nil {
 			continue
 		}
 		if _, ok := l.models[k.Model].adapters[k.Adapter]; ok {
--- /dev/null
+++ b/core/gateway/regions/regions_test.go
@@ -0,0 +1,24 @@
+package regions
+
+import "testing"
+
+func TestBoth(t *testing.T) {
+	tests := []struct {
+		a, b, want Set
+		ok         bool
+	}{
+		{"", "", "", true},
+		{"", "x", "x", true},
+		{"x,y", "", "x,y", true},
+		{Of([]string{"y", "x", "y"}), Of([]string{"z", "y"}), "y", true},
+		{"x", "y", "", false},
+	}
+	for _, tc := range tests {
+		if got, ok := Both(tc.a, tc.b); got != tc.want || ok != tc.ok {
+			t.Errorf("both of %q and %q: %q, %v", tc.a, tc.b, got, ok)
+		}
+	}
+	if !Set("").Has("x") || !Set("x,y").Has("y") || Set("x,y").Has("z") || Set("xy").Has("x") {
+		t.Error("membership is wrong")
+	}
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -53,7 +53,7 @@
 	b.Arrived, b.Running, b.Left = g.arrivedOfLate(now), g.dir.OwnRunning(), g.leftOfLate(now)
 	for k, w := range g.wanted(now) {
 		b.Wants = append(b.Wants, wantMsg{
-			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Requests: w.Requests,
+			Group: k.Group, Model: k.Model, Adapter: k.Adapter, Homes: k.Homes, Requests: w.Requests,
 			WaitedMS: now.Sub(w.Since).Milliseconds(), Priority: w.Priority, DueMS: dueIn(now, w.Due),
 		})
 	}
@@ -299,7 +299,7 @@
 		add(k, w)
 	}
 	for _, d := range g.dispatch.Demands(now) {
-		add(placer.Key{Group: d.Group, Model: d.Model}, placer.Want{Requests: d.Requests, Since: d.Since, Room: true})
+		add(placer.Key{Group: d.Group, Model: d.Model, Homes: d.Homes}, placer.Want{Requests: d.Requests, Since: d.Since, Room: true})
 	}
 	const fresh = 2200 * time.Millisecond // three messages in the largest fleet
 	for _, s := range g.peerSeen {
@@ -307,7 +307,7 @@
 			continue
 		}
 		for _, w := range s.wants {
-			add(placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter}, placer.Want{
+			add(placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter, Homes: w.Homes}, placer.Want{
 				Requests: w.Requests, Since: s.heard.Add(-time.Duration(w.WaitedMS) * time.Millisecond), Priority: w.Priority,
 				Due: dueAt(s.heard, w.DueMS),
 			})
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -83,7 +83,7 @@
 }
 
 func (x *exchange) waitKey() placer.Key {
-	return placer.Key{Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter}
+	return placer.Key{Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter, Homes: x.homes}
 }
 
 // lookResult is what a request saw when it looked for a server.
@@ -155,7 +155,7 @@
 		return reasonNoModel
 	}
 	for _, s := range x.g.dir.All(x.group) {
-		if s.Usable(now) {
+		if s.Usable(now) && x.homes.Has(s.Region()) {
 			return ""
 		}
 	}
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -125,6 +125,7 @@
 		return
 	}
 	g.logLimits(m)
+	g.logHomes(m)
 	g.manifest.Store(m)
 	g.raw.Store(newPacked(raw))
 	g.configHeard.Store(int64(boottime.Now()))
@@ -156,6 +157,19 @@
 	}
 }
 
+// logHomes tells of homes that name no region there is: what they bind is refused.
+func (g *Gateway) logHomes(m *manifest.Manifest) {
+	for _, homes := range m.Homes() {
+		used := homes == ""
+		for _, region := range g.set.Regions {
+			used = used || homes.Has(region)
+		}
+		if !used {
+			g.log.Warn().Uint64("version", m.Version).Strs("homes", homes.Names()).Msg("config: homes name no region in use")
+		}
+	}
+}
+
 // watchesStore reports whether this instance waits for changes of the
 // configuration at the store. The others of its zone hear of a version by the
 // heartbeat that follows it, and have it from whoever told.
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -6,6 +6,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/core/gateway/regions"
 )
 
 // dispatchMsg tells the dispatcher what the sender has under way.
@@ -34,6 +35,7 @@
 	Exclude  []string
 	Priority int
 	WithinMS int64
+	Homes    regions.Set
 }
 
 // endMsg tells how a request ended at a backend server.
@@ -67,7 +69,7 @@
 		n := a.Need
 		w.Ask = &askServerMsg{
 			Number: a.Number, Group: n.Group, Model: n.Model, Adapter: n.Adapter, Affinity: n.Affinity, Zone: n.Zone,
-			Exclude: sortedNames(n.Exclude), Priority: a.Priority, WithinMS: a.Within.Milliseconds(),
+			Exclude: sortedNames(n.Exclude), Priority: a.Priority, WithinMS: a.Within.Milliseconds(), Homes: n.Homes,
 		}
 		w.Model, w.Arrived = n.Model, g.arrived[n.Model].count
 	}
@@ -82,7 +84,7 @@
 	m := dispatch.Message{From: w.From, Incarnation: w.Incarnation, Sequence: w.Sequence, Running: w.Running, Open: w.Open}
 	if a := w.Ask; a != nil {
 		need := directory.Need{
-			Group: a.Group, Model: a.Model, Adapter: a.Adapter, Affinity: a.Affinity, Zone: a.Zone,
+			Group: a.Group, Model: a.Model, Adapter: a.Adapter, Affinity: a.Affinity, Zone: a.Zone, Homes: a.Homes,
 			Exclude: make(map[string]bool, len(a.Exclude)),
 		}
 		for _, id := range a.Exclude {
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -159,7 +159,8 @@
 	gateways []*Gateway
 	stops    []chan struct{}
 	ended    []chan struct{}
-	log      logBuffer // of all gateways
+	log      logBuffer         // of all gateways
+	regions  map[string]string // by zone; nil: one
 }
 
 // logBuffer keeps lines; gateways write while a test reads.
@@ -217,7 +218,7 @@
 	n := len(f.gateways)
 	own := testutil.FreeAddresses(f.t, 3)
 	s := Settings{
-		Name: fmt.Sprint("g", n), Zone: "z", Front: own[0], Ready: own[1], Peer: own[2], Grace: testGrace,
+		Name: fmt.Sprint("g", n), Zone: "z", Regions: f.regions, Front: own[0], Ready: own[1], Peer: own[2], Grace: testGrace,
 		OrderQuiet: 100 * time.Millisecond, LeavingWithin: 2 * time.Second,
 		Retry: budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 	}
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -53,7 +53,7 @@
 		}
 		f := forecastMsg{Fencing: g.lease.Fencing()}
 		for _, w := range seen.wants {
-			k := placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter}
+			k := placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter, Homes: w.Homes}
 			if _, ok := expected[k]; !ok {
 				k.Adapter = ""
 			}
@@ -76,7 +76,7 @@
 	}
 	for _, m := range f.Models {
 		ready := now.Add(time.Duration(m.ReadyMS) * time.Millisecond)
-		g.outlook.Forecast(now, placer.Key{Group: m.Group, Model: m.Model, Adapter: m.Adapter}, ready)
+		g.outlook.Forecast(now, placer.Key{Group: m.Group, Model: m.Model, Adapter: m.Adapter, Homes: m.Homes}, ready)
 	}
 	if len(g.waits) > 0 {
 		g.wake()
@@ -122,7 +122,7 @@
 	k := x.waitKey()
 	var e outlook.Expectation
 	if !x.started { // to cut a stream that has begun helps nobody
-		e = g.outlook.Expect(now, k, placer.Key{Group: k.Group, Model: k.Model})
+		e = g.outlook.Expect(now, k, placer.Key{Group: k.Group, Model: k.Model, Homes: k.Homes})
 	}
 	v := outlook.Decide(now, p, e)
 	if !v.Refuse {
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -17,6 +17,7 @@
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/core/gateway/regions"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -35,6 +36,7 @@
 	reasonNoOwner    reason = "quota-not-known"
 	reasonPoison     reason = "crashes-servers"
 	reasonNoServer   reason = "no-server"
+	reasonNoHome     reason = "no-home"
 	reasonNoRoom     reason = "no-room"
 	reasonNotLoaded  reason = "not-loaded-in-time"
 	reasonNoModel    reason = "unknown-model"
@@ -81,6 +83,7 @@
 	route   *manifest.Route
 	group   string
 	account *manifest.Account
+	homes   regions.Set // of the route and the account together
 	config  *manifest.Manifest
 	body    []byte
 	digest  poison.Digest
@@ -154,13 +157,18 @@
 	if route == nil {
 		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
-	x.config, x.route, x.account = m, route, nil
+	x.config, x.route, x.account, x.homes = m, route, nil, route.Homes
 	if !m.NeedsKey(route) {
 		return nil
 	}
 	if x.account = m.Account(x.call.Key); x.account == nil {
 		return &refusal{status: http.StatusUnauthorized, reason: reasonKey}
 	}
+	homes, ok := regions.Both(route.Homes, x.account.Homes)
+	if !ok {
+		return refusalOf(reasonNoHome, comeBackLoad)
+	}
+	x.homes = homes
 	return nil
 }
 
@@ -212,7 +220,7 @@
 func (x *exchange) need() directory.Need {
 	return directory.Need{
 		Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter,
-		Affinity: x.affinity(), Zone: x.g.set.Zone, Exclude: x.excluded,
+		Affinity: x.affinity(), Zone: x.g.set.Zone, Homes: x.homes, Exclude: x.excluded,
 	}
 }
 
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -36,11 +36,13 @@
 
 // Settings of a Gateway.
 type Settings struct {
-	Name  string
-	Zone  string
-	Front string // address for callers
-	Ready string // address for the balancer's question
-	Peer  string // address for other instances, TCP and UDP; metrics too
+	Name string
+	Zone string
+	// Regions are the regions of all zones; nil: there is one.
+	Regions map[string]string
+	Front   string // address for callers
+	Ready   string // address for the balancer's question
+	Peer    string // address for other instances, TCP and UDP; metrics too
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
 	// Strength orders the candidates for the lease: the holder has more to do
@@ -215,6 +217,7 @@
 		peerSeen: make(map[string]*peerSeen), lapse: lapse.New(), removed: make(map[string]removedServer),
 		publisher: newPublisher(), evacuations: evacuation.New(s.EvacuatedWithin), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
+	g.dir.SetRegions(s.Regions)
 	g.dispatch, g.client, g.asks = dispatch.New(s.Name, g.dir), dispatch.NewClient(), make(map[uint64]*asked)
 	g.quota = quota.New(quota.Settings{
 		Self: s.Name, Zone: s.Zone, Strength: s.Strength, Incarnation: g.incarnation, Interval: beatIntervalOf,
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/core/gateway/regions"
 )
 
 // maxDatagram is the largest that UDP carries.
@@ -24,6 +25,7 @@
 	WaitedMS int64
 	Priority int
 	DueMS    int64 // until the objective of the newest is missed; 0: it has none
+	Homes    regions.Set
 }
 
 // leftMsg tells of a backend server that leaves, or has left.
@@ -133,6 +135,7 @@
 	Model   string
 	Adapter string // "": the model
 	ReadyMS int64  // from the sending
+	Homes   regions.Set
 }
 
 // packet is one datagram; one of its fields is set.
