Words about servers carry the store's revision; leaving is told again

Seven servers that left from 18.8 s on were known to the holder alone. And a leaving that is told again for 0.6 s was told without saying so, so one lost datagram cost two seconds. Change: an entry and a removal carry the revision that wrote them, the later one counts; the repetition says all. Ruled out: a shorter memory of removed servers (a cut-off holder would bring them back). Two tests that failed first.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/core/gateway/warmup"
 )
 
@@ -22,11 +23,13 @@
 
 // Entry is what a backend server says of itself.
 type Entry struct {
-	ID       string
-	Address  string
-	Zone     string
-	Group    string
-	Born     int64 // tells two lives under one id apart
+	ID      string
+	Address string
+	Zone    string
+	Group   string
+	Born    int64 // tells two lives under one id apart
+	// At is the revision of the store that wrote the entry.
+	At       revision.Revision
 	Slots    int
 	Draining bool
 	// Remaining is how long a server that is reclaimed still has; 0 if it
--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -230,9 +230,10 @@
 		present[e.ID] = true
 		g.putServer(now, e)
 	}
+	g.serversAt = at
 	for _, id := range g.dir.IDs() {
 		if !present[id] {
-			g.missing(now, id)
+			g.missing(now, id, at)
 		}
 	}
 	g.wake()
@@ -259,9 +260,10 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.lapse.Answered(now)
+	g.serversAt = next
 	for _, c := range changes {
 		if c.Removed {
-			g.missing(now, c.Entry.ID)
+			g.missing(now, c.Entry.ID, c.Entry.At)
 		} else {
 			g.putServer(now, c.Entry)
 		}
@@ -278,6 +280,7 @@
 	}
 	g.lapse.Forget(e.ID)
 	delete(g.removed, e.ID)
+	delete(g.publisher.gone, e.ID)
 	old := g.dir.Get(e.ID)
 	if old == nil || old.Born != e.Born || old.Draining != e.Draining {
 		g.log.Info().Str("server", e.ID).Str("group", e.Group).Str("zone", e.Zone).
@@ -286,9 +289,9 @@
 	g.dir.Put(now, e)
 }
 
-// missing takes the lack of an entry. A server that said that it leaves is gone, however
-// the store is. The caller holds mu.
-func (g *Gateway) missing(now clock.Time, id string) {
+// missing takes the lack of an entry at a revision of the store. A server that said that it
+// leaves is gone, however the store is. The caller holds mu.
+func (g *Gateway) missing(now clock.Time, id string, at revision.Revision) {
 	s := g.dir.Get(id)
 	if s == nil {
 		return
@@ -296,19 +299,20 @@
 	awaited := g.lapse.Awaits(id)
 	switch {
 	case s.Draining || g.lapse.Missing(now, id):
-		g.drop(now, id)
+		g.drop(now, id, at)
 	case !awaited:
 		g.log.Warn().Str("server", id).Msg("servers: entry missing after an outage of the store, may be back")
 	}
 }
 
-func (g *Gateway) drop(now clock.Time, id string) {
+// drop takes a server for gone, up to a revision of the store. The caller holds mu.
+func (g *Gateway) drop(now clock.Time, id string, last revision.Revision) {
 	if s := g.dir.Get(id); s != nil {
-		g.removed[id] = removedServer{born: s.Born, at: now}
+		g.removed[id] = removedServer{born: s.Born, at: now, last: last}
 	}
 	g.lapse.Forget(id)
 	delete(g.publisher.told, id)
-	g.publisher.gone[id], g.publisher.left[id] = now, now
+	g.publisher.gone[id], g.publisher.left[id] = goneServer{at: now, last: last}, now
 	g.dir.Remove(id)
 	g.log.Info().Str("server", id).Msg("servers: gone")
 }
@@ -339,6 +343,6 @@
 		}
 	}
 	for _, id := range g.lapse.Overdue(now) {
-		g.drop(now, id)
+		g.drop(now, id, g.serversAt)
 	}
 }
--- a/oleander/gateway/follow_test.go
+++ b/oleander/gateway/follow_test.go
@@ -227,7 +227,7 @@
 	now := boottime.Now()
 	info := &infoMsg{Address: "127.0.0.1:1", Zone: "z", Group: "plain", Slots: 4}
 	told := &stateMsg{Name: "other", Fencing: 99, Servers: []serverMsg{{Server: "a", Born: 1, Info: info}}}
-	g.drop(now, "a")
+	g.drop(now, "a", g.serversAt)
 	g.takeState(now, told)
 	if g.dir.Get("a") != nil {
 		t.Error("a server that left is back")
@@ -243,6 +243,53 @@
 	}
 }
 
+// Entries lapse in a long outage, and all take the servers for gone. They come back, and
+// the holder reads so: for a minute the others took no word of them, since they had seen
+// them leave, and what the holder had said of their leaving took them away from those that
+// read the store themselves.
+func TestServerThatCameBackIsTaken(t *testing.T) {
+	_, g := single(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	entry := g.dir.Get("a").Entry
+	info := infoMsg{Address: entry.Address, Zone: "z", Group: "plain", Slots: 4, Version: entry.At.Version}
+	told := func(version int64) *stateMsg {
+		i := info
+		i.Version = version
+		return &stateMsg{Name: "other", Fencing: 99, Servers: []serverMsg{{Server: "a", Born: entry.Born, Info: &i}}}
+	}
+	gone := &stateMsg{Name: "other", Fencing: 99, Gone: []goneMsg{{Server: "a", Version: entry.At.Version + 10}}}
+	g.takeState(now, gone)
+	g.takeState(now, told(entry.At.Version+9))
+	if g.dir.Get("a") != nil {
+		t.Fatal("there by a word that is older than its leaving")
+	}
+	g.takeState(now, told(entry.At.Version+11))
+	if g.dir.Get("a") == nil {
+		t.Fatal("a server that came back is not taken")
+	}
+	g.takeState(now, gone)
+	if g.dir.Get("a") == nil {
+		t.Fatal("gone by a word that is older than its return")
+	}
+	leaving := told(entry.At.Version + 11)
+	leaving.Servers[0].Info.Leaving = true
+	g.takeState(now, leaving)
+	if !g.dir.Get("a").Draining {
+		t.Error("its leaving is not taken")
+	}
+	g.drop(now, "a", g.dir.Get("a").At)
+	if len(g.publisher.gone) != 1 {
+		t.Fatal("the test shows nothing: its leaving is not told")
+	}
+	entry.At.Version += 12
+	g.putServer(now, entry)
+	if len(g.publisher.gone) != 0 {
+		t.Error("told as gone after its return")
+	}
+}
+
 // One instance gives orders and tells the others of the backend servers. Those
 // rest: each call to the store is paid for, and nine instances that follow every
 // swap made two thirds of all calls.
@@ -321,7 +368,7 @@
 	g.lapse.Failed(down)
 	now := down.Add(outage)
 	g.lapse.Answered(now)
-	g.missing(now, "a")
+	g.missing(now, "a", g.serversAt)
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped at once although the store was away")
 	}
@@ -333,7 +380,7 @@
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped although its entry came back")
 	}
-	g.missing(now, "a")
+	g.missing(now, "a", g.serversAt)
 	g.dropLapsed(now.Add(2 * lapse.Grace))
 	if g.dir.Get("a") != nil {
 		t.Error("still there after its time to come back")
@@ -350,11 +397,11 @@
 	back := down.Add(outage)
 	g.lapse.Failed(down)
 	g.lapse.Answered(back)
-	g.missing(back.Add(lapse.Grace-300*time.Millisecond), "a")
+	g.missing(back.Add(lapse.Grace-300*time.Millisecond), "a", g.serversAt)
 	if g.dir.Get("a") == nil {
 		t.Fatal("dropped at once although the store was away a moment ago")
 	}
-	g.missing(back.Add(lapse.Grace+200*time.Millisecond), "a")
+	g.missing(back.Add(lapse.Grace+200*time.Millisecond), "a", g.serversAt)
 	if g.dir.Get("a") != nil {
 		t.Error("still there")
 	}
@@ -370,7 +417,7 @@
 		back := down.Add(300 * time.Millisecond)
 		g.lapse.Failed(down)
 		g.lapse.Answered(back)
-		g.missing(back.Add(later), "a")
+		g.missing(back.Add(later), "a", g.serversAt)
 		if g.dir.Get("a") != nil {
 			t.Errorf("still there, removed %v after the store's answer", later)
 		}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/core/gateway/quota"
+	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/core/invariant"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/gateway/ports"
@@ -156,8 +157,9 @@
 	toldAt    clock.Time
 	// serversSeen is when a call for the servers was last answered.
 	serversSeen clock.Time
-	storeDown   clock.Time // last failure of a call to the store
-	wasAway     bool       // the store, for this instance, in the last round
+	serversAt   revision.Revision // of the store, at that answer
+	storeDown   clock.Time        // last failure of a call to the store
+	wasAway     bool              // the store, for this instance, in the last round
 	removed     map[string]removedServer
 	lapse       *lapse.Tracker
 	publisher   publisher
@@ -192,6 +194,9 @@
 type removedServer struct {
 	born int64
 	at   clock.Time
+	// last is the revision of the store up to which it is known to be gone. An entry
+	// that was written later says that it is there after all.
+	last revision.Revision
 }
 
 // arrivals counts the requests for a model since the start.
--- a/oleander/gateway/left.go
+++ b/oleander/gateway/left.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "oleanderdale.org/core/clock"
+import (
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/revision"
+)
 
 // leftOfLate returns the servers that leave, and those that left of late. The
 // caller holds mu.
@@ -11,7 +14,7 @@
 	}
 	for id, r := range g.removed {
 		if now.Sub(r.at) < goneFor {
-			left = append(left, leftMsg{Server: id, Born: r.born, Gone: true})
+			left = append(left, leftMsg{Server: id, Born: r.born, Gone: true, Era: r.last.Era, Version: r.last.Version})
 		}
 	}
 	for _, id := range g.dir.IDs() {
@@ -35,7 +38,9 @@
 		switch {
 		case s == nil || s.Born > l.Born:
 		case l.Gone:
-			g.drop(now, l.Server)
+			if last := (revision.Revision{Era: l.Era, Version: l.Version}); !last.Before(s.At) {
+				g.drop(now, l.Server, last)
+			}
 		case !s.Draining:
 			e := s.Entry
 			e.Draining = true
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -10,6 +10,7 @@
 	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/core/gateway/regions"
+	"oleanderdale.org/core/gateway/revision"
 )
 
 // maxDatagram is the largest that UDP carries.
@@ -34,6 +35,8 @@
 	Server string
 	Born   int64
 	Gone   bool
+	// Era and Version are the revision of the store up to which it is gone.
+	Era, Version int64
 }
 
 // beatMsg is what an instance tells all others several times a second. Counters
@@ -99,6 +102,20 @@
 	Slots   int
 	Leaving bool
 	ColdMS  int64 // that it still bears little
+	// Era and Version are the revision of the store that wrote its entry.
+	Era, Version int64
+}
+
+// revision returns the revision of the store that wrote the entry told.
+func (i *infoMsg) revision() revision.Revision {
+	return revision.Revision{Era: i.Era, Version: i.Version}
+}
+
+// goneMsg tells of a server that left, up to a revision of the store.
+type goneMsg struct {
+	_            struct{} `cbor:",toarray"`
+	Server       string
+	Era, Version int64
 }
 
 type modelMsg struct {
@@ -114,7 +131,7 @@
 	Name    string
 	Fencing int64
 	Servers []serverMsg
-	Gone    []string // servers that left of late
+	Gone    []goneMsg // servers that left of late
 	// All names all servers that the sender knows, where it read them from the
 	// store since it holds the lease; nil: it is not told.
 	All []string
--- a/oleander/gateway/portstest/memory.go
+++ b/oleander/gateway/portstest/memory.go
@@ -302,13 +302,20 @@
 	return c, nil
 }
 
+// server returns an entry with the revision that wrote it. The caller holds mu.
+func (m *Memory) server(id string) directory.Entry {
+	e := m.state.servers[id]
+	e.At = revision.Revision{Era: m.era, Version: m.state.written[id]}
+	return e
+}
+
 // Servers implements ports.Store.
 func (v *view) Servers(ctx context.Context) (entries []directory.Entry, at revision.Revision, err error) {
 	m := v.memory
 	err = v.do(ctx, func() {
 		at = m.at()
 		for _, id := range slices.Sorted(maps.Keys(m.state.servers)) {
-			entries = append(entries, m.state.servers[id])
+			entries = append(entries, m.server(id))
 		}
 	})
 	return entries, at, err
@@ -326,12 +333,14 @@
 		at = m.at()
 		for _, id := range slices.Sorted(maps.Keys(m.state.servers)) {
 			if m.state.written[id] > after.Version {
-				changes = append(changes, ports.ServerChange{Entry: m.state.servers[id]})
+				changes = append(changes, ports.ServerChange{Entry: m.server(id)})
 			}
 		}
 		for _, id := range slices.Sorted(maps.Keys(m.state.removed)) {
 			if m.state.removed[id] > after.Version {
-				changes = append(changes, ports.ServerChange{Entry: directory.Entry{ID: id}, Removed: true})
+				changes = append(changes, ports.ServerChange{
+					Entry: directory.Entry{ID: id, At: revision.Revision{Era: m.era, Version: m.state.removed[id]}}, Removed: true,
+				})
 			}
 		}
 	})
--- a/oleander/gateway/portstest/store.go
+++ b/oleander/gateway/portstest/store.go
@@ -190,7 +190,7 @@
 		}
 	}
 	all, at, err := s.Servers(soon(t))
-	if err != nil || !reflect.DeepEqual(all, []directory.Entry{entry("s0"), entry("s2")}) {
+	if err != nil || !reflect.DeepEqual(withoutRevisions(all), []directory.Entry{entry("s0"), entry("s2")}) {
 		t.Errorf("servers %+v, %v", all, err)
 	}
 	if !late.Before(at) || s.Era() != at.Era {
@@ -230,6 +230,16 @@
 	}
 }
 
+// withoutRevisions returns entries without when they were written.
+func withoutRevisions(all []directory.Entry) []directory.Entry {
+	var bare []directory.Entry
+	for _, e := range all {
+		e.At = revision.Revision{}
+		bare = append(bare, e)
+	}
+	return bare
+}
+
 // Entries are read as they were written, changes and removals are told in a
 // watch, and rows of another writer lose nothing but themselves.
 func testServers(t *testing.T, b Backing) {
@@ -238,9 +248,12 @@
 	b.PutForeign()
 	b.PutServer(entry("s1"))
 	all, at, err := s.Servers(soon(t))
-	if err != nil || !reflect.DeepEqual(all, []directory.Entry{entry("s0"), entry("s1")}) {
+	if err != nil || !reflect.DeepEqual(withoutRevisions(all), []directory.Entry{entry("s0"), entry("s1")}) {
 		t.Fatalf("servers %+v, %v", all, err)
 	}
+	if !all[0].At.Before(all[1].At) || at.Before(all[1].At) {
+		t.Errorf("entries written at %+v and %+v, read at %+v", all[0].At, all[1].At, at)
+	}
 	leaving := entry("s1")
 	leaving.Draining, leaving.Remaining = true, 1500*time.Millisecond
 	b.RemoveServer("s0")
@@ -250,6 +263,10 @@
 		t.Fatalf("changes %+v at %d after %d, %v", changes, next, at, err)
 	}
 	for _, c := range changes {
+		if !at.Before(c.Entry.At) || next.Before(c.Entry.At) {
+			t.Errorf("change at %+v, told from %+v to %+v", c.Entry.At, at, next)
+		}
+		c.Entry.At = revision.Revision{}
 		switch {
 		case c.Entry.ID == "s0" && c.Removed:
 		case !c.Removed && reflect.DeepEqual(c.Entry, leaving):
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -6,6 +6,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/revision"
 )
 
 const (
@@ -32,10 +33,16 @@
 	// readUnder is the fencing number under which the servers were read when
 	// everything was told last.
 	readUnder int64
-	gone      map[string]clock.Time
+	gone      map[string]goneServer
 	left      map[string]clock.Time // servers that began to leave, or are gone
 }
 
+// goneServer is a server that left, up to a revision of the store.
+type goneServer struct {
+	at   clock.Time
+	last revision.Revision
+}
+
 // leftOfLate reports whether a server began to leave, or left, a moment ago.
 func (p *publisher) leftOfLate(now clock.Time, id string) bool {
 	at, ok := p.left[id]
@@ -53,7 +60,7 @@
 }
 
 func newPublisher() publisher {
-	return publisher{told: make(map[string]serverMsg), pending: make(map[string]serverMsg), gone: make(map[string]clock.Time), left: make(map[string]clock.Time)}
+	return publisher{told: make(map[string]serverMsg), pending: make(map[string]serverMsg), gone: make(map[string]goneServer), left: make(map[string]clock.Time)}
 }
 
 // outgoing is one message with those that it goes to.
@@ -81,7 +88,7 @@
 			p.left[id] = now
 		}
 		p.told[id] = m
-		if told && !repeated && m.Info != nil && sameInfo(old.Info, m.Info) {
+		if told && !repeated && !p.leftOfLate(now, id) && m.Info != nil && sameInfo(old.Info, m.Info) {
 			// Only its models changed; what it is may wait to be told, though.
 			m.Info = p.pending[id].Info
 		}
@@ -120,6 +127,7 @@
 func infoOf(now clock.Time, s *directory.Server) *infoMsg {
 	return &infoMsg{
 		Address: s.Address, Zone: s.Zone, Group: s.Group, Slots: s.Slots, Leaving: s.Draining, ColdMS: s.ColdFor(now).Milliseconds(),
+		Era: s.At.Era, Version: s.At.Version,
 	}
 }
 
@@ -138,7 +146,8 @@
 	if (x.ColdMS > 0) != (y.ColdMS > 0) {
 		return false
 	}
-	x.ColdMS, y.ColdMS = 0, 0 // how long is told again with everything else
+	// How long it is cold, and when its entry was written, is told again with everything else.
+	x.ColdMS, x.Era, x.Version = y.ColdMS, y.Era, y.Version
 	return x == y
 }
 
@@ -178,13 +187,13 @@
 	for _, id := range sortedNames(p.pending) {
 		servers = append(servers, p.pending[id])
 	}
-	var gone []string
-	for id, at := range p.gone {
-		if now.Sub(at) > goneFor {
+	var gone []goneMsg
+	for id, s := range p.gone {
+		if now.Sub(s.at) > goneFor {
 			delete(p.gone, id)
 			continue
 		}
-		gone = append(gone, id)
+		gone = append(gone, goneMsg{Server: id, Era: s.last.Era, Version: s.last.Version})
 	}
 	var out []outgoing
 	clear(p.pending)
@@ -202,7 +211,7 @@
 }
 
 // stateMessages encodes what is told of servers, some of them in each message.
-func (g *Gateway) stateMessages(servers []serverMsg, gone, all []string) []message {
+func (g *Gateway) stateMessages(servers []serverMsg, gone []goneMsg, all []string) []message {
 	var messages []message
 	for first := true; first || len(servers) > 0; first = false {
 		part := servers[:min(serversPerState, len(servers))]
@@ -221,9 +230,10 @@
 		return
 	}
 	g.holder.told = now
-	for _, id := range s.Gone {
-		if g.dir.Get(id) != nil {
-			g.drop(now, id)
+	for _, m := range s.Gone {
+		last := revision.Revision{Era: m.Era, Version: m.Version}
+		if known := g.dir.Get(m.Server); known != nil && !last.Before(known.At) {
+			g.drop(now, m.Server, last)
 		}
 	}
 	for _, m := range s.Servers {
@@ -254,12 +264,13 @@
 // takeServer takes what the holder says of one server.
 func (g *Gateway) takeServer(now clock.Time, m serverMsg) {
 	old := g.dir.Get(m.Server)
-	if left, ok := g.removed[m.Server]; ok && m.Born <= left.born {
+	left, gone := g.removed[m.Server]
+	if gone && m.Born <= left.born && (m.Info == nil || !left.last.Before(m.Info.revision())) {
 		return // it left, and whoever says otherwise has not heard of it
 	}
 	if i := m.Info; i != nil && (old == nil || old.Born < m.Born || i.Leaving && !old.Draining && old.Born == m.Born) {
 		g.putServer(now, directory.Entry{
-			ID: m.Server, Born: m.Born, Address: i.Address, Zone: i.Zone, Group: i.Group, Slots: i.Slots, Draining: i.Leaving,
+			ID: m.Server, Born: m.Born, Address: i.Address, Zone: i.Zone, Group: i.Group, Slots: i.Slots, Draining: i.Leaving, At: i.revision(),
 		})
 	}
 	if m.Info != nil {
--- a/oleander/gateway/state_test.go
+++ b/oleander/gateway/state_test.go
@@ -60,11 +60,11 @@
 	g.dir.Put(now, directory.Entry{ID: "s", Group: "plain", Born: 1, Slots: 4})
 	g.members.Heard(now, members.Member{Name: "b", Address: "127.0.0.1:9", Zone: "z"})
 	g.publisher.repeats.at, g.publisher.flushed = now, now
-	g.drop(now, "s")
+	g.drop(now, "s", g.serversAt)
 	told := 0
 	for at := now; at.Sub(now) < leftAgain; at = at.Add(flushEvery) {
 		for _, m := range g.publish(at) {
-			if p := decoded(t, m.message); p.State != nil && slices.Contains(p.State.Gone, "s") {
+			if p := decoded(t, m.message); p.State != nil && slices.ContainsFunc(p.State.Gone, func(m goneMsg) bool { return m.Server == "s" }) {
 				told++
 			}
 		}
@@ -77,6 +77,32 @@
 	}
 }
 
+// A server says that it leaves, and the datagram with that is lost. The next messages say
+// it again; they named the server without that it leaves, and it got requests for two
+// seconds more.
+func TestLeavingIsToldAgain(t *testing.T) {
+	g := lone(t, "a", "z")
+	now := boottime.Now()
+	e := directory.Entry{ID: "s", Group: "plain", Born: 1, Slots: 4}
+	g.dir.Put(now, e)
+	g.members.Heard(now, members.Member{Name: "b", Address: "127.0.0.1:9", Zone: "z"})
+	g.publish(now)
+	e.Draining = true
+	g.dir.Put(now, e)
+	told := 0
+	for at := now.Add(flushEvery); at.Sub(now) < leftAgain; at = at.Add(flushEvery) {
+		for _, m := range g.publish(at) {
+			p := decoded(t, m.message)
+			if p.State != nil && slices.ContainsFunc(p.State.Servers, func(m serverMsg) bool { return m.Info != nil && m.Info.Leaving }) {
+				told++
+			}
+		}
+	}
+	if told < 3 {
+		t.Errorf("told %d times", told)
+	}
+}
+
 // The dispatcher names a server that this instance has not heard of yet. It is used as
 // it is described.
 func TestServerIsDescribedWithTheChoice(t *testing.T) {
