--- a/oleander/gateway/evacuate.go
+++ b/oleander/gateway/evacuate.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// closedZones returns how many zones get nothing. The caller holds mu.
+func (g *Gateway) closedZones(now clock.Time) int {
+	n := 0
+	for _, zone := range g.evacuations.Zones() {
+		if g.evacuations.State(now, zone) == evacuation.Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // applyEvacuations puts in force what is known of evacuations and what time alone changes.
 // The caller holds mu.
 func (g *Gateway) applyEvacuations(now clock.Time) {
