Orders by zone: a lease for each zone's engines, planned by the fleet's holder

Models held only by engines of a zone out of reach counted as held and were loaded nowhere else. Change: orders to a zone's engines come from the holder of that zone's lease, whoever planned them; the fleet's holder needs no quiet time; while it is silent each zone plans for itself. A zone of which nothing is heard counts as out of reach for placing, and its servers come last in the choice. Ways: one lease (as it stood), one planner with deputies (this), planners by zone only (each zone would load its own copy of every rare model: not built).

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -88,7 +88,8 @@
 	suspected   clock.Time // until when
 	unreachable clock.Time
 	lastUsed    clock.Time
-	putAt       clock.Time // its entry was last taken
+	used        map[string]clock.Time // when requests for a model were last known there
+	putAt       clock.Time            // its entry was last taken
 	region      string
 	zoneState   evacuation.State
 	coldUntil   clock.Time
@@ -101,6 +102,9 @@
 // ColdFor is how long the server still bears little.
 func (s *Server) ColdFor(now clock.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
 
+// UsedModel returns when requests for a model were last known on the server; 0: never.
+func (s *Server) UsedModel(model string) clock.Time { return s.used[model] }
+
 // Region is the region of the server's zone; "" if it is not known.
 func (s *Server) Region() string { return s.region }
 
@@ -152,6 +156,7 @@
 	// loadedBy are the servers on which each other instance has requests.
 	loadedBy map[string][]string
 	zones    map[string]evacuation.State
+	silent   map[string]bool         // zones of which no instance is heard
 	regions  map[string]string       // by zone
 	limits   map[string]warmup.Limit // by group
 	share    warmup.Share
@@ -189,7 +194,7 @@
 	d.groups = nil
 	if s == nil || s.Born != e.Born {
 		d.servers[e.ID] = &Server{
-			Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad), putAt: now,
+			Entry: e, claimed: e, own: make(map[string]int), peers: make(map[string]peerLoad), used: make(map[string]clock.Time), putAt: now,
 			region: d.regions[e.Zone], zoneState: d.zones[e.Zone], coldUntil: now.Add(e.Cold),
 		}
 		return
@@ -248,7 +253,7 @@
 	if s := d.servers[id]; s != nil {
 		s.own[model]++
 		s.running++
-		s.lastUsed = now
+		s.lastUsed, s.used[model] = now, now
 		d.paced(now, s)
 	}
 }
@@ -336,6 +341,9 @@
 		}
 		s.running += sum(n) - sum(s.peers[peer].running)
 		s.peers[peer] = peerLoad{running: n, heard: now}
+		for model := range n {
+			s.used[model] = now
+		}
 		loaded = append(loaded, id)
 	}
 	d.loadedBy[peer] = loaded
@@ -357,7 +365,7 @@
 	p.heard = now
 	s.peers[peer] = p
 	s.running++
-	s.lastUsed = now
+	s.lastUsed, s.used[model] = now, now
 	d.paced(now, s)
 }
 
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -59,14 +59,15 @@
 }
 
 // Candidates returns the servers that can run a request now: those that hold
-// what it needs, without the suspected ones unless there is no other.
+// what it needs, without the suspected ones, and those of a zone that seems to be cut off,
+// unless there is no other.
 func (d *Directory) Candidates(now clock.Time, n Need) []*Server {
 	var sound, suspected []*Server
 	for _, s := range d.All(n.Group) {
 		if !s.Usable(now) || n.Exclude[s.ID] || !n.Homes.Has(s.region) || !s.holds(n) {
 			continue
 		}
-		if now.Before(s.suspected) {
+		if now.Before(s.suspected) || d.silent[s.Zone] {
 			suspected = append(suspected, s)
 		} else {
 			sound = append(sound, s)
--- a/core/gateway/directory/warm.go
+++ b/core/gateway/directory/warm.go
@@ -32,6 +32,12 @@
 	return true
 }
 
+// SetSilent says of which zones no instance is heard: their servers are likely out of reach.
+func (d *Directory) SetSilent(zones map[string]bool) { d.silent = zones }
+
+// Silent reports whether no instance of a zone is heard.
+func (d *Directory) Silent(zone string) bool { return d.silent[zone] }
+
 // SetWarmup replaces what the servers of the groups bear while they are cold.
 func (d *Directory) SetWarmup(limits map[string]warmup.Limit) { d.limits = limits }
 
--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -123,5 +123,20 @@
 	return n
 }
 
+// SilentZones returns the zones with instances of which none was heard for so long.
+func (s *Set) SilentZones(now clock.Time, silence time.Duration) map[string]bool {
+	silent := make(map[string]bool)
+	for _, m := range s.members {
+		if m.Heard == 0 {
+			continue
+		}
+		heard := now.Sub(m.Heard) <= silence
+		if known, ok := silent[m.Zone]; !ok || known {
+			silent[m.Zone] = !heard
+		}
+	}
+	return silent
+}
+
 // Count returns the number of instances, this one included.
 func (s *Set) Count() int { return len(s.members) + 1 }
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -15,7 +15,8 @@
 	born                     int64
 	engine                   *manifest.Engine
 	server                   *directory.Server
-	leaving                  bool // it serves no more, or not for long
+	leaving                  bool // it serves no more, or not for long, or is out of reach
+	reach                    Reach
 
 	known    bool // sequence and holdings can be relied on
 	sequence int64
@@ -84,14 +85,14 @@
 
 func newLane(s *directory.Server, now clock.Time) *lane {
 	return &lane{
-		id: s.ID, address: s.Address, group: s.Group, zone: s.Zone, born: s.Born,
+		id: s.ID, address: s.Address, group: s.Group, zone: s.Zone, born: s.Born, server: s,
 		models: make(map[string]*resident), sequence: -1,
 	}
 }
 
 // sync takes the engine's entry.
 func (l *lane) sync(now clock.Time, s *directory.Server, entry *directory.Entry, e *manifest.Engine) {
-	l.server, l.engine, l.address, l.leaving = s, e, s.Address, !s.Stays()
+	l.server, l.engine, l.address, l.leaving = s, e, s.Address, !s.Stays() || l.reach == Cut
 	l.inMemory, l.onDisk = s.InMemory, s.OnDisk
 	if l.loading != nil && now.Reached(l.loading.expected) {
 		if _, ok := entry.Holds(l.loading.model); ok {
@@ -129,7 +130,7 @@
 	for _, h := range holdings {
 		m := before[h.Model]
 		if m == nil {
-			m = &resident{loadedAt: now, usedAt: now}
+			m = &resident{loadedAt: now, usedAt: l.server.UsedModel(h.Model)}
 		}
 		adapters := make(map[string]*adapter, len(h.Adapters))
 		for _, a := range h.Adapters {
@@ -178,12 +179,12 @@
 
 // free reports whether the lane can take an order now.
 func (l *lane) free(now clock.Time) bool {
-	return l.known && !l.leaving && !l.mustAsk && l.pending == nil && l.loading == nil && now.Reached(l.retryAt)
+	return l.known && !l.leaving && l.reach == Ordered && !l.mustAsk && l.pending == nil && l.loading == nil && now.Reached(l.retryAt)
 }
 
 // askDue reports whether the engine must be asked what it holds.
 func (l *lane) askDue(now clock.Time) bool {
-	if now.Sub(l.askedAt) < askAgain && l.askedAt != 0 || l.server.Closed() {
+	if now.Sub(l.askedAt) < askAgain && l.askedAt != 0 || l.server.Closed() || l.reach == Cut {
 		return false
 	}
 	return l.mustAsk || !l.known || l.loading != nil && now.Reached(l.loading.expected.Add(loadSlack))
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -162,6 +162,7 @@
 	// weight store.
 	storeClaimed clock.Time
 	expected     map[Key]clock.Time // when a model that waits is there; without adapters
+	reach        func(zone string) Reach
 
 	// Made anew for each plan.
 	ordered []*lane                 // by id
@@ -209,6 +210,16 @@
 	return r
 }
 
+// SetReach says how the engines of each zone can be ordered.
+func (p *Placer) SetReach(reach func(zone string) Reach) { p.reach = reach }
+
+// Rest forgets the engines: others give them orders from now on.
+func (p *Placer) Rest() {
+	clear(p.lanes)
+	clear(p.expected)
+	p.ordered = nil
+}
+
 // SetWants replaces what waits.
 func (p *Placer) SetWants(wants map[Key]Want) { p.wants = wants }
 
@@ -236,6 +247,9 @@
 			l = newLane(s, now)
 			p.lanes[s.ID] = l
 		}
+		if p.reach != nil {
+			l.reach = p.reach(s.Zone)
+		}
 		l.sync(now, s, s.Claimed(), g.Engine)
 	}
 	for id := range p.lanes {
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -30,7 +30,7 @@
 func (p *Placer) repeat(now clock.Time) []Order {
 	var orders []Order
 	for _, l := range p.ordered {
-		if q := l.pending; q != nil && !q.flying && now.Sub(q.sentAt) >= orderRepeat && !l.server.Closed() {
+		if q := l.pending; q != nil && !q.flying && now.Sub(q.sentAt) >= orderRepeat && !l.server.Closed() && l.reach == Ordered {
 			q.sentAt, q.flying, q.again = now, true, true
 			orders = append(orders, q.order)
 		}
@@ -205,7 +205,7 @@
 	if l.reserved(now) != "" {
 		return option{}, false
 	}
-	if l.group != k.Group || !k.Homes.Has(l.server.Region()) || l.leaving || !l.known || !knows || l.models[k.Model] != nil {
+	if l.group != k.Group || !k.Homes.Has(l.server.Region()) || l.leaving || l.reach != Ordered || !l.known || !knows || l.models[k.Model] != nil {
 		return option{}, false
 	}
 	o := option{lane: l, idle: time.Hour}
--- /dev/null
+++ b/core/gateway/placer/scope_test.go
@@ -0,0 +1,75 @@
+package placer
+
+import (
+	"testing"
+	"time"
+)
+
+func TestScopeOf(t *testing.T) {
+	const silence = time.Second
+	tests := []struct {
+		name string
+		r    Rights
+		want Scope
+	}{
+		{"holder of the fleet", Rights{HoldsFleet: true}, Fleet},
+		{"holder of both", Rights{HoldsFleet: true, OrdersZone: true, FleetSilence: time.Hour}, Fleet},
+		{"holder of a zone", Rights{OrdersZone: true, FleetSilence: silence}, Nothing},
+		{"holder of a zone that is cut off", Rights{OrdersZone: true, FleetSilence: silence + 1}, Zone},
+		{"none", Rights{FleetSilence: time.Hour}, Nothing},
+	}
+	for _, tc := range tests {
+		if got := ScopeOf(tc.r, silence); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// A zone is cut off, and a model that only its engines hold is waited for: it counted as
+// held, and nothing loaded it elsewhere for as long as the cut lasted. While a zone merely
+// has nobody who gives its orders, its engines serve, and nothing is loaded twice.
+func TestModelsOfAZoneThatIsCutOff(t *testing.T) {
+	for _, reach := range []Reach{Held, Cut} {
+		p := newPlay(t, 1, 4, 12)
+		lost := sortedKeys(p.engines)[0]
+		for id, e := range p.engines {
+			zone := "near"
+			if id == lost {
+				zone = "far"
+				e.models = map[string]map[string]bool{model(0): {}}
+			} else {
+				delete(e.models, model(0))
+			}
+			s := *p.dir.Get(id).Claimed()
+			s.Zone = zone
+			p.dir.Put(p.now, s)
+		}
+		p.placer.SetReach(func(zone string) Reach {
+			if zone == "far" {
+				return reach
+			}
+			return Ordered
+		})
+		began, ordered := p.now, false
+		for p.now.Sub(began) < 3*time.Second {
+			p.now = p.now.Add(testTick)
+			p.placer.SetWants(map[Key]Want{{Group: group, Model: model(0)}: {Requests: 1, Since: began}})
+			p.placer.Sync(p.now, p.dir.All(group), p.groups)
+			for _, id := range p.placer.Asks(p.now) {
+				if id == lost && reach == Cut {
+					t.Fatal("an engine out of reach is asked what it holds")
+				}
+				p.placer.Reported(p.now, id, 1, p.now, Report{Holdings: p.engines[id].holdings()})
+			}
+			for _, o := range p.placer.Plan(p.now) {
+				if o.Server == lost {
+					t.Fatalf("order %+v to an engine that can't be ordered", o)
+				}
+				ordered = true
+			}
+		}
+		if ordered != (reach == Cut) {
+			t.Errorf("reach %d: ordered elsewhere %v", reach, ordered)
+		}
+	}
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -36,15 +36,8 @@
 	if m := g.manifest.Load(); m != nil {
 		b.Manifest = m.Version
 	}
-	if c, ok := g.lease.Tell(now); ok {
-		b.Claim = &claimMsg{
-			Fencing: c.Fencing, Sequence: c.Sequence, Version: c.Version,
-			LeftMS: c.Left.Milliseconds() + 1, OrdersInMS: c.OrdersIn.Milliseconds(),
-		}
-	}
-	if e, ok := g.lease.Echo(); ok {
-		b.Echo = &echoMsg{Fencing: e.Fencing, Sequence: e.Sequence}
-	}
+	b.Claim, b.Echo = claimOf(now, g.lease), echoOf(g.lease)
+	b.ZoneClaim, b.ZoneEcho = claimOf(now, g.zoneLease), echoOf(g.zoneLease)
 	return b
 }
 
@@ -142,10 +135,14 @@
 	if g.lease.Holds(now) {
 		return nil
 	}
-	if now.Sub(g.holder.heard) <= leaseSilence {
-		return map[string]bool{g.holder.name: true}
-	}
 	told := make(map[string]bool)
+	if h := g.zoneHolderMember(now, g.set.Zone); h != nil {
+		told[h.Name] = true // it plans for the zone when the other one is gone
+	}
+	if !g.fleetSilent(now) {
+		told[g.holder.name] = true
+		return told
+	}
 	for _, m := range spread.Strongest(now, all, candidatesTold) {
 		told[m.Name] = true
 	}
@@ -187,6 +184,10 @@
 		g.takeForecast(now, m.Forecast)
 	case m.Word != nil:
 		g.takeWord(now, m.Word)
+	case m.Order != nil:
+		g.takeOrder(m.Order)
+	case m.Ordered != nil:
+		g.takeOrdered(m.Ordered)
 	case m.Dispatch != nil:
 		return g.takeDispatchMsg(now, m.Dispatch)
 	case m.Choice != nil:
@@ -220,11 +221,12 @@
 		g.poison.Heard(now, b.Name, d, n)
 	}
 	g.hearHolder(now, b)
+	g.hearZoneHolder(now, b)
 	g.takeLeft(now, b)
 	g.countArrivals(now, b)
 	g.sync.Heard(now, b.Name, b.Zone, b.Manifest)
 	g.catchUp()
-	if len(b.Wants) > 0 && g.lease.Holds(now) {
+	if len(b.Wants) > 0 && g.scopeOf(now) != placer.Nothing {
 		g.poke()
 	}
 }
@@ -235,7 +237,7 @@
 		return
 	}
 	if g.holder.name != b.Name || g.holder.fencing != c.Fencing {
-		g.log.Info().Str("holder", b.Name).Int64("fencing", c.Fencing).Msg("lease: another instance gives orders")
+		g.log.Info().Str("holder", b.Name).Int64("fencing", c.Fencing).Msg("lease: another instance plans for all")
 		g.holder = holder{name: b.Name, fencing: c.Fencing}
 	}
 	if g.holder.storeDown && !b.StoreDown {
@@ -246,10 +248,7 @@
 	}
 	g.holder.version = max(c.Version, g.holder.version)
 	g.holder.heard, g.holder.storeDown, g.holder.blind = now, b.StoreDown, b.Blind
-	claim := leader.Claim{
-		Fencing: c.Fencing, Sequence: c.Sequence, Version: c.Version,
-		Left: time.Duration(c.LeftMS) * time.Millisecond, OrdersIn: time.Duration(c.OrdersInMS) * time.Millisecond,
-	}
+	claim := c.claim()
 	g.lease.HeardHolder(now, claim)
 	g.outlook.HeardHolder(now, now.Add(max(claim.Left, leasePromise)), now.Add(claim.OrdersIn))
 }
--- a/oleander/gateway/era.go
+++ b/oleander/gateway/era.go
@@ -28,6 +28,7 @@
 	}
 	e.known, e.now = true, era
 	g.lease.EraIs(now, era)
+	g.zoneLease.EraIs(now, era)
 	if !rises {
 		return
 	}
--- a/oleander/gateway/evacuate_test.go
+++ b/oleander/gateway/evacuate_test.go
@@ -81,7 +81,7 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.waits[placer.Key{Group: "llm", Model: "cold"}] = placer.Want{Requests: 1, Since: now}
-	orders, asks := g.plan(now.Add(time.Minute))
+	orders, asks := g.plan(now.Add(time.Minute), placer.Fleet)
 	if len(orders)+len(asks) > 0 {
 		t.Errorf("orders %v, questions %v", orders, asks)
 	}
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -117,7 +117,7 @@
 // noLease is a store that takes no write of the lease.
 type noLease struct{ ports.Store }
 
-func (noLease) WriteLease(context.Context, leader.Record, revision.Revision) (leader.Result, revision.Revision) {
+func (noLease) WriteLease(context.Context, ports.LeaseName, leader.Record, revision.Revision) (leader.Result, revision.Revision) {
 	return leader.Unknown, revision.Revision{}
 }
 
@@ -161,6 +161,7 @@
 	ended    []chan struct{}
 	log      logBuffer         // of all gateways
 	regions  map[string]string // by zone; nil: one
+	zones    []string          // of the gateways in turn; more are in z
 }
 
 // logBuffer keeps lines; gateways write while a test reads.
@@ -217,8 +218,12 @@
 func (f *fixture) start() string {
 	n := len(f.gateways)
 	own := testutil.FreeAddresses(f.t, 3)
+	zone := "z"
+	if n < len(f.zones) {
+		zone = f.zones[n]
+	}
 	s := Settings{
-		Name: fmt.Sprint("g", n), Zone: "z", Regions: f.regions, Front: own[0], Ready: own[1], Peer: own[2], Grace: testGrace,
+		Name: fmt.Sprint("g", n), Zone: zone, Regions: f.regions, Front: own[0], Ready: own[1], Peer: own[2], Grace: testGrace,
 		OrderQuiet: 100 * time.Millisecond, LeavingWithin: 2 * time.Second,
 		Retry: budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 	}
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -51,14 +51,17 @@
 		if seen == nil || !m.Live(now) {
 			continue
 		}
-		f := forecastMsg{Fencing: g.lease.Fencing()}
+		if g.scope == placer.Zone && m.Zone != g.set.Zone {
+			continue
+		}
+		f := forecastMsg{Fencing: g.planFencing(), Zone: g.planZone()}
 		for _, w := range seen.wants {
 			k := placer.Key{Group: w.Group, Model: w.Model, Adapter: w.Adapter, Homes: w.Homes}
 			if _, ok := expected[k]; !ok {
 				k.Adapter = ""
 			}
 			if in := expected[k].Sub(now); in >= tellFrom {
-				f.Models = append(f.Models, expectedMsg{Group: k.Group, Model: k.Model, Adapter: k.Adapter, ReadyMS: in.Milliseconds()})
+				f.Models = append(f.Models, expectedMsg{Group: k.Group, Model: k.Model, Adapter: k.Adapter, Homes: k.Homes, ReadyMS: in.Milliseconds()})
 			}
 		}
 		if len(f.Models) == 0 {
@@ -71,7 +74,7 @@
 
 // takeForecast takes what the holder of the lease expects.
 func (g *Gateway) takeForecast(now clock.Time, f *forecastMsg) {
-	if f.Fencing < g.holder.fencing {
+	if f.Zone != "" && !g.speaksForZone(now, f.Zone, f.Fencing) || f.Zone == "" && f.Fencing < g.holder.fencing {
 		return
 	}
 	for _, m := range f.Models {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -76,6 +76,13 @@
 	// taking over. The holder goes on without the store while it is heard so
 	// often by all, and their messages are up to 0.7 s apart.
 	leasePromise = time.Second
+	// zoneTerm and zoneRenew are those of the zones' leases. Their holders go on by the
+	// word of their zone, so the row is written more rarely.
+	zoneTerm  = 1500 * time.Millisecond
+	zoneRenew = 600 * time.Millisecond
+	// zoneSilence is how long no instance of a zone is heard until it counts as cut off:
+	// two heartbeats of a small fleet, and in a large one a zone has many instances.
+	zoneSilence = time.Second
 	// leaseBeyond is how long a holder goes on without the store: the outages
 	// measured last up to nine seconds. Instances that are no voters wait as
 	// long after a holder's death.
@@ -134,7 +141,12 @@
 	tokenTimer *time.Timer                   // when quota does something next
 	budget     *budget.Budget
 	poison     *poison.Register
-	lease      *leader.Lease
+	lease      *leader.Lease // of the fleet: its holder plans, chooses servers and tells of them
+	zoneLease  *leader.Lease // of the own zone: its holder gives the orders to its engines
+	zoneHolder map[string]zoneHolder
+	passedOn   orderCalls   // orders that others were asked to give
+	scope      placer.Scope // of the last plan
+	planned    clock.Time   // the last plan
 	placer     *placer.Placer
 	outlook    *outlook.Outlook[placer.Key]
 	waits      map[placer.Key]placer.Want // of the requests here
@@ -217,9 +229,9 @@
 		kick: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), changed: make(chan struct{}), refuseWaiting: make(chan struct{}),
 		dir: directory.New(), members: members.New(s.Name), sync: configsync.New(boottime.Now(), s.Name, s.Zone), deciding: make(map[uint64]chan quota.Outcome),
 		budget: budget.New(s.Retry), poison: poison.New(),
-		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence, Quiet: s.OrderQuiet + orderSlack}),
+		outlook: outlook.New[placer.Key](outlook.Settings{Silence: leaseSilence}),
 		waits:   make(map[placer.Key]placer.Want), promises: make(map[placer.Key]promise), arrived: make(map[string]arrivals),
-		peerSeen: make(map[string]*peerSeen), lapse: lapse.New(), removed: make(map[string]removedServer),
+		peerSeen: make(map[string]*peerSeen), zoneHolder: make(map[string]zoneHolder), passedOn: newOrderCalls(), lapse: lapse.New(), removed: make(map[string]removedServer),
 		publisher: newPublisher(), evacuations: evacuation.New(s.EvacuatedWithin), watches: watches{cancels: make(map[string]context.CancelFunc)},
 	}
 	g.dir.SetRegions(s.Regions)
@@ -232,10 +244,14 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
 	g.placer = placer.New(invariant.Reporting(g.violated))
-	g.lease = leader.New(leader.Settings{
+	of := leader.Settings{
 		Self: machine(s.Name, s.Peer), Term: leaseTerm, RenewEvery: leaseRenew, Margin: leaseMargin,
-		Quiet: s.OrderQuiet + orderSlack, Silence: leaseSilence, Promise: leasePromise, Beyond: leaseBeyond,
-	}, g.incarnation, boottime.Now())
+		Silence: leaseSilence, Promise: leasePromise, Beyond: leaseBeyond,
+	}
+	g.lease = leader.New(of, g.incarnation, boottime.Now())
+	of.Term, of.RenewEvery, of.Quiet = zoneTerm, zoneRenew, s.OrderQuiet+orderSlack
+	g.zoneLease = leader.New(of, g.incarnation, boottime.Now())
+	g.placer.SetReach(g.reachOf)
 	return g, nil
 }
 
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -72,7 +72,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	if g.lease.Holds(now) {
+	if g.lease.Holds(now) || g.zoneLease.Holds(now) {
 		return beatEvery // its silence is what the others take for its end
 	}
 	return beatIntervalOf(g.members.Count())
@@ -99,19 +99,27 @@
 	g.lookAround(now)
 	state := append(g.tokenMessages(), g.tellWord(now)...)
 	step := g.lease.Next(now, g.candidates(now))
+	zoneStep := g.zoneLease.Next(now, g.zoneCandidates(now))
+	scope := g.enterScope(now)
 	var orders []placer.Order
 	var asks []question
 	pause := housekeepEvery
-	if g.lease.Holds(now) {
-		g.outlook.HeardHolder(now, now.Add(leasePromise), g.lease.OrdersFrom())
-		orders, asks = g.plan(now)
-		state = slices.Concat(state, g.publish(now), g.tellForecasts(now))
+	if scope != placer.Nothing {
+		g.outlook.HeardHolder(now, now.Add(leasePromise), now)
+		orders, asks = g.plan(now, scope)
+		if scope == placer.Fleet {
+			state = append(state, g.publish(now)...)
+		} else {
+			state = append(state, g.publishZone(now)...)
+		}
+		state = append(state, g.tellForecasts(now)...)
 		if g.placer.Active() {
 			pause = placeEvery
 		}
 	}
 	g.mu.Unlock()
-	g.leaseStep(step)
+	g.leaseStep("", g.lease, step)
+	g.leaseStep(g.zoneName(), g.zoneLease, zoneStep)
 	g.sendAll(state)
 	for _, o := range orders {
 		go g.order(o)
@@ -122,11 +130,27 @@
 	return pause
 }
 
+// enterScope returns which engines this instance plans for now. The caller holds mu.
+func (g *Gateway) enterScope(now clock.Time) placer.Scope {
+	scope := g.scopeOf(now)
+	if scope == g.scope {
+		return scope
+	}
+	g.log.Info().Stringer("scope", scope).Stringer("before", g.scope).Msg("placer: plans for other engines")
+	g.scope = scope
+	clear(g.publisher.told)
+	if scope == placer.Nothing {
+		g.placer.Rest()
+	}
+	return scope
+}
+
 // lookAround drops what is too old and takes what time alone changes. The caller
 // holds mu.
 func (g *Gateway) lookAround(now clock.Time) {
 	g.dropLapsed(now)
 	g.applyEvacuations(now)
+	g.dir.SetSilent(g.members.SilentZones(now, zoneSilence))
 	if g.dir.Paces() {
 		g.dir.SetShare(g.shareOfWarmup(now))
 	}
@@ -145,7 +169,10 @@
 	g.quota.Tick(now)
 	if g.lease.Lapsed(now) {
 		g.metrics.leaseLost.Inc()
-		g.log.Warn().Msg("lease: lapsed, no more orders")
+		g.log.Warn().Msg("lease: lapsed, no more planning for all")
+	}
+	if g.zoneLease.Lapsed(now) {
+		g.log.Warn().Str("zone", g.set.Zone).Msg("lease: lapsed, no more orders")
 	}
 }
 
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -27,6 +27,7 @@
 
 // leaseCall is a call for the row of the lease.
 type leaseCall struct {
+	Name   ports.LeaseName   `json:"name"`
 	Write  bool              `json:"write"`
 	Record leader.Record     `json:"record"`
 	Expect revision.Revision `json:"expect"`
@@ -45,11 +46,11 @@
 func (g *Gateway) callStore(ctx context.Context, c leaseCall) leaseAnswer {
 	began := boottime.Now()
 	if c.Write {
-		result, at := g.store.WriteLease(ctx, c.Record, c.Expect)
+		result, at := g.store.WriteLease(ctx, c.Name, c.Record, c.Expect)
 		g.stored("lease-write", began, unknownIs(result))
 		return leaseAnswer{OK: result != leader.Unknown, Result: result, At: at, Era: g.store.Era()}
 	}
-	row, err := g.store.Lease(ctx)
+	row, err := g.store.Lease(ctx, c.Name)
 	g.stored("lease-read", began, err)
 	return leaseAnswer{OK: err == nil, Row: row, Era: g.store.Era()}
 }
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -7,6 +7,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -23,18 +24,16 @@
 	born            int64
 }
 
-// plan asks the placer what to do. The caller holds mu.
-func (g *Gateway) plan(now clock.Time) ([]placer.Order, []question) {
+// plan asks the placer what to do for the engines of a scope. The caller holds mu.
+func (g *Gateway) plan(now clock.Time, scope placer.Scope) ([]placer.Order, []question) {
 	m := g.manifest.Load()
 	if m == nil {
 		return nil, nil
 	}
+	g.planned = now
 	g.placer.SetWants(g.wants(now))
-	g.placer.Sync(now, g.enginesOf(), m.Groups)
-	var orders []placer.Order
-	if g.lease.MayOrder(now) {
-		orders = g.placer.Plan(now)
-	}
+	g.placer.Sync(now, g.enginesIn(scope), m.Groups)
+	orders := g.placer.Plan(now)
 	var asks []question
 	for _, id := range g.placer.Asks(now) {
 		if s := g.dir.Get(id); s != nil {
@@ -44,10 +43,33 @@
 	return orders, asks
 }
 
-// order gives one order, if the right to do so is still there.
+// order has one order given by the holder of the engine's zone, and takes the answer.
 func (g *Gateway) order(o placer.Order) {
 	g.mu.Lock()
-	may, fencing := g.lease.MayOrder(boottime.Now()), g.lease.Fencing()
+	zone := g.set.Zone
+	if s := g.dir.Get(o.Server); s != nil {
+		zone = s.Zone
+	}
+	g.mu.Unlock()
+	var answer placer.Answer
+	if zone == g.set.Zone {
+		answer = g.giveOrder(o)
+	} else {
+		answer = g.passOrder(zone, o)
+	}
+	g.mu.Lock()
+	g.placer.Answered(boottime.Now(), o, answer)
+	g.mu.Unlock()
+	g.poke()
+}
+
+// giveOrder gives one order to an engine of the own zone, if the right to do so is still
+// there.
+func (g *Gateway) giveOrder(o placer.Order) placer.Answer {
+	g.mu.Lock()
+	may, fencing := g.zoneLease.MayOrder(boottime.Now()), g.zoneLease.Fencing()
+	s := g.dir.Get(o.Server)
+	may = may && s != nil && s.Born == o.Born && s.Zone == g.set.Zone && !s.Closed()
 	g.mu.Unlock()
 	answer := placer.Silent
 	if may {
@@ -58,10 +80,7 @@
 	g.metrics.order(string(o.Kind), answer)
 	g.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("model", o.Model).Str("adapter", o.Adapter).
 		Int64("precondition", o.Precondition).Int64("fencing", fencing).Bool("sent", may).Stringer("answer", answer).Msg("placer: order")
-	g.mu.Lock()
-	g.placer.Answered(boottime.Now(), o, answer)
-	g.mu.Unlock()
-	g.poke()
+	return answer
 }
 
 func (g *Gateway) ask(q question) {
@@ -80,36 +99,46 @@
 	g.poke()
 }
 
-// leaseStep carries out an action on the row of the lease.
-func (g *Gateway) leaseStep(step leader.Step) {
+// leaseStep carries out an action on the row of a lease.
+func (g *Gateway) leaseStep(name ports.LeaseName, l *leader.Lease, step leader.Step) {
 	if step.Action == leader.None {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(g.ctx, leaseTimeout)
 		defer cancel()
-		a := g.callLease(ctx, leaseCall{Write: step.Action == leader.Write, Record: step.Record, Expect: step.Expect})
-		g.leaseAnswered(step, a)
+		a := g.callLease(ctx, leaseCall{Name: name, Write: step.Action == leader.Write, Record: step.Record, Expect: step.Expect})
+		g.leaseAnswered(l, step, a)
 		g.poke()
 	}()
 }
 
-func (g *Gateway) leaseAnswered(step leader.Step, a leaseAnswer) {
+func (g *Gateway) leaseAnswered(l *leader.Lease, step leader.Step, a leaseAnswer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.eraIs(now, a.Era)
 	if step.Action == leader.Read {
-		g.lease.Seen(now, a.Row, a.OK)
+		l.Seen(now, a.Row, a.OK)
 		return
 	}
-	held := g.lease.Holds(now)
-	fencing := g.lease.Fencing()
-	g.lease.Written(now, step, a.Result, a.At)
-	g.tellClaim = g.tellClaim || g.lease.Holds(now)
-	if g.lease.Holds(now) && (!held || g.lease.Fencing() != fencing) {
-		g.holder = holder{name: g.set.Name, fencing: g.lease.Fencing(), heard: now}
-		g.metrics.leaseTaken.Inc()
-		g.log.Info().Int64("fencing", g.lease.Fencing()).Msg("lease: taken, this instance gives orders")
+	held := l.Holds(now)
+	fencing := l.Fencing()
+	l.Written(now, step, a.Result, a.At)
+	g.tellClaim = g.tellClaim || l.Holds(now)
+	if l.Holds(now) && (!held || l.Fencing() != fencing) {
+		g.leaseTaken(now, l)
+	}
+}
+
+// leaseTaken notes that this instance holds a lease now. The caller holds mu.
+func (g *Gateway) leaseTaken(now clock.Time, l *leader.Lease) {
+	if l == g.zoneLease {
+		g.zoneHolder[g.set.Zone] = zoneHolder{name: g.set.Name, fencing: l.Fencing(), heard: now, from: l.OrdersFrom()}
+		g.log.Info().Int64("fencing", l.Fencing()).Str("zone", g.set.Zone).Msg("lease: taken, this instance gives the orders of its zone")
+		return
 	}
+	g.holder = holder{name: g.set.Name, fencing: l.Fencing(), heard: now}
+	g.metrics.leaseTaken.Inc()
+	g.log.Info().Int64("fencing", l.Fencing()).Msg("lease: taken, this instance plans for all")
 }
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -63,6 +63,8 @@
 	Broken      map[poison.Digest]uint32
 	Era         int64     // of the store
 	Zones       []zoneMsg // evacuations
+	ZoneClaim   *claimMsg // of the holder of the lease of the sender's zone
+	ZoneEcho    *echoMsg  // to it
 }
 
 // claimMsg tells the right of the holder of the lease.
@@ -132,6 +134,9 @@
 	Fencing int64
 	Servers []serverMsg
 	Gone    []goneMsg // servers that left of late
+	// Zone is set if the sender speaks for its zone alone, since the holder of the fleet's
+	// lease is silent.
+	Zone string
 	// All names all servers that the sender knows, where it read them from the
 	// store since it holds the lease; nil: it is not told.
 	All []string
@@ -143,6 +148,7 @@
 	_       struct{} `cbor:",toarray"`
 	Fencing int64
 	Models  []expectedMsg
+	Zone    string // as of a stateMsg
 }
 
 // expectedMsg tells when a model is expected to be usable.
@@ -168,6 +174,8 @@
 	Dispatch *dispatchMsg `cbor:"11,keyasint,omitempty"`
 	Choice   *choiceMsg   `cbor:"12,keyasint,omitempty"`
 	Word     *wordMsg     `cbor:"10,keyasint,omitempty"`
+	Order    *orderMsg    `cbor:"13,keyasint,omitempty"`
+	Ordered  *orderedMsg  `cbor:"14,keyasint,omitempty"`
 	Relayed  [][]byte     `cbor:"9,keyasint,omitempty"` // packets that another instance of the zone passes on
 }
 
@@ -197,6 +205,8 @@
 		return "word"
 	case p.Dispatch != nil, p.Choice != nil:
 		return "dispatch"
+	case p.Order != nil, p.Ordered != nil:
+		return "order"
 	}
 	return "tokens"
 }
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -87,6 +87,10 @@
 	Removed bool
 }
 
+// LeaseName names a lease: the empty one is the fleet's, the others are those of the
+// availability zones.
+type LeaseName string
+
 // Operator is what the operator has written.
 type Operator struct {
 	Manifest []byte // as stored; nil: there is none, or no newer one
@@ -116,11 +120,11 @@
 	// Peers returns the rows of all instances, Join writes one.
 	Peers(ctx context.Context) ([]Peer, error)
 	Join(ctx context.Context, p Peer) error
-	// Lease reads the row of the lease of the store's era.
-	Lease(ctx context.Context) (leader.Row, error)
+	// Lease reads the row of a lease of the store's era.
+	Lease(ctx context.Context, name LeaseName) (leader.Row, error)
 	// WriteLease replaces the row of an era as it was at a revision. It conflicts if the
 	// store has another era meanwhile.
-	WriteLease(ctx context.Context, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision)
+	WriteLease(ctx context.Context, name LeaseName, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision)
 }
 
 // Engines takes orders and tells what it holds.
--- a/oleander/gateway/portstest/engines.go
+++ b/oleander/gateway/portstest/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -162,6 +163,14 @@
 	until    time.Time
 	loadTime time.Duration
 	silent   bool
+	holders  []string // of the orders, in turn
+}
+
+// Holders returns who gave orders to an engine, in turn.
+func (m *MemoryEngines) Holders(address string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.engines[address].holders)
 }
 
 // NewMemoryEngines returns a Fleet without engines.
@@ -225,13 +234,16 @@
 }
 
 // Order implements ports.Engines.
-func (m *MemoryEngines) Order(ctx context.Context, o placer.Order, _ string, _ int64) placer.Answer {
+func (m *MemoryEngines) Order(ctx context.Context, o placer.Order, holder string, _ int64) placer.Answer {
 	e := m.at(ctx, o.Address)
 	if e == nil {
 		return placer.Silent
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if n := len(e.holders); n == 0 || e.holders[n-1] != holder {
+		e.holders = append(e.holders, holder)
+	}
 	e.settle()
 	switch {
 	case o.Server != e.id:
--- a/oleander/gateway/portstest/memory.go
+++ b/oleander/gateway/portstest/memory.go
@@ -62,14 +62,19 @@
 	written     map[string]int64 // version of a server's last change
 	evacuations map[string]evacuation.Row
 	peers       map[string]ports.Peer
-	leases      map[int64]leader.Row // by era
+	leases      map[leaseKey]leader.Row
 	version     int64
 }
 
+type leaseKey struct {
+	name ports.LeaseName
+	era  int64
+}
+
 func newState() state {
 	return state{
 		servers: make(map[string]directory.Entry), removed: make(map[string]int64), written: make(map[string]int64),
-		evacuations: make(map[string]evacuation.Row), peers: make(map[string]ports.Peer), leases: make(map[int64]leader.Row),
+		evacuations: make(map[string]evacuation.Row), peers: make(map[string]ports.Peer), leases: make(map[leaseKey]leader.Row),
 	}
 }
 
@@ -367,30 +372,31 @@
 }
 
 // Lease implements ports.Store.
-func (v *view) Lease(ctx context.Context) (r leader.Row, err error) {
+func (v *view) Lease(ctx context.Context, name ports.LeaseName) (r leader.Row, err error) {
 	m := v.memory
 	err = v.do(ctx, func() {
-		r = m.state.leases[m.era]
+		r = m.state.leases[leaseKey{name, m.era}]
 		r.At.Era = m.era
-		for era := range m.state.leases {
-			r.Earlier = r.Earlier || era != m.era
+		for k := range m.state.leases {
+			r.Earlier = r.Earlier || k.name == name && k.era != m.era
 		}
 	})
 	return r, err
 }
 
 // WriteLease implements ports.Store.
-func (v *view) WriteLease(ctx context.Context, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision) {
+func (v *view) WriteLease(ctx context.Context, name ports.LeaseName, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision) {
 	m := v.memory
 	var result leader.Result
 	var at revision.Revision
 	err := v.do(ctx, func() {
 		result = leader.Conflict
-		if expect.Version != m.state.leases[expect.Era].At.Version {
+		k := leaseKey{name, expect.Era}
+		if expect.Version != m.state.leases[k].At.Version {
 			return
 		}
 		m.change()
-		m.state.leases[expect.Era] = leader.Row{Record: r, At: m.at()}
+		m.state.leases[k] = leader.Row{Record: r, At: m.at()}
 		if expect.Era == m.era {
 			result, at = leader.Done, m.at()
 		}
--- a/oleander/gateway/portstest/store.go
+++ b/oleander/gateway/portstest/store.go
@@ -48,6 +48,7 @@
 		{"servers", testServers},
 		{"instances", testInstances},
 		{"lease", testLease},
+		{"leases", testLeases},
 		{"write whose answer is lost", testLostWrite},
 		{"write carried out late", testLateWrite},
 		{"late write after another", testLateWriteAfterAnother},
@@ -78,7 +79,7 @@
 		return err
 	},
 	"peers": func(s ports.Store, ctx context.Context) error { _, err := s.Peers(ctx); return err },
-	"lease": func(s ports.Store, ctx context.Context) error { _, err := s.Lease(ctx); return err },
+	"lease": func(s ports.Store, ctx context.Context) error { _, err := s.Lease(ctx, ""); return err },
 	"join":  func(s ports.Store, ctx context.Context) error { return s.Join(ctx, ports.Peer{Name: "x"}) },
 }
 
@@ -105,7 +106,7 @@
 	if all, err := s.Peers(soon(t)); len(all) != 0 || err != nil {
 		t.Errorf("instances %v, %v", all, err)
 	}
-	if r, err := s.Lease(soon(t)); r.At.Version != 0 || r.Earlier || err != nil {
+	if r, err := s.Lease(soon(t), ""); r.At.Version != 0 || r.Earlier || err != nil {
 		t.Errorf("lease %+v, %v", r, err)
 	}
 }
@@ -204,20 +205,20 @@
 	s, other := b.Store(0), b.Store(1)
 	b.SetConfig(1)
 	b.Copy()
-	_, old := s.WriteLease(soon(t), record(1), revision.Revision{})
+	_, old := s.WriteLease(soon(t), "", record(1), revision.Revision{})
 	b.Restore()
-	r, err := other.Lease(soon(t))
+	r, err := other.Lease(soon(t), "")
 	if r.At.Version != 0 || r.At.Era == old.Era || err != nil {
 		t.Fatalf("lease %+v, %v", r, err)
 	}
-	res, at := other.WriteLease(soon(t), record(2), r.At)
+	res, at := other.WriteLease(soon(t), "", record(2), r.At)
 	if res != leader.Done {
 		t.Fatalf("first write of the era: %v", res)
 	}
-	if res, _ := s.WriteLease(soon(t), record(3), old); res == leader.Done {
+	if res, _ := s.WriteLease(soon(t), "", record(3), old); res == leader.Done {
 		t.Errorf("a write of the old era took effect")
 	}
-	if r, err := s.Lease(soon(t)); r.Record != record(2) || r.At != at || err != nil {
+	if r, err := s.Lease(soon(t), ""); r.Record != record(2) || r.At != at || err != nil {
 		t.Errorf("lease %+v, %v", r, err)
 	}
 }
@@ -303,44 +304,59 @@
 // A write takes effect only on the version that it expects.
 func testLease(t *testing.T, b Backing) {
 	s := b.Store(0)
-	res, v := s.WriteLease(soon(t), record(1), revision.Revision{})
+	res, v := s.WriteLease(soon(t), "", record(1), revision.Revision{})
 	if res != leader.Done || v.Version == 0 {
 		t.Fatalf("first write: %v at %d", res, v)
 	}
-	if res, _ := b.Store(1).WriteLease(soon(t), record(2), revision.Revision{}); res != leader.Conflict {
+	if res, _ := b.Store(1).WriteLease(soon(t), "", record(2), revision.Revision{}); res != leader.Conflict {
 		t.Errorf("write as if there were no row: %v", res)
 	}
-	res, next := b.Store(1).WriteLease(soon(t), record(2), v)
+	res, next := b.Store(1).WriteLease(soon(t), "", record(2), v)
 	if res != leader.Done || !v.Before(next) {
 		t.Errorf("write on version %d: %v at %d", v, res, next)
 	}
-	if r, err := s.Lease(soon(t)); r.Record != record(2) || r.At != next || err != nil {
+	if r, err := s.Lease(soon(t), ""); r.Record != record(2) || r.At != next || err != nil {
 		t.Errorf("read %+v after %d, %v", r, next, err)
 	}
 }
 
+// Leases of several names don't touch each other.
+func testLeases(t *testing.T, b Backing) {
+	s := b.Store(0)
+	for i, name := range []ports.LeaseName{"", "a", "b"} {
+		if res, _ := s.WriteLease(soon(t), name, record(int64(i+1)), revision.Revision{}); res != leader.Done {
+			t.Fatalf("lease %q: %v", name, res)
+		}
+	}
+	for i, name := range []ports.LeaseName{"", "a", "b"} {
+		if r, err := s.Lease(soon(t), name); r.Record != record(int64(i+1)) || r.Earlier || err != nil {
+			t.Errorf("lease %q: %+v, %v", name, r, err)
+		}
+	}
+}
+
 func testLostWrite(t *testing.T, b Backing) {
 	b.Fail(0, Lost)
-	if res, _ := b.Store(0).WriteLease(soon(t), record(1), revision.Revision{}); res != leader.Unknown {
+	if res, _ := b.Store(0).WriteLease(soon(t), "", record(1), revision.Revision{}); res != leader.Unknown {
 		t.Errorf("write without an answer: %v", res)
 	}
 	b.Fail(0, None)
-	if r, err := b.Store(0).Lease(soon(t)); r.Record != record(1) || r.At.Version == 0 || err != nil {
+	if r, err := b.Store(0).Lease(soon(t), ""); r.Record != record(1) || r.At.Version == 0 || err != nil {
 		t.Errorf("read %+v, %v", r, err)
 	}
 }
 
 func testLateWrite(t *testing.T, b Backing) {
 	b.Fail(0, Late)
-	if res, _ := b.Store(0).WriteLease(brief(t), record(1), revision.Revision{}); res != leader.Unknown {
+	if res, _ := b.Store(0).WriteLease(brief(t), "", record(1), revision.Revision{}); res != leader.Unknown {
 		t.Errorf("write without an answer: %v", res)
 	}
 	b.Fail(0, None)
-	if r, err := b.Store(0).Lease(soon(t)); r.At.Version != 0 || err != nil {
+	if r, err := b.Store(0).Lease(soon(t), ""); r.At.Version != 0 || err != nil {
 		t.Errorf("read %+v before it was carried out, %v", r, err)
 	}
 	time.Sleep(2 * LateBy)
-	if r, err := b.Store(0).Lease(soon(t)); r.Record != record(1) || r.At.Version == 0 || err != nil {
+	if r, err := b.Store(0).Lease(soon(t), ""); r.Record != record(1) || r.At.Version == 0 || err != nil {
 		t.Errorf("read %+v, %v", r, err)
 	}
 }
@@ -349,14 +365,14 @@
 // not take effect.
 func testLateWriteAfterAnother(t *testing.T, b Backing) {
 	b.Fail(0, Late)
-	if res, _ := b.Store(0).WriteLease(brief(t), record(1), revision.Revision{}); res != leader.Unknown {
+	if res, _ := b.Store(0).WriteLease(brief(t), "", record(1), revision.Revision{}); res != leader.Unknown {
 		t.Errorf("write without an answer: %v", res)
 	}
-	if res, _ := b.Store(1).WriteLease(soon(t), record(2), revision.Revision{}); res != leader.Done {
+	if res, _ := b.Store(1).WriteLease(soon(t), "", record(2), revision.Revision{}); res != leader.Done {
 		t.Fatalf("another's write: %v", res)
 	}
 	time.Sleep(2 * LateBy)
-	if r, err := b.Store(1).Lease(soon(t)); r.Record != record(2) || err != nil {
+	if r, err := b.Store(1).Lease(soon(t), ""); r.Record != record(2) || err != nil {
 		t.Errorf("read %+v, %v", r, err)
 	}
 }
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -145,8 +146,11 @@
 func (g *Gateway) restUnlessHolder() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.lease.Holds(boottime.Now()) {
-		g.lease.Rest()
+	now := boottime.Now()
+	for _, l := range []*leader.Lease{g.lease, g.zoneLease} {
+		if !l.Holds(now) {
+			l.Rest()
+		}
 	}
 }
 
@@ -156,6 +160,7 @@
 func (g *Gateway) rest() {
 	g.mu.Lock()
 	g.lease.Rest()
+	g.zoneLease.Rest()
 	g.mu.Unlock()
 	g.sendBeat(toAllAtOnce)
 	g.sleep(restFor)
--- a/oleander/gateway/size_test.go
+++ b/oleander/gateway/size_test.go
@@ -59,7 +59,7 @@
 			g.publisher.repeats.at, g.publisher.flushed = boottime.Now(), 0
 			g.publish(boottime.Now())
 		})
-		run("plan", func() { g.plan(boottime.Now()) })
+		run("plan", func() { g.plan(boottime.Now(), placer.Fleet) })
 		run("pick", func() {
 			g.dir.Pick(boottime.Now(), directory.Need{Group: "llm", Model: "m7", Zone: "z0"})
 		})
--- a/oleander/gateway/state.go
+++ b/oleander/gateway/state.go
@@ -6,6 +6,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/core/gateway/revision"
 )
 
@@ -217,15 +218,35 @@
 		part := servers[:min(serversPerState, len(servers))]
 		servers = servers[len(part):]
 		messages = append(messages, g.encode(packet{State: &stateMsg{
-			Name: g.set.Name, Fencing: g.lease.Fencing(), Servers: part, Gone: gone, All: all,
+			Name: g.set.Name, Fencing: g.planFencing(), Servers: part, Gone: gone, All: all, Zone: g.planZone(),
 		}}))
 		all = nil // once is enough
 	}
 	return messages
 }
 
+// planZone is the zone for which alone this instance plans; "": for all.
+func (g *Gateway) planZone() string {
+	if g.scope == placer.Zone {
+		return g.set.Zone
+	}
+	return ""
+}
+
+// planFencing is the fencing number of the lease under which this instance plans.
+func (g *Gateway) planFencing() int64 {
+	if g.scope == placer.Zone {
+		return g.zoneLease.Fencing()
+	}
+	return g.lease.Fencing()
+}
+
 // takeState takes what the holder of the lease says of the backend servers.
 func (g *Gateway) takeState(now clock.Time, s *stateMsg) {
+	if s.Zone != "" {
+		g.takeZoneState(now, s)
+		return
+	}
 	if s.Fencing < g.holder.fencing || s.Name == g.set.Name {
 		return
 	}
