--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// reached takes how the engine can be ordered. Others may have ordered it while it was out
+// of reach.
+func (l *lane) reached(r Reach) {
+	if l.reach == Cut && r != Cut {
+		l.mustAsk = true
+	}
+	l.reach = r
+}
+
 // sync takes the engine's entry.
 func (l *lane) sync(now clock.Time, s *directory.Server, entry *directory.Entry, e *manifest.Engine) {
 	l.server, l.engine, l.address, l.leaving = s, e, s.Address, !s.Stays() || l.reach == Cut
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -155,6 +155,7 @@
 	lanes    map[string]*lane
 	wants    map[Key]Want
 	rates    map[string]*rate // by model
+	planners int              // that share the weight store
 	tokens   float64          // loads from the weight store that may begin
 	tokensAt clock.Time
 	refused  map[Key]clock.Time
@@ -220,6 +221,22 @@
 	p.ordered = nil
 }
 
+// ShareStore says that so many planners load from the weight store at a time: what it
+// carries is shared among them. One that begins with a share has no credit, for the planner
+// of before may have used it.
+func (p *Placer) ShareStore(now clock.Time, planners int) {
+	if planners == p.planners {
+		return
+	}
+	p.planners = planners
+	if planners > 1 {
+		p.tokens, p.tokensAt = 0, now
+	}
+}
+
+// storeWidth is how many loads from the weight store this planner has under way at once.
+func (p *Placer) storeWidth() int { return max(1, storeAtOnce/max(1, p.planners)) }
+
 // SetWants replaces what waits.
 func (p *Placer) SetWants(wants map[Key]Want) { p.wants = wants }
 
@@ -248,7 +265,7 @@
 			p.lanes[s.ID] = l
 		}
 		if p.reach != nil {
-			l.reach = p.reach(s.Zone)
+			l.reached(p.reach(s.Zone))
 		}
 		l.sync(now, s, s.Claimed(), g.Engine)
 	}
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -450,12 +450,13 @@
 // storeRoom reports whether a load from the weight store may begin: within its
 // rate, and no more at once than run at full speed.
 func (p *Placer) storeRoom(now clock.Time, l *lane) bool {
-	const share = 0.9 // of the rate; the rest covers a holder that was replaced
+	const part = 0.9 // of the rate; the rest covers a planner that was replaced
+	share := part / float64(max(1, p.planners))
 	if p.tokensAt == 0 {
 		p.tokens = storeBurst
 	} else {
 		p.tokens = min(storeBurst, p.tokens+now.Sub(p.tokensAt).Seconds()*l.engine.LoadsPerSecond*share)
 	}
 	p.tokensAt = now
-	return p.tokens >= 1 && p.storeLoads() < storeAtOnce
+	return p.tokens >= 1 && p.storeLoads() < p.storeWidth()
 }
--- a/core/gateway/placer/scope_test.go
+++ b/core/gateway/placer/scope_test.go
@@ -73,3 +73,33 @@
 		}
 	}
 }
+
+// The holder of the fleet's lease dies, and the planner of each zone loads what it is asked
+// for. The weight store carries the loads of all of them together.
+func TestPlannersShareTheStore(t *testing.T) {
+	const zones = 4
+	const window = 5 * time.Second
+	loads := 0
+	for zone := range zones {
+		p := newPlay(t, uint64(zone), 6, 40)
+		for _, e := range p.engines {
+			e.onDisk, e.models = nil, map[string]map[string]bool{}
+			p.write(e)
+		}
+		p.placer.ShareStore(p.now, zones)
+		for m := range 40 {
+			p.want(Key{Group: group, Model: model(m)})
+		}
+		for range int(window / testTick) {
+			p.tick()
+		}
+		loads += len(p.loads)
+	}
+	const carried = 4*5*1.1 + 3 // 4 a second for five seconds, and what may begin beyond
+	if float64(loads) > carried {
+		t.Errorf("%d loads from the weight store in %v, %v are carried", loads, window, carried)
+	}
+	if loads < 2*zones {
+		t.Errorf("%d loads: the test shows little", loads)
+	}
+}
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -138,6 +138,7 @@
 	}
 	g.log.Info().Stringer("scope", scope).Stringer("before", g.scope).Msg("placer: plans for other engines")
 	g.scope = scope
+	g.placer.ShareStore(now, g.planners(scope))
 	clear(g.publisher.told)
 	if scope == placer.Nothing {
 		g.placer.Rest()
--- a/oleander/gateway/zones.go
+++ b/oleander/gateway/zones.go
@@ -91,6 +91,19 @@
 	}, leaseSilence)
 }
 
+// planners returns how many instances may plan at a time: one for all, or one in each zone.
+// The caller holds mu.
+func (g *Gateway) planners(scope placer.Scope) int {
+	if scope != placer.Zone {
+		return 1
+	}
+	zones := map[string]bool{g.set.Zone: true}
+	for zone := range g.zoneHolder {
+		zones[zone] = true
+	}
+	return len(zones)
+}
+
 // reachOf says how the engines of a zone can be ordered. The caller holds mu.
 func (g *Gateway) reachOf(zone string) placer.Reach {
 	now := g.planned
