--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -157,9 +157,6 @@
 	storePause time.Duration
 	idle       time.Duration // of the victim
 	blocked    bool          // nothing can be unloaded now
-	// beside is how many engines of the lane's zone hold the model, or will, if nobody
-	// waits for this load: a zone that is cut off has only what its own engines hold.
-	beside int
 }
 
 // place orders a load of a model where it is ready first, or makes room there.
@@ -167,15 +164,8 @@
 func (p *Placer) place(now clock.Time, k Key, first bool) (Order, bool) {
 	var options []option // that are there now
 	var later []option   // that were there if a lane had an idle model
-	beside := p.heldByZone(now, k)
 	for _, l := range p.ordered {
 		o, ok := p.option(now, l, k, first)
-		if !first {
-			o.beside = beside[l.zone]
-			if o.store {
-				o.beside += len(p.ordered) // a copy in another zone is worth no load from there
-			}
-		}
 		switch {
 		case ok && o.blocked:
 			later = append(later, o)
@@ -201,19 +191,8 @@
 	return p.order(now, best.lane, Load, k.Model, "")
 }
 
-// heldByZone returns how many engines of each zone hold a model, or will.
-func (p *Placer) heldByZone(now clock.Time, k Key) map[string]int {
-	held := make(map[string]int)
-	for _, l := range p.ordered {
-		if l.group == k.Group && !l.leaving && l.hasOrGets(now, k.Model) {
-			held[l.zone]++
-		}
-	}
-	return held
-}
-
 func sooner(a, b option) int {
-	return cmp.Or(cmp.Compare(a.beside, b.beside), cmp.Compare(a.ready, b.ready), cmp.Compare(b.idle, a.idle), strings.Compare(a.lane.id, b.lane.id))
+	return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(b.idle, a.idle), strings.Compare(a.lane.id, b.lane.id))
 }
 
 // unloadTime is what an unload adds to a load, measured over loopback.
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -100,6 +100,9 @@
 	state := append(g.tokenMessages(), g.tellWord(now)...)
 	step := g.lease.Next(now, g.candidates(now))
 	zoneStep := g.zoneLease.Next(now, g.zoneCandidates(now))
+	if g.lease.Holds(now) {
+		g.holder.heard = now
+	}
 	scope := g.enterScope(now)
 	var orders []placer.Order
 	var asks []question
@@ -140,8 +143,8 @@
 	g.scope = scope
 	g.placer.ShareStore(now, g.planners(scope))
 	clear(g.publisher.told)
-	if scope == placer.Nothing {
-		g.placer.Rest()
+	if scope == placer.Nothing && g.holder.name != g.set.Name {
+		g.placer.Rest() // another one plans; a right that lapsed may be back in a moment
 	}
 	return scope
 }
