--- a/oleander/gateway/zones_test.go
+++ b/oleander/gateway/zones_test.go
@@ -140,3 +140,39 @@
 		t.Errorf("picked %s, whose zone is silent", got)
 	}
 }
+
+// The right of the fleet's holder lapses for a moment under a slow store. It does not turn
+// to its own zone at once, and still knows the engines of the others when the right is
+// back; once another instance plans, it forgets them.
+func TestLapseOfAMomentCostsNoEngines(t *testing.T) {
+	f, _, _ := twoZones(t, nil)
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.plan(now, placer.Fleet)
+	g.scope = placer.Fleet
+	lease := g.lease
+	g.lease = leader.New(leader.Settings{Self: "g0", Term: leaseTerm}, 1, now) // holds nothing
+	g.holder.heard = now
+	known := func() bool {
+		_, _, ok := g.placer.Holdings(now, "ez")
+		return ok
+	}
+	if !known() {
+		t.Fatal("the test shows nothing: the other zone's engine is not known")
+	}
+	if scope := g.enterScope(now.Add(leaseSilence / 2)); scope != placer.Nothing || !known() {
+		t.Errorf("scope %v, the other zone's engine known %v", scope, known())
+	}
+	g.lease = lease
+	if scope := g.enterScope(boottime.Now()); scope != placer.Fleet || !known() {
+		t.Errorf("scope %v with the right again, the other zone's engine known %v", scope, known())
+	}
+	g.lease = leader.New(leader.Settings{Self: "g0", Term: leaseTerm}, 1, now)
+	g.holder = holder{name: "h", fencing: 1 << 20, heard: now}
+	if scope := g.enterScope(now); scope != placer.Nothing || known() {
+		t.Errorf("scope %v beside another planner, the other zone's engine known %v", scope, known())
+	}
+	g.lease = lease
+}
