Orders for the planner's own zone go to that zone's holder

Change: it passes them on like those of other zones. Test that failed first: TestFleetHolderWithoutItsZone.

--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -50,9 +50,10 @@
 	if s := g.dir.Get(o.Server); s != nil {
 		zone = s.Zone
 	}
+	own := zone == g.set.Zone && g.zoneLease.MayOrder(boottime.Now())
 	g.mu.Unlock()
 	var answer placer.Answer
-	if zone == g.set.Zone {
+	if own {
 		answer = g.giveOrder(o)
 	} else {
 		answer = g.passOrder(zone, o)
--- a/oleander/gateway/zones_test.go
+++ b/oleander/gateway/zones_test.go
@@ -176,3 +176,29 @@
 	}
 	g.lease = lease
 }
+
+// The fleet's holder does not hold the lease of its own zone. The orders that it plans for
+// its zone's engines are given by the one that does; they were given by nobody.
+func TestFleetHolderWithoutItsZone(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("e", "llm", twoEvents, "warm")
+	f.startHolder()
+	f.start()
+	testutil.WaitFor(t, func() bool { return f.orders(0) })
+	g := f.gateways[0]
+	g.mu.Lock()
+	g.zoneLease.Rest()
+	g.mu.Unlock()
+	testutil.WaitFor(t, func() bool { return f.orders(1) })
+	if f.scope(0) != placer.Fleet {
+		t.Fatal("the test shows nothing: the first one does not plan for all")
+	}
+	url := "http://" + g.set.Front
+	testutil.WaitFor(t, func() bool {
+		return f.ask(http.MethodPost, url+"/stream/", testModel, "cold").status == http.StatusOK
+	})
+	by := f.engines.Holders(f.store.Server("e").Address)
+	if len(by) == 0 || by[len(by)-1] != "g1" {
+		t.Errorf("orders by %v, want g1", by)
+	}
+}
