--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -124,14 +124,23 @@
 	return slices.ContainsFunc(candidates, func(s *Server) bool { return !s.full(n) })
 }
 
-// able returns the candidates that have room for a request and bear it now.
+// able returns the candidates that have room for a request and bear it now. A warm server
+// that is at its pace is used if there is no other: the pace only guards against one that
+// turned cold unnoticed.
 func (d *Directory) able(now clock.Time, candidates []*Server, n Need) []*Server {
-	var able []*Server
+	var able, warm []*Server
 	for _, s := range candidates {
-		if !s.full(n) && d.mayStart(now, s) {
+		switch {
+		case s.full(n):
+		case d.mayStart(now, s):
 			able = append(able, s)
+		case !s.Cold(now):
+			warm = append(warm, s)
 		}
 	}
+	if len(able) == 0 {
+		return warm
+	}
 	return able
 }
 
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -221,22 +221,6 @@
 	p.ordered = nil
 }
 
-// ShareStore says that so many planners load from the weight store at a time: what it
-// carries is shared among them. One that begins with a share has no credit, for the planner
-// of before may have used it.
-func (p *Placer) ShareStore(now clock.Time, planners int) {
-	if planners == p.planners {
-		return
-	}
-	p.planners = planners
-	if planners > 1 {
-		p.tokens, p.tokensAt = 0, now
-	}
-}
-
-// storeWidth is how many loads from the weight store this planner has under way at once.
-func (p *Placer) storeWidth() int { return max(1, storeAtOnce/max(1, p.planners)) }
-
 // SetWants replaces what waits.
 func (p *Placer) SetWants(wants map[Key]Want) { p.wants = wants }
 
