--- a/core/gateway/placer/homes_test.go
+++ b/core/gateway/placer/homes_test.go
@@ -21,12 +21,15 @@
 	p.dir.SetRegions(byZone)
 	for id, e := range p.engines {
 		s := *p.dir.Get(id).Claimed()
-		s.Zone = zone[id]
-		p.dir.Put(p.now, s)
-		e.models = map[string]map[string]bool{model(0): {}}
-		if zone[id] == "west" {
-			e.models = map[string]map[string]bool{}
+		s.Zone, s.OnDisk = zone[id], nil
+		e.models = map[string]map[string]bool{}
+		switch zone[id] {
+		case "east":
+			e.models[model(0)] = make(map[string]bool)
+		case "north": // where it would be ready sooner
+			s.OnDisk = []string{model(0)}
 		}
+		p.dir.Put(p.now, s)
 	}
 	home := Key{Group: group, Model: model(0), Homes: regions.Of([]string{"west"})}
 	began := p.now
