--- a/core/gateway/leader/era.go
+++ b/core/gateway/leader/era.go
@@ -7,10 +7,9 @@
 // So each era of the store has a row of its own, and the fencing numbers of a later era
 // are higher than all before.
 //
-// The holder goes on without a pause: it writes the new row while its right still lasts,
-// and nobody else may write it sooner than the longest right of before has ended. An
-// instance that knows of the new era gives a holder of the old one no word any more, so a
-// holder that does not hear of it ends by itself.
+// The holder goes on without a pause: it writes the new row while its right still lasts, by
+// the row of before or by the word of its voters, and nobody else may write it sooner than
+// the longest right of before has ended.
 
 // eraShift is the place of the era in a fencing number: above two billion takeovers.
 const eraShift = 32
@@ -41,7 +40,7 @@
 	}
 	l.era = eras{now: era, known: true, earlier: true, carried: l.holding}
 	l.seen, l.firstSeen, l.version, l.next = false, 0, 0, now
-	l.told, l.echo = told{}, Echo{}
+	l.told = told{}
 	if l.taking != unread {
 		l.taking = 0 // a write of before changes a row that nobody reads any more
 	}
--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -194,14 +194,14 @@
 // 5.2 s), and 4 s sooner if the holder died while the store was away.
 func (l *Lease) HeardHolder(now clock.Time, c Claim) {
 	l.EraIs(now, eraOf(c.Fencing))
-	if c.Fencing < l.row.Fencing || c.Fencing < l.told.fencing || eraOf(c.Fencing) < l.era.now {
+	if c.Fencing < l.row.Fencing || c.Fencing < l.told.fencing {
 		return
 	}
 	if l.holding && c.Fencing > l.row.Fencing {
 		l.lose() // somebody took over while this instance was cut off
 	}
 	l.heard = now
-	if c.Version > l.told.version {
+	if c.Version > l.told.version && eraOf(c.Fencing) == l.era.now {
 		l.told = told{fencing: c.Fencing, version: c.Version, seen: now.Add(c.Left - l.set.Term)}
 	}
 	l.promise(now, c)
--- a/core/gateway/leader/leader_test.go
+++ b/core/gateway/leader/leader_test.go
@@ -388,6 +388,31 @@
 	}
 }
 
+// The store is back from a copy and fails at once for some seconds. The holder, which can't
+// write the row of the new era yet, goes on by the word of the others.
+func TestHolderGoesOnWhileTheStoreFailsInANewEra(t *testing.T) {
+	p := newPlay(t, 2, 3)
+	p.calm = true
+	p.run(5*time.Second, 0)
+	p.table.keep()
+	p.run(time.Second, 0)
+	p.table.restore()
+	for _, n := range p.nodes {
+		n.lease.EraIs(p.local(n), p.table.era)
+	}
+	p.down = p.now.Add(4 * time.Second)
+	holder := p.nodes[0]
+	for range 80 {
+		p.run(100*time.Millisecond, 0)
+		if !holder.lease.MayOrder(p.local(holder)) {
+			t.Fatalf("no orders %v before the store answers", p.down.Sub(p.now))
+		}
+	}
+	if eraOf(holder.lease.Fencing()) != p.table.era {
+		t.Error("the row of the new era is not written")
+	}
+}
+
 // With one row for all eras, two order within the quiet time, or with one number.
 func TestOneRowForAllEras(t *testing.T) {
 	breaches := 0
