--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -253,6 +253,9 @@
 // handleResponse handles the response of a server.
 func (x *exchange) handleResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
 	head := x.g.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	if x.isFrom(t, head) {
+		x.g.handleFeedback(t, head)
+	}
 	switch {
 	case head.NotExecuted:
 		return x.handleNotRun(t, c, resp, head)
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -37,6 +37,7 @@
 	testServer = "Server-Id"
 	testOwner  = "Account"
 	testLeft   = "Left-Ms" // remaining time, sent to the server
+	testLimit  = "Limit"   // requests per second that the server accepts
 )
 
 // testTokens is the token count of each request.
@@ -70,10 +71,19 @@
 }
 
 func (fakeDialect) ParseResponse(status int, h http.Header) ports.ResponseInfo {
-	return ports.ResponseInfo{
+	info := ports.ResponseInfo{
 		RequestID: h.Get(testID), Signed: h.Get(testSigned) != "", Server: h.Get(testServer),
 		NotExecuted: h.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest,
 	}
+	if text := h.Get(testLimit); text != "" {
+		perSecond, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			info.RateLimit.Invalid = text
+		} else {
+			info.RateLimit = ports.RateLimit{Named: true, PerSecond: perSecond}
+		}
+	}
+	return info
 }
 
 // fakeHarness is the other end of fakeDialect.
@@ -108,6 +118,9 @@
 	if head.NotExecuted {
 		h.Set(testNotRun, "1")
 	}
+	if head.RateLimit.Named {
+		h.Set(testLimit, strconv.FormatFloat(head.RateLimit.PerSecond, 'f', -1, 64))
+	}
 	return http.StatusOK, h
 }
 
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -63,6 +63,16 @@
 	Signed      bool // carries the signature of a backend server
 	NotExecuted bool // the server did not run the request
 	Server      string
+	RateLimit   RateLimit
+}
+
+// RateLimit is what a response says about the rate of requests that its server accepts.
+type RateLimit struct {
+	Named     bool    // the response names a limit
+	PerSecond float64 // requests per second over all instances; finite and not negative
+	// Invalid is the value of the response if it names a limit that is not a number of
+	// requests per second; the response then says nothing about a limit.
+	Invalid string
 }
 
 // Dialect reads and writes the headers of callers and backend servers.
