--- /dev/null
+++ b/oleander/gateway/feedback_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/internal/testutil"
+)
+
+// limited responds like a healthy server that names a rate limit.
+func limited(perSecond float64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testLimit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+		ok(w, r)
+	}
+}
+
+// arrivalTimes records when requests reach a server.
+type arrivalTimes struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (a *arrivalTimes) record(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a.mu.Lock()
+		a.at = append(a.at, time.Now())
+		a.mu.Unlock()
+		h(w, r)
+	}
+}
+
+// mostWithin returns the largest number of arrivals within any span, from a time on.
+func (a *arrivalTimes) mostWithin(span time.Duration, from time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	most, first := 0, 0
+	for i, t := range a.at {
+		if t.Before(from) {
+			first = i + 1
+			continue
+		}
+		for t.Sub(a.at[first]) > span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// askAll sends requests through each of the URLs in turn, at a steady rate for some time,
+// and returns how many were answered with success.
+func (f *fixture) askAll(urls []string, path string, perSecond int, duration time.Duration) (sent, served int) {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	interval := time.Second / time.Duration(perSecond)
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
+		url := urls[sent%len(urls)]
+		sent++
+		wait.Go(func() {
+			if got := f.ask(http.MethodPost, url+path, testWait, "1000"); got.status == http.StatusOK {
+				mu.Lock()
+				defer mu.Unlock()
+				served++
+			}
+		})
+	}
+	wait.Wait()
+	return sent, served
+}
+
+// A server that names a rate limit in its responses must not get more than that from all
+// instances together, while other servers have room.
+func TestServerRateLimitHoldsOverAllInstances(t *testing.T) {
+	const (
+		perSecond = 2.0
+		window    = 4 * time.Second
+		allowed   = 1.5*perSecond*4 + 5
+	)
+	f := newFixture(t, config(1))
+	var arrivals arrivalTimes
+	f.backend("a", "plain", arrivals.record(limited(perSecond)))
+	f.backend("b", "plain", ok)
+	f.startHolder()
+	urls := []string{"http://" + f.gateways[0].settings.CallerAddress, f.start(), f.start()}
+	testutil.WaitFor(t, func() bool { return f.ask(http.MethodPost, urls[2]+"/order/").status == http.StatusOK })
+	f.askAll(urls, "/order/", 30, time.Second) // each instance is told
+	told := time.Now()
+	sent, served := f.askAll(urls, "/order/", 30, window+time.Second)
+	if n := arrivals.mostWithin(window, told); float64(n) > allowed {
+		t.Errorf("%d requests in %v, allowed are %.0f", n, window, allowed)
+	}
+	if n := arrivals.mostWithin(window, told); float64(n) < perSecond*window.Seconds()/2 {
+		t.Errorf("%d requests in %v, want at least half of the limit", n, window)
+	}
+	if served < sent*98/100 {
+		t.Errorf("%d of %d served, although the other server has room", served, sent)
+	}
+}
