Gateway: the rate limit that a server names holds over all instances

Callers saw nothing; the servers' owners did: an engine that named 1.8 requests a second got 18 in four seconds (16 allowed), one that named 3.1 got 43 (24).

Class: a signal with no receiver; the only way in which a server could say that it is in need was to fail.

Change: the instance that gets the answer tells all others, with the age of the statement; the directory paces requests to the server, and only an instance that chooses servers for others may use the pace, at the part of the fleet that it hears and without credit at first. A reply of the dispatcher carries what it knows of the server; an instance that knows of a limit which the dispatcher does not know turns the choice down and tells it again, so that a lost message, a new dispatcher or an older version does not exceed the limit. A request that no server may take in time is refused at once with the time at which the pace allows it. The placer does not count on a limited engine.

A granted request that is added to the load again with each message of its instance is counted once against the pace.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -11,6 +11,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/evacuation"
 	"oleanderdale.org/core/gateway/revision"
+	"oleanderdale.org/core/gateway/serverlimit"
 	"oleanderdale.org/core/gateway/warmup"
 )
 
@@ -96,6 +97,7 @@
 	zoneState        evacuation.State
 	coldUntil        clock.Time
 	pacer            warmup.Pacer
+	limit            *serverlimit.Limit // nil: never named
 }
 
 // Cold reports whether the server is still warming up and has reduced capacity.
@@ -167,7 +169,10 @@
 	silentZones   map[string]bool             // zones from which no instance is heard
 	regionByZone  map[string]string
 	warmupLimits  map[string]warmup.Limit // by group
-	warmupShare   warmup.Share
+	share         warmup.Share
+	// limits are the rate limits that servers named, by ID. They outlive the entry of a
+	// server, which may be gone and back.
+	limits map[string]*serverlimit.Limit
 }
 
 // New returns an empty Directory.
@@ -175,6 +180,7 @@
 	return &Directory{
 		servers: make(map[string]*Server), serversByPeer: make(map[string][]string),
 		zoneStates: make(map[string]evacuation.State), warmupLimits: make(map[string]warmup.Limit),
+		limits: make(map[string]*serverlimit.Limit),
 	}
 }
 
@@ -205,7 +211,7 @@
 	if s == nil || s.Incarnation != e.Incarnation {
 		d.servers[e.ID] = &Server{
 			Entry: e, published: e, local: make(map[string]int), peers: make(map[string]peerLoad), modelLastUsed: make(map[string]clock.Time), updatedAt: now,
-			region: d.regionByZone[e.Zone], zoneState: d.zoneStates[e.Zone], coldUntil: now.Add(e.ColdFor),
+			region: d.regionByZone[e.Zone], zoneState: d.zoneStates[e.Zone], coldUntil: now.Add(e.ColdFor), limit: d.keptLimit(e.ID, e.Incarnation),
 		}
 		return
 	}
@@ -265,7 +271,7 @@
 		s.local[model]++
 		s.running++
 		s.lastUsed, s.modelLastUsed[model] = now, now
-		d.countWarmup(now, s)
+		d.countPaced(now, s)
 	}
 }
 
@@ -360,8 +366,16 @@
 	d.serversByPeer[peer] = servers
 }
 
-// AddPeerRequest counts one more request of another instance, before that instance
-// reports it.
+// GrantPeerRequest counts a request that another instance is about to send to a server.
+func (d *Directory) GrantPeerRequest(now clock.Time, peer, id, model string) {
+	d.AddPeerRequest(now, peer, id, model)
+	if s := d.servers[id]; s != nil {
+		d.countPaced(now, s)
+	}
+}
+
+// AddPeerRequest counts one more request of another instance, which was granted but is not
+// in the instance's last report.
 func (d *Directory) AddPeerRequest(now clock.Time, peer, id, model string) {
 	s := d.servers[id]
 	if s == nil {
@@ -377,7 +391,6 @@
 	s.peers[peer] = p
 	s.running++
 	s.lastUsed, s.modelLastUsed[model] = now, now
-	d.countWarmup(now, s)
 }
 
 // RefreshPeerLoad keeps the load reported by an instance from expiring: the instance
--- a/core/gateway/directory/directory_test.go
+++ b/core/gateway/directory/directory_test.go
@@ -255,7 +255,7 @@
 func TestPickWithColdServers(t *testing.T) {
 	d := newDirectory(2)
 	d.SetWarmupLimits(map[string]warmup.Limit{"g": {ColdRate: 10, SurvivableRate: 20}})
-	d.SetWarmupShare(warmup.Share{Dispatcher: true, Live: 1, Known: 1})
+	d.SetShare(start, warmup.Share{Dispatcher: true, Live: 1, Known: 1})
 	d.MarkCold(start, "s0", 1, 10*time.Second)
 	count := make(map[string]int)
 	for ms := range 1000 {
@@ -276,8 +276,8 @@
 	for range 20 {
 		c := d.Pick(later, Requirements{Group: "g", Zone: "a"})
 		if c.Server == nil {
-			if !c.AllFull || !c.WarmupLimited {
-				t.Errorf("choice %+v, want AllFull and WarmupLimited", c)
+			if !c.AllFull || !c.RateLimited {
+				t.Errorf("choice %+v, want AllFull and RateLimited", c)
 			}
 			return
 		}
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -94,13 +94,14 @@
 
 // Choice is the result of Pick.
 type Choice struct {
-	Server        *Server // nil if no server can take the request
-	AllFull       bool    // there are candidates, but none can take another request now
-	WarmupLimited bool    // AllFull, and a candidate has a free slot but is limited by its warm-up rate
-	Candidates    int     // number of candidates
-	Reason        Reason
-	Load          float64 // load of the chosen server, in requests
-	NextLoad      float64 // lowest load of the other candidates
+	Server      *Server // nil if no server can take the request
+	AllFull     bool    // there are candidates, but none can take another request now
+	RateLimited bool    // AllFull, and a candidate has a free slot but a rate that allows no request now
+	Pace        Pace    // if AllFull only because of the rate limits that the candidates named
+	Candidates  int     // number of candidates
+	Reason      Reason
+	Load        float64 // load of the chosen server, in requests
+	NextLoad    float64 // lowest load of the other candidates
 }
 
 // Pick chooses a server for a request: by affinity if the request has one and the load
@@ -119,7 +120,7 @@
 	if s := pickLeastLoaded(eligible, req); s != nil {
 		return newChoice(s, ByLoad, candidates, req)
 	}
-	return Choice{AllFull: true, WarmupLimited: anyWithFreeSlot(candidates, req), Candidates: len(candidates)}
+	return Choice{AllFull: true, RateLimited: anyWithFreeSlot(candidates, req), Pace: d.paceOf(now, candidates, req), Candidates: len(candidates)}
 }
 
 // anyWithFreeSlot reports whether any candidate has a free slot.
@@ -127,14 +128,14 @@
 	return slices.ContainsFunc(candidates, func(s *Server) bool { return !s.full(req) })
 }
 
-// eligible returns the candidates that have a free slot and whose warm-up limit allows
-// another request. If there are none, it returns the warm servers at their limit: for them
-// the limit only guards against a server that became cold unnoticed.
+// eligible returns the candidates that have a free slot and whose limits allow another
+// request. If there are none, it returns the warm servers at their warm-up limit: for them
+// that limit only guards against a server that became cold unnoticed.
 func (d *Directory) eligible(now clock.Time, candidates []*Server, req Requirements) []*Server {
 	var eligible, warm []*Server
 	for _, s := range candidates {
 		switch {
-		case s.full(req):
+		case s.full(req), !d.limitAllows(now, s):
 		case d.warmupAllows(now, s):
 			eligible = append(eligible, s)
 		case !s.Cold(now):
--- a/core/gateway/directory/warm.go
+++ b/core/gateway/directory/warm.go
@@ -42,12 +42,6 @@
 // SetWarmupLimits replaces the request rate limits of cold servers, by group.
 func (d *Directory) SetWarmupLimits(limits map[string]warmup.Limit) { d.warmupLimits = limits }
 
-// HasWarmupLimits reports whether any group limits requests to cold servers.
-func (d *Directory) HasWarmupLimits() bool { return len(d.warmupLimits) > 0 }
-
-// SetWarmupShare sets the share of the warm-up limits that this instance may use.
-func (d *Directory) SetWarmupShare(s warmup.Share) { d.warmupShare = s }
-
 // MarkCold records that a server stays cold for coldFor, as reported by another instance.
 func (d *Directory) MarkCold(now clock.Time, id string, incarnation int64, coldFor time.Duration) {
 	if s := d.servers[id]; s != nil && s.Incarnation == incarnation {
@@ -57,10 +51,5 @@
 
 // warmupAllows reports whether the warm-up limit of a server allows another request.
 func (d *Directory) warmupAllows(now clock.Time, s *Server) bool {
-	return s.pacer.CanSend(now, d.warmupShare, d.warmupLimits[s.Group], s.Cold(now))
-}
-
-// countWarmup counts a request sent to a server against its warm-up limit.
-func (d *Directory) countWarmup(now clock.Time, s *Server) {
-	s.pacer.RecordSend(now, d.warmupShare, d.warmupLimits[s.Group], s.Cold(now))
+	return s.pacer.CanSend(now, d.share, d.warmupLimits[s.Group], s.Cold(now))
 }
--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -88,6 +88,9 @@
 	Number      uint64
 	Decision    Decision
 	Choice      directory.Choice // if Granted
+	// RetryAfter is when a refused request can be served, if the servers' rate limits say
+	// so; 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // Dispatcher is the dispatcher's state. It is not safe for concurrent use.
@@ -198,7 +201,7 @@
 		return reply
 	}
 	if len(q.waiting) > 0 && q.waiting[0].query.Priority <= query.Priority {
-		reply.Decision = d.enqueue(now, q, from, query)
+		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query)
 		return reply
 	}
 	c := d.dir.Pick(now, query.Requirements)
@@ -208,7 +211,8 @@
 		d.grant(now, from, inst, query, c.Server)
 		reply.Choice = c
 	case c.AllFull:
-		reply.Decision = d.enqueue(now, q, from, query)
+		q.setPace(now, c.Pace)
+		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query)
 	default:
 		reply.Decision = NoCandidate
 	}
@@ -221,7 +225,7 @@
 		return // the caller counts it when it takes the reply
 	}
 	inst.grants = append(inst.grants, grant{number: query.Number, server: s.ID, model: query.Requirements.Model, at: now})
-	d.dir.AddPeerRequest(now, from, s.ID, query.Requirements.Model)
+	d.dir.GrantPeerRequest(now, from, s.ID, query.Requirements.Model)
 }
 
 // Expire drops the state of instances that are no longer heard, and idle queues.
--- a/core/gateway/dispatch/queue.go
+++ b/core/gateway/dispatch/queue.go
@@ -47,6 +47,37 @@
 	refusalRate    rate
 	saturatedSince clock.Time // servers have been full since
 	lastSaturated  clock.Time // last query that found all servers full
+	pace           pace
+}
+
+// pace says when the rate limits of a queue's servers allow its queries. The zero pace
+// means that free slots decide.
+type pace struct {
+	nextAt    clock.Time // when a server takes the next request
+	perSecond float64
+	// promisedUntil is when the last refused request was told to come back. The next one
+	// is told to come later, so that they don't come back together.
+	promisedUntil clock.Time
+}
+
+// maxRetryAfter bounds the time after which refused requests are told to come back.
+const maxRetryAfter = 5 * time.Second
+
+// setPace records what the servers' rate limits allow.
+func (q *queue) setPace(now clock.Time, p directory.Pace) {
+	q.pace.nextAt, q.pace.perSecond = now.Add(p.Next), p.PerSecond
+}
+
+// retryAfter returns when a request that is refused now can be served; 0 if unknown.
+func (q *queue) retryAfter(now clock.Time) time.Duration {
+	p := &q.pace
+	if p.perSecond <= 0 {
+		return 0
+	}
+	interval := time.Duration(float64(time.Second) / p.perSecond)
+	afterQueue := p.nextAt.Add(time.Duration(len(q.waiting)) * interval)
+	p.promisedUntil = min(max(p.promisedUntil, afterQueue).Add(interval), now.Add(maxRetryAfter))
+	return p.promisedUntil.Sub(now)
 }
 
 // queuedQuery is a query in a queue.
@@ -94,8 +125,9 @@
 
 func (q *queue) recordGrant(now clock.Time) { q.grantRate.add(now, 1) }
 
-// enqueue queues a query, or refuses it if its expected wait exceeds MaxWait.
-func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, query Query) Decision {
+// enqueue queues a query, or refuses it if its expected wait exceeds MaxWait and returns
+// when to retry.
+func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, query Query) (Decision, time.Duration) {
 	if now.Sub(q.lastSaturated) > saturatedTTL {
 		q.saturatedSince = now
 	}
@@ -105,15 +137,18 @@
 	i, _ := slices.BinarySearchFunc(q.waiting, w, compareQueued)
 	if query.MaxWait > 0 && q.expectedWait(now, i) > query.MaxWait {
 		q.refusalRate.add(now, 1)
-		return Refused
+		return Refused, q.retryAfter(now)
 	}
 	q.waiting = slices.Insert(q.waiting, i, w)
-	return Queued
+	return Queued, 0
 }
 
 // expectedWait returns how long a query behind ahead others will wait, given the recent
-// rate of grants.
+// rate of grants or the rate limits of the servers.
 func (q *queue) expectedWait(now clock.Time, ahead int) time.Duration {
+	if q.pace.perSecond > 0 {
+		return max(0, q.pace.nextAt.Sub(now)) + time.Duration(float64(ahead)/q.pace.perSecond*float64(time.Second))
+	}
 	perSecond := max(minGrantRate, q.grantRate.add(now, 0))
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
@@ -168,6 +203,7 @@
 		for len(q.waiting) > 0 {
 			w := q.waiting[0]
 			c := d.dir.Pick(now, w.query.Requirements)
+			q.setPace(now, c.Pace)
 			late := w.query.MaxWait > 0 && now.Sub(w.queuedAt) > w.query.MaxWait
 			if c.AllFull && !late {
 				break
@@ -182,7 +218,7 @@
 				reply.Decision, reply.Choice = Granted, c
 			case c.AllFull:
 				q.refusalRate.add(now, 1)
-				reply.Decision = Refused
+				reply.Decision, reply.RetryAfter = Refused, q.retryAfter(now)
 			}
 			replies = append(replies, reply)
 			if w.from == d.self {
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -16,6 +16,7 @@
 	config                   *manifest.Engine
 	server                   *directory.Server
 	leaving                  bool // it stops serving now or soon, or it is unreachable
+	limited                  bool // it takes only part of the load, by a rate limit that it named
 	reachability             Reachability
 
 	known    bool  // sequence and models are reliable
@@ -101,9 +102,14 @@
 	e.reachability = r
 }
 
+// sharesLoad reports whether the engine can be counted on for its part of the load, so
+// that models are placed there and need no other copy.
+func (e *engineState) sharesLoad() bool { return !e.leaving && !e.limited }
+
 // syncEntry updates the state from the engine's directory entry.
 func (e *engineState) syncEntry(now clock.Time, s *directory.Server, entry *directory.Entry, config *manifest.Engine) {
 	e.server, e.config, e.address, e.leaving = s, config, s.Address, !s.RemainsInService() || e.reachability == Unreachable
+	e.limited = s.RateLimited(now)
 	e.inMemory, e.onDisk = s.InMemory, s.OnDisk
 	if e.loading != nil && now.Reached(e.loading.expectedAt) {
 		if _, ok := entry.LoadedModel(e.loading.model); ok {
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -266,9 +266,22 @@
 			delete(p.engines, id)
 		}
 	}
+	p.ignoreLimitsOfAll()
 	p.reindex(now)
 }
 
+// ignoreLimitsOfAll makes limited engines count in groups that have no others: there, more
+// copies would help nobody.
+func (p *Placer) ignoreLimitsOfAll() {
+	unlimited := make(map[string]bool)
+	for _, e := range p.engines {
+		unlimited[e.group] = unlimited[e.group] || e.sharesLoad()
+	}
+	for _, e := range p.engines {
+		e.limited = e.limited && unlimited[e.group]
+	}
+}
+
 // reindex rebuilds the indexes that planning uses.
 func (p *Placer) reindex(now clock.Time) {
 	p.sortedEngines = p.sortedEngines[:0]
@@ -280,14 +293,14 @@
 		p.slotsPerEngine = max(p.slotsPerEngine, e.config.Slots)
 		for model := range e.models {
 			p.running[model] += e.server.RunningForModel(model)
-			if !e.leaving {
+			if e.sharesLoad() {
 				p.holderCount[Key{Group: e.group, Model: model}]++
 			}
 		}
-		if model := e.incomingModel(); model != "" && !e.leaving {
+		if model := e.incomingModel(); model != "" && e.sharesLoad() {
 			p.holderCount[Key{Group: e.group, Model: model}]++
 		}
-		if model := e.reservedModel(now); model != "" && !e.leaving && e.models[model] == nil {
+		if model := e.reservedModel(now); model != "" && e.sharesLoad() && e.models[model] == nil {
 			p.holderCount[Key{Group: e.group, Model: model}]++
 		}
 	}
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -140,7 +140,7 @@
 	}
 	n := 0
 	for _, e := range p.sortedEngines {
-		if e.group == k.Group && !e.leaving && e.holdsOrWillHold(now, k.Model) && k.AllowedRegions.Allows(e.server.Region()) {
+		if e.group == k.Group && e.sharesLoad() && e.holdsOrWillHold(now, k.Model) && k.AllowedRegions.Allows(e.server.Region()) {
 			n++
 		}
 	}
@@ -208,7 +208,7 @@
 	if e.reservedModel(now) != "" {
 		return candidate{}, false
 	}
-	if e.group != k.Group || !k.AllowedRegions.Allows(e.server.Region()) || e.leaving || e.reachability != Reachable || !e.known || !supported || e.models[k.Model] != nil {
+	if e.group != k.Group || !k.AllowedRegions.Allows(e.server.Region()) || !e.sharesLoad() || e.reachability != Reachable || !e.known || !supported || e.models[k.Model] != nil {
 		return candidate{}, false
 	}
 	c := candidate{engine: e, victimIdle: time.Hour}
@@ -302,7 +302,7 @@
 func (p *Placer) adapterOrderFor(now clock.Time, k Key) (Order, bool) {
 	var best *engineState
 	for _, e := range p.sortedEngines {
-		if e.group != k.Group || !k.AllowedRegions.Allows(e.server.Region()) || e.leaving || e.models[k.Model] == nil {
+		if e.group != k.Group || !k.AllowedRegions.Allows(e.server.Region()) || !e.sharesLoad() || e.models[k.Model] == nil {
 			continue
 		}
 		if _, ok := e.models[k.Model].adapters[k.Adapter]; ok {
--- a/core/gateway/warmup/warmup.go
+++ b/core/gateway/warmup/warmup.go
@@ -67,6 +67,15 @@
 	return warmRateShare * l.SurvivableRate * liveShare, true
 }
 
+// Fraction returns the part of a limit over all instances that an instance with this share
+// may use for those that it chooses servers for; 0 if it may use none.
+func (s Share) Fraction() float64 {
+	if !s.Dispatcher || s.tooFewLive() {
+		return 0
+	}
+	return min(1, float64(s.Live)/float64(max(1, s.Known)))
+}
+
 // tooFewLive reports whether too few instances are heard to act as their dispatcher.
 func (s Share) tooFewLive() bool { return s.Live*maxDispatchers < s.Known }
 
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -126,6 +126,9 @@
 	default:
 		out = g.broadcast(now, g.encode(packet{Heartbeat: heartbeat}), withoutDemand, false)
 	}
+	if to != audienceHolder {
+		out = append(out, g.repeatedFeedback(now, all)...)
+	}
 	if len(withDemand) > 0 {
 		g.attachDemand(now, heartbeat)
 		out = append(out, outgoing{message: g.encode(packet{Heartbeat: heartbeat}), recipients: g.recipients(withDemand)})
@@ -197,7 +200,9 @@
 	case m.Dispatch != nil:
 		return g.handleDispatchMsg(now, m.Dispatch)
 	case m.Choice != nil:
-		g.handleChoiceMsg(now, m.Choice)
+		return g.handleChoiceMsg(now, m.Choice, m.ChoiceDetail)
+	case m.Feedback != nil:
+		g.handleFeedbackMsg(now, m.Feedback)
 	default:
 		return g.handleQuotaPacket(now, m)
 	}
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -19,11 +20,22 @@
 	// stopRefusalLead is how long before the kill a stopping process refuses waiting
 	// requests, so that they can be served elsewhere.
 	stopRefusalLead = 3 * time.Second
+	// rateLimitedWait is how long a request waits for a dispatcher while only the
+	// dispatcher may send to the servers that could run it: a silent one is asked again
+	// or replaced within this time.
+	rateLimitedWait = time.Second
+	// retrySpread is the time over which callers that are refused together come back.
+	retrySpread = time.Second
 )
 
 // target is the server chosen for an attempt.
 type target struct {
 	id, address string
+	incarnation int64
+}
+
+func newTarget(s *directory.Server) target {
+	return target{id: s.ID, address: s.Address, incarnation: s.Incarnation}
 }
 
 // chooseServer waits for a server that can run the request and counts the request as
@@ -61,12 +73,16 @@
 			g.addLocalDemand(demandKey, x.demand())
 		}
 		waitedFrom := boottime.Now()
-		ref = x.waitForChange(x.waitWindow(began), s.changed, s.allFull)
+		window := x.waitWindow(began)
+		if s.rateLimited {
+			window.End = min(window.End, began.Add(rateLimitedWait))
+		}
+		ref = x.waitForChange(window, s.changed, s.allFull)
 		x.timing.addWait(boottime.Now().Sub(waitedFrom), s.allFull)
 		// After a wait for a model the dispatcher may know a server that has it.
-		// After a wait for a cold server, only the dispatcher knows the fleet's use
-		// of that server.
-		x.chooseLocally = x.chooseLocally && s.allFull && !s.warmupLimited
+		// After a wait for a server with a rate limit, only the dispatcher knows the
+		// fleet's use of that server.
+		x.chooseLocally = x.chooseLocally && s.allFull && !s.rateLimited
 		if ref != nil {
 			return target{}, ref
 		}
@@ -89,12 +105,12 @@
 
 // selection is the result of one attempt to select a server.
 type selection struct {
-	target        target // chosen locally
-	allFull       bool   // servers have the model, but no free slot
-	warmupLimited bool   // servers have a free slot, but are at their warmup limit
-	changed       <-chan struct{}
-	query         *pendingQuery // the dispatcher chooses
-	number        uint64        // of query
+	target      target // chosen locally
+	allFull     bool   // servers have the model, but no free slot
+	rateLimited bool   // servers have a free slot, but a rate that allows no request now
+	changed     <-chan struct{}
+	query       *pendingQuery // the dispatcher chooses
+	number      uint64        // of query
 }
 
 // selectServer tries once to select a server. It follows configuration changes since
@@ -136,14 +152,23 @@
 		x.timing.choice = c
 		g.servers.RequestStarted(now, s.ID, x.call.Model)
 		g.placer.RecordAdapterUse(now, s.ID, x.call.Model, x.call.Adapter)
-		return selection{target: target{id: s.ID, address: s.Address}}, g.loadMessages(now), nil
+		return selection{target: newTarget(s)}, g.loadMessages(now), nil
 	}
 	if !c.AllFull {
 		if why := x.unservableReason(now); why != "" {
 			return selection{}, nil, unavailable(why, loadRetryDelay)
 		}
 	}
-	return selection{allFull: c.AllFull, warmupLimited: c.WarmupLimited, changed: g.stateChanged}, nil, nil
+	if limit := x.maxSlotWait(now); limit > 0 && c.Pace.Next > limit {
+		return selection{}, nil, unavailable(reasonServersLimited, spreadRetry(c.Pace.Next))
+	}
+	return selection{allFull: c.AllFull, rateLimited: c.RateLimited, changed: g.stateChanged}, nil, nil
+}
+
+// spreadRetry returns a time to retry, at least the given one, that differs between
+// callers, so that they don't come back together.
+func spreadRetry(least time.Duration) time.Duration {
+	return least + time.Duration(rand.Int64N(int64(retrySpread)))
 }
 
 // unservableReason returns why waiting is useless, or "" if some server of the group
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -35,6 +35,8 @@
 	decision dispatch.Decision
 	target   target
 	choice   directory.Choice
+	// retryAfter is when a refused request can be served; 0 if unknown.
+	retryAfter time.Duration
 }
 
 // beginQuery begins a dispatch request. It returns nil if the request must choose a
@@ -85,15 +87,16 @@
 
 // handleChoice handles a reply of the dispatcher. A granted request is counted at
 // once, so that the next message to the dispatcher includes it. The caller holds mu.
-func (g *Gateway) handleChoice(now clock.Time, from string, number uint64, v dispatch.Decision, c directory.Choice) {
+func (g *Gateway) handleChoice(now clock.Time, from string, r dispatch.Reply) {
 	g.dispatchClient.MarkResponsive(from)
+	number, v, c := r.Number, r.Decision, r.Choice
 	q := g.pendingQueries[number]
 	if q == nil {
 		return // abandoned, as the next message tells the dispatcher
 	}
-	reply := dispatchReply{decision: v, choice: c}
+	reply := dispatchReply{decision: v, choice: c, retryAfter: r.RetryAfter}
 	if v == dispatch.Granted {
-		reply.target = target{id: c.Server.ID, address: c.Server.Address}
+		reply.target = newTarget(c.Server)
 		g.servers.RequestStarted(now, c.Server.ID, q.model)
 		g.placer.RecordAdapterUse(now, c.Server.ID, q.model, q.adapter)
 	}
@@ -167,7 +170,7 @@
 				x.chooseLocally = true
 				return target{}, nil
 			case dispatch.Refused:
-				return target{}, unavailable(reasonNoFreeSlot, loadRetryDelay)
+				return target{}, reply.refusal()
 			}
 			wait.queued, wait.unansweredQueries = true, 0
 		case <-t.C:
@@ -184,6 +187,14 @@
 	}
 }
 
+// refusal returns the answer to a request that the dispatcher refused.
+func (r dispatchReply) refusal() *refusal {
+	if r.retryAfter > 0 {
+		return unavailable(reasonServersLimited, r.retryAfter)
+	}
+	return unavailable(reasonNoFreeSlot, loadRetryDelay)
+}
+
 // dispatchWait is the wait for the dispatcher's final reply to one dispatch request.
 type dispatchWait struct {
 	exchange          *exchange
--- a/oleander/gateway/dispatch_test.go
+++ b/oleander/gateway/dispatch_test.go
@@ -87,7 +87,7 @@
 	g.handleChoiceMsg(now, &choiceMsg{
 		From: "g9", Incarnation: g.incarnation, Number: number, Decision: dispatch.Granted,
 		Server: &serverMsg{Server: "leaving", Incarnation: 1},
-	})
+	}, nil)
 	select {
 	case d := <-q.replies:
 		if d.decision != dispatch.NoCandidate || g.servers.Get("leaving").Running() != 0 {
--- a/oleander/gateway/dispatcher.go
+++ b/oleander/gateway/dispatcher.go
@@ -67,7 +67,7 @@
 func (g *Gateway) replyMessages(now clock.Time, r dispatch.Reply) []outgoing {
 	if r.To == g.settings.Name {
 		if r.Incarnation == g.incarnation {
-			g.handleChoice(now, g.settings.Name, r.Number, r.Decision, r.Choice)
+			g.handleChoice(now, g.settings.Name, r)
 		}
 		return nil
 	}
@@ -75,5 +75,6 @@
 	if to == nil {
 		return nil
 	}
-	return []outgoing{{message: g.encode(packet{Choice: g.encodeChoice(now, r)}), recipients: []recipient{g.recipient(to)}}}
+	reply := packet{Choice: g.encodeChoice(now, r), ChoiceDetail: g.encodeChoiceDetail(now, r)}
+	return []outgoing{{message: g.encode(reply), recipients: []recipient{g.recipient(to)}}}
 }
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -61,6 +61,14 @@
 	NextLoad    float64
 }
 
+// choiceDetailMsg goes with a choiceMsg if there is more to say.
+type choiceDetailMsg struct {
+	// Feedback is what the dispatcher knows the chosen server to have said of itself.
+	Feedback *serverFeedbackMsg `cbor:"1,keyasint,omitempty"`
+	// RetryAfterMS is when a refused request can be served; 0: unknown.
+	RetryAfterMS int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // encodeDispatch converts a message to the dispatcher to its wire form. The caller
 // holds mu.
 func (g *Gateway) encodeDispatch(m dispatch.Message) *dispatchMsg {
@@ -112,6 +120,18 @@
 	return c
 }
 
+// encodeChoiceDetail returns what goes with the wire form of a reply; nil if nothing does.
+func (g *Gateway) encodeChoiceDetail(now clock.Time, r dispatch.Reply) *choiceDetailMsg {
+	detail := choiceDetailMsg{RetryAfterMS: r.RetryAfter.Milliseconds()}
+	if s := r.Choice.Server; s != nil {
+		detail.Feedback = encodeServerFeedback(now, s)
+	}
+	if detail == (choiceDetailMsg{}) {
+		return nil
+	}
+	return &detail
+}
+
 // handleDispatchMsg handles a message to the dispatcher. The caller holds mu.
 func (g *Gateway) handleDispatchMsg(now clock.Time, w *dispatchMsg) []outgoing {
 	if w.Model != "" {
@@ -121,20 +141,33 @@
 }
 
 // handleChoiceMsg handles a reply of the dispatcher. If this instance knows that the
-// chosen server drains or is gone, the request chooses a server locally. The caller
-// holds mu.
-func (g *Gateway) handleChoiceMsg(now clock.Time, w *choiceMsg) {
+// chosen server drains or is gone, or that it has a rate limit that the dispatcher does
+// not know, the request chooses a server locally. The caller holds mu.
+func (g *Gateway) handleChoiceMsg(now clock.Time, w *choiceMsg, detail *choiceDetailMsg) []outgoing {
 	if w.Incarnation != g.incarnation {
-		return
+		return nil
+	}
+	if detail == nil {
+		detail = &choiceDetailMsg{}
 	}
-	c := directory.Choice{Candidates: w.Candidates, Reason: w.Reason, Load: w.Load, NextLoad: w.NextLoad}
-	decision := w.Decision
-	if decision == dispatch.Granted && w.Server != nil {
+	r := dispatch.Reply{
+		Number: w.Number, Decision: w.Decision, RetryAfter: time.Duration(detail.RetryAfterMS) * time.Millisecond,
+		Choice: directory.Choice{Candidates: w.Candidates, Reason: w.Reason, Load: w.Load, NextLoad: w.NextLoad},
+	}
+	var out []outgoing
+	if r.Decision == dispatch.Granted && w.Server != nil {
 		g.applyServer(now, *w.Server)
-		c.Server = g.servers.Get(w.Server.Server)
+		g.handleServerFeedback(now, detail.Feedback)
+		r.Choice.Server = g.servers.Get(w.Server.Server)
+		if s := r.Choice.Server; s != nil && !s.PacedBy(detail.Feedback.limitStatement(now)) {
+			out = g.feedbackTo(now, w.From, s)
+			g.metrics.unpacedChoices.Inc()
+			r.Decision = dispatch.NoCandidate
+		}
 	}
-	if s := c.Server; decision == dispatch.Granted && (s == nil || s.Incarnation != w.Server.Incarnation || !s.Usable(now)) {
-		decision = dispatch.NoCandidate
+	if s := r.Choice.Server; r.Decision == dispatch.Granted && (s == nil || s.Incarnation != w.Server.Incarnation || !s.Usable(now)) {
+		r.Decision = dispatch.NoCandidate
 	}
-	g.handleChoice(now, w.From, w.Number, decision, c)
+	g.handleChoice(now, w.From, r)
+	return out
 }
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/serverlimit"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -17,9 +18,30 @@
 // handleFeedback handles what a server says about itself in a response.
 func (g *Gateway) handleFeedback(t target, head ports.ResponseInfo) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	now := boottime.Now()
-	g.logRateLimit(now, t.id, head.RateLimit)
+	out := g.recordLimit(now, t, head)
+	g.mu.Unlock()
+	g.sendAll(out)
+}
+
+// recordLimit records what a response says about the rate limit of its server, and
+// returns the messages that tell the other instances of a change. A response that names
+// no limit ends an earlier one if a server wrote it. The caller holds mu.
+func (g *Gateway) recordLimit(now clock.Time, t target, head ports.ResponseInfo) []outgoing {
+	limit := head.RateLimit
+	g.logRateLimit(now, t.id, limit)
+	if limit.Invalid != "" || !limit.Named && !head.Signed && !head.NotExecuted {
+		return nil
+	}
+	changed := g.servers.RecordLimit(t.id, t.incarnation, serverlimit.Statement{Limited: limit.Named, PerSecond: limit.PerSecond, At: now})
+	if limit.Named || changed {
+		g.feedbackHeardAt[t.id] = now
+	}
+	s := g.servers.Get(t.id)
+	if !changed || s == nil {
+		return nil
+	}
+	return g.feedbackToAll(now, s)
 }
 
 // feedbackLog holds what was last logged of each server's feedback.
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -38,6 +38,7 @@
 	reasonNoServer        reason = "no-server"
 	reasonNoAllowedRegion reason = "no-home"
 	reasonNoFreeSlot      reason = "no-room"
+	reasonServersLimited  reason = "servers-limited"
 	reasonNotLoaded       reason = "not-loaded-in-time"
 	reasonUnknownModel    reason = "unknown-model"
 	reasonRefused         reason = "refused-by-servers"
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -183,6 +183,7 @@
 	evacuations         *evacuation.Set
 	storeEra            storeEra
 	feedbackLog         feedbackLog
+	feedbackHeardAt     map[string]clock.Time // last response with feedback to this instance, by server
 }
 
 // fleetHolder describes the holder of the fleet lease as its heartbeats do.
@@ -239,7 +240,7 @@
 		localDemand: make(map[placer.Key]placer.Demand), expectedRetries: make(map[placer.Key]expectedRetry), arrivalCounts: make(map[string]arrivalCount),
 		peerStates: make(map[string]*peerState), zoneHolders: make(map[string]zoneHolder), forwardedOrders: newForwardedOrders(), lapse: lapse.New(), removedServers: make(map[string]removedServer),
 		publisher: newServerPublisher(), evacuations: evacuation.New(s.MaxEvacuationDelay), storeWatches: storeWatches{cancels: make(map[string]context.CancelFunc)},
-		feedbackLog: make(feedbackLog),
+		feedbackLog: make(feedbackLog), feedbackHeardAt: make(map[string]clock.Time),
 	}
 	g.servers.SetRegions(s.Regions)
 	g.dispatcher, g.dispatchClient, g.pendingQueries = dispatch.New(s.Name, g.servers), dispatch.NewClient(), make(map[uint64]*pendingQuery)
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -157,8 +157,9 @@
 	g.removeLapsed(now)
 	g.applyEvacuations(now)
 	g.servers.SetSilentZones(g.members.SilentZones(now, zoneTimeout))
-	if g.servers.HasWarmupLimits() {
-		g.servers.SetWarmupShare(g.warmupShare(now))
+	g.servers.ExpireLimits(now)
+	if g.servers.PacesServers() {
+		g.servers.SetShare(now, g.limitShare(now))
 	}
 	g.servers.ExpirePeerLoad(now)
 	g.outlook.Expire(now)
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -28,8 +28,11 @@
 	coldStarts      *metrics.Counter
 	// dispatcherTimeouts counts the dispatch requests that were never answered.
 	dispatcherTimeouts *metrics.Counter
-	queueWait          *metrics.Histogram
-	configVersion      atomic.Uint64
+	// unpacedChoices counts the dispatcher's choices of a server whose rate limit this
+	// instance knows and the dispatcher does not.
+	unpacedChoices *metrics.Counter
+	queueWait      *metrics.Histogram
+	configVersion  atomic.Uint64
 }
 
 func newMetrics() *instruments {
@@ -45,6 +48,7 @@
 		quotaDenied: s.NewCounter("oleanderd_quota_denied_total"), quotaUnknown: s.NewCounter("oleanderd_quota_unknown_total"),
 		coldStarts:         s.NewCounter("oleanderd_cold_starts_total"),
 		dispatcherTimeouts: s.NewCounter("oleanderd_dispatcher_silent_total"),
+		unpacedChoices:     s.NewCounter("oleanderd_choices_without_server_limit_total"),
 		queueWait:          s.NewHistogram("oleanderd_queue_wait_seconds"),
 	}
 }
@@ -91,10 +95,12 @@
 	holds, waits, members := g.fleetLease.Holds(now), len(g.localDemand), g.members.Count()
 	left, promised := g.retryBudget.Remaining(now, members), len(g.expectedRetries)
 	quotas := g.limiter.Status()
+	limited := g.limitedServerCount()
 	era, closed := uint64(g.storeEra.current), uint64(g.closedZoneCount(now))
 	g.mu.Unlock()
 	metrics.WriteGaugeUint64(w, "oleanderd_store_era", era)
 	metrics.WriteGaugeUint64(w, "oleanderd_zones_evacuated", closed)
+	metrics.WriteGaugeUint64(w, "oleanderd_servers_limited", uint64(limited))
 	metrics.WriteGaugeUint64(w, "oleanderd_config_version", i.configVersion.Load())
 	metrics.WriteGaugeUint64(w, "oleanderd_requests_active", uint64(g.activeRequests.Load()))
 	metrics.WriteGaugeUint64(w, "oleanderd_models_waited_for", uint64(waits))
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -162,7 +162,8 @@
 	AllowedRegions regions.Set
 }
 
-// packet is one datagram. Exactly one field is set.
+// packet is one datagram. Exactly one field is set, except that ChoiceDetail goes with
+// Choice. Instances of older versions ignore fields that they do not know.
 type packet struct {
 	Heartbeat    *heartbeatMsg    `cbor:"1,keyasint,omitempty"`
 	State        *stateMsg        `cbor:"2,keyasint,omitempty"`
@@ -177,6 +178,8 @@
 	Watcher      *watcherMsg      `cbor:"10,keyasint,omitempty"`
 	Order        *orderMsg        `cbor:"13,keyasint,omitempty"`
 	OrderResult  *orderResultMsg  `cbor:"14,keyasint,omitempty"`
+	ChoiceDetail *choiceDetailMsg `cbor:"15,keyasint,omitempty"`
+	Feedback     *feedbackMsg     `cbor:"16,keyasint,omitempty"`
 	Relayed      [][]byte         `cbor:"9,keyasint,omitempty"` // encoded packets relayed by another instance of the zone
 }
 
@@ -208,6 +211,8 @@
 		return "dispatch"
 	case p.Order != nil, p.OrderResult != nil:
 		return "order"
+	case p.Feedback != nil:
+		return "feedback"
 	}
 	return "tokens"
 }
--- a/oleander/gateway/state_test.go
+++ b/oleander/gateway/state_test.go
@@ -113,7 +113,7 @@
 	g.handleChoiceMsg(now, &choiceMsg{
 		From: "b", Incarnation: g.incarnation, Number: number, Decision: dispatch.Granted,
 		Server: &serverMsg{Server: "new", Incarnation: 3, Info: &infoMsg{Address: "10.0.0.9:1", Group: "plain", Slots: 4}},
-	})
+	}, nil)
 	d := <-q.replies
 	if d.target.address != "10.0.0.9:1" || g.servers.Get("new").Running() != 1 {
 		t.Errorf("%+v", d)
--- a/oleander/gateway/warmup.go
+++ b/oleander/gateway/warmup.go
@@ -19,8 +19,8 @@
 	return limits
 }
 
-// warmupShare returns this instance's share of these rates. The caller holds mu.
-func (g *Gateway) warmupShare(now clock.Time) warmup.Share {
+// limitShare returns this instance's share of the limits over all instances. The caller holds mu.
+func (g *Gateway) limitShare(now clock.Time) warmup.Share {
 	s := warmup.Share{Dispatcher: g.dispatcherName(now) == g.settings.Name, Known: g.members.Count()}
 	if g.peersRead { // otherwise the number of other instances is unknown
 		s.Live = 1 + g.members.CountLive(now)
