Gateway: a rate limit in an engine's answer to an order or a query is heard

The same cause elsewhere: the answers to orders and reports pass through other code than callers' answers, and whatever they say of their server was dropped there too. ports.Engines returns it beside the result. Such an answer counts for what it says only: that it names no limit ends none, since these answers may leave it out. TestRateLimitInEngineResponseIsHeard did not compile before, as nothing returned it.

--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -24,13 +24,25 @@
 	g.sendAll(out)
 }
 
+// handleEngineFeedback handles what an engine says about itself in its response to an order
+// or a query. Such a response is taken at its word only for what it says, not for what it
+// leaves out.
+func (g *Gateway) handleEngineFeedback(t target, f ports.Feedback) {
+	if f != (ports.Feedback{}) {
+		g.handleFeedback(t, ports.ResponseInfo{Feedback: f})
+	}
+}
+
 // recordLimit records what a response says about the rate limit of its server, and
 // returns the messages that tell the other instances of a change. A response that names
 // no limit ends an earlier one if a server wrote it. The caller holds mu.
 func (g *Gateway) recordLimit(now clock.Time, t target, head ports.ResponseInfo) []outgoing {
 	limit := head.RateLimit
+	if limit.Invalid == "" && !limit.Named && !head.Signed && !head.NotExecuted {
+		return nil
+	}
 	g.logRateLimit(now, t.id, limit)
-	if limit.Invalid != "" || !limit.Named && !head.Signed && !head.NotExecuted {
+	if limit.Invalid != "" {
 		return nil
 	}
 	changed := g.servers.RecordLimit(t.id, t.incarnation, serverlimit.Statement{Limited: limit.Named, PerSecond: limit.PerSecond, At: now})
--- a/oleander/gateway/feedback_test.go
+++ b/oleander/gateway/feedback_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/internal/testutil"
 )
 
@@ -72,6 +73,22 @@
 	return sent, served
 }
 
+// An engine names a rate limit in its response to an order or a query only. All instances
+// must learn of it.
+func TestRateLimitInEngineResponseIsHeard(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "llm", ok, "warm")
+	f.engines.SetFeedback("a", ports.Feedback{RateLimit: ports.RateLimit{Named: true, PerSecond: 2}})
+	startPair(t, f)
+	for _, g := range f.gateways {
+		testutil.WaitFor(t, func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.limitedServerCount() == 1
+		})
+	}
+}
+
 // A server that names a rate limit in its responses must not get more than that from all
 // instances together, while other servers have room.
 func TestServerRateLimitHoldsOverAllInstances(t *testing.T) {
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -76,8 +76,10 @@
 	result := placer.NoResponse
 	if allowed {
 		ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-		result = g.engines.SendOrder(ctx, o, g.settings.Name, fencing)
+		var feedback ports.Feedback
+		result, feedback = g.engines.SendOrder(ctx, o, g.settings.Name, fencing)
 		cancel()
+		g.handleEngineFeedback(target{id: o.Server, incarnation: o.Incarnation}, feedback)
 	}
 	g.metrics.order(string(o.Kind), result)
 	g.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("model", o.Model).Str("adapter", o.Adapter).
@@ -89,7 +91,8 @@
 	requestedAt := boottime.Now()
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
-	report, err := g.engines.FetchReport(ctx, request.address, request.server)
+	report, feedback, err := g.engines.FetchReport(ctx, request.address, request.server)
+	g.handleEngineFeedback(target{id: request.server, incarnation: request.incarnation}, feedback)
 	g.metrics.report(err == nil)
 	if err != nil {
 		g.log.Warn().Err(err).Str("server", request.server).Msg("placer: engine report failed")
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -63,7 +63,13 @@
 	Signed      bool // carries the signature of a backend server
 	NotExecuted bool // the server did not run the request
 	Server      string
-	RateLimit   RateLimit
+	Feedback
+}
+
+// Feedback is what a response says about its server. It is empty if another server than
+// the intended one responded.
+type Feedback struct {
+	RateLimit RateLimit
 }
 
 // RateLimit is what a response says about the rate of requests that its server accepts.
@@ -150,8 +156,8 @@
 // Engines calls the engines of backend servers.
 type Engines interface {
 	// SendOrder sends an order as the lease holder with a fencing number.
-	SendOrder(ctx context.Context, o placer.Order, holder string, fencing int64) placer.OrderResult
+	SendOrder(ctx context.Context, o placer.Order, holder string, fencing int64) (placer.OrderResult, Feedback)
 	// FetchReport returns what the engine of a backend server has loaded. It fails if
 	// another server listens at the address.
-	FetchReport(ctx context.Context, address, server string) (placer.Report, error)
+	FetchReport(ctx context.Context, address, server string) (placer.Report, Feedback, error)
 }
--- a/oleander/gateway/portstest/dialect.go
+++ b/oleander/gateway/portstest/dialect.go
@@ -96,8 +96,8 @@
 		{RequestID: "r1", Signed: true, Server: "s1"},
 		{RequestID: "r1"},
 		{RequestID: "r1", NotExecuted: true, Server: "s2"},
-		{RequestID: "r1", Signed: true, RateLimit: ports.RateLimit{Named: true, PerSecond: 3.1}},
-		{RequestID: "r1", NotExecuted: true, RateLimit: ports.RateLimit{Named: true}},
+		{RequestID: "r1", Signed: true, Feedback: ports.Feedback{RateLimit: ports.RateLimit{Named: true, PerSecond: 3.1}}},
+		{RequestID: "r1", NotExecuted: true, Feedback: ports.Feedback{RateLimit: ports.RateLimit{Named: true}}},
 	} {
 		status, h := harness.ResponseHeaders(info)
 		if got := harness.Dialect().ParseResponse(status, h); got != info {
--- a/oleander/gateway/portstest/engines.go
+++ b/oleander/gateway/portstest/engines.go
@@ -58,9 +58,10 @@
 }
 
 func (e *engineCase) sendOrder(ctx context.Context, kind placer.OrderKind, model string, precondition int64) placer.OrderResult {
-	return e.harness.Engines().SendOrder(ctx, placer.Order{
+	result, _ := e.harness.Engines().SendOrder(ctx, placer.Order{
 		Server: "e1", Address: e.address, Kind: kind, Model: model, Precondition: precondition,
 	}, "instance", 1)
+	return result
 }
 
 // expect sends an order and fails the test if it has another result.
@@ -75,7 +76,7 @@
 func (e *engineCase) waitIdle() placer.Report {
 	e.t.Helper()
 	for end := time.Now().Add(20 * LoadTime); time.Now().Before(end); time.Sleep(LoadTime / 10) {
-		r, err := e.harness.Engines().FetchReport(soon(e.t), e.address, "e1")
+		r, _, err := e.harness.Engines().FetchReport(soon(e.t), e.address, "e1")
 		if err != nil {
 			e.t.Fatal(err)
 		}
@@ -134,11 +135,11 @@
 }
 
 func testWrongServer(t *testing.T, e *engineCase) {
-	got := e.harness.Engines().SendOrder(soon(t), placer.Order{Server: "e2", Address: e.address, Kind: placer.Unload, Model: "warm"}, "instance", 1)
+	got, _ := e.harness.Engines().SendOrder(soon(t), placer.Order{Server: "e2", Address: e.address, Kind: placer.Unload, Model: "warm"}, "instance", 1)
 	if got != placer.WrongServer {
 		t.Errorf("result %v, want that of a wrong server", got)
 	}
-	if _, err := e.harness.Engines().FetchReport(soon(t), e.address, "e2"); err == nil {
+	if _, _, err := e.harness.Engines().FetchReport(soon(t), e.address, "e2"); err == nil {
 		t.Error("a report of another server was accepted")
 	}
 }
@@ -148,7 +149,7 @@
 	if got := e.sendOrder(brief(t), placer.Load, "cold", 0); got != placer.NoResponse {
 		t.Errorf("result %v, want that of no response", got)
 	}
-	if _, err := e.harness.Engines().FetchReport(brief(t), e.address, "e1"); err == nil {
+	if _, _, err := e.harness.Engines().FetchReport(brief(t), e.address, "e1"); err == nil {
 		t.Error("report without a response: no error")
 	}
 }
@@ -160,6 +161,7 @@
 }
 
 type memoryEngine struct {
+	feedback     ports.Feedback
 	id           string
 	sequence     int64
 	models       map[string]bool
@@ -241,10 +243,10 @@
 }
 
 // SendOrder implements ports.Engines.
-func (m *MemoryEngines) SendOrder(ctx context.Context, o placer.Order, holder string, _ int64) placer.OrderResult {
+func (m *MemoryEngines) SendOrder(ctx context.Context, o placer.Order, holder string, _ int64) (placer.OrderResult, ports.Feedback) {
 	e := m.lookup(ctx, o.Address)
 	if e == nil {
-		return placer.NoResponse
+		return placer.NoResponse, ports.Feedback{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -254,35 +256,54 @@
 	e.finishLoad()
 	switch {
 	case o.Server != e.id:
-		return placer.WrongServer
+		return placer.WrongServer, e.feedbackTo(o.Server)
 	case o.Precondition != e.sequence || e.loading != "":
-		return placer.Busy
+		return placer.Busy, e.feedbackTo(o.Server)
 	case e.models[o.Model] == (o.Kind == placer.Load):
-		return placer.AlreadyDone
+		return placer.AlreadyDone, e.feedbackTo(o.Server)
 	case o.Kind == placer.Load:
 		e.loading, e.loadedAt = o.Model, time.Now().Add(e.loadTime)
 	default:
 		delete(e.models, o.Model)
 	}
 	e.sequence++
-	return placer.Accepted
+	return placer.Accepted, e.feedbackTo(o.Server)
 }
 
 // FetchReport implements ports.Engines.
-func (m *MemoryEngines) FetchReport(ctx context.Context, address, server string) (placer.Report, error) {
+func (m *MemoryEngines) FetchReport(ctx context.Context, address, server string) (placer.Report, ports.Feedback, error) {
 	e := m.lookup(ctx, address)
 	if e == nil {
-		return placer.Report{}, errors.New("memory: no response")
+		return placer.Report{}, ports.Feedback{}, errors.New("memory: no response")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e.finishLoad()
 	if e.id != server {
-		return placer.Report{}, errors.Errorf("memory: server %s is not %s", e.id, server)
+		return placer.Report{}, ports.Feedback{}, errors.Errorf("memory: server %s is not %s", e.id, server)
 	}
 	r := placer.Report{Sequence: e.sequence, Busy: e.loading != ""}
 	for name := range e.models {
 		r.LoadedModels = append(r.LoadedModels, directory.LoadedModel{Model: name})
 	}
-	return r, nil
+	return r, e.feedback, nil
+}
+
+// feedbackTo returns what the engine says about itself to a call for a server.
+func (e *memoryEngine) feedbackTo(server string) ports.Feedback {
+	if server != e.id {
+		return ports.Feedback{}
+	}
+	return e.feedback
+}
+
+// SetFeedback sets what an engine says about itself in its responses.
+func (m *MemoryEngines) SetFeedback(id string, f ports.Feedback) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.engines {
+		if e.id == id {
+			e.feedback = f
+		}
+	}
 }
