Gateway: a server's word that it leaves is read and logged

The dialect reads it, and the first one of each server is logged. What can't be read in any of a server's statements is now one field, Feedback.Invalid, logged once a server and value; such an answer ends nothing by what it leaves out. No decision changes.

--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -38,6 +38,7 @@
 	testOwner  = "Account"
 	testLeft   = "Left-Ms" // remaining time, sent to the server
 	testLimit  = "Limit"   // requests per second that the server accepts
+	testLeaves = "Leaves"  // the server leaves
 )
 
 // testTokens is the token count of each request.
@@ -75,10 +76,11 @@
 		RequestID: h.Get(testID), Signed: h.Get(testSigned) != "", Server: h.Get(testServer),
 		NotExecuted: h.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest,
 	}
+	info.Leaving = h.Get(testLeaves) != ""
 	if text := h.Get(testLimit); text != "" {
 		perSecond, err := strconv.ParseFloat(text, 64)
 		if err != nil {
-			info.RateLimit.Invalid = text
+			info.Invalid = text
 		} else {
 			info.RateLimit = ports.RateLimit{Named: true, PerSecond: perSecond}
 		}
@@ -118,6 +120,9 @@
 	if head.NotExecuted {
 		h.Set(testNotRun, "1")
 	}
+	if head.Leaving {
+		h.Set(testLeaves, "1")
+	}
 	if head.RateLimit.Named {
 		h.Set(testLimit, strconv.FormatFloat(head.RateLimit.PerSecond, 'f', -1, 64))
 	}
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -19,6 +19,7 @@
 func (g *Gateway) handleFeedback(t target, head ports.ResponseInfo) {
 	g.mu.Lock()
 	now := boottime.Now()
+	g.logFeedback(now, t.id, head)
 	out := g.recordLimit(now, t, head)
 	g.mu.Unlock()
 	g.sendAll(out)
@@ -33,16 +34,17 @@
 	}
 }
 
+// saysNoMore reports whether a response ends earlier statements that it does not repeat: a
+// server wrote it, as its answer to a request, and all of it was understood.
+func saysNoMore(head ports.ResponseInfo) bool {
+	return head.Invalid == "" && (head.Signed || head.NotExecuted)
+}
+
 // recordLimit records what a response says about the rate limit of its server, and
-// returns the messages that tell the other instances of a change. A response that names
-// no limit ends an earlier one if a server wrote it. The caller holds mu.
+// returns the messages that tell the other instances of a change. The caller holds mu.
 func (g *Gateway) recordLimit(now clock.Time, t target, head ports.ResponseInfo) []outgoing {
 	limit := head.RateLimit
-	if limit.Invalid == "" && !limit.Named && !head.Signed && !head.NotExecuted {
-		return nil
-	}
-	g.logRateLimit(now, t.id, limit)
-	if limit.Invalid != "" {
+	if !limit.Named && !saysNoMore(head) {
 		return nil
 	}
 	changed := g.servers.RecordLimit(t.id, t.incarnation, serverlimit.Statement{Limited: limit.Named, PerSecond: limit.PerSecond, At: now})
@@ -60,26 +62,37 @@
 type feedbackLog map[string]loggedFeedback
 
 type loggedFeedback struct {
-	limit ports.RateLimit
-	at    clock.Time
+	feedback ports.Feedback
+	limitAt  clock.Time // last line about a limit
 }
 
 // minLimitLogInterval bounds the log lines about a limit that changes with each response.
 const minLimitLogInterval = time.Second
 
-// logRateLimit logs changes of the limit that a server names. The caller holds mu.
-func (g *Gateway) logRateLimit(now clock.Time, server string, limit ports.RateLimit) {
-	last, known := g.feedbackLog[server]
-	if limit == last.limit || known && limit.Named == last.limit.Named && now.Sub(last.at) < minLimitLogInterval {
+// logFeedback logs changes of what a server says about itself. The caller holds mu.
+func (g *Gateway) logFeedback(now clock.Time, server string, head ports.ResponseInfo) {
+	last, said := g.feedbackLog[server], head.Feedback
+	if said == last.feedback || said == (ports.Feedback{}) && !saysNoMore(head) {
 		return
 	}
-	g.feedbackLog[server] = loggedFeedback{limit: limit, at: now}
+	logged := last
+	if said.Invalid != "" && said.Invalid != last.feedback.Invalid {
+		logged.feedback.Invalid = said.Invalid
+		g.log.Warn().Str("server", server).Str("value", said.Invalid).Msg("feedback: not understood")
+	}
+	if said.Leaving && !last.feedback.Leaving {
+		logged.feedback.Leaving = true
+		g.log.Info().Str("server", server).Msg("feedback: server says that it leaves")
+	}
+	limit, before := said.RateLimit, last.feedback.RateLimit
 	switch {
-	case limit.Invalid != "":
-		g.log.Warn().Str("server", server).Str("value", limit.Invalid).Msg("feedback: rate limit not understood")
+	case limit == before, limit.Named && before.Named && now.Sub(last.limitAt) < minLimitLogInterval:
 	case limit.Named:
+		logged.feedback.RateLimit, logged.limitAt = limit, now
 		g.log.Info().Str("server", server).Float64("per_second", limit.PerSecond).Msg("feedback: server names a rate limit")
-	default:
-		g.log.Info().Str("server", server).Float64("was_per_second", last.limit.PerSecond).Msg("feedback: server names no rate limit any more")
+	case saysNoMore(head):
+		logged.feedback.RateLimit, logged.limitAt = limit, now
+		g.log.Info().Str("server", server).Float64("was_per_second", before.PerSecond).Msg("feedback: server names no rate limit any more")
 	}
+	g.feedbackLog[server] = logged
 }
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -70,15 +70,16 @@
 // the intended one responded.
 type Feedback struct {
 	RateLimit RateLimit
+	Leaving   bool // the server stops serving soon and takes no new requests
+	// Invalid names a statement that could not be read, for the log; the response then says
+	// nothing by what it leaves out.
+	Invalid string
 }
 
 // RateLimit is what a response says about the rate of requests that its server accepts.
 type RateLimit struct {
 	Named     bool    // the response names a limit
 	PerSecond float64 // requests per second over all instances; finite and not negative
-	// Invalid is the value of the response if it names a limit that is not a number of
-	// requests per second; the response then says nothing about a limit.
-	Invalid string
 }
 
 // Dialect reads and writes the headers of callers and backend servers.
