--- a/oleander/gateway/feedback_test.go
+++ b/oleander/gateway/feedback_test.go
@@ -117,3 +117,49 @@
 		t.Errorf("%d of %d served, although the other server has room", served, sent)
 	}
 }
+
+// leaving responds like a healthy server that says that it leaves.
+func leaving(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testLeaves, "1")
+	ok(w, r)
+}
+
+// A server says that it leaves in its responses only, as its entry cannot be written. No
+// instance may send it a request later, also after the entry was gone and is back.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	f := newFixture(t, config(1))
+	a := f.backend("a", "plain", leaving)
+	f.backend("b", "plain", ok)
+	f.startHolder()
+	urls := []string{"http://" + f.gateways[0].settings.CallerAddress, f.start(), f.start()}
+	testutil.WaitFor(t, func() bool {
+		f.ask(http.MethodPost, urls[2]+"/order/")
+		return a.requests() > 0
+	})
+	time.Sleep(500 * time.Millisecond)
+	entry := f.store.Server("a")
+	for _, step := range []string{"while its entry says that it serves", "after its entry was gone and is back"} {
+		before := a.requests()
+		sent, served := f.askAll(urls, "/order/", 30, time.Second)
+		if n := a.requests() - before; n > 0 {
+			t.Errorf("%d of %d requests reached the leaving server %s", n, sent, step)
+		}
+		if served < sent {
+			t.Errorf("%d of %d served %s", served, sent, step)
+		}
+		f.store.RemoveServer("a")
+		testutil.WaitFor(t, func() bool {
+			g := f.gateways[0]
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.servers.Get("a") == nil
+		})
+		f.store.PutServer(entry)
+		testutil.WaitFor(t, func() bool {
+			g := f.gateways[0]
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.servers.Get("a") != nil
+		})
+	}
+}
