Gateway: a server that says in an answer that it leaves gets no new requests

Callers' requests went to a server that had told the same instance 2.6 to 4.2 s before that it leaves (2 s are allowed); what is under way when it exits is lost.

Class as for the rate limit: a signal with no receiver. Second fault of the class beside it: the mark of a draining server was kept in its entry, so that an entry that lapsed in the outage and came back would have cleared it.

Change: the word makes the server draining in the directory, for this start of it, and is kept apart from the entries. It is told to all instances like a limit; a dispatcher's choice made without it is turned down. A message of a sender that knows of no limit ends none.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -173,6 +173,9 @@
 	// limits are the rate limits that servers named, by ID. They outlive the entry of a
 	// server, which may be gone and back.
 	limits map[string]*serverlimit.Limit
+	// departures are the servers that said in a response that they leave, by ID. Like limits
+	// they outlive the entry.
+	departures map[string]departure
 }
 
 // New returns an empty Directory.
@@ -180,7 +183,7 @@
 	return &Directory{
 		servers: make(map[string]*Server), serversByPeer: make(map[string][]string),
 		zoneStates: make(map[string]evacuation.State), warmupLimits: make(map[string]warmup.Limit),
-		limits: make(map[string]*serverlimit.Limit),
+		limits: make(map[string]*serverlimit.Limit), departures: make(map[string]departure),
 	}
 }
 
@@ -208,6 +211,7 @@
 func (d *Directory) Put(now clock.Time, e Entry) {
 	s := d.servers[e.ID]
 	d.groups = nil
+	e.Draining = e.Draining || d.saidLeaving(e.ID, e.Incarnation)
 	if s == nil || s.Incarnation != e.Incarnation {
 		d.servers[e.ID] = &Server{
 			Entry: e, published: e, local: make(map[string]int), peers: make(map[string]peerLoad), modelLastUsed: make(map[string]clock.Time), updatedAt: now,
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -124,7 +124,7 @@
 func (g *Gateway) encodeChoiceDetail(now clock.Time, r dispatch.Reply) *choiceDetailMsg {
 	detail := choiceDetailMsg{RetryAfterMS: r.RetryAfter.Milliseconds()}
 	if s := r.Choice.Server; s != nil {
-		detail.Feedback = encodeServerFeedback(now, s)
+		detail.Feedback = g.encodeServerFeedback(now, s)
 	}
 	if detail == (choiceDetailMsg{}) {
 		return nil
@@ -141,8 +141,8 @@
 }
 
 // handleChoiceMsg handles a reply of the dispatcher. If this instance knows that the
-// chosen server drains or is gone, or that it has a rate limit that the dispatcher does
-// not know, the request chooses a server locally. The caller holds mu.
+// chosen server drains or is gone, or that it said something that the dispatcher does not
+// know, the request chooses a server locally. The caller holds mu.
 func (g *Gateway) handleChoiceMsg(now clock.Time, w *choiceMsg, detail *choiceDetailMsg) []outgoing {
 	if w.Incarnation != g.incarnation {
 		return nil
@@ -159,9 +159,9 @@
 		g.applyServer(now, *w.Server)
 		g.handleServerFeedback(now, detail.Feedback)
 		r.Choice.Server = g.servers.Get(w.Server.Server)
-		if s := r.Choice.Server; s != nil && !s.PacedBy(detail.Feedback.limitStatement(now)) {
+		if s := r.Choice.Server; s != nil && !g.informed(now, s, detail.Feedback) {
 			out = g.feedbackTo(now, w.From, s)
-			g.metrics.unpacedChoices.Inc()
+			g.metrics.uninformedChoices.Inc()
 			r.Decision = dispatch.NoCandidate
 		}
 	}
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -20,7 +20,12 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	g.logFeedback(now, t.id, head)
-	out := g.recordLimit(now, t, head)
+	changed := g.recordLimit(now, t, head)
+	changed = g.recordLeaving(now, t, head) || changed
+	var out []outgoing
+	if s := g.servers.Get(t.id); changed && s != nil && s.Incarnation == t.incarnation {
+		out = g.feedbackToAll(now, s)
+	}
 	g.mu.Unlock()
 	g.sendAll(out)
 }
@@ -40,22 +45,34 @@
 	return head.Invalid == "" && (head.Signed || head.NotExecuted)
 }
 
-// recordLimit records what a response says about the rate limit of its server, and
-// returns the messages that tell the other instances of a change. The caller holds mu.
-func (g *Gateway) recordLimit(now clock.Time, t target, head ports.ResponseInfo) []outgoing {
+// recordLimit records what a response says about the rate limit of its server. It reports
+// whether the limit was named, changed or ended. The caller holds mu.
+func (g *Gateway) recordLimit(now clock.Time, t target, head ports.ResponseInfo) bool {
 	limit := head.RateLimit
 	if !limit.Named && !saysNoMore(head) {
-		return nil
+		return false
 	}
 	changed := g.servers.RecordLimit(t.id, t.incarnation, serverlimit.Statement{Limited: limit.Named, PerSecond: limit.PerSecond, At: now})
 	if limit.Named || changed {
 		g.feedbackHeardAt[t.id] = now
 	}
-	s := g.servers.Get(t.id)
-	if !changed || s == nil {
-		return nil
+	return changed
+}
+
+// recordLeaving records that a response says that its server leaves. It reports whether
+// that is new. A server that said so is not believed to stay again before it restarts. The
+// caller holds mu.
+func (g *Gateway) recordLeaving(now clock.Time, t target, head ports.ResponseInfo) bool {
+	if !head.Leaving {
+		return false
+	}
+	g.feedbackHeardAt[t.id] = now
+	if !g.servers.MarkLeaving(now, t.id, t.incarnation) {
+		return false
 	}
-	return g.feedbackToAll(now, s)
+	g.wakeWaiting()
+	g.triggerHousekeeping()
+	return true
 }
 
 // feedbackLog holds what was last logged of each server's feedback.
--- a/oleander/gateway/feedback_test.go
+++ b/oleander/gateway/feedback_test.go
@@ -9,6 +9,7 @@
 
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 // limited responds like a healthy server that names a rate limit.
@@ -118,6 +119,31 @@
 	}
 }
 
+// An instance that tells that a server leaves, and knows nothing of its limit, must not end
+// the limit that others know. Fields out of range are ignored.
+func TestFeedbackMessageEndsNoUnknownLimit(t *testing.T) {
+	_, g := single(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	limited := func() int { return g.limitedServerCount() }
+	say := func(limit *limitMsg) {
+		g.handleFeedbackMsg(now, &feedbackMsg{Servers: []serverFeedbackMsg{{Server: "a", Incarnation: 1, Limit: limit}}})
+	}
+	say(&limitMsg{Limited: true, PerSecond: 2, AgeMS: 500})
+	say(nil)
+	say(&limitMsg{AgeMS: -1})
+	say(&limitMsg{Limited: true, PerSecond: -1})
+	say(&limitMsg{AgeMS: 700})
+	if limited() != 1 {
+		t.Error("the limit has ended")
+	}
+	say(&limitMsg{AgeMS: 200})
+	if limited() != 0 {
+		t.Error("a newer statement did not end the limit")
+	}
+}
+
 // leaving responds like a healthy server that says that it leaves.
 func leaving(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(testLeaves, "1")
--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -15,15 +15,33 @@
 	Servers []serverFeedbackMsg `cbor:"1,keyasint"`
 }
 
-// serverFeedbackMsg is the newest statement of a server.
+// serverFeedbackMsg is what an instance knows a server to have said.
 type serverFeedbackMsg struct {
-	Server      string  `cbor:"1,keyasint"`
-	Incarnation int64   `cbor:"2,keyasint"`
-	AgeMS       int64   `cbor:"3,keyasint"` // since the response
-	Limited     bool    `cbor:"4,keyasint,omitempty"`
-	PerSecond   float64 `cbor:"5,keyasint,omitempty"` // if Limited
+	Server      string    `cbor:"1,keyasint"`
+	Incarnation int64     `cbor:"2,keyasint"`
+	Limit       *limitMsg `cbor:"3,keyasint,omitempty"` // nil: the sender knows of no limit, now or before
+	Leaving     bool      `cbor:"4,keyasint,omitempty"`
 }
 
+// limitMsg is the newest statement of a server about its rate limit.
+type limitMsg struct {
+	AgeMS     int64   `cbor:"1,keyasint"` // since the response
+	Limited   bool    `cbor:"2,keyasint,omitempty"`
+	PerSecond float64 `cbor:"3,keyasint,omitempty"` // if Limited
+}
+
+// statement decodes a limitMsg; nil is no limit.
+func (m *limitMsg) statement(now clock.Time) serverlimit.Statement {
+	if m == nil {
+		return serverlimit.Statement{}
+	}
+	return serverlimit.Statement{Limited: m.Limited, PerSecond: m.PerSecond, At: now.Add(-time.Duration(m.AgeMS) * time.Millisecond)}
+}
+
+// valid reports whether the fields are in their ranges: an instance of another version may
+// have sent them.
+func (m *limitMsg) valid() bool { return m.AgeMS >= 0 && (!m.Limited || m.PerSecond >= 0) }
+
 const (
 	// feedbackRepeatPeriod is how long a statement that an instance heard itself is
 	// repeated with its heartbeats, for lost messages and new dispatchers: at least one
@@ -33,22 +51,26 @@
 	maxRepeatedFeedback = 50
 )
 
-// encodeServerFeedback returns what a server said last; nil if it said nothing.
-func encodeServerFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
+// encodeServerFeedback returns what a server said last; nil if it said nothing. The caller
+// holds mu.
+func (g *Gateway) encodeServerFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
 	said, ok := s.LimitStatement()
-	if !ok {
+	leaving := g.servers.SaidLeaving(s)
+	if !ok && !leaving {
 		return nil
 	}
-	return &serverFeedbackMsg{
-		Server: s.ID, Incarnation: s.Incarnation, AgeMS: now.Sub(said.At).Milliseconds(), Limited: said.Limited, PerSecond: said.PerSecond,
+	f := &serverFeedbackMsg{Server: s.ID, Incarnation: s.Incarnation, Leaving: leaving}
+	if ok {
+		f.Limit = &limitMsg{AgeMS: now.Sub(said.At).Milliseconds(), Limited: said.Limited, PerSecond: said.PerSecond}
 	}
+	return f
 }
 
 // feedbackToAll returns the messages that tell all instances what a server said. The
 // dispatcher gets its own, since only it sends requests to a server with a limit. The
 // caller holds mu.
 func (g *Gateway) feedbackToAll(now clock.Time, s *directory.Server) []outgoing {
-	f := encodeServerFeedback(now, s)
+	f := g.encodeServerFeedback(now, s)
 	if f == nil {
 		return nil
 	}
@@ -59,7 +81,7 @@
 // feedbackTo returns the message that tells one instance what a server said. The caller
 // holds mu.
 func (g *Gateway) feedbackTo(now clock.Time, name string, s *directory.Server) []outgoing {
-	to, f := g.members.Get(name), encodeServerFeedback(now, s)
+	to, f := g.members.Get(name), g.encodeServerFeedback(now, s)
 	if to == nil || f == nil {
 		return nil
 	}
@@ -77,7 +99,7 @@
 			continue
 		}
 		if s := g.servers.Get(id); s != nil && len(m.Servers) < maxRepeatedFeedback {
-			if f := encodeServerFeedback(now, s); f != nil {
+			if f := g.encodeServerFeedback(now, s); f != nil {
 				m.Servers = append(m.Servers, *f)
 			}
 		}
@@ -95,22 +117,29 @@
 	}
 }
 
-// limitStatement returns what the sender knew the server to have said; nil is nothing.
-func (f *serverFeedbackMsg) limitStatement(now clock.Time) serverlimit.Statement {
+// handleServerFeedback records what another instance knows a server to have said; nil is
+// nothing. The caller holds mu.
+func (g *Gateway) handleServerFeedback(now clock.Time, f *serverFeedbackMsg) {
 	if f == nil {
-		return serverlimit.Statement{}
+		return
+	}
+	if f.Limit != nil && f.Limit.valid() {
+		g.servers.RecordLimit(f.Server, f.Incarnation, f.Limit.statement(now))
+	}
+	if f.Leaving && g.servers.MarkLeaving(now, f.Server, f.Incarnation) {
+		g.wakeWaiting()
 	}
-	return serverlimit.Statement{Limited: f.Limited, PerSecond: f.PerSecond, At: now.Add(-time.Duration(f.AgeMS) * time.Millisecond)}
 }
 
-// handleServerFeedback records what another instance heard of a server; nil is nothing.
-// Every field is checked: an instance of another version may have sent it. The caller
-// holds mu.
-func (g *Gateway) handleServerFeedback(now clock.Time, f *serverFeedbackMsg) {
-	if f == nil || f.AgeMS < 0 || f.Limited && !(f.PerSecond >= 0) {
-		return
+// informed reports whether a dispatcher that chose a server knew what this instance knows
+// of it: a rate limit, or that it leaves. One that has just begun, lost the message, or runs
+// an older version does not. known is what it sent with its choice. The caller holds mu.
+func (g *Gateway) informed(now clock.Time, s *directory.Server, known *serverFeedbackMsg) bool {
+	var limit *limitMsg
+	if known != nil {
+		limit = known.Limit
 	}
-	g.servers.RecordLimit(f.Server, f.Incarnation, f.limitStatement(now))
+	return !g.servers.SaidLeaving(s) && s.PacedBy(limit.statement(now))
 }
 
 // limitedServerCount returns the number of servers with a rate limit. The caller holds mu.
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -158,6 +158,7 @@
 	g.applyEvacuations(now)
 	g.servers.SetSilentZones(g.members.SilentZones(now, zoneTimeout))
 	g.servers.ExpireLimits(now)
+	g.servers.ExpireDepartures(now)
 	if g.servers.PacesServers() {
 		g.servers.SetShare(now, g.limitShare(now))
 	}
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -28,11 +28,11 @@
 	coldStarts      *metrics.Counter
 	// dispatcherTimeouts counts the dispatch requests that were never answered.
 	dispatcherTimeouts *metrics.Counter
-	// unpacedChoices counts the dispatcher's choices of a server whose rate limit this
-	// instance knows and the dispatcher does not.
-	unpacedChoices *metrics.Counter
-	queueWait      *metrics.Histogram
-	configVersion  atomic.Uint64
+	// uninformedChoices counts the dispatcher's choices of a server of which this instance
+	// knows a rate limit, or that it leaves, and the dispatcher does not.
+	uninformedChoices *metrics.Counter
+	queueWait         *metrics.Histogram
+	configVersion     atomic.Uint64
 }
 
 func newMetrics() *instruments {
@@ -48,7 +48,7 @@
 		quotaDenied: s.NewCounter("oleanderd_quota_denied_total"), quotaUnknown: s.NewCounter("oleanderd_quota_unknown_total"),
 		coldStarts:         s.NewCounter("oleanderd_cold_starts_total"),
 		dispatcherTimeouts: s.NewCounter("oleanderd_dispatcher_silent_total"),
-		unpacedChoices:     s.NewCounter("oleanderd_choices_without_server_limit_total"),
+		uninformedChoices:  s.NewCounter("oleanderd_choices_uninformed_total"),
 		queueWait:          s.NewHistogram("oleanderd_queue_wait_seconds"),
 	}
 }
