--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -39,6 +39,7 @@
 	testLeft   = "Left-Ms" // remaining time, sent to the server
 	testLimit  = "Limit"   // requests per second that the server accepts
 	testLeaves = "Leaves"  // the server leaves
+	testRest   = "Rest-Ms" // with a rejection: how long the server wants no other request
 )
 
 // testTokens is the token count of each request.
@@ -77,6 +78,9 @@
 		NotExecuted: h.Get(testNotRun) != "" || status == http.StatusMisdirectedRequest,
 	}
 	info.Leaving = h.Get(testLeaves) != ""
+	if ms, err := strconv.Atoi(h.Get(testRest)); err == nil && status == http.StatusServiceUnavailable {
+		info.Rest = time.Duration(ms) * time.Millisecond
+	}
 	if text := h.Get(testLimit); text != "" {
 		perSecond, err := strconv.ParseFloat(text, 64)
 		if err != nil {
@@ -123,6 +127,10 @@
 	if head.Leaving {
 		h.Set(testLeaves, "1")
 	}
+	if head.Rest > 0 {
+		h.Set(testRest, strconv.FormatInt(head.Rest.Milliseconds(), 10))
+		return http.StatusServiceUnavailable, h
+	}
 	if head.RateLimit.Named {
 		h.Set(testLimit, strconv.FormatFloat(head.RateLimit.PerSecond, 'f', -1, 64))
 	}
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -81,6 +81,7 @@
 type loggedFeedback struct {
 	feedback ports.Feedback
 	limitAt  clock.Time // last line about a limit
+	restAt   clock.Time // last line about a rest
 }
 
 // minLimitLogInterval bounds the log lines about a limit that changes with each response.
@@ -101,6 +102,10 @@
 		logged.feedback.Leaving = true
 		g.log.Info().Str("server", server).Msg("feedback: server says that it leaves")
 	}
+	if said.Rest > 0 && now.Sub(last.restAt) >= last.feedback.Rest {
+		logged.feedback.Rest, logged.restAt = said.Rest, now
+		g.log.Info().Str("server", server).Dur("rest", said.Rest).Msg("feedback: server asks for rest")
+	}
 	limit, before := said.RateLimit, last.feedback.RateLimit
 	switch {
 	case limit == before, limit.Named && before.Named && now.Sub(last.limitAt) < minLimitLogInterval:
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -71,6 +71,9 @@
 type Feedback struct {
 	RateLimit RateLimit
 	Leaving   bool // the server stops serving soon and takes no new requests
+	// Rest is how long the server, which rejected the request, wants no other request of
+	// this instance; 0 if it does not say so.
+	Rest time.Duration
 	// Invalid names a statement that could not be read, for the log; the response then says
 	// nothing by what it leaves out.
 	Invalid string
--- a/oleander/gateway/portstest/dialect.go
+++ b/oleander/gateway/portstest/dialect.go
@@ -98,6 +98,7 @@
 		{RequestID: "r1", NotExecuted: true, Server: "s2"},
 		{RequestID: "r1", Signed: true, Feedback: ports.Feedback{RateLimit: ports.RateLimit{Named: true, PerSecond: 3.1}}},
 		{RequestID: "r1", Signed: true, Feedback: ports.Feedback{Leaving: true}},
+		{RequestID: "r1", NotExecuted: true, Feedback: ports.Feedback{Rest: 1500 * time.Millisecond}},
 		{RequestID: "r1", NotExecuted: true, Feedback: ports.Feedback{RateLimit: ports.RateLimit{Named: true}}},
 	} {
 		status, h := harness.ResponseHeaders(info)
