Gateway: tests that a server which asks for rest is left alone (fail)

Three instances, two plain servers, one rejects all requests and asks for three seconds of rest: it gets most of the requests again, and 84 of 289 callers are served although the other server has room. With one server, the second request reaches it too.

--- a/oleander/gateway/feedback_test.go
+++ b/oleander/gateway/feedback_test.go
@@ -189,3 +189,54 @@
 		})
 	}
 }
+
+// rejecting rejects every request and asks for rest.
+func rejecting(rest time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testNotRun, "1")
+		w.Header().Set(testRest, strconv.FormatInt(rest.Milliseconds(), 10))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// A server rejects requests and asks for rest. Each instance must leave it alone for that
+// time, while the other server has room for all callers.
+func TestServerThatAsksForRestIsLeftAlone(t *testing.T) {
+	const (
+		rest  = 3 * time.Second
+		grace = 500 * time.Millisecond
+	)
+	f := newFixture(t, config(1))
+	var arrivals arrivalTimes
+	f.backend("a", "plain", arrivals.record(rejecting(rest)))
+	f.backend("b", "plain", ok)
+	f.startHolder()
+	urls := []string{"http://" + f.gateways[0].settings.CallerAddress, f.start(), f.start()}
+	began := time.Now()
+	sent, served := f.askAll(urls, "/order/", 60, 5*time.Second)
+	if n := arrivals.mostWithin(rest-grace, began.Add(grace)); n > 2*len(urls) {
+		t.Errorf("%d requests from %d instances in %v", n, len(urls), rest-grace)
+	}
+	if served < sent*99/100 {
+		t.Errorf("%d of %d served, although the other server has room", served, sent)
+	}
+}
+
+// All servers of a plain service ask for rest: a request is refused at once, and may come
+// back when the first rest ends.
+func TestAllServersRest(t *testing.T) {
+	const rest = 1500 * time.Millisecond
+	f := newFixture(t, config(1))
+	a := f.backend("a", "plain", rejecting(rest))
+	url := f.start()
+	f.ask(http.MethodPost, url+"/order/")
+	began := time.Now()
+	got := f.ask(http.MethodPost, url+"/order/")
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if got.status != http.StatusServiceUnavailable || time.Since(began) > 300*time.Millisecond || a.requests() != 1 {
+		t.Errorf("status %d after %v, %d requests at the server", got.status, time.Since(began), a.requests())
+	}
+	if err != nil || after < 1 || after > rest.Seconds()+retrySpread.Seconds() {
+		t.Errorf("to be asked again after %q s", got.header.Get("Retry-After"))
+	}
+}
