Gateway: a server that asks an instance for rest is left alone

Callers waited for a rejection first, and were refused when the retry budget was used up, while another server had room; the server got six requests of an instance in the three seconds in which it wanted none (two are allowed).

Class: a signal with no receiver.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -98,6 +98,7 @@
 	coldUntil        clock.Time
 	pacer            warmup.Pacer
 	limit            *serverlimit.Limit // nil: never named
+	rest             *rest              // nil: never asked for
 }
 
 // Cold reports whether the server is still warming up and has reduced capacity.
@@ -176,6 +177,8 @@
 	// departures are the servers that said in a response that they leave, by ID. Like limits
 	// they outlive the entry.
 	departures map[string]departure
+	// rests are the servers that asked for rest, by ID. They outlive the entry too.
+	rests map[string]*rest
 }
 
 // New returns an empty Directory.
@@ -183,7 +186,7 @@
 	return &Directory{
 		servers: make(map[string]*Server), serversByPeer: make(map[string][]string),
 		zoneStates: make(map[string]evacuation.State), warmupLimits: make(map[string]warmup.Limit),
-		limits: make(map[string]*serverlimit.Limit), departures: make(map[string]departure),
+		limits: make(map[string]*serverlimit.Limit), departures: make(map[string]departure), rests: make(map[string]*rest),
 	}
 }
 
@@ -215,7 +218,7 @@
 	if s == nil || s.Incarnation != e.Incarnation {
 		d.servers[e.ID] = &Server{
 			Entry: e, published: e, local: make(map[string]int), peers: make(map[string]peerLoad), modelLastUsed: make(map[string]clock.Time), updatedAt: now,
-			region: d.regionByZone[e.Zone], zoneState: d.zoneStates[e.Zone], coldUntil: now.Add(e.ColdFor), limit: d.keptLimit(e.ID, e.Incarnation),
+			region: d.regionByZone[e.Zone], zoneState: d.zoneStates[e.Zone], coldUntil: now.Add(e.ColdFor), limit: d.keptLimit(e.ID, e.Incarnation), rest: d.keptRest(e.ID, e.Incarnation),
 		}
 		return
 	}
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -113,11 +113,11 @@
 	}
 	eligible := d.eligible(now, candidates, req)
 	if req.Affinity != 0 {
-		if s := pickByAffinity(eligible, candidates, req); s != nil {
+		if s := pickByAffinity(preferRested(now, eligible), candidates, req); s != nil {
 			return newChoice(s, ByPrompt, candidates, req)
 		}
 	}
-	if s := pickLeastLoaded(eligible, req); s != nil {
+	if s := pickLeastLoaded(preferRested(now, eligible), req); s != nil {
 		return newChoice(s, ByLoad, candidates, req)
 	}
 	return Choice{AllFull: true, RateLimited: anyWithFreeSlot(candidates, req), Pace: d.paceOf(now, candidates, req), Candidates: len(candidates)}
--- /dev/null
+++ b/core/gateway/directory/rest.go
@@ -0,0 +1,147 @@
+package directory
+
+import (
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+// maxRest bounds the time that a server is left alone by one response. A server that names
+// a longer one is asked again after this time.
+const maxRest = 10 * time.Minute
+
+// rest is the wish of one incarnation of a server to be left alone for a time.
+type rest struct {
+	incarnation int64
+	until       clock.Time // for this instance
+	// anyUntil is when the last rest ends that the server asked of any instance. It rejects
+	// the others' requests more likely than servers that asked nobody.
+	anyUntil clock.Time
+}
+
+// restOf returns the rest of an incarnation of a server, a new one if there is none; nil if
+// the incarnation is outdated.
+func (d *Directory) restOf(id string, incarnation int64) *rest {
+	r := d.rests[id]
+	if r != nil && r.incarnation > incarnation {
+		return nil
+	}
+	if r == nil || r.incarnation < incarnation {
+		r = &rest{incarnation: incarnation}
+		d.rests[id] = r
+		if s := d.servers[id]; s != nil && s.Incarnation == incarnation {
+			s.rest = r
+		}
+	}
+	return r
+}
+
+// keptRest returns the rest that an incarnation of a server asked for before; nil if none.
+func (d *Directory) keptRest(id string, incarnation int64) *rest {
+	if r := d.rests[id]; r != nil && r.incarnation == incarnation {
+		return r
+	}
+	return nil
+}
+
+// RecordRest records that a server wants no request of this instance for a time.
+func (d *Directory) RecordRest(now clock.Time, id string, incarnation int64, wanted time.Duration) {
+	if r := d.restOf(id, incarnation); r != nil {
+		r.until = max(r.until, now.Add(min(wanted, maxRest)))
+	}
+}
+
+// RecordRestOfAny records that a server asked any instance, this one or another, for rest.
+// It reports whether others should be told: the rest ends later than they know by more than
+// minRestExtension.
+func (d *Directory) RecordRestOfAny(now clock.Time, id string, incarnation int64, remaining time.Duration) bool {
+	r := d.restOf(id, incarnation)
+	if r == nil {
+		return false
+	}
+	until, before := now.Add(min(remaining, maxRest)), r.anyUntil
+	r.anyUntil = max(r.anyUntil, until)
+	return until.Sub(max(before, now)) > minRestExtension
+}
+
+// minRestExtension is the least extension of a rest that is told to other instances.
+const minRestExtension = 500 * time.Millisecond
+
+// RestRemaining returns how long the server rests for some instance; 0 if for none.
+func (s *Server) RestRemaining(now clock.Time) time.Duration {
+	if s.rest == nil {
+		return 0
+	}
+	return max(0, s.rest.anyUntil.Sub(now))
+}
+
+// Resting reports whether the server wants no request of this instance now.
+func (s *Server) Resting(now clock.Time) bool { return s.rest != nil && now.Before(s.rest.until) }
+
+// ExcludeResting returns the IDs of excluded servers and of those of a group that want no
+// request of this instance now.
+func (d *Directory) ExcludeResting(now clock.Time, group string, excluded map[string]bool) map[string]bool {
+	if len(d.rests) == 0 {
+		return excluded
+	}
+	all := make(map[string]bool, len(excluded)+len(d.rests))
+	for id := range excluded {
+		all[id] = true
+	}
+	for id := range d.rests {
+		if s := d.servers[id]; s != nil && s.Group == group && s.Resting(now) {
+			all[id] = true
+		}
+	}
+	return all
+}
+
+// RestEnds returns when the first server that could run a request ends its rest for this
+// instance; ok is false if none rests. Servers that the request excludes for another reason
+// are in excluded.
+func (d *Directory) RestEnds(now clock.Time, req Requirements, excluded map[string]bool) (at clock.Time, ok bool) {
+	if len(d.rests) == 0 {
+		return 0, false
+	}
+	req.Exclude = excluded
+	for _, s := range d.Candidates(now, req) {
+		if s.Resting(now) && (!ok || s.rest.until < at) {
+			at, ok = s.rest.until, true
+		}
+	}
+	return at, ok
+}
+
+// ExpireRests forgets rests that have ended.
+func (d *Directory) ExpireRests(now clock.Time) {
+	for id, r := range d.rests {
+		if now.Reached(r.until) && now.Reached(r.anyUntil) {
+			delete(d.rests, id)
+			if s := d.servers[id]; s != nil {
+				s.rest = nil
+			}
+		}
+	}
+}
+
+// preferRested returns the servers that ask no instance for rest, or all if there are none.
+// A server that rejects one instance's requests likely rejects the next one's: in a large
+// fleet, in which each instance would have to find out by itself, it would go on getting
+// almost all of its requests.
+func preferRested(now clock.Time, eligible []*Server) []*Server {
+	for i, s := range eligible {
+		if s.RestRemaining(now) > 0 {
+			rested := append([]*Server(nil), eligible[:i]...)
+			for _, s := range eligible[i+1:] {
+				if s.RestRemaining(now) == 0 {
+					rested = append(rested, s)
+				}
+			}
+			if len(rested) == 0 {
+				return eligible
+			}
+			return rested
+		}
+	}
+	return eligible
+}
--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -197,6 +197,7 @@
 	q := d.queueOf(query.Requirements)
 	if w := q.find(from, query.Number); w != nil {
 		w.lastQueried = now
+		w.query.Requirements.Exclude = query.Requirements.Exclude // a server may rest since
 		reply.Decision = Queued
 		return reply
 	}
--- a/core/gateway/dispatch/limit_fleet_test.go
+++ b/core/gateway/dispatch/limit_fleet_test.go
@@ -40,6 +40,7 @@
 	deaf bool
 
 	arrived, served, refused int
+	rejected                 int // by servers
 	slowestRefusal           time.Duration
 }
 
@@ -58,7 +59,8 @@
 type limitServer struct {
 	id       string
 	limit    func(now clock.Time) (perSecond float64, limited bool)
-	named    clock.Time // first response with a limit
+	rejects  func(n *limitNode) bool // nil: nobody
+	named    clock.Time              // first response with a limit
 	arrivals []clock.Time
 }
 
@@ -74,7 +76,7 @@
 		}
 		n.dispatcher = New(n.name(), n.dir)
 		for s := range servers {
-			n.dir.Put(f.now, directory.Entry{ID: fmt.Sprint("s", s), Zone: "z", Group: "g", Incarnation: 1, Slots: 64})
+			n.dir.Put(f.now, directory.Entry{ID: fmt.Sprint("s", s), Zone: "z", Group: "g", Incarnation: 1, Slots: 16})
 		}
 		f.nodes = append(f.nodes, n)
 	}
@@ -121,11 +123,8 @@
 func (f *limitFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
 		f.deliver()
-		for f.random.Float64() < f.perSecond/1000 {
+		for due := f.perSecond / 1000; due > f.random.Float64(); due-- {
 			f.arrive()
-			if f.perSecond <= 1000 {
-				break
-			}
 		}
 		for _, n := range f.nodes {
 			n.tick()
@@ -184,13 +183,16 @@
 	}
 }
 
-var plainRequirements = directory.Requirements{Group: "g", Zone: "z"}
+// requirements returns what a request of the instance requires now.
+func (n *limitNode) requirements() directory.Requirements {
+	return directory.Requirements{Group: "g", Zone: "z", Exclude: n.dir.ExcludeResting(n.fleet.now, "g", nil)}
+}
 
 // ask queries the dispatcher; without an answer in time the instance chooses by itself.
 func (n *limitNode) ask(number uint64) {
 	f := n.fleet
 	d := f.dispatcherOf(n)
-	m := n.message(&Query{Number: number, Requirements: plainRequirements, MaxWait: 150 * time.Millisecond})
+	m := n.message(&Query{Number: number, Requirements: n.requirements(), MaxWait: 150 * time.Millisecond})
 	handle := func() {
 		if r, ok := d.dispatcher.HandleMessage(f.now, m); ok {
 			d.reply([]Reply{r})
@@ -215,7 +217,7 @@
 	if !open || n.down {
 		return
 	}
-	c := n.dir.Pick(n.fleet.now, plainRequirements)
+	c := n.dir.Pick(n.fleet.now, n.requirements())
 	switch {
 	case c.Server != nil:
 		n.start(number, c.Server.ID)
@@ -270,6 +272,9 @@
 		return
 	}
 	s := n.dir.Get(r.Choice.Server.ID)
+	if s.Resting(f.now) {
+		return
+	}
 	if known.Limited {
 		n.dir.RecordLimit(s.ID, 1, known)
 	}
@@ -289,6 +294,10 @@
 		for _, s := range f.servers {
 			if s.id == id {
 				s.arrivals = append(s.arrivals, f.now)
+				if s.rejects != nil && s.rejects(n) {
+					f.later(time.Millisecond, func() { n.handleRejection(s) })
+					continue
+				}
 				f.later(serverLatency, func() { n.handleResponse(s) })
 			}
 		}
@@ -321,6 +330,27 @@
 	}
 }
 
+// restPeriod is for how long servers that reject requests want to be left alone.
+const restPeriod = 3 * time.Second
+
+// handleRejection handles a rejection with a wish for rest, and sends the request again.
+func (n *limitNode) handleRejection(s *limitServer) {
+	f := n.fleet
+	f.rejected++
+	n.dir.RequestEnded(f.now, s.id, "", directory.Neutral)
+	n.dir.RecordRest(f.now, s.id, 1, restPeriod)
+	if n.dir.RecordRestOfAny(f.now, s.id, 1, restPeriod) && !f.deaf {
+		for _, o := range f.nodes {
+			if o != n {
+				f.send(n, o, func() { o.dir.RecordRestOfAny(f.now, s.id, 1, restPeriod) })
+			}
+		}
+	}
+	number := n.client.BeginQuery()
+	n.open[number] = f.now
+	n.ask(number)
+}
+
 // tell tells another instance what a server said.
 func (n *limitNode) tell(to *limitNode, id string) {
 	f := n.fleet
@@ -512,3 +542,26 @@
 		t.Errorf("%d requests in %v, allowed are %d", most, limitWindow, allowedIn(mean))
 	}
 }
+
+// One of three servers rejects all requests. In a fleet in which each instance has few
+// requests, the others must not find that out one by one.
+func TestRejectingServerIsLeftAlone(t *testing.T) {
+	run := func(instances int, deaf bool, perSecond float64, rejects func(n *limitNode) bool) *limitFleet {
+		f := newLimitFleet(9, instances, 3, perSecond)
+		f.deaf = deaf
+		f.servers[0].rejects = rejects
+		f.run(12 * time.Second)
+		return f
+	}
+	all := func(*limitNode) bool { return true }
+	for _, instances := range []int{9, 77, 195} {
+		told, alone := run(instances, false, 300, all), run(instances, true, 300, all)
+		t.Logf("%d instances: %d rejections of %d requests, %d if nobody is told", instances, told.rejected, told.arrived, alone.rejected)
+		if told.rejected > told.arrived/100 || told.rejected > alone.rejected {
+			t.Errorf("%d instances: %d rejections of %d requests, %d if nobody is told", instances, told.rejected, told.arrived, alone.rejected)
+		}
+		if told.refused > told.arrived/100 {
+			t.Errorf("%d instances: %d of %d refused, although other servers have room", instances, told.refused, told.arrived)
+		}
+	}
+}
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -16,7 +16,7 @@
 	config                   *manifest.Engine
 	server                   *directory.Server
 	leaving                  bool // it stops serving now or soon, or it is unreachable
-	limited                  bool // it takes only part of the load, by a rate limit that it named
+	limited                  bool // it takes only part of the load: it named a rate limit or asks for rest
 	reachability             Reachability
 
 	known    bool  // sequence and models are reliable
@@ -109,7 +109,7 @@
 // syncEntry updates the state from the engine's directory entry.
 func (e *engineState) syncEntry(now clock.Time, s *directory.Server, entry *directory.Entry, config *manifest.Engine) {
 	e.server, e.config, e.address, e.leaving = s, config, s.Address, !s.RemainsInService() || e.reachability == Unreachable
-	e.limited = s.RateLimited(now)
+	e.limited = s.RateLimited(now) || s.RestRemaining(now) > 0
 	e.inMemory, e.onDisk = s.InMemory, s.OnDisk
 	if e.loading != nil && now.Reached(e.loading.expectedAt) {
 		if _, ok := entry.LoadedModel(e.loading.model); ok {
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -24,6 +24,10 @@
 	// dispatcher may send to the servers that could run it: a silent one is asked again
 	// or replaced within this time.
 	rateLimitedWait = time.Second
+	// forecastPatience is how long a request waits to hear that its model will be loaded on
+	// another server: the planner learns of the demand and answers within a few heartbeats
+	// of a small fleet.
+	forecastPatience = 500 * time.Millisecond
 	// retrySpread is the time over which callers that are refused together come back.
 	retrySpread = time.Second
 )
@@ -142,7 +146,8 @@
 	if now.Reached(x.deadline) {
 		return selection{}, nil, unavailable(reasonTimeout, retryDelay)
 	}
-	c := g.servers.Pick(now, x.requirements())
+	req := x.requirements(now)
+	c := g.servers.Pick(now, req)
 	if (c.Server != nil || c.AllFull) && !x.chooseLocally {
 		if number, q := x.beginQuery(now); q != nil {
 			return selection{query: q, number: number}, x.queryMessages(now, number, q), nil
@@ -154,6 +159,11 @@
 		g.placer.RecordAdapterUse(now, s.ID, x.call.Model, x.call.Adapter)
 		return selection{target: newTarget(s)}, g.loadMessages(now), nil
 	}
+	if ends, resting := g.servers.RestEnds(now, req, x.excluded); resting && !c.AllFull {
+		if wait, ref := x.awaitRest(now, ends); wait || ref != nil {
+			return selection{allFull: true, changed: g.stateChanged}, nil, ref
+		}
+	}
 	if !c.AllFull {
 		if why := x.unservableReason(now); why != "" {
 			return selection{}, nil, unavailable(why, loadRetryDelay)
@@ -165,6 +175,26 @@
 	return selection{allFull: c.AllFull, rateLimited: c.RateLimited, changed: g.stateChanged}, nil, nil
 }
 
+// awaitRest decides about a request for which all servers that could run it want none of
+// this instance until ends. It waits for that if its objective can still be met, and is
+// refused at once if not; neither if it waits for another server to load its model. The
+// caller holds mu.
+func (x *exchange) awaitRest(now, ends clock.Time) (wait bool, ref *refusal) {
+	if ends.Sub(now) <= x.maxSlotWait(now) {
+		return true, nil
+	}
+	retryAfter := spreadRetry(ends.Sub(now))
+	if x.call.Model != "" {
+		k := x.placementKey()
+		e := x.g.outlook.Expect(now, k, placer.Key{Group: k.Group, Model: k.Model, AllowedRegions: k.AllowedRegions})
+		if e.Ready != 0 || now.Sub(x.arrived) < forecastPatience {
+			return false, nil
+		}
+		x.keepDemand(now, retryAfter)
+	}
+	return false, unavailable(reasonServersResting, retryAfter)
+}
+
 // spreadRetry returns a time to retry, at least the given one, that differs between
 // callers, so that they don't come back together.
 func spreadRetry(least time.Duration) time.Duration {
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -56,7 +56,7 @@
 // queryMessages returns the messages that ask the dispatcher for a server. The
 // caller holds mu.
 func (x *exchange) queryMessages(now clock.Time, number uint64, q *pendingQuery) []outgoing {
-	query := &dispatch.Query{Number: number, Requirements: x.requirements(), Priority: x.priority(), MaxWait: x.maxSlotWait(now)}
+	query := &dispatch.Query{Number: number, Requirements: x.requirements(now), Priority: x.priority(), MaxWait: x.maxSlotWait(now)}
 	return x.g.dispatcherMessages(now, q.dispatcher, dispatch.Message{Query: query})
 }
 
@@ -94,6 +94,9 @@
 	if q == nil {
 		return // abandoned, as the next message tells the dispatcher
 	}
+	if v == dispatch.Granted && c.Server.Resting(now) {
+		v = dispatch.NoCandidate // it began to rest after the query
+	}
 	reply := dispatchReply{decision: v, choice: c, retryAfter: r.RetryAfter}
 	if v == dispatch.Granted {
 		reply.target = newTarget(c.Server)
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -22,6 +22,7 @@
 	g.logFeedback(now, t.id, head)
 	changed := g.recordLimit(now, t, head)
 	changed = g.recordLeaving(now, t, head) || changed
+	changed = g.recordRest(now, t, head) || changed
 	var out []outgoing
 	if s := g.servers.Get(t.id); changed && s != nil && s.Incarnation == t.incarnation {
 		out = g.feedbackToAll(now, s)
@@ -75,6 +76,16 @@
 	return true
 }
 
+// recordRest records that a server rejected a request and wants no other for a time. It
+// reports whether others should be told. The caller holds mu.
+func (g *Gateway) recordRest(now clock.Time, t target, head ports.ResponseInfo) bool {
+	if head.Rest <= 0 {
+		return false
+	}
+	g.servers.RecordRest(now, t.id, t.incarnation, head.Rest)
+	return g.servers.RecordRestOfAny(now, t.id, t.incarnation, head.Rest)
+}
+
 // feedbackLog holds what was last logged of each server's feedback.
 type feedbackLog map[string]loggedFeedback
 
--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -21,6 +21,7 @@
 	Incarnation int64     `cbor:"2,keyasint"`
 	Limit       *limitMsg `cbor:"3,keyasint,omitempty"` // nil: the sender knows of no limit, now or before
 	Leaving     bool      `cbor:"4,keyasint,omitempty"`
+	RestMS      int64     `cbor:"5,keyasint,omitempty"` // remaining rest that it asked some instance for
 }
 
 // limitMsg is the newest statement of a server about its rate limit.
@@ -55,11 +56,11 @@
 // holds mu.
 func (g *Gateway) encodeServerFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
 	said, ok := s.LimitStatement()
-	leaving := g.servers.SaidLeaving(s)
-	if !ok && !leaving {
+	leaving, resting := g.servers.SaidLeaving(s), s.RestRemaining(now)
+	if !ok && !leaving && resting == 0 {
 		return nil
 	}
-	f := &serverFeedbackMsg{Server: s.ID, Incarnation: s.Incarnation, Leaving: leaving}
+	f := &serverFeedbackMsg{Server: s.ID, Incarnation: s.Incarnation, Leaving: leaving, RestMS: resting.Milliseconds()}
 	if ok {
 		f.Limit = &limitMsg{AgeMS: now.Sub(said.At).Milliseconds(), Limited: said.Limited, PerSecond: said.PerSecond}
 	}
@@ -126,6 +127,9 @@
 	if f.Limit != nil && f.Limit.valid() {
 		g.servers.RecordLimit(f.Server, f.Incarnation, f.Limit.statement(now))
 	}
+	if f.RestMS > 0 {
+		g.servers.RecordRestOfAny(now, f.Server, f.Incarnation, time.Duration(f.RestMS)*time.Millisecond)
+	}
 	if f.Leaving && g.servers.MarkLeaving(now, f.Server, f.Incarnation) {
 		g.wakeWaiting()
 	}
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -143,14 +143,19 @@
 // expectRetry keeps the model in demand until the caller's retry, if the model can be
 // available before the caller finally leaves. The caller holds mu.
 func (x *exchange) expectRetry(now clock.Time, window outlook.WaitWindow, e outlook.Expectation, retryAfter time.Duration) {
-	g, k := x.g, x.placementKey()
 	maxDelay := time.Duration(maxRetryFraction * float64(x.deadline.Sub(now)))
 	retryAt := now.Add(min(retryAfter, maxDelay))
 	if e.Ready > min(x.deadline, retryAt.Add(window.End.Sub(window.Arrived))) {
 		return
 	}
-	until := retryAt.Add(retryArrivalSlack)
-	if old, ok := g.expectedRetries[k]; !ok || until > old.until {
-		g.expectedRetries[k] = expectedRetry{until: until, demand: x.demand()}
+	x.keepDemand(now, retryAt.Sub(now))
+}
+
+// keepDemand keeps the request's model in demand for a time after the request is refused.
+// The caller holds mu.
+func (x *exchange) keepDemand(now clock.Time, period time.Duration) {
+	k, until := x.placementKey(), now.Add(period).Add(retryArrivalSlack)
+	if old, ok := x.g.expectedRetries[k]; !ok || until > old.until {
+		x.g.expectedRetries[k] = expectedRetry{until: until, demand: x.demand()}
 	}
 }
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -39,6 +39,7 @@
 	reasonNoAllowedRegion reason = "no-home"
 	reasonNoFreeSlot      reason = "no-room"
 	reasonServersLimited  reason = "servers-limited"
+	reasonServersResting  reason = "servers-resting"
 	reasonNotLoaded       reason = "not-loaded-in-time"
 	reasonUnknownModel    reason = "unknown-model"
 	reasonRefused         reason = "refused-by-servers"
@@ -219,11 +220,12 @@
 	return nil
 }
 
-// requirements returns what the request requires of a backend server.
-func (x *exchange) requirements() directory.Requirements {
+// requirements returns what the request requires of a backend server. The caller holds mu.
+func (x *exchange) requirements(now clock.Time) directory.Requirements {
 	return directory.Requirements{
 		Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter,
-		Affinity: x.affinity(), Zone: x.g.settings.Zone, AllowedRegions: x.allowedRegions, Exclude: x.excluded,
+		Affinity: x.affinity(), Zone: x.g.settings.Zone, AllowedRegions: x.allowedRegions,
+		Exclude: x.g.servers.ExcludeResting(now, x.group, x.excluded),
 	}
 }
 
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -159,6 +159,7 @@
 	g.servers.SetSilentZones(g.members.SilentZones(now, zoneTimeout))
 	g.servers.ExpireLimits(now)
 	g.servers.ExpireDepartures(now)
+	g.servers.ExpireRests(now)
 	if g.servers.PacesServers() {
 		g.servers.SetShare(now, g.limitShare(now))
 	}
