Dispatcher: a queued query that excludes the servers with room holds up no other

Under overload callers waited and were refused while a server had room: a queue is served from its head, and a head that may not use that server (it was rejected there, or the server asked its instance for rest) stopped all behind it. Class: head-of-line blocking. Now the next query is tried when the head excludes servers; a head that excludes none still ends the round, as no other has a server then.

Evidence: TestExcludingQueryDoesNotBlockOthers failed before.

--- a/core/gateway/dispatch/dispatch_test.go
+++ b/core/gateway/dispatch/dispatch_test.go
@@ -59,6 +59,35 @@
 	}
 }
 
+// The first queued query excludes the only server with room. The next one must not wait for
+// it.
+func TestExcludingQueryDoesNotBlockOthers(t *testing.T) {
+	d := newDispatcher(t)
+	fill(t, d)
+	excluding := queryMessage(5, 0, 1, 2, 3, 4, 5)
+	excluding.Query.Requirements.Exclude = map[string]bool{"a": true}
+	d.HandleMessage(start, excluding)
+	d.HandleMessage(start, queryMessage(6, 5, 1, 2, 3, 4, 5, 6))
+	var endedOnA uint64
+	for _, g := range d.instances["n"].grants {
+		if g.server == "a" {
+			endedOnA = g.number
+		}
+	}
+	m := queryMessage(7, 5)
+	m.Query = nil
+	for n := uint64(1); n <= 6; n++ {
+		if n != endedOnA {
+			m.OpenQueries = append(m.OpenQueries, n)
+		}
+	}
+	d.HandleMessage(start, m)
+	got := d.ServeQueues(start)
+	if len(got) != 1 || got[0].Number != 6 || got[0].Choice.Server.ID != "a" {
+		t.Errorf("replies %+v, want query 6 at server a", got)
+	}
+}
+
 // A query that is repeated because its reply was lost gets the same server and counts
 // once.
 func TestRepeatedQueryCountsOnce(t *testing.T) {
--- a/core/gateway/dispatch/limit_fleet_test.go
+++ b/core/gateway/dispatch/limit_fleet_test.go
@@ -544,7 +544,8 @@
 }
 
 // One of three servers rejects all requests. In a fleet in which each instance has few
-// requests, the others must not find that out one by one.
+// requests, the others must not find that out one by one; and a server that rejects only
+// some instances goes on serving the others when the rest is full.
 func TestRejectingServerIsLeftAlone(t *testing.T) {
 	run := func(instances int, deaf bool, perSecond float64, rejects func(n *limitNode) bool) *limitFleet {
 		f := newLimitFleet(9, instances, 3, perSecond)
@@ -564,4 +565,10 @@
 			t.Errorf("%d instances: %d of %d refused, although other servers have room", instances, told.refused, told.arrived)
 		}
 	}
+	half := run(9, false, 1500, func(n *limitNode) bool { return n.index%2 == 0 })
+	served := len(half.servers[0].arrivals) - half.rejected
+	t.Logf("half of the instances rejected, under overload: %d served by that server, %d rejected", served, half.rejected)
+	if served < 2000 {
+		t.Errorf("%d requests served by the server that rejects half of the instances", served)
+	}
 }
--- a/core/gateway/dispatch/queue.go
+++ b/core/gateway/dispatch/queue.go
@@ -200,15 +200,19 @@
 	var replies []Reply
 	for _, q := range d.sortedQueues() {
 		q.waiting = slices.DeleteFunc(q.waiting, func(w *queuedQuery) bool { return d.abandoned(now, w) })
-		for len(q.waiting) > 0 {
-			w := q.waiting[0]
+		for i := 0; i < len(q.waiting); {
+			w := q.waiting[i]
 			c := d.dir.Pick(now, w.query.Requirements)
 			q.setPace(now, c.Pace)
 			late := w.query.MaxWait > 0 && now.Sub(w.queuedAt) > w.query.MaxWait
 			if c.AllFull && !late {
-				break
+				if len(w.query.Requirements.Exclude) == 0 {
+					break
+				}
+				i++ // a server that it excludes may have room for the next one
+				continue
 			}
-			q.waiting = q.waiting[1:]
+			q.waiting = slices.Delete(q.waiting, i, i+1)
 			inst := d.instances[w.from]
 			reply := Reply{To: w.from, Incarnation: inst.incarnation, Number: w.query.Number, Decision: NoCandidate}
 			switch {
