Server feedback: the share of a limit in a package of its own, files by subject

A reader of the rate limits met the share of a limit in the package of cold servers: it is core/gateway/fleetshare now, and its rule stands once. What the adapter reads of a server's feedback, what the gateway does about rest, and the simulation of the dispatcher's tests have files of their own. Times in messages are bounded, and what is logged of a server belongs to one start of it.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/revision"
 	"oleanderdale.org/core/gateway/serverlimit"
 	"oleanderdale.org/core/gateway/warmup"
@@ -170,7 +171,7 @@
 	silentZones   map[string]bool             // zones from which no instance is heard
 	regionByZone  map[string]string
 	warmupLimits  map[string]warmup.Limit // by group
-	share         warmup.Share
+	share         fleetshare.Share
 	// limits are the rate limits that servers named, by ID. They outlive the entry of a
 	// server, which may be gone and back.
 	limits map[string]*serverlimit.Limit
--- a/core/gateway/directory/directory_test.go
+++ b/core/gateway/directory/directory_test.go
@@ -7,6 +7,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/regions"
 	"oleanderdale.org/core/gateway/warmup"
 )
@@ -255,7 +256,7 @@
 func TestPickWithColdServers(t *testing.T) {
 	d := newDirectory(2)
 	d.SetWarmupLimits(map[string]warmup.Limit{"g": {ColdRate: 10, SurvivableRate: 20}})
-	d.SetShare(start, warmup.Share{Dispatcher: true, Live: 1, Known: 1})
+	d.SetShare(start, fleetshare.Share{Dispatcher: true, Live: 1, Known: 1})
 	d.MarkCold(start, "s0", 1, 10*time.Second)
 	count := make(map[string]int)
 	for ms := range 1000 {
--- a/core/gateway/directory/limit.go
+++ b/core/gateway/directory/limit.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/serverlimit"
-	"oleanderdale.org/core/gateway/warmup"
 )
 
 // SetShare sets the share of the limits over all instances that this instance may use. One
 // that had none starts without credit: another instance may have used it a moment ago.
-func (d *Directory) SetShare(now clock.Time, s warmup.Share) {
+func (d *Directory) SetShare(now clock.Time, s fleetshare.Share) {
 	if d.share.Fraction() == 0 && s.Fraction() > 0 {
 		for _, l := range d.limits {
 			l.ResetCredit(now)
--- a/core/gateway/directory/limit_test.go
+++ b/core/gateway/directory/limit_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/serverlimit"
-	"oleanderdale.org/core/gateway/warmup"
 )
 
 // A limit belongs to one start of a server: it must not be lost when the server's entry
@@ -35,7 +35,7 @@
 	d := newDirectory(1)
 	d.RecordLimit("s0", 1, serverlimit.Statement{Limited: true, PerSecond: 2, At: start})
 	now := start.Add(time.Minute)
-	d.SetShare(now, warmup.Share{Dispatcher: true, Live: 1, Known: 1})
+	d.SetShare(now, fleetshare.Share{Dispatcher: true, Live: 1, Known: 1})
 	c := d.Pick(now, Requirements{Group: "g", Zone: "a"})
 	if c.Server != nil || !c.AllFull || c.Pace.PerSecond != 2 || c.Pace.Next != 500*time.Millisecond {
 		t.Errorf("choice %+v, want none for half a second", c)
--- a/core/gateway/dispatch/limit_fleet_test.go
+++ b/core/gateway/dispatch/feedback_fleet_test.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/serverlimit"
-	"oleanderdale.org/core/gateway/warmup"
 )
 
 // Time constants of the simulated instances.
@@ -23,19 +22,19 @@
 	maxRequestAge = 900 * time.Millisecond // an older request is given up
 )
 
-// limitFleet simulates instances and servers that name rate limits in their responses.
-// Messages are late or lost, dispatchers stop, and networks are cut.
-type limitFleet struct {
+// feedbackFleet simulates instances, and servers that name rate limits or ask for rest in
+// their responses. Messages are late or lost, dispatchers stop, and networks are cut.
+type feedbackFleet struct {
 	random    *rand.Rand
 	now       clock.Time
-	nodes     []*limitNode
-	servers   []*limitServer
+	nodes     []*feedbackNode
+	servers   []*feedbackServer
 	inTransit []delivery
 	perSecond float64
 	hot       float64 // share of the requests that the first instance gets
 	lossOneIn int
 	// group of instances that hear each other; a change cuts the network.
-	side func(n *limitNode) int
+	side func(n *feedbackNode) int
 	// deaf disables the safeguard: nobody tells others what a server said.
 	deaf bool
 
@@ -44,8 +43,8 @@
 	slowestRefusal           time.Duration
 }
 
-type limitNode struct {
-	fleet      *limitFleet
+type feedbackNode struct {
+	fleet      *feedbackFleet
 	index      int
 	dir        *directory.Directory
 	client     *Client
@@ -56,21 +55,21 @@
 	nextBeat   clock.Time
 }
 
-type limitServer struct {
+type feedbackServer struct {
 	id       string
 	limit    func(now clock.Time) (perSecond float64, limited bool)
-	rejects  func(n *limitNode) bool // nil: nobody
-	named    clock.Time              // first response with a limit
+	rejects  func(n *feedbackNode) bool // nil: nobody
+	named    clock.Time                 // first response with a limit
 	arrivals []clock.Time
 }
 
-func newLimitFleet(seed uint64, instances, servers int, perSecond float64) *limitFleet {
-	f := &limitFleet{
+func newFeedbackFleet(seed uint64, instances, servers int, perSecond float64) *feedbackFleet {
+	f := &feedbackFleet{
 		random: rand.New(rand.NewPCG(seed, 9)), now: clock.Time(time.Hour), perSecond: perSecond,
-		lossOneIn: 50, side: func(*limitNode) int { return 0 },
+		lossOneIn: 50, side: func(*feedbackNode) int { return 0 },
 	}
 	for i := range instances {
-		n := &limitNode{
+		n := &feedbackNode{
 			fleet: f, index: i, dir: directory.New(), client: NewClient(),
 			open: make(map[uint64]clock.Time), heardAt: make(map[string]clock.Time),
 		}
@@ -81,7 +80,7 @@
 		f.nodes = append(f.nodes, n)
 	}
 	for s := range servers {
-		f.servers = append(f.servers, &limitServer{id: fmt.Sprint("s", s), limit: func(clock.Time) (float64, bool) { return 0, false }})
+		f.servers = append(f.servers, &feedbackServer{id: fmt.Sprint("s", s), limit: func(clock.Time) (float64, bool) { return 0, false }})
 	}
 	return f
 }
@@ -91,11 +90,11 @@
 	return func(clock.Time) (float64, bool) { return perSecond, true }
 }
 
-func (n *limitNode) name() string { return fmt.Sprintf("n%03d", n.index) }
+func (n *feedbackNode) name() string { return fmt.Sprintf("n%03d", n.index) }
 
 // dispatcherOf returns the instance that n takes for the dispatcher: the first that it
 // hears.
-func (f *limitFleet) dispatcherOf(n *limitNode) *limitNode {
+func (f *feedbackFleet) dispatcherOf(n *feedbackNode) *feedbackNode {
 	for _, o := range f.nodes {
 		if !o.down && f.side(o) == f.side(n) {
 			return o
@@ -104,7 +103,7 @@
 	return n
 }
 
-func (f *limitFleet) send(from, to *limitNode, handle func()) {
+func (f *feedbackFleet) send(from, to *feedbackNode, handle func()) {
 	if f.random.IntN(f.lossOneIn) == 0 {
 		return
 	}
@@ -116,11 +115,11 @@
 	}})
 }
 
-func (f *limitFleet) later(d time.Duration, handle func()) {
+func (f *feedbackFleet) later(d time.Duration, handle func()) {
 	f.inTransit = append(f.inTransit, delivery{at: f.now.Add(d), handle: handle})
 }
 
-func (f *limitFleet) run(d time.Duration) {
+func (f *feedbackFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
 		f.deliver()
 		for due := f.perSecond / 1000; due > f.random.Float64(); due-- {
@@ -132,7 +131,7 @@
 	}
 }
 
-func (f *limitFleet) deliver() {
+func (f *feedbackFleet) deliver() {
 	due := f.inTransit
 	f.inTransit = nil
 	for _, m := range due {
@@ -144,7 +143,7 @@
 	}
 }
 
-func (f *limitFleet) arrive() {
+func (f *feedbackFleet) arrive() {
 	n := f.nodes[f.random.IntN(len(f.nodes))]
 	if f.random.Float64() < f.hot {
 		n = f.nodes[len(f.nodes)-1]
@@ -158,7 +157,7 @@
 	n.ask(number)
 }
 
-func (n *limitNode) tick() {
+func (n *feedbackNode) tick() {
 	f := n.fleet
 	if n.down {
 		return
@@ -171,7 +170,7 @@
 				live++
 			}
 		}
-		n.dir.SetShare(f.now, warmup.Share{Dispatcher: f.dispatcherOf(n) == n, Live: live, Known: len(f.nodes)})
+		n.dir.SetShare(f.now, fleetshare.Share{Dispatcher: f.dispatcherOf(n) == n, Live: live, Known: len(f.nodes)})
 		n.dir.ExpirePeerLoad(f.now)
 	}
 	if sinceStart%queueInterval == 0 {
@@ -184,12 +183,12 @@
 }
 
 // requirements returns what a request of the instance requires now.
-func (n *limitNode) requirements() directory.Requirements {
+func (n *feedbackNode) requirements() directory.Requirements {
 	return directory.Requirements{Group: "g", Zone: "z", Exclude: n.dir.ExcludeResting(n.fleet.now, "g", nil)}
 }
 
 // ask queries the dispatcher; without an answer in time the instance chooses by itself.
-func (n *limitNode) ask(number uint64) {
+func (n *feedbackNode) ask(number uint64) {
 	f := n.fleet
 	d := f.dispatcherOf(n)
 	m := n.message(&Query{Number: number, Requirements: n.requirements(), MaxWait: 150 * time.Millisecond})
@@ -206,13 +205,13 @@
 	f.later(queryTimeout, func() { n.giveUp(number) })
 }
 
-func (n *limitNode) message(q *Query) Message {
+func (n *feedbackNode) message(q *Query) Message {
 	sequence, open := n.client.NextSequence()
 	return Message{From: n.name(), Incarnation: 1, Sequence: sequence, Running: n.dir.LocalLoadByModel(), OpenQueries: open, Query: q}
 }
 
 // giveUp makes an unanswered request choose locally, and again until it is too old.
-func (n *limitNode) giveUp(number uint64) {
+func (n *feedbackNode) giveUp(number uint64) {
 	since, open := n.open[number]
 	if !open || n.down {
 		return
@@ -229,13 +228,13 @@
 	}
 }
 
-func (n *limitNode) end(number uint64) {
+func (n *feedbackNode) end(number uint64) {
 	delete(n.open, number)
 	n.client.EndQuery(number)
 }
 
 // reply sends the replies of a dispatcher, with what it knows of the chosen server.
-func (n *limitNode) reply(replies []Reply) {
+func (n *feedbackNode) reply(replies []Reply) {
 	f := n.fleet
 	for _, r := range replies {
 		to := f.nodes[0]
@@ -256,7 +255,7 @@
 	}
 }
 
-func (n *limitNode) handleReply(from *limitNode, r Reply, known serverlimit.Statement) {
+func (n *feedbackNode) handleReply(from *feedbackNode, r Reply, known serverlimit.Statement) {
 	since, open := n.open[r.Number]
 	if !open || r.Decision == Queued {
 		return
@@ -286,7 +285,7 @@
 }
 
 // start sends a request to a server.
-func (n *limitNode) start(number uint64, id string) {
+func (n *feedbackNode) start(number uint64, id string) {
 	f := n.fleet
 	n.end(number)
 	n.dir.RequestStarted(f.now, id, "")
@@ -304,7 +303,7 @@
 	})
 }
 
-func (n *limitNode) handleResponse(s *limitServer) {
+func (n *feedbackNode) handleResponse(s *feedbackServer) {
 	f := n.fleet
 	if n.down {
 		return
@@ -334,7 +333,7 @@
 const restPeriod = 3 * time.Second
 
 // handleRejection handles a rejection with a wish for rest, and sends the request again.
-func (n *limitNode) handleRejection(s *limitServer) {
+func (n *feedbackNode) handleRejection(s *feedbackServer) {
 	f := n.fleet
 	f.rejected++
 	n.dir.RequestEnded(f.now, s.id, "", directory.Neutral)
@@ -352,7 +351,7 @@
 }
 
 // tell tells another instance what a server said.
-func (n *limitNode) tell(to *limitNode, id string) {
+func (n *feedbackNode) tell(to *feedbackNode, id string) {
 	f := n.fleet
 	said, ok := n.dir.Get(id).LimitStatement()
 	if to == n || !ok || f.deaf {
@@ -361,7 +360,7 @@
 	f.send(n, to, func() { to.dir.RecordLimit(id, 1, said) })
 }
 
-func (n *limitNode) repeatFeedback() {
+func (n *feedbackNode) repeatFeedback() {
 	for id, at := range n.heardAt {
 		if n.fleet.now.Sub(at) > 2500*time.Millisecond {
 			delete(n.heardAt, id)
@@ -375,7 +374,7 @@
 
 // most returns the largest number of requests that a server got in any limitWindow, from
 // settleTime after its first statement on.
-func (s *limitServer) most() int {
+func (s *feedbackServer) most() int {
 	most, first := 0, 0
 	for i, at := range s.arrivals {
 		if s.named == 0 || at.Before(s.named.Add(settleTime)) {
@@ -391,7 +390,7 @@
 }
 
 // within returns how many requests a server got in a time.
-func (s *limitServer) within(from clock.Time, d time.Duration) int {
+func (s *feedbackServer) within(from clock.Time, d time.Duration) int {
 	n := 0
 	for _, at := range s.arrivals {
 		if at.Reached(from) && at.Before(from.Add(d)) {
@@ -400,175 +399,3 @@
 	}
 	return n
 }
-
-// allowedIn returns the bound on the requests in limitWindow: one and a half times the
-// limit, and five.
-func allowedIn(perSecond float64) int { return int(1.5*perSecond*limitWindow.Seconds()) + 5 }
-
-// The requests of all instances together stay within the rate that a server names,
-// whatever happens to the instances. Where it is calm, the server gets close to its limit.
-func TestServerLimitHoldsOverAllInstances(t *testing.T) {
-	cut := func(f *limitFleet) {
-		f.side = func(n *limitNode) int { return n.index % 3 }
-	}
-	heal := func(f *limitFleet) { f.side = func(*limitNode) int { return 0 } }
-	tests := []struct {
-		name  string
-		calm  bool
-		setUp func(f *limitFleet)
-		event func(f *limitFleet, second int)
-	}{
-		{name: "calm", calm: true},
-		{name: "burst", event: func(f *limitFleet, second int) {
-			f.perSecond = 60
-			if second%5 == 4 {
-				f.perSecond = 600
-			}
-		}},
-		{name: "one hot instance", calm: true, setUp: func(f *limitFleet) { f.hot = 0.9 }},
-		{name: "cut into three", event: func(f *limitFleet, second int) {
-			if second == 6 {
-				cut(f)
-			} else if second == 12 {
-				heal(f)
-			}
-		}},
-		{name: "cut every second", event: func(f *limitFleet, second int) {
-			if second%2 == 0 {
-				cut(f)
-			} else {
-				heal(f)
-			}
-		}},
-		{name: "dispatchers killed", event: func(f *limitFleet, second int) {
-			if second >= 5 && second%4 == 1 && second/4 < len(f.nodes) {
-				f.nodes[second/4-1].down = true
-			}
-		}},
-		{name: "one message in five lost", setUp: func(f *limitFleet) { f.lossOneIn = 5 }},
-	}
-	for _, instances := range []int{3, 9, 77} {
-		for _, perSecond := range []float64{0.2, 3.1, 20} {
-			for _, tc := range tests {
-				t.Run(fmt.Sprintf("%s, %d instances, %g a second", tc.name, instances, perSecond), func(t *testing.T) {
-					f := newLimitFleet(5, instances, 3, 90)
-					f.servers[0].limit = always(perSecond)
-					if tc.setUp != nil {
-						tc.setUp(f)
-					}
-					for second := range 20 {
-						if tc.event != nil {
-							tc.event(f, second)
-						}
-						f.run(time.Second)
-					}
-					s := f.servers[0]
-					if most := s.most(); most > allowedIn(perSecond) {
-						t.Errorf("%d requests in %v, allowed are %d", most, limitWindow, allowedIn(perSecond))
-					}
-					got, want := s.within(s.named.Add(settleTime), 12*time.Second), 12*max(minProbes, perSecond)
-					if tc.calm && float64(got) < 0.8*want-2 {
-						t.Errorf("%d requests in 12 s, close to %.0f wanted", got, want)
-					}
-					if tc.calm && f.refused > f.arrived/100 {
-						t.Errorf("%d of %d refused, although other servers have room", f.refused, f.arrived)
-					}
-				})
-			}
-		}
-	}
-}
-
-// minProbes is the rate, in requests per second, that a server gets whatever it names.
-const minProbes = 0.5
-
-// Without telling others what a server said, the dispatcher does not know what the only
-// instance with traffic hears: the check must detect that.
-func TestServerLimitWithoutTellingIsDetected(t *testing.T) {
-	f := newLimitFleet(5, 9, 3, 90)
-	f.deaf, f.hot = true, 1
-	f.servers[0].limit = always(3.1)
-	f.run(12 * time.Second)
-	if most := f.servers[0].most(); most <= allowedIn(3.1) {
-		t.Errorf("%d requests, the bound of %d holds without the safeguard", most, allowedIn(3.1))
-	}
-}
-
-// All servers of a group name limits. They get close to what they ask together, and a
-// request for which there is no room is refused at once.
-func TestAllServersLimited(t *testing.T) {
-	f := newLimitFleet(6, 9, 3, 40)
-	for _, s := range f.servers {
-		s.limit = always(4)
-	}
-	f.run(5 * time.Second)
-	before := f.served
-	f.slowestRefusal = 0
-	f.run(20 * time.Second)
-	if got := float64(f.served-before) / 20; got < 0.85*12 || got > 12.5 {
-		t.Errorf("%.1f served a second, the servers take 12", got)
-	}
-	if f.slowestRefusal > 250*time.Millisecond {
-		t.Errorf("a request was refused after %v", f.slowestRefusal)
-	}
-	for _, s := range f.servers {
-		if most := s.most(); most > allowedIn(4) {
-			t.Errorf("%s: %d requests in %v, allowed are %d", s.id, most, limitWindow, allowedIn(4))
-		}
-	}
-}
-
-// A limit that ends gives the server its part of the load back within two seconds, also
-// after a limit of none; limits that change every second hold.
-func TestServerLimitEndsAndChanges(t *testing.T) {
-	for _, perSecond := range []float64{0, 0.2, 5} {
-		f := newLimitFleet(7, 9, 3, 90)
-		end := f.now.Add(8 * time.Second)
-		f.servers[0].limit = func(now clock.Time) (float64, bool) { return perSecond, now.Before(end) }
-		f.run(8 * time.Second)
-		f.run(6 * time.Second)
-		if n := f.servers[0].within(end.Add(2*time.Second+serverLatency), 2*time.Second); n < 40 {
-			t.Errorf("%g a second: %d requests in 2 s after the end, want about 60", perSecond, n)
-		}
-	}
-	f := newLimitFleet(8, 9, 3, 90)
-	began := f.now
-	f.servers[0].limit = func(now clock.Time) (float64, bool) {
-		return float64(1 + int(now.Sub(began)/time.Second)*7%5), true
-	}
-	f.run(20 * time.Second)
-	const mean = 3.0
-	if most := f.servers[0].most(); most > allowedIn(mean) {
-		t.Errorf("%d requests in %v, allowed are %d", most, limitWindow, allowedIn(mean))
-	}
-}
-
-// One of three servers rejects all requests. In a fleet in which each instance has few
-// requests, the others must not find that out one by one; and a server that rejects only
-// some instances goes on serving the others when the rest is full.
-func TestRejectingServerIsLeftAlone(t *testing.T) {
-	run := func(instances int, deaf bool, perSecond float64, rejects func(n *limitNode) bool) *limitFleet {
-		f := newLimitFleet(9, instances, 3, perSecond)
-		f.deaf = deaf
-		f.servers[0].rejects = rejects
-		f.run(12 * time.Second)
-		return f
-	}
-	all := func(*limitNode) bool { return true }
-	for _, instances := range []int{9, 77, 195} {
-		told, alone := run(instances, false, 300, all), run(instances, true, 300, all)
-		t.Logf("%d instances: %d rejections of %d requests, %d if nobody is told", instances, told.rejected, told.arrived, alone.rejected)
-		if told.rejected > told.arrived/100 || told.rejected > alone.rejected {
-			t.Errorf("%d instances: %d rejections of %d requests, %d if nobody is told", instances, told.rejected, told.arrived, alone.rejected)
-		}
-		if told.refused > told.arrived/100 {
-			t.Errorf("%d instances: %d of %d refused, although other servers have room", instances, told.refused, told.arrived)
-		}
-	}
-	half := run(9, false, 1500, func(n *limitNode) bool { return n.index%2 == 0 })
-	served := len(half.servers[0].arrivals) - half.rejected
-	t.Logf("half of the instances rejected, under overload: %d served by that server, %d rejected", served, half.rejected)
-	if served < 2000 {
-		t.Errorf("%d requests served by the server that rejects half of the instances", served)
-	}
-}
--- a/core/gateway/serverlimit/serverlimit.go
+++ b/core/gateway/serverlimit/serverlimit.go
@@ -4,19 +4,18 @@
 // A server in need names the requests per second that it accepts from all instances
 // together, for as long as its responses say so. Every instance that gets such a response
 // tells the others, but only an instance that acts as dispatcher, which chooses servers
-// for other instances, sends requests to a limited server or lets others send them: many
-// instances that each used an equal part of the limit would waste the parts of the idle
-// ones, and could use the credit of all parts in the same second. A dispatcher uses the
-// part of the limit that the instances it hears are of the fleet, so that dispatchers on
-// both sides of a network partition together do not exceed it. A new dispatcher starts
-// without credit, so it adds next to nothing to what its predecessor sent.
+// for other instances, sends requests to a limited server or lets others send them, at its
+// share of the limit (package fleetshare): many instances that each used an equal part would
+// waste the parts of the idle ones, and could use the credit of all parts in the same
+// second. A new dispatcher starts without credit, so it adds next to nothing to what its
+// predecessor sent.
 package serverlimit
 
 import (
 	"time"
 
 	"oleanderdale.org/core/clock"
-	"oleanderdale.org/core/gateway/warmup"
+	"oleanderdale.org/core/gateway/fleetshare"
 )
 
 const (
@@ -89,7 +88,7 @@
 
 // Rate returns the requests per second that an instance with this share may send, or let
 // others send; 0 if it may send none.
-func (l *Limit) Rate(share warmup.Share) float64 {
+func (l *Limit) Rate(share fleetshare.Share) float64 {
 	return max(minRate, l.last.PerSecond) * share.Fraction()
 }
 
@@ -100,12 +99,12 @@
 }
 
 // CanSend reports whether a request may be sent to the server now.
-func (l *Limit) CanSend(now clock.Time, share warmup.Share) bool {
+func (l *Limit) CanSend(now clock.Time, share fleetshare.Share) bool {
 	return !l.Active() || l.Rate(share) > 0 && l.refill(now, share) >= 1
 }
 
 // RecordSend counts a request that was sent to the server.
-func (l *Limit) RecordSend(now clock.Time, share warmup.Share) {
+func (l *Limit) RecordSend(now clock.Time, share fleetshare.Share) {
 	if l.Active() {
 		l.credit = l.refill(now, share) - 1
 	}
@@ -113,7 +112,7 @@
 
 // Wait returns how long until a request may be sent. It is 0 if none may be sent by an
 // instance with this share.
-func (l *Limit) Wait(now clock.Time, share warmup.Share) time.Duration {
+func (l *Limit) Wait(now clock.Time, share fleetshare.Share) time.Duration {
 	rate := l.Rate(share)
 	if !l.Active() || rate <= 0 {
 		return 0
@@ -123,7 +122,7 @@
 }
 
 // refill returns the credit at now.
-func (l *Limit) refill(now clock.Time, share warmup.Share) float64 {
+func (l *Limit) refill(now clock.Time, share fleetshare.Share) float64 {
 	if now.Reached(l.creditAt) {
 		gained := l.Rate(share) * now.Sub(l.creditAt).Seconds()
 		l.credit, l.creditAt = min(l.credit+gained, l.burst(share.Fraction())), now
--- a/core/gateway/serverlimit/serverlimit_test.go
+++ b/core/gateway/serverlimit/serverlimit_test.go
@@ -6,15 +6,15 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
-	"oleanderdale.org/core/gateway/warmup"
+	"oleanderdale.org/core/gateway/fleetshare"
 )
 
 const start = clock.Time(time.Hour)
 
-var whole = warmup.Share{Dispatcher: true, Live: 9, Known: 9}
+var whole = fleetshare.Share{Dispatcher: true, Live: 9, Known: 9}
 
 // sendAll sends as many requests as the limit allows, and returns how many.
-func sendAll(l *Limit, share warmup.Share, from clock.Time, d time.Duration) int {
+func sendAll(l *Limit, share fleetshare.Share, from clock.Time, d time.Duration) int {
 	sent := 0
 	for now := from; now.Before(from.Add(d)); now = now.Add(time.Millisecond) {
 		for l.CanSend(now, share) && sent < 1e6 {
@@ -30,7 +30,7 @@
 func TestRateOfShares(t *testing.T) {
 	tests := []struct {
 		name      string
-		share     warmup.Share
+		share     fleetshare.Share
 		perSecond float64
 		want      int // in 20 s
 	}{
@@ -39,9 +39,9 @@
 		{"less than one in two seconds", whole, 0.2, 10},
 		{"none", whole, 0, 10},
 		{"huge", whole, 1e9, 1e6},
-		{"third of the fleet", warmup.Share{Dispatcher: true, Live: 3, Known: 9}, 9, 60},
-		{"not a dispatcher", warmup.Share{Live: 9, Known: 9}, 10, 0},
-		{"too few heard", warmup.Share{Dispatcher: true, Live: 1, Known: 9}, 10, 0},
+		{"third of the fleet", fleetshare.Share{Dispatcher: true, Live: 3, Known: 9}, 9, 60},
+		{"not a dispatcher", fleetshare.Share{Live: 9, Known: 9}, 10, 0},
+		{"too few heard", fleetshare.Share{Dispatcher: true, Live: 1, Known: 9}, 10, 0},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/core/gateway/warmup/warmup.go
+++ b/core/gateway/warmup/warmup.go
@@ -3,11 +3,9 @@
 //
 // A cold server sustains a certain rate of requests over all instances together, and
 // crashes above it. Only an instance that acts as dispatcher, which chooses servers for
-// other instances, sends requests to a cold server or lets others send them. A dispatcher
-// uses the part of the rate that the instances it hears are of the fleet, so that two
-// dispatchers on both sides of a network partition together do not exceed the rate. A
-// Pacer starts without burst, so a new dispatcher adds next to nothing to what its
-// predecessor sent in the same second.
+// other instances, sends requests to a cold server or lets others send them, at its share of
+// the rate (package fleetshare). A Pacer starts without burst, so a new dispatcher adds next
+// to nothing to what its predecessor sent in the same second.
 //
 // A server may become cold again without notice, so servers that are not known to be cold
 // are limited too, to the rate that a cold server survives.
@@ -17,6 +15,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/fleetshare"
 )
 
 // Limit is the rate limit of a server of one group, over all instances. The zero Limit
@@ -38,57 +37,31 @@
 	// warmRateShare is the part of SurvivableRate that is used for servers that are not
 	// known to be cold.
 	warmRateShare = 0.85
-	// maxDispatchers bounds how many dispatchers may send at the same time: one that hears
-	// less than 1/maxDispatchers of the fleet sends nothing, because the bursts of many
-	// dispatchers would add up.
-	maxDispatchers = 8
 )
 
-// Share determines which part of a Limit one instance may use.
-type Share struct {
-	// Dispatcher says that the instance chooses servers for all instances that it hears.
-	Dispatcher bool
-	// Live of Known instances are heard; both include this instance.
-	Live, Known int
-}
-
 // rate returns the requests per second that an instance may send to a server, or let
 // others send; bounded is false if the requests need not be counted.
-func (s Share) rate(l Limit, cold bool) (perSecond float64, bounded bool) {
-	liveShare := float64(s.Live) / float64(max(1, s.Known))
+func (l Limit) rate(s fleetshare.Share, cold bool) (perSecond float64, bounded bool) {
+	fraction := s.Fraction()
 	switch {
-	case l.ColdRate <= 0, !cold && (!s.Dispatcher || s.tooFewLive()):
+	case l.ColdRate <= 0, !cold && fraction == 0:
 		return 0, false
-	case !s.Dispatcher || s.tooFewLive():
-		return 0, true // no request is sent there
 	case cold:
-		return coldRateShare * l.ColdRate * liveShare, true
-	}
-	return warmRateShare * l.SurvivableRate * liveShare, true
-}
-
-// Fraction returns the part of a limit over all instances that an instance with this share
-// may use for those that it chooses servers for; 0 if it may use none.
-func (s Share) Fraction() float64 {
-	if !s.Dispatcher || s.tooFewLive() {
-		return 0
+		return coldRateShare * l.ColdRate * fraction, true // 0: no request is sent there
 	}
-	return min(1, float64(s.Live)/float64(max(1, s.Known)))
+	return warmRateShare * l.SurvivableRate * fraction, true
 }
 
-// tooFewLive reports whether too few instances are heard to act as their dispatcher.
-func (s Share) tooFewLive() bool { return s.Live*maxDispatchers < s.Known }
-
 // Pacer limits the requests of one instance to one server. The zero Pacer has sent
 // nothing and allows no burst.
 type Pacer struct {
-	fullAt clock.Time // when the whole burst is available again; 0: not used yet
-	share  Share      // with which it was last used
+	fullAt clock.Time       // when the whole burst is available again; 0: not used yet
+	share  fleetshare.Share // with which it was last used
 }
 
 // CanSend reports whether a request may be sent to the server now.
-func (p *Pacer) CanSend(now clock.Time, s Share, l Limit, cold bool) bool {
-	rate, bounded := s.rate(l, cold)
+func (p *Pacer) CanSend(now clock.Time, s fleetshare.Share, l Limit, cold bool) bool {
+	rate, bounded := l.rate(s, cold)
 	if !bounded {
 		return true
 	}
@@ -104,8 +77,8 @@
 }
 
 // RecordSend counts a request that was sent to the server.
-func (p *Pacer) RecordSend(now clock.Time, s Share, l Limit, cold bool) {
-	rate, bounded := s.rate(l, cold)
+func (p *Pacer) RecordSend(now clock.Time, s fleetshare.Share, l Limit, cold bool) {
+	rate, bounded := l.rate(s, cold)
 	if !bounded || rate <= 0 {
 		return
 	}
--- a/core/gateway/warmup/warmup_test.go
+++ b/core/gateway/warmup/warmup_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/fleetshare"
 )
 
 const start = clock.Time(time.Hour)
@@ -29,19 +30,19 @@
 func TestShares(t *testing.T) {
 	tests := []struct {
 		name    string
-		share   Share
+		share   fleetshare.Share
 		limit   Limit
 		cold    bool
 		wantMax int
 		bounded bool
 	}{
-		{"no limit", Share{Dispatcher: true, Live: 9, Known: 9}, Limit{}, true, 0, false},
-		{"dispatcher, cold", Share{Dispatcher: true, Live: 9, Known: 9}, testLimit, true, 31, true},
-		{"dispatcher of a third of the fleet, cold", Share{Dispatcher: true, Live: 3, Known: 9}, testLimit, true, 13, true},
-		{"dispatcher, warm", Share{Dispatcher: true, Live: 9, Known: 9}, testLimit, false, 47, true},
-		{"dispatcher of too few, cold", Share{Dispatcher: true, Live: 1, Known: 9}, testLimit, true, 0, true},
-		{"not a dispatcher, cold", Share{Live: 9, Known: 9}, testLimit, true, 0, true},
-		{"not a dispatcher, warm", Share{Live: 9, Known: 9}, testLimit, false, 0, false},
+		{"no limit", fleetshare.Share{Dispatcher: true, Live: 9, Known: 9}, Limit{}, true, 0, false},
+		{"dispatcher, cold", fleetshare.Share{Dispatcher: true, Live: 9, Known: 9}, testLimit, true, 31, true},
+		{"dispatcher of a third of the fleet, cold", fleetshare.Share{Dispatcher: true, Live: 3, Known: 9}, testLimit, true, 13, true},
+		{"dispatcher, warm", fleetshare.Share{Dispatcher: true, Live: 9, Known: 9}, testLimit, false, 47, true},
+		{"dispatcher of too few, cold", fleetshare.Share{Dispatcher: true, Live: 1, Known: 9}, testLimit, true, 0, true},
+		{"not a dispatcher, cold", fleetshare.Share{Live: 9, Known: 9}, testLimit, true, 0, true},
+		{"not a dispatcher, warm", fleetshare.Share{Live: 9, Known: 9}, testLimit, false, 0, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -75,9 +76,9 @@
 // maxDelay is how long a request may take to arrive.
 const maxDelay = 150 * time.Millisecond
 
-func (s *simulation) send(now clock.Time, i int, share Share) {
+func (s *simulation) send(now clock.Time, i int, share fleetshare.Share) {
 	if s.unshared {
-		share = Share{Dispatcher: true, Live: 1, Known: 1}
+		share = fleetshare.Share{Dispatcher: true, Live: 1, Known: 1}
 	}
 	if s.pacers[i].CanSend(now, share, testLimit, true) {
 		s.pacers[i].RecordSend(now, share, testLimit, true)
@@ -100,13 +101,13 @@
 		if s.random.IntN(700) == 0 { // an instance restarts
 			s.pacers[s.random.IntN(instances)] = Pacer{}
 		}
-		s.send(now, dispatchers[0], Share{Dispatcher: true, Live: instances - isolated, Known: instances})
+		s.send(now, dispatchers[0], fleetshare.Share{Dispatcher: true, Live: instances - isolated, Known: instances})
 		if isolated > 0 && dispatchers[1] != dispatchers[0] {
-			s.send(now, dispatchers[1], Share{Dispatcher: true, Live: isolated, Known: instances})
+			s.send(now, dispatchers[1], fleetshare.Share{Dispatcher: true, Live: isolated, Known: instances})
 		}
 		for i := range instances {
 			if i != dispatchers[0] && i != dispatchers[1] {
-				s.send(now, i, Share{Known: instances})
+				s.send(now, i, fleetshare.Share{Known: instances})
 			}
 		}
 	}
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -24,12 +23,6 @@
 	// dispatcher may send to the servers that could run it: a silent one is asked again
 	// or replaced within this time.
 	rateLimitedWait = time.Second
-	// forecastPatience is how long a request waits to hear that its model will be loaded on
-	// another server: the planner learns of the demand and answers within a few heartbeats
-	// of a small fleet.
-	forecastPatience = 500 * time.Millisecond
-	// retrySpread is the time over which callers that are refused together come back.
-	retrySpread = time.Second
 )
 
 // target is the server chosen for an attempt.
@@ -54,6 +47,7 @@
 	}()
 	var demandKey placer.Key
 	waiting := false
+	limitedSince := clock.Never // since when only rate limits delay the request
 	defer func() {
 		if waiting {
 			g.removeLocalDemand(demandKey)
@@ -78,9 +72,13 @@
 		}
 		waitedFrom := boottime.Now()
 		window := x.waitWindow(began)
-		if s.rateLimited {
-			window.End = min(window.End, began.Add(rateLimitedWait))
+		switch {
+		case !s.rateLimited:
+			limitedSince = clock.Never
+		case limitedSince == clock.Never:
+			limitedSince = waitedFrom
 		}
+		window.End = min(window.End, limitedSince.Add(rateLimitedWait))
 		ref = x.waitForChange(window, s.changed, s.allFull)
 		x.timing.addWait(boottime.Now().Sub(waitedFrom), s.allFull)
 		// After a wait for a model the dispatcher may know a server that has it.
@@ -175,32 +173,6 @@
 	return selection{allFull: c.AllFull, rateLimited: c.RateLimited, changed: g.stateChanged}, nil, nil
 }
 
-// awaitRest decides about a request for which all servers that could run it want none of
-// this instance until ends. It waits for that if its objective can still be met, and is
-// refused at once if not; neither if it waits for another server to load its model. The
-// caller holds mu.
-func (x *exchange) awaitRest(now, ends clock.Time) (wait bool, ref *refusal) {
-	if ends.Sub(now) <= x.maxSlotWait(now) {
-		return true, nil
-	}
-	retryAfter := spreadRetry(ends.Sub(now))
-	if x.call.Model != "" {
-		k := x.placementKey()
-		e := x.g.outlook.Expect(now, k, placer.Key{Group: k.Group, Model: k.Model, AllowedRegions: k.AllowedRegions})
-		if e.Ready != 0 || now.Sub(x.arrived) < forecastPatience {
-			return false, nil
-		}
-		x.keepDemand(now, retryAfter)
-	}
-	return false, unavailable(reasonServersResting, retryAfter)
-}
-
-// spreadRetry returns a time to retry, at least the given one, that differs between
-// callers, so that they don't come back together.
-func spreadRetry(least time.Duration) time.Duration {
-	return least + time.Duration(rand.Int64N(int64(retrySpread)))
-}
-
 // unservableReason returns why waiting is useless, or "" if some server of the group
 // could load the model. The caller holds mu.
 func (x *exchange) unservableReason(now clock.Time) reason {
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -19,7 +19,7 @@
 func (g *Gateway) handleFeedback(t target, head ports.ResponseInfo) {
 	g.mu.Lock()
 	now := boottime.Now()
-	g.logFeedback(now, t.id, head)
+	g.logFeedback(now, t, head)
 	changed := g.recordLimit(now, t, head)
 	changed = g.recordLeaving(now, t, head) || changed
 	changed = g.recordRest(now, t, head) || changed
@@ -90,17 +90,22 @@
 type feedbackLog map[string]loggedFeedback
 
 type loggedFeedback struct {
-	feedback ports.Feedback
-	limitAt  clock.Time // last line about a limit
-	restAt   clock.Time // last line about a rest
+	incarnation int64
+	feedback    ports.Feedback
+	limitAt     clock.Time // last line about a limit
+	restAt      clock.Time // last line about a rest
 }
 
 // minLimitLogInterval bounds the log lines about a limit that changes with each response.
 const minLimitLogInterval = time.Second
 
 // logFeedback logs changes of what a server says about itself. The caller holds mu.
-func (g *Gateway) logFeedback(now clock.Time, server string, head ports.ResponseInfo) {
-	last, said := g.feedbackLog[server], head.Feedback
+func (g *Gateway) logFeedback(now clock.Time, t target, head ports.ResponseInfo) {
+	server, said := t.id, head.Feedback
+	last := g.feedbackLog[server]
+	if last.incarnation != t.incarnation {
+		last = loggedFeedback{incarnation: t.incarnation}
+	}
 	if said == last.feedback || said == (ports.Feedback{}) && !saysNoMore(head) {
 		return
 	}
--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -41,13 +41,17 @@
 
 // valid reports whether the fields are in their ranges: an instance of another version may
 // have sent them.
-func (m *limitMsg) valid() bool { return m.AgeMS >= 0 && (!m.Limited || m.PerSecond >= 0) }
+func (m *limitMsg) valid() bool {
+	return m.AgeMS >= 0 && m.AgeMS < maxFeedbackMS && (!m.Limited || m.PerSecond >= 0)
+}
 
 const (
 	// feedbackRepeatPeriod is how long a statement that an instance heard itself is
 	// repeated with its heartbeats, for lost messages and new dispatchers: at least one
 	// heartbeat of the largest fleet.
 	feedbackRepeatPeriod = 2500 * time.Millisecond
+	// maxFeedbackMS bounds the times in messages, in milliseconds: a day.
+	maxFeedbackMS = 24 * 3600 * 1000
 	// maxRepeatedFeedback bounds one datagram to a few kilobytes.
 	maxRepeatedFeedback = 50
 )
@@ -127,7 +131,7 @@
 	if f.Limit != nil && f.Limit.valid() {
 		g.servers.RecordLimit(f.Server, f.Incarnation, f.Limit.statement(now))
 	}
-	if f.RestMS > 0 {
+	if f.RestMS > 0 && f.RestMS < maxFeedbackMS {
 		g.servers.RecordRestOfAny(now, f.Server, f.Incarnation, time.Duration(f.RestMS)*time.Millisecond)
 	}
 	if f.Leaving && g.servers.MarkLeaving(now, f.Server, f.Incarnation) {
--- a/oleander/gateway/warmup.go
+++ b/oleander/gateway/warmup.go
@@ -2,6 +2,7 @@
 
 import (
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/warmup"
 )
@@ -20,8 +21,8 @@
 }
 
 // limitShare returns this instance's share of the limits over all instances. The caller holds mu.
-func (g *Gateway) limitShare(now clock.Time) warmup.Share {
-	s := warmup.Share{Dispatcher: g.dispatcherName(now) == g.settings.Name, Known: g.members.Count()}
+func (g *Gateway) limitShare(now clock.Time) fleetshare.Share {
+	s := fleetshare.Share{Dispatcher: g.dispatcherName(now) == g.settings.Name, Known: g.members.Count()}
 	if g.peersRead { // otherwise the number of other instances is unknown
 		s.Live = 1 + g.members.CountLive(now)
 	}
