--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -48,7 +48,7 @@
 const (
 	// feedbackRepeatPeriod is how long a statement that an instance heard itself is
 	// repeated with its heartbeats, for lost messages and new dispatchers: at least one
-	// heartbeat of the largest fleet.
+	// heartbeat in a fleet of three hundred.
 	feedbackRepeatPeriod = 2500 * time.Millisecond
 	// maxFeedbackMS bounds the times in messages, in milliseconds: a day.
 	maxFeedbackMS = 24 * 3600 * 1000
--- a/oleander/gateway/size_test.go
+++ b/oleander/gateway/size_test.go
@@ -9,6 +9,7 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/core/gateway/serverlimit"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -64,6 +65,15 @@
 		run("pick", func() {
 			g.servers.Pick(boottime.Now(), directory.Requirements{Group: "llm", Model: "m7", Zone: "z0"})
 		})
+		b.Run(fmt.Sprintf("instances=%d/feedback", s.instances), func(b *testing.B) {
+			id := g.servers.IDs()[0]
+			g.servers.RecordLimit(id, 1, serverlimit.Statement{Limited: true, PerSecond: 3.1, At: boottime.Now()})
+			var out []outgoing
+			for b.Loop() {
+				out = g.feedbackToAll(boottime.Now(), g.servers.Get(id))
+			}
+			b.ReportMetric(float64(len(out[len(out)-1].body)), "bytes")
+		})
 		b.Run(fmt.Sprintf("instances=%d/repeat", s.instances), func(b *testing.B) {
 			var out []outgoing
 			for b.Loop() {
