Explain: what backend servers said, before each line of a request

A request refused since all its servers are limited or rest reached none, so no line of a server stood before it. The newest line of that kind of its process does now (TestLogsNameWhatServersSaid); a walk in OPERATIONS.

--- a/oleander/gateway/logs_test.go
+++ b/oleander/gateway/logs_test.go
@@ -73,6 +73,34 @@
 	}
 }
 
+// A request is refused because its only server named a limit, or asked for rest. The refused
+// request reached no server, and the log must still name the server and what it said.
+func TestLogsNameWhatServersSaid(t *testing.T) {
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		want    []string
+	}{
+		"limit": {limited(0.2), []string{"reason=servers-limited", "feedback: server names a rate limit", "per_second=0.2", "server=a", "retry_after_ms="}},
+		"rest":  {rejecting(2 * time.Second), []string{"reason=servers-resting", "feedback: server asks for rest", "rest=2000", "server=a", "retry_after_ms="}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, config(1))
+			f.backend("a", "plain", tc.handler)
+			url := f.start()
+			f.ask(http.MethodPost, url+"/order/", testID, "r0")
+			f.ask(http.MethodPost, url+"/order/")
+			testutil.WaitFor(t, func() bool { return strings.Contains(f.explain("r1"), "request ended") })
+			explanation := f.explain("r1")
+			for _, want := range tc.want {
+				if !strings.Contains(explanation, want) {
+					t.Errorf("%q is missing in\n%s", want, explanation)
+				}
+			}
+		})
+	}
+}
+
 // Neither keys nor bodies of requests and responses are logged.
 func TestLogsHoldNoSecrets(t *testing.T) {
 	f := newFixture(t, config(1))
--- a/oleander/process/explain/explain.go
+++ b/oleander/process/explain/explain.go
@@ -1,7 +1,7 @@
 // Package explain reconstructs the timeline of a request from the log lines of all
 // processes: the lines of the request in order of time, each preceded by the latest
-// lines about the configuration, the lease, the store and the backend server that
-// show the state which its process acted on.
+// lines about the configuration, the lease, the store, what a backend server said about
+// itself, and the backend server that show the state which its process acted on.
 package explain
 
 import (
@@ -19,7 +19,7 @@
 )
 
 // statePrefixes are the message prefixes of lines about the state of a process.
-var statePrefixes = []string{"config: ", "lease: ", "store: "}
+var statePrefixes = []string{"config: ", "lease: ", "store: ", "feedback: "}
 
 // line is a parsed log line.
 type line struct {
