--- a/oleander/gateway/dispatch_test.go
+++ b/oleander/gateway/dispatch_test.go
@@ -97,3 +97,41 @@
 		t.Error("no answer")
 	}
 }
+
+// A dispatcher of an older version, or one that has just begun, chooses a server without
+// knowing its rate limit, or that it leaves. The instance that knows turns the choice down.
+func TestUninformedChoiceIsTurnedDown(t *testing.T) {
+	limit := &limitMsg{Limited: true, PerSecond: 2}
+	tests := map[string]struct {
+		said   serverFeedbackMsg
+		detail *choiceDetailMsg
+		want   dispatch.Decision
+	}{
+		"limit not known":     {serverFeedbackMsg{Limit: limit}, nil, dispatch.NoCandidate},
+		"limit known":         {serverFeedbackMsg{Limit: limit}, &choiceDetailMsg{Feedback: &serverFeedbackMsg{Server: "a", Incarnation: 1, Limit: limit}}, dispatch.Granted},
+		"limit believed over": {serverFeedbackMsg{Limit: limit}, &choiceDetailMsg{Feedback: &serverFeedbackMsg{Server: "a", Incarnation: 1, Limit: &limitMsg{AgeMS: 900}}}, dispatch.NoCandidate},
+		"limit over":          {serverFeedbackMsg{Limit: &limitMsg{Limited: true, PerSecond: 2, AgeMS: 900}}, &choiceDetailMsg{Feedback: &serverFeedbackMsg{Server: "a", Incarnation: 1, Limit: &limitMsg{}}}, dispatch.Granted},
+		"leaving not known":   {serverFeedbackMsg{Leaving: true}, nil, dispatch.NoCandidate},
+		"nothing said":        {serverFeedbackMsg{}, nil, dispatch.Granted},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, g := single(t)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			now := boottime.Now()
+			tc.said.Server, tc.said.Incarnation = "a", 1
+			g.handleFeedbackMsg(now, &feedbackMsg{Servers: []serverFeedbackMsg{tc.said}})
+			number := g.dispatchClient.BeginQuery()
+			q := &pendingQuery{replies: make(chan dispatchReply, maxBufferedReplies)}
+			g.pendingQueries[number] = q
+			g.handleChoiceMsg(now, &choiceMsg{
+				From: "g9", Incarnation: g.incarnation, Number: number, Decision: dispatch.Granted,
+				Server: &serverMsg{Server: "a", Incarnation: 1},
+			}, tc.detail)
+			if got := (<-q.replies).decision; got != tc.want {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+		})
+	}
+}
