Server limits: a limit ends a second after its last word at the earliest

Found by reading: two answers of one moment, one with the limit and one without, cross on their way, and a server that names its limit in some of its answers only would flip it with each: the fleet would be told each time, and the server get its full load in between. A response ends a limit only a second or more after one that named it. TestLimitNamedInSomeResponses (failed before). Servers that rest are set aside once a choice; what servers said expires in one place.

--- a/core/gateway/directory/leaving.go
+++ b/core/gateway/directory/leaving.go
@@ -39,8 +39,8 @@
 // SaidLeaving reports whether the server said in a response that it leaves.
 func (d *Directory) SaidLeaving(s *Server) bool { return d.saidLeaving(s.ID, s.Incarnation) }
 
-// ExpireDepartures forgets servers that said long ago that they leave.
-func (d *Directory) ExpireDepartures(now clock.Time) {
+// expireDepartures forgets servers that said long ago that they leave.
+func (d *Directory) expireDepartures(now clock.Time) {
 	for id, known := range d.departures {
 		if now.Sub(known.saidAt) > departureTTL {
 			delete(d.departures, id)
--- a/core/gateway/directory/limit.go
+++ b/core/gateway/directory/limit.go
@@ -48,8 +48,15 @@
 	return nil
 }
 
-// ExpireLimits forgets limits without recent responses.
-func (d *Directory) ExpireLimits(now clock.Time) {
+// ExpireFeedback forgets what servers said about themselves once it no longer matters.
+func (d *Directory) ExpireFeedback(now clock.Time) {
+	d.expireLimits(now)
+	d.expireDepartures(now)
+	d.expireRests(now)
+}
+
+// expireLimits forgets limits without recent responses.
+func (d *Directory) expireLimits(now clock.Time) {
 	for id, l := range d.limits {
 		if l.Outdated(now) {
 			delete(d.limits, id)
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -111,13 +111,13 @@
 	if len(candidates) == 0 {
 		return Choice{}
 	}
-	eligible := d.eligible(now, candidates, req)
+	eligible := avoidResting(now, d.eligible(now, candidates, req))
 	if req.Affinity != 0 {
-		if s := pickByAffinity(preferRested(now, eligible), candidates, req); s != nil {
+		if s := pickByAffinity(eligible, candidates, req); s != nil {
 			return newChoice(s, ByPrompt, candidates, req)
 		}
 	}
-	if s := pickLeastLoaded(preferRested(now, eligible), req); s != nil {
+	if s := pickLeastLoaded(eligible, req); s != nil {
 		return newChoice(s, ByLoad, candidates, req)
 	}
 	return Choice{AllFull: true, RateLimited: anyWithFreeSlot(candidates, req), Pace: d.paceOf(now, candidates, req), Candidates: len(candidates)}
--- a/core/gateway/directory/rest.go
+++ b/core/gateway/directory/rest.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -112,8 +113,8 @@
 	return at, ok
 }
 
-// ExpireRests forgets rests that have ended.
-func (d *Directory) ExpireRests(now clock.Time) {
+// expireRests forgets rests that have ended.
+func (d *Directory) expireRests(now clock.Time) {
 	for id, r := range d.rests {
 		if now.Reached(r.until) && now.Reached(r.anyUntil) {
 			delete(d.rests, id)
@@ -124,24 +125,18 @@
 	}
 }
 
-// preferRested returns the servers that ask no instance for rest, or all if there are none.
+// avoidResting returns the servers that ask no instance for rest, or all if all do.
 // A server that rejects one instance's requests likely rejects the next one's: in a large
 // fleet, in which each instance would have to find out by itself, it would go on getting
 // almost all of its requests.
-func preferRested(now clock.Time, eligible []*Server) []*Server {
-	for i, s := range eligible {
-		if s.RestRemaining(now) > 0 {
-			rested := append([]*Server(nil), eligible[:i]...)
-			for _, s := range eligible[i+1:] {
-				if s.RestRemaining(now) == 0 {
-					rested = append(rested, s)
-				}
-			}
-			if len(rested) == 0 {
-				return eligible
-			}
-			return rested
-		}
+func avoidResting(now clock.Time, eligible []*Server) []*Server {
+	resting := func(s *Server) bool { return s.RestRemaining(now) > 0 }
+	if !slices.ContainsFunc(eligible, resting) {
+		return eligible
+	}
+	rested := slices.DeleteFunc(slices.Clone(eligible), resting)
+	if len(rested) == 0 {
+		return eligible
 	}
-	return eligible
+	return rested
 }
--- a/core/gateway/serverlimit/serverlimit.go
+++ b/core/gateway/serverlimit/serverlimit.go
@@ -30,6 +30,10 @@
 	// maxRate, in requests per second, bounds a named limit, so that arithmetic with it
 	// stays finite.
 	maxRate = 1e6
+	// minLimitedTime is how long after a response that named the limit another response can
+	// end it: responses of the same moment cross on their way, and a server may name its
+	// limit in some of them only.
+	minLimitedTime = time.Second
 	// recentAge is how long after the last response that named it a limit counts as
 	// current where no request is to be sent.
 	recentAge = 10 * time.Second
@@ -56,10 +60,10 @@
 // New returns a Limit that its server has not named yet.
 func New(incarnation int64) *Limit { return &Limit{Incarnation: incarnation} }
 
-// Record records a statement, unless a newer one is known. It reports whether the limit
-// was named, changed or ended.
+// Record records a statement, unless a newer one is known or it would end the limit too
+// soon. It reports whether the limit was named, changed or ended.
 func (l *Limit) Record(s Statement) bool {
-	if s.At < l.last.At {
+	if s.At < l.last.At || !s.Limited && l.last.Limited && s.At.Sub(l.last.At) < minLimitedTime {
 		return false
 	}
 	s.PerSecond = min(s.PerSecond, maxRate)
--- a/core/gateway/serverlimit/serverlimit_test.go
+++ b/core/gateway/serverlimit/serverlimit_test.go
@@ -92,3 +92,15 @@
 		t.Error("no request is allowed after the wait")
 	}
 }
+
+// A server names its limit in every other response. It must be paced throughout.
+func TestLimitNamedInSomeResponses(t *testing.T) {
+	l := New(1)
+	l.Record(Statement{Limited: true, PerSecond: 2, At: start})
+	for i := range 100 {
+		at := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		if l.Record(Statement{Limited: i%2 == 0, PerSecond: 2 * float64((i+1)%2), At: at}) || !l.Active() {
+			t.Fatalf("response %d ended or changed the limit", i)
+		}
+	}
+}
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -157,9 +157,7 @@
 	g.removeLapsed(now)
 	g.applyEvacuations(now)
 	g.servers.SetSilentZones(g.members.SilentZones(now, zoneTimeout))
-	g.servers.ExpireLimits(now)
-	g.servers.ExpireDepartures(now)
-	g.servers.ExpireRests(now)
+	g.servers.ExpireFeedback(now)
 	if g.servers.PacesServers() {
 		g.servers.SetShare(now, g.limitShare(now))
 	}
