Refusals while servers rest: callers come back over as long as the rest

All callers refused during a rest were told to come back within one second of its end; of a rest of three seconds that is three seconds' callers in one. They are spread over as long as the rest now, a second at least.

--- a/oleander/gateway/rest.go
+++ b/oleander/gateway/rest.go
@@ -13,8 +13,9 @@
 	// another server: the planner learns of the demand and answers within a few heartbeats
 	// of a small fleet.
 	forecastPatience = 500 * time.Millisecond
-	// retrySpread is the time over which callers that are refused together come back.
-	retrySpread = time.Second
+	// minRetrySpread is the least time over which callers that are refused together come
+	// back.
+	minRetrySpread = time.Second
 )
 
 // awaitRest decides about a request for which all servers that could run it want none of
@@ -38,7 +39,8 @@
 }
 
 // spreadRetry returns a time to retry, at least the given one, that differs between
-// callers, so that they don't come back together.
+// callers: those that were refused while a server rests would otherwise all come back in the
+// moment in which the rest ends.
 func spreadRetry(least time.Duration) time.Duration {
-	return least + time.Duration(rand.Int64N(int64(retrySpread)))
+	return least + time.Duration(rand.Int64N(int64(max(minRetrySpread, least))))
 }
