Dispatcher: the pace that one query meets refuses no other

Found by reading: a query that excludes the servers with room waits for the pace of a limited one, and its pace became the queue's. Now a query queues behind others only if one of them could use the same servers, and the queue's pace is that of queries without exclusions. TestPaceOfExcludingQueryRefusesNoOther failed before (refused).

--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -201,8 +201,8 @@
 		reply.Decision = Queued
 		return reply
 	}
-	if len(q.waiting) > 0 && q.waiting[0].query.Priority <= query.Priority {
-		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query)
+	if q.mustQueueBehind(query) {
+		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query, q.pace)
 		return reply
 	}
 	c := d.dir.Pick(now, query.Requirements)
@@ -212,8 +212,7 @@
 		d.grant(now, from, inst, query, c.Server)
 		reply.Choice = c
 	case c.AllFull:
-		q.setPace(now, c.Pace)
-		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query)
+		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query, q.updatePace(now, query, c))
 	default:
 		reply.Decision = NoCandidate
 	}
--- a/core/gateway/dispatch/dispatch_test.go
+++ b/core/gateway/dispatch/dispatch_test.go
@@ -6,6 +6,8 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/fleetshare"
+	"oleanderdale.org/core/gateway/serverlimit"
 )
 
 const start = clock.Time(time.Minute)
@@ -88,6 +90,25 @@
 	}
 }
 
+// A query that excludes the only server without a rate limit waits for the pace of the
+// other. A new query must get the free server at once, and not be refused by that pace.
+func TestPaceOfExcludingQueryRefusesNoOther(t *testing.T) {
+	d := newDispatcher(t)
+	d.dir.SetShare(start, fleetshare.Share{Dispatcher: true, Live: 1, Known: 1})
+	d.dir.RecordLimit("a", 1, serverlimit.Statement{Limited: true, PerSecond: 1, At: start})
+	excluding := queryMessage(1, 0, 1)
+	excluding.Query.Requirements.Exclude = map[string]bool{"b": true}
+	if r, _ := d.HandleMessage(start, excluding); r.Decision != Queued {
+		t.Fatalf("decision %v", r.Decision)
+	}
+	d.ServeQueues(start)
+	m := queryMessage(2, 5, 1, 2)
+	m.Query.MaxWait = 150 * time.Millisecond
+	if r, _ := d.HandleMessage(start, m); r.Decision != Granted || r.Choice.Server.ID != "b" {
+		t.Errorf("decision %v, want server b", r.Decision)
+	}
+}
+
 // A query that is repeated because its reply was lost gets the same server and counts
 // once.
 func TestRepeatedQueryCountsOnce(t *testing.T) {
--- a/core/gateway/dispatch/queue.go
+++ b/core/gateway/dispatch/queue.go
@@ -47,37 +47,50 @@
 	refusalRate    rate
 	saturatedSince clock.Time // servers have been full since
 	lastSaturated  clock.Time // last query that found all servers full
-	pace           pace
+	// pace is that of the last query without exclusions.
+	pace pace
+	// promisedUntil is when the last refused request was told to come back. The next one
+	// is told to come later, so that they don't come back together.
+	promisedUntil clock.Time
 }
 
-// pace says when the rate limits of a queue's servers allow its queries. The zero pace
-// means that free slots decide.
+// pace says when the rate limits of servers allow queries. The zero pace means that free
+// slots decide.
 type pace struct {
 	nextAt    clock.Time // when a server takes the next request
 	perSecond float64
-	// promisedUntil is when the last refused request was told to come back. The next one
-	// is told to come later, so that they don't come back together.
-	promisedUntil clock.Time
 }
 
 // maxRetryAfter bounds the time after which refused requests are told to come back.
 const maxRetryAfter = 5 * time.Second
 
-// setPace records what the servers' rate limits allow.
-func (q *queue) setPace(now clock.Time, p directory.Pace) {
-	q.pace.nextAt, q.pace.perSecond = now.Add(p.Next), p.PerSecond
+// updatePace returns the pace that a query found when all its servers were full. It becomes
+// that of the queue, unless the query excludes servers that the others may use.
+func (q *queue) updatePace(now clock.Time, query Query, c directory.Choice) pace {
+	p := pace{nextAt: now.Add(c.Pace.Next), perSecond: c.Pace.PerSecond}
+	if len(query.Requirements.Exclude) == 0 {
+		q.pace = p
+	}
+	return p
+}
+
+// mustQueueBehind reports whether a query is next only after one in the queue that could
+// use the same servers. One that excludes servers holds up no other.
+func (q *queue) mustQueueBehind(query Query) bool {
+	return slices.ContainsFunc(q.waiting, func(w *queuedQuery) bool {
+		return w.query.Priority <= query.Priority && len(w.query.Requirements.Exclude) == 0
+	})
 }
 
 // retryAfter returns when a request that is refused now can be served; 0 if unknown.
-func (q *queue) retryAfter(now clock.Time) time.Duration {
-	p := &q.pace
+func (q *queue) retryAfter(now clock.Time, p pace) time.Duration {
 	if p.perSecond <= 0 {
 		return 0
 	}
 	interval := time.Duration(float64(time.Second) / p.perSecond)
 	afterQueue := p.nextAt.Add(time.Duration(len(q.waiting)) * interval)
-	p.promisedUntil = min(max(p.promisedUntil, afterQueue).Add(interval), now.Add(maxRetryAfter))
-	return p.promisedUntil.Sub(now)
+	q.promisedUntil = min(max(q.promisedUntil, afterQueue).Add(interval), now.Add(maxRetryAfter))
+	return q.promisedUntil.Sub(now)
 }
 
 // queuedQuery is a query in a queue.
@@ -127,7 +140,7 @@
 
 // enqueue queues a query, or refuses it if its expected wait exceeds MaxWait and returns
 // when to retry.
-func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, query Query) (Decision, time.Duration) {
+func (d *Dispatcher) enqueue(now clock.Time, q *queue, from string, query Query, p pace) (Decision, time.Duration) {
 	if now.Sub(q.lastSaturated) > saturatedTTL {
 		q.saturatedSince = now
 	}
@@ -135,9 +148,9 @@
 	d.lastPosition++
 	w := &queuedQuery{from: from, query: query, position: d.lastPosition, queuedAt: now, lastQueried: now}
 	i, _ := slices.BinarySearchFunc(q.waiting, w, compareQueued)
-	if query.MaxWait > 0 && q.expectedWait(now, i) > query.MaxWait {
+	if query.MaxWait > 0 && q.expectedWait(now, i, p) > query.MaxWait {
 		q.refusalRate.add(now, 1)
-		return Refused, q.retryAfter(now)
+		return Refused, q.retryAfter(now, p)
 	}
 	q.waiting = slices.Insert(q.waiting, i, w)
 	return Queued, 0
@@ -145,9 +158,9 @@
 
 // expectedWait returns how long a query behind ahead others will wait, given the recent
 // rate of grants or the rate limits of the servers.
-func (q *queue) expectedWait(now clock.Time, ahead int) time.Duration {
-	if q.pace.perSecond > 0 {
-		return max(0, q.pace.nextAt.Sub(now)) + time.Duration(float64(ahead)/q.pace.perSecond*float64(time.Second))
+func (q *queue) expectedWait(now clock.Time, ahead int, p pace) time.Duration {
+	if p.perSecond > 0 {
+		return max(0, p.nextAt.Sub(now)) + time.Duration(float64(ahead)/p.perSecond*float64(time.Second))
 	}
 	perSecond := max(minGrantRate, q.grantRate.add(now, 0))
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
@@ -203,7 +216,7 @@
 		for i := 0; i < len(q.waiting); {
 			w := q.waiting[i]
 			c := d.dir.Pick(now, w.query.Requirements)
-			q.setPace(now, c.Pace)
+			p := q.updatePace(now, w.query, c)
 			late := w.query.MaxWait > 0 && now.Sub(w.queuedAt) > w.query.MaxWait
 			if c.AllFull && !late {
 				if len(w.query.Requirements.Exclude) == 0 {
@@ -222,7 +235,7 @@
 				reply.Decision, reply.Choice = Granted, c
 			case c.AllFull:
 				q.refusalRate.add(now, 1)
-				reply.Decision, reply.RetryAfter = Refused, q.retryAfter(now)
+				reply.Decision, reply.RetryAfter = Refused, q.retryAfter(now, p)
 			}
 			replies = append(replies, reply)
 			if w.from == d.self {
