Dispatcher's simulation: all instances restarted, and one after another

Server limits hold while every instance forgets what it heard (3, 9 and 77 instances, 0.2, 3.1 and 20 a second): the bound counts all arrivals, also those of instances that were not told again yet.

--- a/core/gateway/dispatch/feedback_fleet_test.go
+++ b/core/gateway/dispatch/feedback_fleet_test.go
@@ -44,15 +44,17 @@
 }
 
 type feedbackNode struct {
-	fleet      *feedbackFleet
-	index      int
-	dir        *directory.Directory
-	client     *Client
-	dispatcher *Dispatcher
-	down       bool
-	open       map[uint64]clock.Time // start of each open query
-	heardAt    map[string]clock.Time // last statement of a server in a response
-	nextBeat   clock.Time
+	fleet *feedbackFleet
+	index int
+	// incarnation counts its starts.
+	incarnation uint64
+	dir         *directory.Directory
+	client      *Client
+	dispatcher  *Dispatcher
+	down        bool
+	open        map[uint64]clock.Time // start of each open query
+	heardAt     map[string]clock.Time // last statement of a server in a response
+	nextBeat    clock.Time
 }
 
 type feedbackServer struct {
@@ -68,23 +70,27 @@
 		random: rand.New(rand.NewPCG(seed, 9)), now: clock.Time(time.Hour), perSecond: perSecond,
 		lossOneIn: 50, side: func(*feedbackNode) int { return 0 },
 	}
-	for i := range instances {
-		n := &feedbackNode{
-			fleet: f, index: i, dir: directory.New(), client: NewClient(),
-			open: make(map[uint64]clock.Time), heardAt: make(map[string]clock.Time),
-		}
-		n.dispatcher = New(n.name(), n.dir)
-		for s := range servers {
-			n.dir.Put(f.now, directory.Entry{ID: fmt.Sprint("s", s), Zone: "z", Group: "g", Incarnation: 1, Slots: 16})
-		}
-		f.nodes = append(f.nodes, n)
-	}
 	for s := range servers {
 		f.servers = append(f.servers, &feedbackServer{id: fmt.Sprint("s", s), limit: func(clock.Time) (float64, bool) { return 0, false }})
 	}
+	for i := range instances {
+		n := &feedbackNode{fleet: f, index: i}
+		n.restart()
+		f.nodes = append(f.nodes, n)
+	}
 	return f
 }
 
+// restart makes an instance forget everything.
+func (n *feedbackNode) restart() {
+	n.dir, n.client, n.incarnation = directory.New(), NewClient(), n.incarnation+1
+	n.dispatcher = New(n.name(), n.dir)
+	n.open, n.heardAt = make(map[uint64]clock.Time), make(map[string]clock.Time)
+	for _, s := range n.fleet.servers {
+		n.dir.Put(n.fleet.now, directory.Entry{ID: s.id, Zone: "z", Group: "g", Incarnation: 1, Slots: 16})
+	}
+}
+
 // always returns a limit that a server names in all responses.
 func always(perSecond float64) func(clock.Time) (float64, bool) {
 	return func(clock.Time) (float64, bool) { return perSecond, true }
@@ -207,7 +213,7 @@
 
 func (n *feedbackNode) message(q *Query) Message {
 	sequence, open := n.client.NextSequence()
-	return Message{From: n.name(), Incarnation: 1, Sequence: sequence, Running: n.dir.LocalLoadByModel(), OpenQueries: open, Query: q}
+	return Message{From: n.name(), Incarnation: n.incarnation, Sequence: sequence, Running: n.dir.LocalLoadByModel(), OpenQueries: open, Query: q}
 }
 
 // giveUp makes an unanswered request choose locally, and again until it is too old.
--- a/core/gateway/dispatch/feedback_test.go
+++ b/core/gateway/dispatch/feedback_test.go
@@ -52,6 +52,16 @@
 				f.nodes[second/4-1].down = true
 			}
 		}},
+		{name: "all restarted", event: func(f *feedbackFleet, second int) {
+			if second == 9 {
+				for _, n := range f.nodes {
+					n.restart()
+				}
+			}
+		}},
+		{name: "instances restarted one after another", event: func(f *feedbackFleet, second int) {
+			f.nodes[second%len(f.nodes)].restart()
+		}},
 		{name: "one message in five lost", setUp: func(f *feedbackFleet) { f.lossOneIn = 5 }},
 	}
 	for _, instances := range []int{3, 9, 77} {
