Dispatcher: new queries do not overtake one that was rejected elsewhere

By reading: a query that excludes servers no longer stood in the way of new ones, so these took each slot that became free between two rounds of the queue, also on servers that the waiting one could use; it waited while it was passed over. A new query now queues if one ahead of it could use the server that it would get. TestNewQueryDoesNotOvertakeExcludingQuery failed before. Whether that is the whole difference is not shown by this commit.

--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -207,6 +207,8 @@
 	}
 	c := d.dir.Pick(now, query.Requirements)
 	switch {
+	case c.Server != nil && q.anyAheadCanUse(query, c.Server.ID):
+		reply.Decision, reply.RetryAfter = d.enqueue(now, q, from, query, q.pace)
 	case c.Server != nil:
 		q.recordGrant(now)
 		d.grant(now, from, inst, query, c.Server)
--- a/core/gateway/dispatch/dispatch_test.go
+++ b/core/gateway/dispatch/dispatch_test.go
@@ -109,6 +109,35 @@
 	}
 }
 
+// A query that excludes one server waits for a slot of the other. When one becomes free, a
+// new query of the same priority must not take it first.
+func TestNewQueryDoesNotOvertakeExcludingQuery(t *testing.T) {
+	d := newDispatcher(t)
+	fill(t, d)
+	excluding := queryMessage(5, 5, 1, 2, 3, 4, 5)
+	excluding.Query.Requirements.Exclude = map[string]bool{"a": true}
+	d.HandleMessage(start, excluding)
+	var endedOnB uint64
+	for _, g := range d.instances["n"].grants {
+		if g.server == "b" {
+			endedOnB = g.number
+		}
+	}
+	m := queryMessage(6, 5)
+	for n := uint64(1); n <= 6; n++ {
+		if n != endedOnB {
+			m.OpenQueries = append(m.OpenQueries, n)
+		}
+	}
+	if r, _ := d.HandleMessage(start, m); r.Decision != Queued {
+		t.Errorf("the new query: %v, want queued", r.Decision)
+	}
+	got := d.ServeQueues(start)
+	if len(got) != 1 || got[0].Number != 5 || got[0].Choice.Server.ID != "b" {
+		t.Errorf("replies %+v, want query 5 at server b", got)
+	}
+}
+
 // A query that is repeated because its reply was lost gets the same server and counts
 // once.
 func TestRepeatedQueryCountsOnce(t *testing.T) {
--- a/core/gateway/dispatch/queue.go
+++ b/core/gateway/dispatch/queue.go
@@ -82,6 +82,15 @@
 	})
 }
 
+// anyAheadCanUse reports whether a query in the queue, which would be next, does not exclude
+// a server. New queries would otherwise take each slot that becomes free between two rounds
+// of the queue, and those that were rejected elsewhere would wait forever.
+func (q *queue) anyAheadCanUse(query Query, server string) bool {
+	return slices.ContainsFunc(q.waiting, func(w *queuedQuery) bool {
+		return w.query.Priority <= query.Priority && !w.query.Requirements.Exclude[server]
+	})
+}
+
 // retryAfter returns when a request that is refused now can be served; 0 if unknown.
 func (q *queue) retryAfter(now clock.Time, p pace) time.Duration {
 	if p.perSecond <= 0 {
