Server rest: it goes over to the server's next start

Cause: the rest was kept for the start that the instance knew, and the entry of the new start, which comes later than its answers, began with a clean state. A rest belongs to the server's ID now; it is short, so that one asked by the earlier start does little harm.

--- a/core/gateway/directory/rest.go
+++ b/core/gateway/directory/rest.go
@@ -11,7 +11,7 @@
 // a longer one is asked again after this time.
 const maxRest = 10 * time.Minute
 
-// rest is the wish of one incarnation of a server to be left alone for a time.
+// rest is the wish of a server to be left alone for a time.
 type rest struct {
 	incarnation int64
 	until       clock.Time // for this instance
@@ -27,7 +27,9 @@
 	if r != nil && r.incarnation > incarnation {
 		return nil
 	}
-	if r == nil || r.incarnation < incarnation {
+	if r != nil {
+		r.incarnation = incarnation
+	} else {
 		r = &rest{incarnation: incarnation}
 		d.rests[id] = r
 		if s := d.servers[id]; s != nil && s.Incarnation == incarnation {
@@ -37,12 +39,16 @@
 	return r
 }
 
-// keptRest returns the rest that an incarnation of a server asked for before; nil if none.
+// keptRest returns the rest that a server asked for before its entry came; nil if none. A
+// server that has restarted may have asked before the entry of its new start was read, so a
+// rest goes over to the next incarnation.
 func (d *Directory) keptRest(id string, incarnation int64) *rest {
-	if r := d.rests[id]; r != nil && r.incarnation == incarnation {
-		return r
+	r := d.rests[id]
+	if r == nil || r.incarnation > incarnation {
+		return nil
 	}
-	return nil
+	r.incarnation = incarnation
+	return r
 }
 
 // RecordRest records that a server wants no request of this instance for a time.
