Gateway: a failed attempt logs how its request is known again

The logs of the incident could not tell whether a request that crashes servers is unknown to the detector, was cleared by a completed run, or is counted at some instances only. The line of a failed attempt now names the digest (0: the request is never known again), the crashes that the instance knows of, and whether a run cleared them; a refusal names the digest. No decision changes.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -10,6 +10,7 @@
 package poison
 
 import (
+	"strconv"
 	"time"
 
 	"oleanderdale.org/core/clock"
@@ -28,6 +29,9 @@
 // Digest identifies a request and its retries.
 type Digest uint64
 
+// String returns the digest as it stands in logs.
+func (d Digest) String() string { return strconv.FormatUint(uint64(d), 16) }
+
 type suspect struct {
 	lastCrash    clock.Time // at any instance
 	localChange  clock.Time // last change of localCrashes or cleared by a run at this instance
@@ -78,15 +82,22 @@
 
 // IsPoisonous reports whether a request must no longer be sent to backend servers.
 func (d *Detector) IsPoisonous(now clock.Time, digest Digest) bool {
+	crashes, cleared := d.Suspicion(now, digest)
+	return crashes >= poisonThreshold && !cleared
+}
+
+// Suspicion returns how many crashes of a request are known, at all instances, and whether
+// a completed run cleared it.
+func (d *Detector) Suspicion(now clock.Time, digest Digest) (crashes uint32, cleared bool) {
 	s, ok := d.suspects[digest]
-	if !ok || s.cleared || now.Sub(s.lastCrash) > suspectTTL {
-		return false
+	if !ok || now.Sub(s.lastCrash) > suspectTTL {
+		return 0, false
 	}
-	total := s.localCrashes
+	crashes = s.localCrashes
 	for _, n := range s.peerCrashes {
-		total += n
+		crashes += n
 	}
-	return total >= poisonThreshold
+	return crashes, s.cleared
 }
 
 // LocalCounts returns the counts of this instance that changed within age, to be sent to
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -256,13 +256,14 @@
 	}
 	timeout := isTimeout(err)
 	g.attemptEnded(t.id, x.call.Model, directory.Failed)
-	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("reused", c.Reused).Bool("timeout", timeout).
-		Err(err).Msg("front: attempt failed")
+	g.mu.Lock()
 	if !timeout && x.digest != 0 {
-		g.mu.Lock()
 		g.poison.RecordCrash(boottime.Now(), x.digest)
-		g.mu.Unlock()
 	}
+	crashes, cleared := g.poison.Suspicion(boottime.Now(), x.digest)
+	g.mu.Unlock()
+	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("reused", c.Reused).Bool("timeout", timeout).
+		Stringer("digest", x.digest).Uint32("crashes", crashes).Bool("cleared", cleared).Err(err).Msg("front: attempt failed")
 	if boottime.Now().Reached(x.deadline) {
 		x.possibleRuns++
 		return resultTimeout
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -342,6 +342,9 @@
 	if x.eventCount > 0 {
 		e = e.Int("events", x.eventCount)
 	}
+	if why == reasonCrashesServers {
+		e = e.Stringer("digest", x.digest)
+	}
 	if r := x.refusal; r != nil && r.retryAfter > 0 {
 		e = e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
 	}
