Tests, red: reads that crash servers, and sound requests beside crashes

Three instances, two or four servers that abort everything for 0.5 s after a crash, a crashing request every 200 ms for 9 s beside six callers.

--- /dev/null
+++ b/oleander/gateway/crash_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/internal/testutil"
+)
+
+const (
+	crashDowntime    = 500 * time.Millisecond
+	crashRetryPeriod = 200 * time.Millisecond
+	crashTestPeriod  = 9 * time.Second
+	// The last crash that the users tolerate is crashKnownAfter after the third.
+	crashKnownAfter = 4 * time.Second
+	// soundServedAfter is when sound requests must be served again.
+	soundServedAfter = 5 * time.Second
+	crashMark        = "crash"
+)
+
+// crashingServers are servers that crash under each request whose path contains crashMark:
+// all that they run breaks, and they serve nothing for crashDowntime.
+type crashingServers struct {
+	mu      sync.Mutex
+	crashes []time.Time
+}
+
+// handler returns the handler of one of the servers.
+func (c *crashingServers) handler() http.HandlerFunc {
+	var downUntil atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		began := time.Now()
+		if began.UnixNano() < downUntil.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		if strings.Contains(r.URL.Path, crashMark) {
+			downUntil.Store(began.Add(crashDowntime).UnixNano())
+			c.mu.Lock()
+			c.crashes = append(c.crashes, began)
+			c.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(15 * time.Millisecond)
+		if time.Now().UnixNano() < downUntil.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		ok(w, r)
+	}
+}
+
+// lateCrashes returns the number of crashes later than crashKnownAfter after the third.
+func (c *crashingServers) lateCrashes() (late, all int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, at := range c.crashes {
+		if at.Sub(c.crashes[min(2, len(c.crashes)-1)]) > crashKnownAfter {
+			late++
+		}
+	}
+	return late, len(c.crashes)
+}
+
+// crashScenario is a request that crashes servers and is sent again and again through all
+// instances, beside callers of sound requests.
+type crashScenario struct {
+	method, path string             // of the crashing request
+	soundPath    func(n int) string // of the nth sound request
+	soundMethod  string
+	servers      int
+}
+
+// play plays the scenario on three instances. It returns the crashes, and the sound requests
+// that were sent and served after soundServedAfter.
+func (s crashScenario) play(t *testing.T) (c *crashingServers, sent, served int64) {
+	f := newFixture(t, config(1))
+	c = &crashingServers{}
+	for i := range s.servers {
+		f.backend(fmt.Sprint("s", i), "plain", c.handler())
+	}
+	urls := []string{f.start(), f.start(), f.start()}
+	testutil.WaitFor(t, func() bool { return f.ask(http.MethodGet, urls[2]+"/read/first").status == http.StatusOK })
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), crashTestPeriod)
+	defer cancel()
+	var callers sync.WaitGroup
+	var number, sentLate, servedLate atomic.Int64
+	for i := range 6 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				n := int(number.Add(1))
+				late := time.Since(began) > soundServedAfter
+				got := f.askCtx(context.Background(), s.soundMethod, urls[i%3]+s.soundPath(n), testID, fmt.Sprint("sound", n))
+				if late {
+					sentLate.Add(1)
+				}
+				if late && got.status == http.StatusOK {
+					servedLate.Add(1)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		f.askCtx(ctx, s.method, urls[i%3]+s.path, testID, fmt.Sprint("crashing", i))
+		time.Sleep(crashRetryPeriod)
+	}
+	callers.Wait()
+	return c, sentLate.Load(), servedLate.Load()
+}
+
+// check plays the scenario and checks what the crashing request and the sound ones get.
+func (s crashScenario) check(t *testing.T) {
+	t.Parallel()
+	c, sent, served := s.play(t)
+	late, all := c.lateCrashes()
+	t.Logf("%d crashes, %d of them late; %d of %d sound requests served", all, late, served, sent)
+	if late > 1 {
+		t.Errorf("%d crashes later than %v after the third, want at most 1", late, crashKnownAfter)
+	}
+	if sent == 0 || served < sent*98/100 {
+		t.Errorf("%d of %d sound requests served, want all", served, sent)
+	}
+}
+
+func numberedPath(n int) string { return fmt.Sprint("/read/", n) }
+
+// Guards against servers that crash one after the other under a request with a body.
+func TestCrashingRequestWithBodyIsRefused(t *testing.T) {
+	for name, path := range map[string]string{"idempotent": "/read/" + crashMark, "order": "/order/" + crashMark} {
+		t.Run(name, func(t *testing.T) {
+			crashScenario{http.MethodPost, path, numberedPath, http.MethodPost, 2}.check(t)
+		})
+	}
+}
+
+// Guards against servers that crash one after the other under a read without a body.
+func TestCrashingReadIsRefused(t *testing.T) {
+	for _, servers := range []int{2, 4} {
+		t.Run(fmt.Sprint(servers, " servers"), func(t *testing.T) {
+			crashScenario{http.MethodGet, "/read/" + crashMark, numberedPath, http.MethodGet, servers}.check(t)
+		})
+	}
+}
+
+// Guards against the refusal of sound requests that look alike and were running at several crashes.
+func TestSoundRequestsBesideCrashesAreServed(t *testing.T) {
+	alike := func(int) string { return "/read/alike" }
+	for _, servers := range []int{2, 4} {
+		t.Run(fmt.Sprint(servers, " servers"), func(t *testing.T) {
+			crashScenario{http.MethodPost, "/read/" + crashMark, alike, http.MethodPost, servers}.check(t)
+		})
+	}
+}
