Poison: guilt is told from neighborhood by completed runs, servers and trials

Callers of sound requests that look alike (one path, account and body) were refused for a minute or for good after servers crashed: each broken run counted as a crash, so that one crash under three copies convicted them all, and since none ran any more, nothing could clear them.

Now crashes are counted by server, breaks at one server within a second being one; a run that completed in the last 2 s, also right before the crashes, protects the request for that time only, whatever status above 499 does not clear; a refused request is tried once after 30 s (1 s if it is known to have completed) and then four times as long each, told to all at once; a break at a server that answers a request sent within 0.3 s after it was no crash; responses that can't be used are none either. Instances exchange crashes instead of counts, so that repeats and restarts don't change the sum, and repeat all refused requests every 2 s for instances that have just started. The check stands before each send, not only at arrival.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -2,11 +2,15 @@
 // caller of such a request retries it; without detection, each instance would forward it
 // and all backend servers would crash in turn.
 //
-// A request whose connection broke while it ran is a suspect, identified by the digest of
-// account, method, path and body. Other requests that ran on the same server become
-// suspects too. Only a request that was running at several crashes is refused. A suspect
-// that completes meanwhile is cleared: callers may send the same body many times, and
-// some of these requests may run during a crash that another request caused.
+// A request whose connection broke while it ran is a suspect, identified by its digest.
+// So are the other requests that ran on that server. What tells the guilty one from its
+// neighbors is that no run of it ever completes: a completed run, at any instance, clears
+// the crashes before it. A suspect under which poisonThreshold servers crashed since then
+// is refused. From time to time one run of it is admitted as a trial, since nothing else
+// could clear a request that is refused by mistake.
+//
+// A connection also breaks for other reasons, such as a link that fails. A server that
+// answers a request sent right after the break did not crash.
 package poison
 
 import (
@@ -20,10 +24,29 @@
 	// poisonThreshold is the number of crashes after which a request is refused. On days
 	// with many crashes, harmless requests meet two by chance.
 	poisonThreshold = 3
-	// suspectTTL is how long the crashes of a suspect count after the last one.
-	suspectTTL = 60 * time.Second
+	// crashWindow is the time within which the crashes must lie, and how long a suspect
+	// that is not refused is remembered.
+	crashWindow = 60 * time.Second
+	// sameCrashWindow is the time within which breaks at one server are one crash.
+	sameCrashWindow = time.Second
+	// restartTime is the least time that a server needs to start again after a crash.
+	restartTime = 300 * time.Millisecond
+	// completionValidity is how long after a completed run a request is not refused: a
+	// popular request that is sound completes more often than this.
+	completionValidity = 2 * time.Second
+	// A refused request is admitted for a trial after trialDelay, or soundTrialDelay if a
+	// run of it is known to have completed, and then after trialFactor times as long each.
+	trialDelay      = 30 * time.Second
+	soundTrialDelay = time.Second
+	trialFactor     = 4
+	maxTrialDelay   = 10 * time.Minute
+	// refusalMemory is how long a refused request is remembered after its last crash or
+	// trial.
+	refusalMemory = 2 * maxTrialDelay
 	// maxSuspects bounds the memory; the suspects with the oldest crashes are dropped.
 	maxSuspects = 4096
+	// maxCrashes bounds the crashes remembered for one suspect.
+	maxCrashes = 8
 )
 
 // Digest identifies a request and its retries.
@@ -32,97 +55,212 @@
 // String returns the digest as it stands in logs.
 func (d Digest) String() string { return strconv.FormatUint(uint64(d), 16) }
 
+// Server is a hash of a backend server's ID.
+type Server uint64
+
+// crash is the crash of a server while a request ran there.
+type crash struct {
+	server Server
+	at     clock.Time // of the first break known
+}
+
 type suspect struct {
-	lastCrash    clock.Time // at any instance
-	localChange  clock.Time // last change of localCrashes or cleared by a run at this instance
-	localCrashes uint32
-	peerCrashes  map[string]uint32 // by instance
-	cleared      bool              // a run has completed since the first crash
+	crashes     []crash    // ascending by time
+	completedAt clock.Time // last completed run known at any instance; 0: none
+	changedAt   clock.Time // last observation at this instance; 0: none
+	trialAt     clock.Time // start of the last trial at any instance; 0: none
+	trials      int        // since the last completed run
+}
+
+// Decision says whether a request may be sent to a backend server.
+type Decision struct {
+	Refused bool
+	// Trial is set if a refused request may be sent once. The caller must report the
+	// send with BeginTrial.
+	Trial bool
+	// NextTrial is the time until the next trial of a refused request.
+	NextTrial time.Duration
 }
 
-// Detector counts the crashes of suspects. It is not safe for concurrent use.
+// Detector tracks the suspects. It is not safe for concurrent use.
 type Detector struct {
-	suspects map[Digest]*suspect
+	suspects  map[Digest]*suspect
+	completed recentRuns
+	breaks    map[Server]clock.Time // last break at a server that may have crashed
+	alive     map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
+	aliveAt   map[Server]clock.Time // when this instance observed it; absent if another did
+	reported  clock.Time            // last report that included all refused requests
 }
 
 // New returns a Detector without suspects.
-func New() *Detector { return &Detector{suspects: make(map[Digest]*suspect)} }
+func New() *Detector {
+	return &Detector{
+		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time),
+		alive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time),
+	}
+}
 
-// RecordCrash records that the connection broke during a run of a request at this
-// instance.
-func (d *Detector) RecordCrash(now clock.Time, digest Digest) {
+// RecordCrash records that the connection to a server broke during a run of a request at
+// this instance. It reports whether the other instances should be told at once: another
+// server crashed under the request before.
+func (d *Detector) RecordCrash(now clock.Time, digest Digest, server Server) (urgent bool) {
 	s := d.getOrCreate(now, digest)
-	s.lastCrash, s.localChange = now, now
-	s.localCrashes++
+	s.changedAt = now
+	added := d.addCrash(s, crash{server, now})
+	return added && len(s.recent()) > 1
 }
 
-// RecordCompletion records that a run of a request completed at this instance.
-func (d *Detector) RecordCompletion(now clock.Time, digest Digest) {
-	if s, ok := d.suspects[digest]; ok && !s.cleared {
-		s.cleared, s.localChange = true, now
+// RecordCompletion records that a run of a request completed at this instance. It reports
+// whether the other instances should be told at once: they may refuse the request.
+func (d *Detector) RecordCompletion(now clock.Time, digest Digest) (urgent bool) {
+	d.completed.add(now, digest)
+	s, ok := d.suspects[digest]
+	if !ok {
+		return false
+	}
+	urgent = len(s.recent()) >= poisonThreshold
+	if urgent || len(s.recent()) > 0 || now.Sub(s.changedAt) > completionValidity/2 {
+		s.changedAt = now
 	}
+	s.completedAt, s.trials, s.trialAt = now, 0, 0
+	return urgent
 }
 
-// Cleared is the count that reports that a run of a suspect has completed.
-const Cleared = 0
-
-// RecordPeerCount records another instance's number of crashes of a request, or Cleared.
-func (d *Detector) RecordPeerCount(now clock.Time, peer string, digest Digest, count uint32) {
-	s := d.getOrCreate(now, digest)
-	if count == Cleared {
-		s.cleared = true
+// RecordAnswer records that a server answered a request that this instance sent at sentAt.
+// Breaks right before that were no crashes of the server.
+func (d *Detector) RecordAnswer(now clock.Time, server Server, sentAt clock.Time) {
+	brokeAt, ok := d.breaks[server]
+	if !ok || sentAt <= brokeAt || sentAt.Sub(brokeAt) > restartTime {
 		return
 	}
-	s.lastCrash = now
-	if s.peerCrashes == nil {
-		s.peerCrashes = make(map[string]uint32)
+	d.markAlive(server, sentAt)
+	d.aliveAt[server] = now
+}
+
+// markAlive drops the crashes of a server that it survived.
+func (d *Detector) markAlive(server Server, sentAt clock.Time) {
+	delete(d.breaks, server)
+	d.alive[server] = max(d.alive[server], sentAt)
+	for _, s := range d.suspects {
+		kept := s.crashes[:0]
+		for _, c := range s.crashes {
+			if c.server != server || !d.survived(c) {
+				kept = append(kept, c)
+			}
+		}
+		s.crashes = kept
+	}
+}
+
+// survived reports whether the server is known to have answered right after the break.
+func (d *Detector) survived(c crash) bool {
+	sentAt, ok := d.alive[c.server]
+	return ok && sentAt > c.at && sentAt.Sub(c.at) <= restartTime
+}
+
+// Check decides whether a request may be sent now.
+func (d *Detector) Check(now clock.Time, digest Digest) Decision {
+	s, ok := d.suspects[digest]
+	if !ok || !s.refused(now) {
+		return Decision{}
 	}
-	s.peerCrashes[peer] = count
+	wait := s.nextTrial().Sub(now)
+	return Decision{Refused: true, Trial: wait <= 0, NextTrial: max(0, wait)}
 }
 
-// IsPoisonous reports whether a request must no longer be sent to backend servers.
-func (d *Detector) IsPoisonous(now clock.Time, digest Digest) bool {
-	crashes, cleared := d.Suspicion(now, digest)
-	return crashes >= poisonThreshold && !cleared
+// BeginTrial records that this instance sends a refused request as a trial. The other
+// instances must be told at once.
+func (d *Detector) BeginTrial(now clock.Time, digest Digest) {
+	if s, ok := d.suspects[digest]; ok {
+		s.trialAt, s.changedAt = now, now
+		s.trials++
+	}
 }
 
-// Suspicion returns how many crashes of a request are known, at all instances, and whether
-// a completed run cleared it.
-func (d *Detector) Suspicion(now clock.Time, digest Digest) (crashes uint32, cleared bool) {
+// Suspicion returns how many crashes of a request are known, at all instances, since its
+// last completed run, and whether a run completed.
+func (d *Detector) Suspicion(digest Digest) (crashes int, completed bool) {
 	s, ok := d.suspects[digest]
-	if !ok || now.Sub(s.lastCrash) > suspectTTL {
+	if !ok {
 		return 0, false
 	}
-	crashes = s.localCrashes
-	for _, n := range s.peerCrashes {
-		crashes += n
+	return len(s.recent()), s.completedAt != 0
+}
+
+// recent returns the crashes that count: those since the last completed run that lie
+// within crashWindow of the last one.
+func (s *suspect) recent() []crash {
+	if len(s.crashes) == 0 {
+		return nil
+	}
+	from := max(s.completedAt, s.lastCrash().Add(-crashWindow))
+	for i, c := range s.crashes {
+		if c.at > from {
+			return s.crashes[i:]
+		}
 	}
-	return crashes, s.cleared
+	return nil
 }
 
-// LocalCounts returns the counts of this instance that changed within age, to be sent to
-// the other instances. Counts of other instances are not included: if they were forwarded,
-// they would circulate forever. Among 83 instances on a day with crashing servers,
-// forwarded counts made up nine tenths of the traffic between them.
-func (d *Detector) LocalCounts(now clock.Time, age time.Duration) map[Digest]uint32 {
-	counts := make(map[Digest]uint32)
-	for digest, s := range d.suspects {
-		switch {
-		case s.localChange == 0 || now.Sub(s.localChange) > age:
-		case s.cleared:
-			counts[digest] = Cleared
-		case s.localCrashes > 0:
-			counts[digest] = s.localCrashes
+func (s *suspect) lastCrash() clock.Time {
+	if len(s.crashes) == 0 {
+		return 0
+	}
+	return s.crashes[len(s.crashes)-1].at
+}
+
+func (s *suspect) refused(now clock.Time) bool {
+	if s.completedAt != 0 && now.Sub(s.completedAt) <= completionValidity {
+		return false
+	}
+	return len(s.recent()) >= poisonThreshold && !s.expired(now)
+}
+
+func (s *suspect) expired(now clock.Time) bool {
+	if len(s.recent()) >= poisonThreshold {
+		return now.Sub(max(s.lastCrash(), s.trialAt)) > refusalMemory
+	}
+	return now.Sub(max(s.lastCrash(), s.changedAt)) > crashWindow
+}
+
+// nextTrial returns when a refused request may be sent again.
+func (s *suspect) nextTrial() clock.Time {
+	delay := trialDelay
+	if s.completedAt != 0 {
+		delay = soundTrialDelay
+	}
+	for range s.trials {
+		delay = min(trialFactor*delay, maxTrialDelay)
+	}
+	return max(s.lastCrash(), s.trialAt).Add(delay)
+}
+
+// addCrash adds a crash unless it is known or was none. It reports whether it was added.
+func (d *Detector) addCrash(s *suspect, c crash) bool {
+	if d.survived(c) {
+		return false
+	}
+	d.breaks[c.server] = max(d.breaks[c.server], c.at)
+	for i, known := range s.crashes {
+		if known.server == c.server && c.at.Sub(known.at).Abs() <= sameCrashWindow {
+			s.crashes[i].at = min(known.at, c.at)
+			s.sortCrashes()
+			return false
 		}
 	}
-	return counts
+	s.crashes = append(s.crashes, c)
+	s.sortCrashes()
+	if extra := len(s.crashes) - maxCrashes; extra > 0 {
+		s.crashes = s.crashes[extra:]
+	}
+	return true
 }
 
 func (d *Detector) getOrCreate(now clock.Time, digest Digest) *suspect {
 	s, ok := d.suspects[digest]
 	if !ok {
 		d.makeRoom(now)
-		s = &suspect{lastCrash: now}
+		s = &suspect{completedAt: d.completed.last(digest)}
 		d.suspects[digest] = s
 	}
 	return s
@@ -135,10 +273,10 @@
 	var oldestDigest Digest
 	oldestCrash := clock.Never
 	for digest, s := range d.suspects {
-		if now.Sub(s.lastCrash) > suspectTTL {
+		if s.expired(now) {
 			delete(d.suspects, digest)
-		} else if s.lastCrash < oldestCrash {
-			oldestDigest, oldestCrash = digest, s.lastCrash
+		} else if s.lastCrash() < oldestCrash {
+			oldestDigest, oldestCrash = digest, s.lastCrash()
 		}
 	}
 	if len(d.suspects) >= maxSuspects {
--- /dev/null
+++ b/core/gateway/poison/report.go
@@ -0,0 +1,146 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+const (
+	// reportPeriod is how long an observation is repeated to the other instances.
+	reportPeriod = 5 * time.Second
+	// refusedReportInterval is the time between two reports of all refused requests, with
+	// what other instances observed, for instances that have just started or were cut off.
+	refusedReportInterval = 2 * time.Second
+	// maxReportedSuspects bounds one report to a few kilobytes.
+	maxReportedSuspects = 100
+)
+
+// Report is what an instance tells the others. Ages are counted back from its receipt.
+type Report struct {
+	Suspects []SuspectReport
+	Alive    []ServerAge // when a request was sent that a server answered right after a break
+}
+
+// ServerAge names a server and how long ago something happened there.
+type ServerAge struct {
+	Server Server
+	Age    time.Duration
+}
+
+// SuspectReport is what an instance knows of one suspect.
+type SuspectReport struct {
+	Digest       Digest
+	Crashes      []ServerAge
+	Completed    bool // a run completed, CompletedAge ago
+	CompletedAge time.Duration
+	Trials       int // the last one began TrialAge ago
+	TrialAge     time.Duration
+}
+
+// Report returns what this instance observed lately and, from time to time, all refused
+// requests. The observations of others are not repeated otherwise: each message would
+// carry those of all instances.
+func (d *Detector) Report(now clock.Time) Report {
+	d.expire(now)
+	all := now.Sub(d.reported) >= refusedReportInterval
+	if all {
+		d.reported = now
+	}
+	var digests []Digest
+	for digest, s := range d.suspects {
+		own := s.changedAt != 0 && now.Sub(s.changedAt) <= reportPeriod
+		if own || all && s.refused(now) {
+			digests = append(digests, digest)
+		}
+	}
+	slices.SortFunc(digests, func(a, b Digest) int {
+		x, y := d.suspects[a], d.suspects[b]
+		return cmp.Or(cmp.Compare(len(y.recent()), len(x.recent())), cmp.Compare(y.changedAt, x.changedAt), cmp.Compare(a, b))
+	})
+	var r Report
+	for _, digest := range digests[:min(len(digests), maxReportedSuspects)] {
+		r.Suspects = append(r.Suspects, d.ReportOf(now, digest))
+	}
+	for server, at := range d.aliveAt {
+		if now.Sub(at) <= reportPeriod {
+			r.Alive = append(r.Alive, ServerAge{server, now.Sub(d.alive[server])})
+		}
+	}
+	slices.SortFunc(r.Alive, func(a, b ServerAge) int { return cmp.Compare(a.Server, b.Server) })
+	return r
+}
+
+// ReportOf returns what is known of one request.
+func (d *Detector) ReportOf(now clock.Time, digest Digest) SuspectReport {
+	r := SuspectReport{Digest: digest}
+	s, ok := d.suspects[digest]
+	if !ok {
+		return r
+	}
+	for _, c := range s.recent() {
+		r.Crashes = append(r.Crashes, ServerAge{c.server, now.Sub(c.at)})
+	}
+	if s.completedAt != 0 {
+		r.Completed, r.CompletedAge = true, now.Sub(s.completedAt)
+	}
+	if s.trials > 0 {
+		r.Trials, r.TrialAge = s.trials, now.Sub(s.trialAt)
+	}
+	return r
+}
+
+// Merge adds what another instance reports.
+func (d *Detector) Merge(now clock.Time, r Report) {
+	for _, a := range r.Alive {
+		d.markAlive(a.Server, now.Add(-a.Age))
+	}
+	for _, reported := range r.Suspects {
+		d.mergeSuspect(now, reported)
+	}
+}
+
+func (d *Detector) mergeSuspect(now clock.Time, r SuspectReport) {
+	s := d.getOrCreate(now, r.Digest)
+	if r.Completed {
+		if at := now.Add(-r.CompletedAge); at > s.completedAt {
+			s.completedAt = at
+		}
+	}
+	for _, c := range r.Crashes {
+		d.addCrash(s, crash{c.Server, now.Add(-c.Age)})
+	}
+	if len(s.recent()) < poisonThreshold {
+		s.trials, s.trialAt = 0, 0
+	} else if at := now.Add(-r.TrialAge); r.Trials > 0 && at > s.trialAt {
+		s.trials, s.trialAt = max(s.trials, r.Trials), at
+	}
+}
+
+// expire drops what no longer matters.
+func (d *Detector) expire(now clock.Time) {
+	for digest, s := range d.suspects {
+		if s.expired(now) {
+			delete(d.suspects, digest)
+		}
+	}
+	for server, at := range d.breaks {
+		if now.Sub(at) > crashWindow {
+			delete(d.breaks, server)
+		}
+	}
+	for server, at := range d.alive {
+		if now.Sub(at) > crashWindow {
+			delete(d.alive, server)
+			delete(d.aliveAt, server)
+		}
+	}
+}
+
+func (s *suspect) sortCrashes() {
+	slices.SortFunc(s.crashes, func(a, b crash) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server))
+	})
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -20,9 +20,6 @@
 	// second.
 	baseHeartbeatInterval        = 200 * time.Millisecond
 	heartbeatIntervalPerInstance = 8 * time.Millisecond
-	// crashReportPeriod is how long a request that may have crashed a server is
-	// reported.
-	crashReportPeriod = 5 * time.Second
 )
 
 // newHeartbeat builds this instance's heartbeat without the demand, which only a
@@ -31,7 +28,7 @@
 	heartbeat := &heartbeatMsg{
 		Name: g.settings.Name, Incarnation: g.incarnation, Address: g.settings.PeerAddress, Zone: g.settings.Zone,
 		Leaving: g.stopping.Load(), Strength: g.settings.Strength,
-		Running: g.servers.LocalLoad(), CrashCounts: g.poison.LocalCounts(now, crashReportPeriod),
+		Running:          g.servers.LocalLoad(),
 		StoreUnreachable: g.storeUnreachable(now), ServersStale: g.serversStale(now), Era: g.storeEra.current, Evacuations: g.evacuationMessages(now),
 	}
 	g.addOwnedAccounts(now, heartbeat)
@@ -119,19 +116,23 @@
 	// Messages are encoded under mu because they share maps with the gateway's state.
 	var out []outgoing
 	heartbeat := g.newHeartbeat(now)
+	packet := g.heartbeatPacket(now, heartbeat)
+	if to != audienceHolder {
+		packet.Suspects = encodeSuspects(g.poison.Report(now))
+	}
 	switch {
 	case len(withoutDemand) == 0:
 	case to == audienceAllDirect || g.fleetLease.Holds(now):
-		out = append(out, outgoing{message: g.encode(g.heartbeatPacket(now, heartbeat)), recipients: g.recipients(withoutDemand)})
+		out = append(out, outgoing{message: g.encode(packet), recipients: g.recipients(withoutDemand)})
 	default:
-		out = g.broadcast(now, g.encode(g.heartbeatPacket(now, heartbeat)), withoutDemand, false)
+		out = g.broadcast(now, g.encode(packet), withoutDemand, false)
 	}
 	if to != audienceHolder {
 		out = append(out, g.repeatedFeedback(now, all)...)
 	}
 	if len(withDemand) > 0 {
 		g.attachDemand(now, heartbeat)
-		out = append(out, outgoing{message: g.encode(g.heartbeatPacket(now, heartbeat)), recipients: g.recipients(withDemand)})
+		out = append(out, outgoing{message: g.encode(packet), recipients: g.recipients(withDemand)})
 	}
 	g.mu.Unlock()
 	g.sendAll(out)
@@ -188,6 +189,7 @@
 	case m.Heartbeat != nil:
 		g.handleHeartbeat(now, m.Heartbeat)
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
+		g.poison.Merge(now, m.Suspects.report())
 	case m.State != nil:
 		g.handleState(now, m.State)
 	case m.Forecast != nil:
@@ -206,6 +208,8 @@
 		g.handleFeedbackMsg(now, m.Feedback)
 	case m.Paces != nil:
 		g.handlePaces(now, m.Paces)
+	case m.Suspects != nil:
+		g.poison.Merge(now, m.Suspects.report())
 	default:
 		return g.handleQuotaPacket(now, m)
 	}
@@ -231,9 +235,6 @@
 	} else {
 		g.servers.SetPeerLoad(now, b.Name, b.Running)
 	}
-	for d, n := range b.CrashCounts {
-		g.poison.RecordPeerCount(now, b.Name, d, n)
-	}
 	g.handleFleetAnnouncement(now, b)
 	g.handleZoneAnnouncement(now, b)
 	g.handleDepartures(now, b)
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -103,7 +103,8 @@
 	slotDue         clock.Time  // latest useful grant, as the instance's own queues were told; 0: not asked
 	stopAbort       func() bool // keeps a caller that leaves from aborting the server's connection
 	sends           int
-	possibleRuns    int // sends that may have run
+	sentAt          clock.Time // of the current attempt
+	possibleRuns    int        // sends that may have run
 	excluded        map[string]bool
 	lastServer      string // of the last attempt
 	queueTime       time.Duration
@@ -221,8 +222,8 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.retryBudget.RecordRequest(now, x.group)
-	if x.digest != 0 && g.poison.IsPoisonous(now, x.digest) {
-		return unavailable(reasonCrashesServers, 0)
+	if d := g.poison.Check(now, x.digest); d.Refused && !d.Trial {
+		return unavailable(reasonCrashesServers, d.NextTrial)
 	}
 	return nil
 }
--- a/oleander/gateway/memory.go
+++ b/oleander/gateway/memory.go
@@ -41,7 +41,7 @@
 
 var (
 	errNoMemory    = errors.New("no memory for the response")
-	errEventTooBig = errors.Errorf("event larger than %d bytes", maxEventBytes)
+	errEventTooBig = invalidf("event larger than %d bytes", maxEventBytes)
 )
 
 // memory bounds the bytes held for callers. A nil memory is without bound. Its mutex is
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -30,6 +30,8 @@
 	quotaUnknown    *metrics.Counter
 	coldStarts      *metrics.Counter
 	memoryRefused   *metrics.Counter
+	// crashTrials counts the sends of requests that are refused since servers crashed under them.
+	crashTrials *metrics.Counter
 	// slowReaders counts the responses that ended because their callers did not read them.
 	slowReaders *metrics.Counter
 	// dispatcherTimeouts counts the dispatch requests that were never answered.
@@ -61,6 +63,7 @@
 		quotaDenied: s.NewCounter("oleanderd_quota_denied_total"), quotaUnknown: s.NewCounter("oleanderd_quota_unknown_total"),
 		coldStarts:         s.NewCounter("oleanderd_cold_starts_total"),
 		memoryRefused:      s.NewCounter("oleanderd_memory_refused_total"),
+		crashTrials:        s.NewCounter("oleanderd_crash_trials_total"),
 		slowReaders:        s.NewCounter("oleanderd_slow_readers_total"),
 		dispatcherTimeouts: s.NewCounter("oleanderd_dispatcher_silent_total"),
 		uninformedChoices:  s.NewCounter("oleanderd_choices_uninformed_total"),
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/gateway/members"
-	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/core/gateway/regions"
 	"oleanderdale.org/core/gateway/revision"
 )
@@ -60,8 +59,8 @@
 	Demand           []demandMsg               // to the lease holder
 	Departures       []departureMsg            // to the lease holder
 	Strength         int                       // ranks the candidates for the leases
-	CrashCounts      map[poison.Digest]uint32
-	Era              int64 // of the store
+	CrashCounts      map[uint64]uint32         // from older versions; see suspectsMsg
+	Era              int64                     // of the store
 	Evacuations      []evacuationMsg
 	ZoneAnnouncement *announcementMsg // from the holder of the sender's zone lease
 	ZoneAck          *ackMsg          // to the holder of the sender's zone lease
@@ -184,6 +183,7 @@
 	AcquireDetail  *acquireDetailMsg  `cbor:"18,keyasint,omitempty"` // with Acquire
 	Paces          *pacesMsg          `cbor:"19,keyasint,omitempty"`
 	LeaseRelease   *leaseReleaseMsg   `cbor:"20,keyasint,omitempty"` // with Heartbeat
+	Suspects       *suspectsMsg       `cbor:"22,keyasint,omitempty"` // with Heartbeat, or alone if urgent
 	// AcquireReplyDetail goes with AcquireReply.
 	AcquireReplyDetail *acquireReplyDetailMsg `cbor:"21,keyasint,omitempty"`
 	Relayed            [][]byte               `cbor:"9,keyasint,omitempty"` // encoded packets relayed by another instance of the zone
@@ -221,6 +221,8 @@
 		return "feedback"
 	case p.Paces != nil:
 		return "pace"
+	case p.Suspects != nil:
+		return "suspects"
 	}
 	return "tokens"
 }
--- /dev/null
+++ b/oleander/gateway/suspects.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// suspectsMsg tells other instances of requests that may crash servers. It and its parts
+// are maps, so that later versions can add fields.
+type suspectsMsg struct {
+	Suspects []suspectMsg   `cbor:"1,keyasint,omitempty"`
+	Alive    []serverAgeMsg `cbor:"2,keyasint,omitempty"` // servers that survived the break of a connection
+}
+
+// suspectMsg is what an instance knows of one suspect.
+type suspectMsg struct {
+	Digest      uint64         `cbor:"1,keyasint"`
+	Crashes     []serverAgeMsg `cbor:"2,keyasint,omitempty"`
+	CompletedMS *int64         `cbor:"3,keyasint,omitempty"` // since the last completed run; nil: none is known
+	Trials      int            `cbor:"4,keyasint,omitempty"`
+	TrialMS     int64          `cbor:"5,keyasint,omitempty"` // since the last trial began
+}
+
+// serverAgeMsg says how long ago something happened at a server.
+type serverAgeMsg struct {
+	Server uint64 `cbor:"1,keyasint"`
+	AgeMS  int64  `cbor:"2,keyasint"`
+}
+
+// encodeSuspects returns nil if there is nothing to tell.
+func encodeSuspects(r poison.Report) *suspectsMsg {
+	if len(r.Suspects) == 0 && len(r.Alive) == 0 {
+		return nil
+	}
+	m := &suspectsMsg{Alive: encodeServerAges(r.Alive)}
+	for _, s := range r.Suspects {
+		encoded := suspectMsg{
+			Digest: uint64(s.Digest), Crashes: encodeServerAges(s.Crashes), Trials: s.Trials, TrialMS: s.TrialAge.Milliseconds(),
+		}
+		if s.Completed {
+			ms := s.CompletedAge.Milliseconds()
+			encoded.CompletedMS = &ms
+		}
+		m.Suspects = append(m.Suspects, encoded)
+	}
+	return m
+}
+
+func encodeServerAges(ages []poison.ServerAge) []serverAgeMsg {
+	var encoded []serverAgeMsg
+	for _, a := range ages {
+		encoded = append(encoded, serverAgeMsg{Server: uint64(a.Server), AgeMS: a.Age.Milliseconds()})
+	}
+	return encoded
+}
+
+// report decodes the message; nil is an empty report.
+func (m *suspectsMsg) report() poison.Report {
+	if m == nil {
+		return poison.Report{}
+	}
+	r := poison.Report{Alive: decodeServerAges(m.Alive)}
+	for _, s := range m.Suspects {
+		decoded := poison.SuspectReport{
+			Digest: poison.Digest(s.Digest), Crashes: decodeServerAges(s.Crashes), Trials: s.Trials, TrialAge: millis(s.TrialMS),
+		}
+		if s.CompletedMS != nil {
+			decoded.Completed, decoded.CompletedAge = true, millis(*s.CompletedMS)
+		}
+		r.Suspects = append(r.Suspects, decoded)
+	}
+	return r
+}
+
+func decodeServerAges(ages []serverAgeMsg) []poison.ServerAge {
+	var decoded []poison.ServerAge
+	for _, a := range ages {
+		decoded = append(decoded, poison.ServerAge{Server: poison.Server(a.Server), Age: millis(a.AgeMS)})
+	}
+	return decoded
+}
+
+// millis converts an age in a message, which an instance of another version may have sent.
+func millis(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), maxFeedbackMS)) * time.Millisecond
+}
+
+// suspectMessages returns the messages that tell all instances of one suspect at once. The
+// caller holds mu.
+func (g *Gateway) suspectMessages(now clock.Time, digest poison.Digest) []outgoing {
+	report := poison.Report{Suspects: []poison.SuspectReport{g.poison.ReportOf(now, digest)}}
+	return g.broadcast(now, g.encode(packet{Suspects: encodeSuspects(report)}), g.members.All(now), false)
+}
+
+// serverHash identifies a backend server in messages about suspects.
+func serverHash(id string) poison.Server { return poison.Server(xxhash.Sum64String(id)) }
+
+// recordCrash records that the connection broke while a server ran the request.
+func (x *exchange) recordCrash(t target) {
+	if x.digest == 0 {
+		return
+	}
+	g := x.g
+	g.mu.Lock()
+	now := boottime.Now()
+	var out []outgoing
+	if g.poison.RecordCrash(now, x.digest, serverHash(t.id)) {
+		out = g.suspectMessages(now, x.digest)
+	}
+	g.mu.Unlock()
+	g.sendAll(out)
+}
+
+// recordAnswer records that the server of the current attempt answers.
+func (x *exchange) recordAnswer(t target) {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.poison.RecordAnswer(boottime.Now(), serverHash(t.id), x.sentAt)
+}
+
+// beginTrial refuses a request that crashed servers, unless it is due for a trial, which
+// then begins.
+func (x *exchange) beginTrial() *refusal {
+	g := x.g
+	g.mu.Lock()
+	now := boottime.Now()
+	d := g.poison.Check(now, x.digest)
+	var out []outgoing
+	if d.Trial {
+		g.poison.BeginTrial(now, x.digest)
+		out = g.suspectMessages(now, x.digest)
+	}
+	g.mu.Unlock()
+	g.sendAll(out)
+	switch {
+	case d.Trial:
+		g.metrics.crashTrials.Inc()
+		g.log.Warn().Str("request", x.call.ID).Stringer("digest", x.digest).Msg("front: refused request is tried once more")
+	case d.Refused:
+		return unavailable(reasonCrashesServers, d.NextTrial)
+	}
+	return nil
+}
