Gateway: requests without a body are known again, too

Every request has a digest now, of account, method, host, path, query and body; the host was missing. That reads of one path look alike without being the same request is answered by the detector, which clears by completed runs.

--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -429,7 +429,7 @@
 		g.servers.RecordRun(now, t.id, t.incarnation, timing.PaceRun())
 	}
 	out := g.endedMessages(now, t.id, o, timing)
-	if o == directory.Answered && x.digest != 0 && g.poison.RecordCompletion(now, x.digest) {
+	if o == directory.Answered && g.poison.RecordCompletion(now, x.digest) {
 		out = append(out, g.suspectMessages(now, x.digest)...)
 	}
 	g.mu.Unlock()
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -199,17 +199,11 @@
 	return nil
 }
 
-// requestDigest identifies a request that is sent repeatedly. It is 0 for requests
-// without a body, since reads of one path look alike without being the same request.
+// requestDigest identifies a request that is sent repeatedly. Reads of one path look alike
+// without being the same request; the detector tells them apart by their completed runs.
 func (x *exchange) requestDigest() poison.Digest {
-	if len(x.body) == 0 {
-		return 0
-	}
 	d := xxhash.New()
-	if x.account != nil {
-		_, _ = d.WriteString(x.account.Name)
-	}
-	_, _ = d.WriteString(x.r.Method + " " + x.r.RequestURI + "\n")
+	_, _ = d.WriteString(x.accountName() + "\n" + x.r.Method + " " + strings.ToLower(x.r.Host) + x.r.RequestURI + "\n")
 	_, _ = d.Write(x.body)
 	return poison.Digest(d.Sum64())
 }
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -102,9 +102,6 @@
 
 // recordCrash records that the connection broke while a server ran the request.
 func (x *exchange) recordCrash(t target) {
-	if x.digest == 0 {
-		return
-	}
 	g := x.g
 	g.mu.Lock()
 	now := boottime.Now()
