Tests: crashing reads with changing queries (red), waiting copies, sound queries

Two more tests pass: a request that waits while its copies crash three servers is not sent, and sound reads of the same path with other queries neither hide a crashing one nor are refused with it.

--- a/oleander/gateway/crash_test.go
+++ b/oleander/gateway/crash_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -10,7 +11,9 @@
 	"testing"
 	"time"
 
+	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 const (
@@ -24,7 +27,7 @@
 	crashMark        = "crash"
 )
 
-// crashingServers are servers that crash under each request whose path contains crashMark:
+// crashingServers are servers that crash under each request whose URI contains crashMark:
 // all that they run breaks, and they serve nothing for crashDowntime.
 type crashingServers struct {
 	mu      sync.Mutex
@@ -39,7 +42,7 @@
 		if began.UnixNano() < downUntil.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if strings.Contains(r.URL.Path, crashMark) {
+		if strings.Contains(r.RequestURI, crashMark) {
 			downUntil.Store(began.Add(crashDowntime).UnixNano())
 			c.mu.Lock()
 			c.crashes = append(c.crashes, began)
@@ -69,10 +72,11 @@
 // crashScenario is a request that crashes servers and is sent again and again through all
 // instances, beside callers of sound requests.
 type crashScenario struct {
-	method, path string             // of the crashing request
-	soundPath    func(n int) string // of the nth sound request
-	soundMethod  string
-	servers      int
+	method      string
+	path        func(n int) string // of the nth copy of the crashing request
+	soundPath   func(n int) string // of the nth sound request
+	soundMethod string
+	servers     int
 }
 
 // play plays the scenario on three instances. It returns the crashes, and the sound requests
@@ -107,7 +111,7 @@
 		})
 	}
 	for i := 0; ctx.Err() == nil; i++ {
-		f.askCtx(ctx, s.method, urls[i%3]+s.path, testID, fmt.Sprint("crashing", i))
+		f.askCtx(ctx, s.method, urls[i%3]+s.path(i), testID, fmt.Sprint("crashing", i))
 		time.Sleep(crashRetryPeriod)
 	}
 	callers.Wait()
@@ -130,11 +134,13 @@
 
 func numberedPath(n int) string { return fmt.Sprint("/read/", n) }
 
+func samePath(path string) func(int) string { return func(int) string { return path } }
+
 // Guards against servers that crash one after the other under a request with a body.
 func TestCrashingRequestWithBodyIsRefused(t *testing.T) {
 	for name, path := range map[string]string{"idempotent": "/read/" + crashMark, "order": "/order/" + crashMark} {
 		t.Run(name, func(t *testing.T) {
-			crashScenario{http.MethodPost, path, numberedPath, http.MethodPost, 2}.check(t)
+			crashScenario{http.MethodPost, samePath(path), numberedPath, http.MethodPost, 2}.check(t)
 		})
 	}
 }
@@ -143,17 +149,63 @@
 func TestCrashingReadIsRefused(t *testing.T) {
 	for _, servers := range []int{2, 4} {
 		t.Run(fmt.Sprint(servers, " servers"), func(t *testing.T) {
-			crashScenario{http.MethodGet, "/read/" + crashMark, numberedPath, http.MethodGet, servers}.check(t)
+			crashScenario{http.MethodGet, samePath("/read/" + crashMark), numberedPath, http.MethodGet, servers}.check(t)
 		})
 	}
 }
 
+// Guards against a crashing request that is not known again since its query differs from copy to copy.
+func TestCrashingReadWithChangingQueryIsRefused(t *testing.T) {
+	path := func(n int) string { return fmt.Sprintf("/read/%s?page=%d", crashMark, n) }
+	crashScenario{http.MethodGet, path, numberedPath, http.MethodGet, 4}.check(t)
+}
+
+// Guards against a crashing request that is not refused since requests of its path with other queries complete.
+func TestCrashingReadBesideSoundQueriesIsRefused(t *testing.T) {
+	sound := func(n int) string { return fmt.Sprintf("/read/search?page=%d", n) }
+	crashScenario{http.MethodGet, samePath("/read/search?page=" + crashMark), sound, http.MethodGet, 4}.check(t)
+}
+
 // Guards against the refusal of sound requests that look alike and were running at several crashes.
 func TestSoundRequestsBesideCrashesAreServed(t *testing.T) {
-	alike := func(int) string { return "/read/alike" }
-	for _, servers := range []int{2, 4} {
-		t.Run(fmt.Sprint(servers, " servers"), func(t *testing.T) {
-			crashScenario{http.MethodPost, "/read/" + crashMark, alike, http.MethodPost, servers}.check(t)
-		})
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, servers := range []int{2, 4} {
+			t.Run(fmt.Sprint(method, ", ", servers, " servers"), func(t *testing.T) {
+				crashScenario{method, samePath("/read/" + crashMark), samePath("/read/alike"), method, servers}.check(t)
+			})
+		}
+	}
+}
+
+// Guards against a request that waits while its copies crash three servers, and is sent then.
+func TestWaitingRequestIsNotSentAfterTheThirdCrash(t *testing.T) {
+	m := config(1)
+	m.Match(testHost, "/stream/").Timeout = 8 * time.Second
+	f := newFixture(t, m)
+	b := f.backend("a", "llm", ok)
+	f.startHolder()
+	g := f.gateways[0]
+	time.Sleep(modelSettleTime)
+	answered := make(chan answer)
+	go func() {
+		answered <- f.ask(http.MethodPost, "http://"+g.settings.CallerAddress+"/stream/", testModel, "slow", testWait, "8000")
+	}()
+	var digest poison.Digest
+	testutil.WaitFor(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.localDemand) > 0
+	})
+	digest = (&exchange{g: g, account: config(1).Accounts["account"], r: &http.Request{Method: http.MethodPost, Host: testHost, RequestURI: "/stream/"},
+		body: bytes.Repeat([]byte("x"), 1000)}).requestDigest()
+	crashes := []poison.ServerAge{{Server: 1}, {Server: 2}, {Server: 3}}
+	g.mu.Lock()
+	g.poison.Merge(boottime.Now(), poison.Report{Suspects: []poison.SuspectReport{{Digest: digest, Crashes: crashes}}})
+	g.mu.Unlock()
+	if got := <-answered; got.status != http.StatusServiceUnavailable || b.requests() > 0 {
+		t.Errorf("status %d, sent %d times, want a refusal and no send", got.status, b.requests())
+	}
+	if !strings.Contains(f.log.String(), string(reasonCrashesServers)) {
+		t.Error("refused for another reason")
 	}
 }
