Gateway: a crashing request is known again by its path, whatever its query

A request now has two digests, with and without its query, and each is judged by itself: without it, copies are one request; with it, a crashing request is told from sound ones of its path, whose completed runs clear the path only.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -49,7 +49,8 @@
 	maxCrashes = 8
 )
 
-// Digest identifies a request and its retries.
+// Digest identifies a request and its retries. A request may have several digests, which
+// cover more or less of it; it is refused if one of them is. Each is a suspect of its own.
 type Digest uint64
 
 // String returns the digest as it stands in logs.
@@ -103,17 +104,31 @@
 // RecordCrash records that the connection to a server broke during a run of a request at
 // this instance. It reports whether the other instances should be told at once: another
 // server crashed under the request before.
-func (d *Detector) RecordCrash(now clock.Time, digest Digest, server Server) (urgent bool) {
-	s := d.getOrCreate(now, digest)
-	s.changedAt = now
-	added := d.addCrash(s, crash{server, now})
-	return added && len(s.recent()) > 1
+func (d *Detector) RecordCrash(now clock.Time, digests []Digest, server Server) (urgent bool) {
+	for _, digest := range digests {
+		s := d.getOrCreate(now, digest)
+		s.changedAt = now
+		if d.addCrash(s, crash{server, now}) && len(s.recent()) > 1 {
+			urgent = true
+		}
+	}
+	return urgent
 }
 
 // RecordCompletion records that a run of a request completed at this instance. It reports
 // whether the other instances should be told at once: they may refuse the request.
-func (d *Detector) RecordCompletion(now clock.Time, digest Digest) (urgent bool) {
-	d.completed.add(now, digest)
+func (d *Detector) RecordCompletion(now clock.Time, digests []Digest) (urgent bool) {
+	for _, digest := range digests {
+		d.completed.add(now, digest)
+		if d.clear(now, digest) {
+			urgent = true
+		}
+	}
+	return urgent
+}
+
+// clear records that a run of a suspect completed, and reports whether it may be refused.
+func (d *Detector) clear(now clock.Time, digest Digest) (urgent bool) {
 	s, ok := d.suspects[digest]
 	if !ok {
 		return false
@@ -159,21 +174,24 @@
 }
 
 // Check decides whether a request may be sent now.
-func (d *Detector) Check(now clock.Time, digest Digest) Decision {
-	s, ok := d.suspects[digest]
-	if !ok || !s.refused(now) {
-		return Decision{}
+func (d *Detector) Check(now clock.Time, digests []Digest) Decision {
+	refused, next := false, clock.Time(0)
+	for _, digest := range digests {
+		if s, ok := d.suspects[digest]; ok && s.refused(now) {
+			refused, next = true, max(next, s.nextTrial())
+		}
 	}
-	wait := s.nextTrial().Sub(now)
-	return Decision{Refused: true, Trial: wait <= 0, NextTrial: max(0, wait)}
+	return Decision{Refused: refused, Trial: refused && now.Reached(next), NextTrial: max(0, next.Sub(now))}
 }
 
 // BeginTrial records that this instance sends a refused request as a trial. The other
 // instances must be told at once.
-func (d *Detector) BeginTrial(now clock.Time, digest Digest) {
-	if s, ok := d.suspects[digest]; ok {
-		s.trialAt, s.changedAt = now, now
-		s.trials++
+func (d *Detector) BeginTrial(now clock.Time, digests []Digest) {
+	for _, digest := range digests {
+		if s, ok := d.suspects[digest]; ok && s.refused(now) {
+			s.trialAt, s.changedAt = now, now
+			s.trials++
+		}
 	}
 }
 
--- a/core/gateway/poison/poison_test.go
+++ b/core/gateway/poison/poison_test.go
@@ -14,14 +14,14 @@
 
 // refused reports whether a request may not be sent, not even as a trial.
 func refused(d *Detector, now clock.Time, digest Digest) bool {
-	c := d.Check(now, digest)
+	c := d.Check(now, []Digest{digest})
 	return c.Refused && !c.Trial
 }
 
 // crashThree records crashes of three servers half a second apart, up to now.
 func crashThree(d *Detector, now clock.Time, digest Digest) {
 	for i := range 3 {
-		d.RecordCrash(now.Add(time.Duration(i-2)*time.Second/2), digest, Server(100+i))
+		d.RecordCrash(now.Add(time.Duration(i-2)*time.Second/2), []Digest{digest}, Server(100+i))
 	}
 }
 
@@ -33,8 +33,8 @@
 		{Digest: bad, Crashes: []ServerAge{{Server: 11, Age: 100 * time.Millisecond}}},
 		{Digest: innocent, Crashes: []ServerAge{{Server: 11, Age: 100 * time.Millisecond}}},
 	}}
-	d.RecordCrash(start, bad, 10)
-	d.RecordCrash(start, innocent, 10)
+	d.RecordCrash(start, []Digest{bad}, 10)
+	d.RecordCrash(start, []Digest{innocent}, 10)
 	d.Merge(start, report)
 	d.Merge(start, report) // a repeated report does not count twice
 	if refused(d, start, bad) {
@@ -57,8 +57,8 @@
 func TestCompletionClearsSuspect(t *testing.T) {
 	local, remote := New(), New()
 	const digest = Digest(1)
-	local.RecordCrash(start, digest, 9)
-	local.RecordCompletion(start, digest)
+	local.RecordCrash(start, []Digest{digest}, 9)
+	local.RecordCompletion(start, []Digest{digest})
 	crashThree(local, seconds(1.9), digest)
 	crashThree(remote, seconds(1.9), digest)
 	if refused(local, seconds(1.9), digest) {
@@ -80,9 +80,9 @@
 // crash at once: it completed right before.
 func TestRunBeforeTheCrashesProtects(t *testing.T) {
 	d := New()
-	d.RecordCompletion(seconds(-0.5), 1)
+	d.RecordCompletion(seconds(-0.5), []Digest{1})
 	for server := range Server(4) {
-		d.RecordCrash(start, 1, server)
+		d.RecordCrash(start, []Digest{1}, server)
 	}
 	if refused(d, start, 1) {
 		t.Error("refused although it completed half a second before")
@@ -96,13 +96,13 @@
 func TestOneCrashCountsOnce(t *testing.T) {
 	d := New()
 	for i := range 5 {
-		d.RecordCrash(seconds(0.1*float64(i)), 1, 10)
-		d.RecordCrash(seconds(0.1*float64(i)), 1, 11)
+		d.RecordCrash(seconds(0.1*float64(i)), []Digest{1}, 10)
+		d.RecordCrash(seconds(0.1*float64(i)), []Digest{1}, 11)
 	}
 	if n, _ := d.Suspicion(1); n != 2 {
 		t.Errorf("%d crashes, want 2", n)
 	}
-	d.RecordCrash(seconds(3), 1, 10) // restarted, and crashed again
+	d.RecordCrash(seconds(3), []Digest{1}, 10) // restarted, and crashed again
 	if !refused(d, seconds(3), 1) {
 		t.Error("not refused after three crashes of two servers")
 	}
@@ -112,7 +112,7 @@
 func TestBreakAtLiveServerIsNoCrash(t *testing.T) {
 	cut, other := New(), New()
 	for server := range Server(4) {
-		cut.RecordCrash(start, 1, server)
+		cut.RecordCrash(start, []Digest{1}, server)
 	}
 	if !refused(cut, start, 1) {
 		t.Fatal("not refused, so the test proves nothing")
@@ -139,7 +139,7 @@
 	for _, sentAfter := range []time.Duration{-time.Millisecond, restartTime + time.Millisecond} {
 		d := New()
 		for server := range Server(3) {
-			d.RecordCrash(start, 1, server)
+			d.RecordCrash(start, []Digest{1}, server)
 			d.RecordAnswer(seconds(1), server, start.Add(sentAfter))
 		}
 		if !refused(d, seconds(1), 1) {
@@ -155,21 +155,21 @@
 	crashThree(d, start, 1)
 	trials := 0
 	for now := start; now < seconds(200); now = now.Add(200 * time.Millisecond) {
-		if c := d.Check(now, 1); c.Refused && c.Trial {
+		if c := d.Check(now, []Digest{1}); c.Refused && c.Trial {
 			trials++
-			d.BeginTrial(now, 1)
-			d.RecordCrash(now, 1, 100)
+			d.BeginTrial(now, []Digest{1})
+			d.RecordCrash(now, []Digest{1}, 100)
 		}
 		other.Merge(now, d.Report(now))
-		if c := other.Check(now, 1); c.Trial {
+		if c := other.Check(now, []Digest{1}); c.Trial {
 			t.Fatalf("another instance may try at the same time, %v after the crashes", now.Sub(start))
 		}
 	}
 	if trials != 2 {
 		t.Errorf("%d trials in 200 s, want 2", trials)
 	}
-	d.RecordCompletion(seconds(200), 1)
-	if c := d.Check(seconds(210), 1); c.Refused {
+	d.RecordCompletion(seconds(200), []Digest{1})
+	if c := d.Check(seconds(210), []Digest{1}); c.Refused {
 		t.Error("refused after a trial completed")
 	}
 }
@@ -188,7 +188,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	d := New()
 	for i := range 2 * maxSuspects {
-		d.RecordCrash(clock.Time(i+1), Digest(i), 1)
+		d.RecordCrash(clock.Time(i+1), []Digest{Digest(i)}, 1)
 	}
 	if n := len(d.suspects); n > maxSuspects {
 		t.Errorf("%d suspects, want at most maxSuspects", n)
@@ -200,7 +200,7 @@
 		t.Errorf("%d suspects in a report", n)
 	}
 	for i := range 10 * maxRecentRuns {
-		d.RecordCompletion(start, Digest(i))
+		d.RecordCompletion(start, []Digest{Digest(i)})
 	}
 	if n := len(d.completed.current) + len(d.completed.previous); n > 2*maxRecentRuns {
 		t.Errorf("%d completed runs remembered", n)
@@ -209,7 +209,7 @@
 
 func TestReportsOwnObservations(t *testing.T) {
 	d := New()
-	d.RecordCrash(start, 1, 10)
+	d.RecordCrash(start, []Digest{1}, 10)
 	d.Merge(start, Report{Suspects: []SuspectReport{{Digest: 2, Crashes: []ServerAge{{Server: 11}}}}})
 	if r := d.Report(start); len(r.Suspects) != 1 || r.Suspects[0].Digest != 1 || len(r.Suspects[0].Crashes) != 1 {
 		t.Errorf("reported %+v, want one crash of request 1", r)
@@ -227,10 +227,10 @@
 func TestPeerObservationsAreNotForwarded(t *testing.T) {
 	now := start
 	detectors := []*Detector{New(), New(), New()}
-	detectors[0].RecordCrash(now, 1, 10)
-	detectors[1].RecordCrash(now, 1, 11)
-	detectors[2].RecordCrash(now, 1, 12)
-	detectors[2].RecordCompletion(now.Add(time.Millisecond), 1)
+	detectors[0].RecordCrash(now, []Digest{1}, 10)
+	detectors[1].RecordCrash(now, []Digest{1}, 11)
+	detectors[2].RecordCrash(now, []Digest{1}, 12)
+	detectors[2].RecordCompletion(now.Add(time.Millisecond), []Digest{1})
 	exchange := func() {
 		for i, from := range detectors {
 			r := from.Report(now)
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -62,7 +62,7 @@
 	})
 	var r Report
 	for _, digest := range digests[:min(len(digests), maxReportedSuspects)] {
-		r.Suspects = append(r.Suspects, d.ReportOf(now, digest))
+		r.Suspects = append(r.Suspects, d.reportOf(now, digest))
 	}
 	for server, at := range d.aliveAt {
 		if now.Sub(at) <= reportPeriod {
@@ -74,7 +74,15 @@
 }
 
 // ReportOf returns what is known of one request.
-func (d *Detector) ReportOf(now clock.Time, digest Digest) SuspectReport {
+func (d *Detector) ReportOf(now clock.Time, digests []Digest) []SuspectReport {
+	var reports []SuspectReport
+	for _, digest := range digests {
+		reports = append(reports, d.reportOf(now, digest))
+	}
+	return reports
+}
+
+func (d *Detector) reportOf(now clock.Time, digest Digest) SuspectReport {
 	r := SuspectReport{Digest: digest}
 	s, ok := d.suspects[digest]
 	if !ok {
--- a/oleander/gateway/crash_test.go
+++ b/oleander/gateway/crash_test.go
@@ -197,7 +197,7 @@
 		return len(g.localDemand) > 0
 	})
 	digest = (&exchange{g: g, account: config(1).Accounts["account"], r: &http.Request{Method: http.MethodPost, Host: testHost, RequestURI: "/stream/"},
-		body: bytes.Repeat([]byte("x"), 1000)}).requestDigest()
+		body: bytes.Repeat([]byte("x"), 1000)}).requestDigests()[0]
 	crashes := []poison.ServerAge{{Server: 1}, {Server: 2}, {Server: 3}}
 	g.mu.Lock()
 	g.poison.Merge(boottime.Now(), poison.Report{Suspects: []poison.SuspectReport{{Digest: digest, Crashes: crashes}}})
@@ -209,3 +209,12 @@
 		t.Error("refused for another reason")
 	}
 }
+
+// Guards against a failing answer, or a rejection, that clears a request that crashes servers.
+func TestFailuresAreNoProofOfInnocence(t *testing.T) {
+	for status, want := range map[int]bool{200: true, 302: true, 404: true, 408: false, 421: false, 429: false, 500: false, 504: false} {
+		if ranToItsEnd(status) != want {
+			t.Errorf("status %d clears a request: %t, want %t", status, !want, want)
+		}
+	}
+}
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -95,7 +95,7 @@
 func (x *exchange) queryDetail(now clock.Time) *dispatch.QueryDetail {
 	return &dispatch.QueryDetail{
 		Account: x.accountName(), Due: x.arrived.Add(x.route.LatencyObjective).Sub(now),
-		PromptTokens: x.call.PromptTokens, TotalTokens: x.call.TotalTokens, Digest: uint64(x.digest),
+		PromptTokens: x.call.PromptTokens, TotalTokens: x.call.TotalTokens, Digest: x.returnDigest,
 	}
 }
 
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -275,10 +275,10 @@
 		x.recordCrash(t)
 	}
 	g.mu.Lock()
-	crashes, completed := g.poison.Suspicion(x.digest)
+	crashes, completed := g.poison.Suspicion(x.digests[0])
 	g.mu.Unlock()
 	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("reused", c.Reused).Bool("timeout", timeout).
-		Stringer("digest", x.digest).Int("crashes", crashes).Bool("completed", completed).Err(err).Msg("front: attempt failed")
+		Stringer("digest", x.digests[0]).Int("crashes", crashes).Bool("completed", completed).Err(err).Msg("front: attempt failed")
 	if boottime.Now().Reached(x.deadline) {
 		x.possibleRuns++
 		return resultTimeout
@@ -429,8 +429,8 @@
 		g.servers.RecordRun(now, t.id, t.incarnation, timing.PaceRun())
 	}
 	out := g.endedMessages(now, t.id, o, timing)
-	if o == directory.Answered && g.poison.RecordCompletion(now, x.digest) {
-		out = append(out, g.suspectMessages(now, x.digest)...)
+	if ranToItsEnd(status) && g.poison.RecordCompletion(now, x.digests) {
+		out = append(out, g.suspectMessages(now, x.digests)...)
 	}
 	g.mu.Unlock()
 	g.sendAll(out)
@@ -444,6 +444,16 @@
 	return directory.Answered
 }
 
+// ranToItsEnd reports whether a response status shows that the server ran the request and
+// survived it. Errors of the server and rejections don't.
+func ranToItsEnd(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status < 500
+}
+
 // hopByHopHeaders concern one connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -91,7 +91,8 @@
 	allowedRegions regions.Set // allowed by the route and the account
 	config         *manifest.Manifest
 	body           []byte
-	digest         poison.Digest
+	digests        []poison.Digest
+	returnDigest   uint64 // see callerReturnDigest
 	quotaGrant     quotaGrant
 	timing         timing
 	prefill        directory.Prefill // of the current attempt
@@ -147,7 +148,8 @@
 		return unavailable(reasonStopping, retryDelay)
 	}
 	x.pickGroup()
-	x.digest = x.requestDigest()
+	x.digests = x.requestDigests()
+	x.returnDigest = x.callerReturnDigest()
 	if ref := x.countRequest(); ref != nil {
 		return ref
 	}
@@ -199,13 +201,31 @@
 	return nil
 }
 
-// requestDigest identifies a request that is sent repeatedly. Reads of one path look alike
-// without being the same request; the detector tells them apart by their completed runs.
-func (x *exchange) requestDigest() poison.Digest {
+// requestDigests identify a request that is sent repeatedly: by account, method, host,
+// path and body, and by the query as well if there is one. Without the query, copies whose
+// query changes are one request. With it, a request is told from others of its path that
+// complete. Reads of one path look alike without being the same request; the detector
+// tells them apart by their completed runs.
+func (x *exchange) requestDigests() []poison.Digest {
+	path, query, _ := strings.Cut(x.r.RequestURI, "?")
 	d := xxhash.New()
-	_, _ = d.WriteString(x.accountName() + "\n" + x.r.Method + " " + strings.ToLower(x.r.Host) + x.r.RequestURI + "\n")
+	_, _ = d.WriteString(x.accountName() + "\n" + x.r.Method + " " + strings.ToLower(x.r.Host) + path + "\n")
 	_, _ = d.Write(x.body)
-	return poison.Digest(d.Sum64())
+	digests := []poison.Digest{poison.Digest(d.Sum64())}
+	if query != "" {
+		_, _ = d.WriteString("\n" + query)
+		digests = append(digests, poison.Digest(d.Sum64()))
+	}
+	return digests
+}
+
+// callerReturnDigest identifies a request whose caller returns after a refusal. It is 0 for
+// requests without a body: another caller's read of the same path is no return.
+func (x *exchange) callerReturnDigest() uint64 {
+	if len(x.body) == 0 {
+		return 0
+	}
+	return uint64(x.digests[len(x.digests)-1])
 }
 
 // countRequest counts the request for the retry budget, and refuses a request that
@@ -216,7 +236,7 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.retryBudget.RecordRequest(now, x.group)
-	if d := g.poison.Check(now, x.digest); d.Refused && !d.Trial {
+	if d := g.poison.Check(now, x.digests); d.Refused && !d.Trial {
 		return unavailable(reasonCrashesServers, d.NextTrial)
 	}
 	return nil
@@ -338,7 +358,7 @@
 		e = e.Int("events", x.eventCount)
 	}
 	if why == reasonCrashesServers {
-		e = e.Stringer("digest", x.digest)
+		e = e.Stringer("digest", x.digests[0])
 	}
 	if r := x.refusal; r != nil && r.retryAfter > 0 {
 		e = e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -111,7 +111,7 @@
 // acquireDetail describes the request for load scheduling.
 func (x *exchange) acquireDetail(now clock.Time) *quota.AcquireDetail {
 	return &quota.AcquireDetail{
-		Group: x.group, Leaves: x.deadline.Sub(now), Digest: uint64(x.digest),
+		Group: x.group, Leaves: x.deadline.Sub(now), Digest: x.returnDigest,
 	}
 }
 
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -90,10 +90,10 @@
 	return time.Duration(min(max(0, ms), maxFeedbackMS)) * time.Millisecond
 }
 
-// suspectMessages returns the messages that tell all instances of one suspect at once. The
+// suspectMessages returns the messages that tell all instances of one request at once. The
 // caller holds mu.
-func (g *Gateway) suspectMessages(now clock.Time, digest poison.Digest) []outgoing {
-	report := poison.Report{Suspects: []poison.SuspectReport{g.poison.ReportOf(now, digest)}}
+func (g *Gateway) suspectMessages(now clock.Time, digests []poison.Digest) []outgoing {
+	report := poison.Report{Suspects: g.poison.ReportOf(now, digests)}
 	return g.broadcast(now, g.encode(packet{Suspects: encodeSuspects(report)}), g.members.All(now), false)
 }
 
@@ -106,8 +106,8 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	var out []outgoing
-	if g.poison.RecordCrash(now, x.digest, serverHash(t.id)) {
-		out = g.suspectMessages(now, x.digest)
+	if g.poison.RecordCrash(now, x.digests, serverHash(t.id)) {
+		out = g.suspectMessages(now, x.digests)
 	}
 	g.mu.Unlock()
 	g.sendAll(out)
@@ -126,18 +126,18 @@
 	g := x.g
 	g.mu.Lock()
 	now := boottime.Now()
-	d := g.poison.Check(now, x.digest)
+	d := g.poison.Check(now, x.digests)
 	var out []outgoing
 	if d.Trial {
-		g.poison.BeginTrial(now, x.digest)
-		out = g.suspectMessages(now, x.digest)
+		g.poison.BeginTrial(now, x.digests)
+		out = g.suspectMessages(now, x.digests)
 	}
 	g.mu.Unlock()
 	g.sendAll(out)
 	switch {
 	case d.Trial:
 		g.metrics.crashTrials.Inc()
-		g.log.Warn().Str("request", x.call.ID).Stringer("digest", x.digest).Msg("front: refused request is tried once more")
+		g.log.Warn().Str("request", x.call.ID).Stringer("digest", x.digests[0]).Msg("front: refused request is tried once more")
 	case d.Refused:
 		return unavailable(reasonCrashesServers, d.NextTrial)
 	}
