Poison: a request is refused that crashes its servers more often than it completes

A request that a server survives now and then was never refused for long: each completed run cleared all crashes before it. Crashes within 60 s are now weighed against the completed runs since the first of them at all instances; a run right before the crashes protects for 2 s, a sound request that turns bad is refused after three crashes without a run, and a trial that completes is followed by the next at once, so that a sound request is cleared within a few. TestCompletionClearsSuspect asked that one completed run outweighs any number of crashes, which is what let such a request go on; it asks now that as many runs as crashes do, at every step, and two tests beside it bound both sides.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -4,10 +4,11 @@
 //
 // A request whose connection broke while it ran is a suspect, identified by its digest.
 // So are the other requests that ran on that server. What tells the guilty one from its
-// neighbors is that no run of it ever completes: a completed run, at any instance, clears
-// the crashes before it. A suspect under which poisonThreshold servers crashed since then
-// is refused. From time to time one run of it is admitted as a trial, since nothing else
-// could clear a request that is refused by mistake.
+// neighbors is that its runs crash servers more often than they complete. A suspect is
+// refused once poisonThreshold servers crashed under it and fewer runs of it completed
+// since the first crash, or none since the last poisonThreshold crashes. From time to time
+// one run of it is admitted as a trial, since nothing else could clear a request that is
+// refused by mistake.
 //
 // A connection also breaks for other reasons, such as a link that fails. A server that
 // answers a request sent right after the break did not crash.
@@ -29,17 +30,22 @@
 	crashWindow = 60 * time.Second
 	// sameCrashWindow is the time within which breaks at one server are one crash.
 	sameCrashWindow = time.Second
+	// completionReportInterval is the time between two reports of the completed runs of a
+	// suspect that is not refused.
+	completionReportInterval = time.Second
 	// restartTime is the least time that a server needs to start again after a crash.
 	restartTime = 300 * time.Millisecond
 	// completionValidity is how long after a completed run a request is not refused: a
 	// popular request that is sound completes more often than this.
 	completionValidity = 2 * time.Second
-	// A refused request is admitted for a trial after trialDelay, or soundTrialDelay if a
-	// run of it is known to have completed, and then after trialFactor times as long each.
+	// A refused request is admitted for a trial after trialDelay, or soundTrialDelay if it
+	// completed within soundMemory before the crashes, and then after trialFactor times as
+	// long each.
 	trialDelay      = 30 * time.Second
 	soundTrialDelay = time.Second
 	trialFactor     = 4
 	maxTrialDelay   = 10 * time.Minute
+	soundMemory     = 10 * time.Second
 	// refusalMemory is how long a refused request is remembered after its last crash or
 	// trial.
 	refusalMemory = 2 * maxTrialDelay
@@ -66,11 +72,17 @@
 }
 
 type suspect struct {
-	crashes     []crash    // ascending by time
-	completedAt clock.Time // last completed run known at any instance; 0: none
-	changedAt   clock.Time // last observation at this instance; 0: none
-	trialAt     clock.Time // start of the last trial at any instance; 0: none
-	trials      int        // since the last completed run
+	crashes []crash // ascending by time
+	// completedBefore is the last completed run known before the crashes that count, 0 if
+	// none. completions and peerCompletions count the runs since, at this instance and at
+	// the others.
+	completedBefore clock.Time
+	completions     int
+	peerCompletions map[string]int
+	completedAt     clock.Time // last completed run known at any instance; 0: none
+	changedAt       clock.Time // last observation at this instance; 0: none
+	trialAt         clock.Time // start of the last trial at any instance; 0: none
+	trials          int        // since the last completed run
 }
 
 // Decision says whether a request may be sent to a backend server.
@@ -127,18 +139,19 @@
 	return urgent
 }
 
-// clear records that a run of a suspect completed, and reports whether it may be refused.
-func (d *Detector) clear(now clock.Time, digest Digest) (urgent bool) {
+// clear records that a run of a suspect completed, and reports whether it is refused.
+func (d *Detector) clear(now clock.Time, digest Digest) (refused bool) {
 	s, ok := d.suspects[digest]
 	if !ok {
 		return false
 	}
-	urgent = len(s.recent()) >= poisonThreshold
-	if urgent || len(s.recent()) > 0 || now.Sub(s.changedAt) > completionValidity/2 {
+	refused = s.refused(now)
+	if refused || s.completions == 0 || now.Sub(s.changedAt) > completionReportInterval {
 		s.changedAt = now
 	}
+	s.completions++
 	s.completedAt, s.trials, s.trialAt = now, 0, 0
-	return urgent
+	return refused
 }
 
 // RecordAnswer records that a server answered a request that this instance sent at sentAt.
@@ -195,23 +208,20 @@
 	}
 }
 
-// Suspicion returns how many crashes of a request are known, at all instances, since its
-// last completed run, and whether a run completed.
-func (d *Detector) Suspicion(digest Digest) (crashes int, completed bool) {
+// Suspicion returns how many crashes of a request are known that count, at all instances,
+// and how many completed runs since the first of them.
+func (d *Detector) Suspicion(digest Digest) (crashes, completions int) {
 	s, ok := d.suspects[digest]
 	if !ok {
-		return 0, false
+		return 0, 0
 	}
-	return len(s.recent()), s.completedAt != 0
+	return len(s.recent()), s.allCompletions()
 }
 
-// recent returns the crashes that count: those since the last completed run that lie
-// within crashWindow of the last one.
-func (s *suspect) recent() []crash {
-	if len(s.crashes) == 0 {
-		return nil
-	}
-	from := max(s.completedAt, s.lastCrash().Add(-crashWindow))
+// recent returns the crashes that count: those within crashWindow of the last one.
+func (s *suspect) recent() []crash { return s.crashesAfter(s.lastCrash().Add(-crashWindow)) }
+
+func (s *suspect) crashesAfter(from clock.Time) []crash {
 	for i, c := range s.crashes {
 		if c.at > from {
 			return s.crashes[i:]
@@ -227,11 +237,28 @@
 	return s.crashes[len(s.crashes)-1].at
 }
 
+func (s *suspect) allCompletions() int {
+	all := s.completions
+	for _, n := range s.peerCompletions {
+		all += n
+	}
+	return all
+}
+
 func (s *suspect) refused(now clock.Time) bool {
-	if s.completedAt != 0 && now.Sub(s.completedAt) <= completionValidity {
+	crashes := len(s.recent())
+	if crashes < poisonThreshold || s.expired(now) {
 		return false
 	}
-	return len(s.recent()) >= poisonThreshold && !s.expired(now)
+	if crashes > s.allCompletions() && !protects(s.completedBefore, now) {
+		return true
+	}
+	return len(s.crashesAfter(s.completedAt)) >= poisonThreshold && !protects(s.completedAt, now)
+}
+
+// protects reports whether a completed run was so recent that the request counts as sound.
+func protects(completedAt, now clock.Time) bool {
+	return completedAt != 0 && now.Sub(completedAt) <= completionValidity
 }
 
 func (s *suspect) expired(now clock.Time) bool {
@@ -241,16 +268,21 @@
 	return now.Sub(max(s.lastCrash(), s.changedAt)) > crashWindow
 }
 
-// nextTrial returns when a refused request may be sent again.
+// nextTrial returns when a refused request may be sent again: at once if it completed
+// since the last crash or trial.
 func (s *suspect) nextTrial() clock.Time {
+	last := max(s.lastCrash(), s.trialAt)
+	if s.completedAt > last {
+		return s.completedAt
+	}
 	delay := trialDelay
-	if s.completedAt != 0 {
+	if s.completedBefore != 0 && s.recent()[0].at.Sub(s.completedBefore) <= soundMemory {
 		delay = soundTrialDelay
 	}
 	for range s.trials {
 		delay = min(trialFactor*delay, maxTrialDelay)
 	}
-	return max(s.lastCrash(), s.trialAt).Add(delay)
+	return last.Add(delay)
 }
 
 // addCrash adds a crash unless it is known or was none. It reports whether it was added.
@@ -266,6 +298,9 @@
 			return false
 		}
 	}
+	if c.at.Sub(s.lastCrash()) > crashWindow {
+		s.completedBefore, s.completions, s.peerCompletions = s.completedAt, 0, nil
+	}
 	s.crashes = append(s.crashes, c)
 	s.sortCrashes()
 	if extra := len(s.crashes) - maxCrashes; extra > 0 {
@@ -279,6 +314,7 @@
 	if !ok {
 		d.makeRoom(now)
 		s = &suspect{completedAt: d.completed.last(digest)}
+		s.completedBefore = s.completedAt
 		d.suspects[digest] = s
 	}
 	return s
--- a/core/gateway/poison/poison_test.go
+++ b/core/gateway/poison/poison_test.go
@@ -35,12 +35,12 @@
 	}}
 	d.RecordCrash(start, []Digest{bad}, 10)
 	d.RecordCrash(start, []Digest{innocent}, 10)
-	d.Merge(start, report)
-	d.Merge(start, report) // a repeated report does not count twice
+	d.Merge(start, "peer", report)
+	d.Merge(start, "peer", report) // a repeated report does not count twice
 	if refused(d, start, bad) {
 		t.Error("refused after two crashes")
 	}
-	d.Merge(start, Report{Suspects: []SuspectReport{{Digest: bad, Crashes: []ServerAge{{Server: 12}}}}})
+	d.Merge(start, "peer", Report{Suspects: []SuspectReport{{Digest: bad, Crashes: []ServerAge{{Server: 12}}}}})
 	if !refused(d, start, bad) {
 		t.Error("not refused after three crashes")
 	}
@@ -56,23 +56,46 @@
 // runs of which meet crashes.
 func TestCompletionClearsSuspect(t *testing.T) {
 	local, remote := New(), New()
-	const digest = Digest(1)
-	local.RecordCrash(start, []Digest{digest}, 9)
-	local.RecordCompletion(start, []Digest{digest})
-	crashThree(local, seconds(1.9), digest)
-	crashThree(remote, seconds(1.9), digest)
-	if refused(local, seconds(1.9), digest) {
-		t.Error("refused although a run completed at this instance")
-	}
-	if !refused(remote, seconds(1.9), digest) {
+	for i := range 6 {
+		at := seconds(float64(i))
+		local.RecordCrash(at, []Digest{1}, Server(i))
+		local.RecordCompletion(at.Add(time.Millisecond), []Digest{1})
+		if refused(local, at.Add(time.Millisecond), 1) {
+			t.Fatalf("refused although it completed as often as it met a crash, %d times", i+1)
+		}
+	}
+	crashThree(remote, seconds(5), 1)
+	if !refused(remote, seconds(5.1), 1) {
 		t.Fatal("not refused without a completed run, so the test proves nothing")
 	}
-	remote.Merge(seconds(1.9), local.Report(seconds(1.9)))
-	if refused(remote, seconds(1.9), digest) {
-		t.Error("refused although a run completed at another instance")
+	remote.Merge(seconds(5.1), "local", local.Report(seconds(5.1)))
+	if refused(remote, seconds(5.1), 1) {
+		t.Error("refused although runs completed at another instance")
+	}
+}
+
+// Guards against a request that a server survives now and then, and that is cleared by it.
+func TestOneCompletionDoesNotOutweighManyCrashes(t *testing.T) {
+	d := New()
+	d.RecordCrash(start, []Digest{1}, 1)
+	d.RecordCrash(seconds(1), []Digest{1}, 2)
+	d.RecordCompletion(seconds(1.5), []Digest{1})
+	d.RecordCrash(seconds(2), []Digest{1}, 3)
+	if !refused(d, seconds(2), 1) {
+		t.Error("not refused after three crashes and one completed run")
 	}
-	if !refused(local, seconds(2.1), digest) {
-		t.Error("one completed run protects the request for ever")
+}
+
+// Guards against a request that was sound for long and then crashes every server.
+func TestRequestThatTurnsBadIsRefused(t *testing.T) {
+	d := New()
+	d.RecordCrash(start, []Digest{1}, 1)
+	for i := range 100 {
+		d.RecordCompletion(start.Add(time.Duration(i)*time.Millisecond), []Digest{1})
+	}
+	crashThree(d, seconds(3), 1)
+	if !refused(d, seconds(3), 1) {
+		t.Error("earlier runs protect the request for ever")
 	}
 }
 
@@ -117,16 +140,16 @@
 	if !refused(cut, start, 1) {
 		t.Fatal("not refused, so the test proves nothing")
 	}
-	other.Merge(seconds(0.05), cut.Report(seconds(0.05)))
+	other.Merge(seconds(0.05), "peer", cut.Report(seconds(0.05)))
 	for server := range Server(2) {
 		other.RecordAnswer(seconds(0.2), server, seconds(0.1))
 	}
-	cut.Merge(seconds(0.25), other.Report(seconds(0.25)))
+	cut.Merge(seconds(0.25), "peer", other.Report(seconds(0.25)))
 	for name, d := range map[string]*Detector{"cut off": cut, "other": other} {
 		if refused(d, seconds(0.3), 1) {
 			t.Errorf("%s: refused although two of the servers live", name)
 		}
-		d.Merge(seconds(0.4), Report{Suspects: []SuspectReport{{Digest: 1, Crashes: []ServerAge{{0, 400 * time.Millisecond}, {1, 400 * time.Millisecond}}}}})
+		d.Merge(seconds(0.4), "peer", Report{Suspects: []SuspectReport{{Digest: 1, Crashes: []ServerAge{{0, 400 * time.Millisecond}, {1, 400 * time.Millisecond}}}}})
 		if refused(d, seconds(0.4), 1) {
 			t.Errorf("%s: a late report brought the breaks back", name)
 		}
@@ -160,7 +183,7 @@
 			d.BeginTrial(now, []Digest{1})
 			d.RecordCrash(now, []Digest{1}, 100)
 		}
-		other.Merge(now, d.Report(now))
+		other.Merge(now, "peer", d.Report(now))
 		if c := other.Check(now, []Digest{1}); c.Trial {
 			t.Fatalf("another instance may try at the same time, %v after the crashes", now.Sub(start))
 		}
@@ -179,7 +202,7 @@
 	old, started := New(), New()
 	crashThree(old, start, 1)
 	old.Report(seconds(24.5))
-	started.Merge(seconds(26.6), old.Report(seconds(26.6)))
+	started.Merge(seconds(26.6), "peer", old.Report(seconds(26.6)))
 	if !refused(started, seconds(26.6), 1) {
 		t.Error("not refused at an instance that started 26 s after the crashes")
 	}
@@ -210,7 +233,7 @@
 func TestReportsOwnObservations(t *testing.T) {
 	d := New()
 	d.RecordCrash(start, []Digest{1}, 10)
-	d.Merge(start, Report{Suspects: []SuspectReport{{Digest: 2, Crashes: []ServerAge{{Server: 11}}}}})
+	d.Merge(start, "peer", Report{Suspects: []SuspectReport{{Digest: 2, Crashes: []ServerAge{{Server: 11}}}}})
 	if r := d.Report(start); len(r.Suspects) != 1 || r.Suspects[0].Digest != 1 || len(r.Suspects[0].Crashes) != 1 {
 		t.Errorf("reported %+v, want one crash of request 1", r)
 	}
@@ -236,7 +259,7 @@
 			r := from.Report(now)
 			for j, to := range detectors {
 				if i != j {
-					to.Merge(now, r)
+					to.Merge(now, string(rune('a'+i)), r)
 				}
 			}
 		}
@@ -262,8 +285,8 @@
 	crashThree(a, now, 1)
 	for now < start.Add(refusalMemory+time.Minute) {
 		now = now.Add(time.Second)
-		b.Merge(now, a.Report(now))
-		a.Merge(now, b.Report(now))
+		b.Merge(now, "peer", a.Report(now))
+		a.Merge(now, "peer", b.Report(now))
 	}
 	if len(a.suspects)+len(b.suspects) != 0 {
 		t.Error("the suspect is not forgotten")
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -34,8 +34,9 @@
 type SuspectReport struct {
 	Digest       Digest
 	Crashes      []ServerAge
-	Completed    bool // a run completed, CompletedAge ago
+	Completed    bool // a run completed at some instance, CompletedAge ago
 	CompletedAge time.Duration
+	Completions  int // at the reporting instance, since the first of the crashes
 	Trials       int // the last one began TrialAge ago
 	TrialAge     time.Duration
 }
@@ -88,6 +89,7 @@
 	if !ok {
 		return r
 	}
+	r.Completions = s.completions
 	for _, c := range s.recent() {
 		r.Crashes = append(r.Crashes, ServerAge{c.server, now.Sub(c.at)})
 	}
@@ -101,28 +103,30 @@
 }
 
 // Merge adds what another instance reports.
-func (d *Detector) Merge(now clock.Time, r Report) {
+func (d *Detector) Merge(now clock.Time, peer string, r Report) {
 	for _, a := range r.Alive {
 		d.markAlive(a.Server, now.Add(-a.Age))
 	}
 	for _, reported := range r.Suspects {
-		d.mergeSuspect(now, reported)
+		d.mergeSuspect(now, peer, reported)
 	}
 }
 
-func (d *Detector) mergeSuspect(now clock.Time, r SuspectReport) {
+func (d *Detector) mergeSuspect(now clock.Time, peer string, r SuspectReport) {
 	s := d.getOrCreate(now, r.Digest)
-	if r.Completed {
-		if at := now.Add(-r.CompletedAge); at > s.completedAt {
-			s.completedAt = at
-		}
-	}
 	for _, c := range r.Crashes {
 		d.addCrash(s, crash{c.Server, now.Add(-c.Age)})
 	}
-	if len(s.recent()) < poisonThreshold {
-		s.trials, s.trialAt = 0, 0
-	} else if at := now.Add(-r.TrialAge); r.Trials > 0 && at > s.trialAt {
+	if r.Completions > 0 {
+		if s.peerCompletions == nil {
+			s.peerCompletions = make(map[string]int)
+		}
+		s.peerCompletions[peer] = r.Completions
+	}
+	if at := now.Add(-r.CompletedAge); r.Completed && at > s.completedAt {
+		s.completedAt, s.trials, s.trialAt = at, 0, 0
+	}
+	if at := now.Add(-r.TrialAge); r.Trials > 0 && at > max(s.trialAt, s.completedAt) {
 		s.trials, s.trialAt = max(s.trials, r.Trials), at
 	}
 }
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -118,7 +118,7 @@
 	heartbeat := g.newHeartbeat(now)
 	packet := g.heartbeatPacket(now, heartbeat)
 	if to != audienceHolder {
-		packet.Suspects = encodeSuspects(g.poison.Report(now))
+		packet.Suspects = encodeSuspects(g.settings.Name, g.poison.Report(now))
 	}
 	switch {
 	case len(withoutDemand) == 0:
@@ -189,7 +189,7 @@
 	case m.Heartbeat != nil:
 		g.handleHeartbeat(now, m.Heartbeat)
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
-		g.poison.Merge(now, m.Suspects.report())
+		g.handleSuspects(now, m.Suspects)
 	case m.State != nil:
 		g.handleState(now, m.State)
 	case m.Forecast != nil:
@@ -209,7 +209,7 @@
 	case m.Paces != nil:
 		g.handlePaces(now, m.Paces)
 	case m.Suspects != nil:
-		g.poison.Merge(now, m.Suspects.report())
+		g.handleSuspects(now, m.Suspects)
 	default:
 		return g.handleQuotaPacket(now, m)
 	}
--- a/oleander/gateway/crash_test.go
+++ b/oleander/gateway/crash_test.go
@@ -222,7 +222,7 @@
 		body: bytes.Repeat([]byte("x"), 1000)}).requestDigests()[0]
 	crashes := []poison.ServerAge{{Server: 1}, {Server: 2}, {Server: 3}}
 	g.mu.Lock()
-	g.poison.Merge(boottime.Now(), poison.Report{Suspects: []poison.SuspectReport{{Digest: digest, Crashes: crashes}}})
+	g.poison.Merge(boottime.Now(), "peer", poison.Report{Suspects: []poison.SuspectReport{{Digest: digest, Crashes: crashes}}})
 	g.mu.Unlock()
 	if got := <-answered; got.status != http.StatusServiceUnavailable || b.requests() > 0 {
 		t.Errorf("status %d, sent %d times, want a refusal and no send", got.status, b.requests())
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -275,10 +275,10 @@
 		x.recordCrash(t)
 	}
 	g.mu.Lock()
-	crashes, completed := g.poison.Suspicion(x.digests[0])
+	crashes, completions := g.poison.Suspicion(x.digests[0])
 	g.mu.Unlock()
 	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("reused", c.Reused).Bool("timeout", timeout).
-		Stringer("digest", x.digests[0]).Int("crashes", crashes).Bool("completed", completed).Err(err).Msg("front: attempt failed")
+		Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).Err(err).Msg("front: attempt failed")
 	if boottime.Now().Reached(x.deadline) {
 		x.possibleRuns++
 		return resultTimeout
--- a/oleander/gateway/logs_test.go
+++ b/oleander/gateway/logs_test.go
@@ -44,7 +44,7 @@
 		},
 		{
 			"failed after sending", hangUp, "/stream/", []string{testModel, "warm"},
-			[]string{"front: attempt failed", "server=a", "timeout=false", "digest=", "crashes=1", "completed=false", "reason=broken", "ran=1", "status=502", "config: version in force"},
+			[]string{"front: attempt failed", "server=a", "timeout=false", "digest=", "crashes=1", "completions=0", "reason=broken", "ran=1", "status=502", "config: version in force"},
 		},
 		{
 			"stream broken off", func(w http.ResponseWriter, _ *http.Request) {
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -13,6 +13,7 @@
 // suspectsMsg tells other instances of requests that may crash servers. It and its parts
 // are maps, so that later versions can add fields.
 type suspectsMsg struct {
+	Name     string         `cbor:"3,keyasint"` // of the sender
 	Suspects []suspectMsg   `cbor:"1,keyasint,omitempty"`
 	Alive    []serverAgeMsg `cbor:"2,keyasint,omitempty"` // servers that survived the break of a connection
 }
@@ -24,6 +25,7 @@
 	CompletedMS *int64         `cbor:"3,keyasint,omitempty"` // since the last completed run; nil: none is known
 	Trials      int            `cbor:"4,keyasint,omitempty"`
 	TrialMS     int64          `cbor:"5,keyasint,omitempty"` // since the last trial began
+	Completions int            `cbor:"6,keyasint,omitempty"` // at the sender
 }
 
 // serverAgeMsg says how long ago something happened at a server.
@@ -33,14 +35,14 @@
 }
 
 // encodeSuspects returns nil if there is nothing to tell.
-func encodeSuspects(r poison.Report) *suspectsMsg {
+func encodeSuspects(sender string, r poison.Report) *suspectsMsg {
 	if len(r.Suspects) == 0 && len(r.Alive) == 0 {
 		return nil
 	}
-	m := &suspectsMsg{Alive: encodeServerAges(r.Alive)}
+	m := &suspectsMsg{Name: sender, Alive: encodeServerAges(r.Alive)}
 	for _, s := range r.Suspects {
 		encoded := suspectMsg{
-			Digest: uint64(s.Digest), Crashes: encodeServerAges(s.Crashes), Trials: s.Trials, TrialMS: s.TrialAge.Milliseconds(),
+			Digest: uint64(s.Digest), Crashes: encodeServerAges(s.Crashes), Trials: s.Trials, TrialMS: s.TrialAge.Milliseconds(), Completions: s.Completions,
 		}
 		if s.Completed {
 			ms := s.CompletedAge.Milliseconds()
@@ -59,15 +61,12 @@
 	return encoded
 }
 
-// report decodes the message; nil is an empty report.
+// report decodes the message.
 func (m *suspectsMsg) report() poison.Report {
-	if m == nil {
-		return poison.Report{}
-	}
 	r := poison.Report{Alive: decodeServerAges(m.Alive)}
 	for _, s := range m.Suspects {
 		decoded := poison.SuspectReport{
-			Digest: poison.Digest(s.Digest), Crashes: decodeServerAges(s.Crashes), Trials: s.Trials, TrialAge: millis(s.TrialMS),
+			Digest: poison.Digest(s.Digest), Crashes: decodeServerAges(s.Crashes), Trials: s.Trials, TrialAge: millis(s.TrialMS), Completions: s.Completions,
 		}
 		if s.CompletedMS != nil {
 			decoded.Completed, decoded.CompletedAge = true, millis(*s.CompletedMS)
@@ -90,11 +89,18 @@
 	return time.Duration(min(max(0, ms), maxFeedbackMS)) * time.Millisecond
 }
 
+// handleSuspects merges what another instance tells of suspects. The caller holds mu.
+func (g *Gateway) handleSuspects(now clock.Time, m *suspectsMsg) {
+	if m != nil && m.Name != g.settings.Name {
+		g.poison.Merge(now, m.Name, m.report())
+	}
+}
+
 // suspectMessages returns the messages that tell all instances of one request at once. The
 // caller holds mu.
 func (g *Gateway) suspectMessages(now clock.Time, digests []poison.Digest) []outgoing {
 	report := poison.Report{Suspects: g.poison.ReportOf(now, digests)}
-	return g.broadcast(now, g.encode(packet{Suspects: encodeSuspects(report)}), g.members.All(now), false)
+	return g.broadcast(now, g.encode(packet{Suspects: encodeSuspects(g.settings.Name, report)}), g.members.All(now), false)
 }
 
 // serverHash identifies a backend server in messages about suspects.
