--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -184,6 +184,7 @@
 	c, err := g.pool.Get(ctx, t.address)
 	remaining := x.deadline.Sub(boottime.Now())
 	if err != nil {
+		g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Err(err).Msg("front: no connection to the server")
 		g.markUnreachable(t.id, x.call.Model)
 		if ctx.Err() != nil {
 			return x.callerGone()
