--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -43,16 +43,18 @@
 
 // Pool opens connections and keeps idle ones for reuse, by address.
 type Pool struct {
-	dialTimeout time.Duration
-	mu          sync.Mutex
-	idle        map[string][]*Conn
-	onOpen      func()
+	// Dial opens connections. It may be replaced before the first use.
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	onOpen func()
 }
 
 // NewPool returns an empty Pool. It calls onOpen, unless nil, for each new
 // connection.
 func NewPool(dialTimeout time.Duration, onOpen func()) *Pool {
-	return &Pool{dialTimeout: dialTimeout, idle: make(map[string][]*Conn), onOpen: onOpen}
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return DialTCP(ctx, address, dialTimeout) }
+	return &Pool{Dial: dial, idle: make(map[string][]*Conn), onOpen: onOpen}
 }
 
 // Conn is a connection. It carries one request at a time.
@@ -95,13 +97,18 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+// DialTCP opens a TCP connection that notices within a few seconds that its peer is gone.
+func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout:         p.dialTimeout,
+		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
 		Control:         setUserTimeout,
 	}
-	c, err := d.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	c, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
