Tests: addresses to listen on are given out once

Subtests that run at the same time could be given the same port, since it was free again between its choice and its use: once in four runs of the test of cut instances, an instance did not start and the test waited for 30 s. The start of many instances had the same fault with ports of outgoing connections and a remedy of its own. FreeAddresses now gives out ports below the range for connections, each once a process; that remedy goes.

--- a/oleander/gateway/transfer_test.go
+++ b/oleander/gateway/transfer_test.go
@@ -70,19 +70,8 @@
 	}
 	f.store.SetPageSize(serversPerPage)
 	var own [][]string
-	// The ports are below those that the system gives to connections: one of these might
-	// take the port of an instance that does not listen yet.
-	const firstPort = 21000
-	host, _, err := net.SplitHostPort(testutil.FreeAddresses(t, 1)[0])
-	if err != nil {
-		t.Fatal(err)
-	}
 	for i := range instances {
-		var addresses []string
-		for j := range 3 {
-			addresses = append(addresses, fmt.Sprintf("%s:%d", host, firstPort+3*i+j))
-		}
-		own = append(own, addresses)
+		own = append(own, testutil.FreeAddresses(t, 3))
 		if err := f.store.Store(0).RegisterPeer(t.Context(), ports.Peer{Name: fmt.Sprint("g", i), Address: own[i][2], Zone: "z"}); err != nil {
 			t.Fatal(err)
 		}
--- a/oleander/internal/testutil/testutil.go
+++ b/oleander/internal/testutil/testutil.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -39,19 +40,33 @@
 	return l
 }
 
+// Ports that FreeAddresses returns. They are below those that the system gives to
+// connections, one of which might take a port before the test uses it.
+const (
+	firstFreePort = 10_000
+	lastFreePort  = 32_000
+)
+
+var lastPort atomic.Int32
+
 // FreeAddresses returns n addresses to listen on later. They are on a loopback IP
 // address that belongs to this test process: on a shared one, the system may assign
-// a port to another process before the test uses it.
+// a port to another process before the test uses it. No address is returned twice, so
+// that tests that run at the same time don't take each other's.
 func FreeAddresses(t testing.TB, n int) []string {
 	t.Helper()
 	host := fmt.Sprintf("127.240.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
 	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", host+":0")
+	for len(addresses) < n {
+		port := firstFreePort + int(lastPort.Add(1))
+		if port > lastFreePort {
+			t.Fatal("testutil: no free port left")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
 		if err != nil {
-			t.Fatal(err)
+			continue // used by something else
 		}
-		defer l.Close() // kept open until all are chosen, so that all differ
+		_ = l.Close()
 		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses
