Links: an instance without a path to the servers connects through another one

Package links decides from silence: requests that wait 250 ms without a sign of any server cause a probe of three servers at once; if none is reached, the links are cut until a server is heard. New connections then go through another instance, which copies bytes and passes on how each side ended; own connections that refuse are tried through a relay, too. Relays are chosen by what they carry, at most 256 connections each. Attempts that may be repeated leave their hanging connections at once. A cut instance says nothing of servers, and takes back the breaks since the cut began, so that a cut convicts no request. A stopping instance finishes what it relays.

--- a/core/gateway/directory/health.go
+++ b/core/gateway/directory/health.go
@@ -87,6 +87,14 @@
 	return total / float64(n)
 }
 
+// ForgetUnreachable drops the records of failed connections: they told of this instance's
+// links, not of the servers.
+func (d *Directory) ForgetUnreachable() {
+	for _, s := range d.servers {
+		s.unreachableUntil = 0
+	}
+}
+
 // MarkUnreachable records that a connection to a server could not be established.
 func (d *Directory) MarkUnreachable(now clock.Time, id string) {
 	if s := d.servers[id]; s != nil {
--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -100,6 +100,7 @@
 	suspects  map[Digest]*suspect
 	completed recentRuns
 	breaks    map[Server]clock.Time // last break at a server that may have crashed
+	ownBreaks map[Server]clock.Time // of them, those of this instance's connections
 	alive     map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
 	aliveAt   map[Server]clock.Time // when this instance observed it; absent if another did
 	reported  clock.Time            // last report that included all refused requests
@@ -108,7 +109,7 @@
 // New returns a Detector without suspects.
 func New() *Detector {
 	return &Detector{
-		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time),
+		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time), ownBreaks: make(map[Server]clock.Time),
 		alive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time),
 	}
 }
@@ -117,6 +118,7 @@
 // this instance. It reports whether the other instances should be told at once: another
 // server crashed under the request before.
 func (d *Detector) RecordCrash(now clock.Time, digests []Digest, server Server) (urgent bool) {
+	d.ownBreaks[server] = now
 	for _, digest := range digests {
 		s := d.getOrCreate(now, digest)
 		s.changedAt = now
@@ -165,9 +167,21 @@
 	d.aliveAt[server] = now
 }
 
+// RecordLinkFailure records that this instance has had no path to any server since a time.
+// Its connections that broke since then say nothing about the servers.
+func (d *Detector) RecordLinkFailure(now, since clock.Time) {
+	for server, at := range d.ownBreaks {
+		if at >= since {
+			d.markAlive(server, at.Add(1))
+			d.aliveAt[server] = now
+		}
+	}
+}
+
 // markAlive drops the crashes of a server that it survived.
 func (d *Detector) markAlive(server Server, sentAt clock.Time) {
 	delete(d.breaks, server)
+	delete(d.ownBreaks, server)
 	d.alive[server] = max(d.alive[server], sentAt)
 	for _, s := range d.suspects {
 		kept := s.crashes[:0]
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -141,6 +141,7 @@
 	for server, at := range d.breaks {
 		if now.Sub(at) > crashWindow {
 			delete(d.breaks, server)
+			delete(d.ownBreaks, server)
 		}
 	}
 	for server, at := range d.alive {
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -65,15 +65,28 @@
 	reader       *bufio.Reader
 	idleDeadline time.Time // a pooled connection is not reused after this
 	Reused       bool
+	Indirect     bool // opened by a DialFunc of the caller
 }
 
+// DialFunc opens a connection to one address.
+type DialFunc func(ctx context.Context) (net.Conn, error)
+
 // Get returns an idle connection that is still usable, or a new one. Its errors
 // wrap ErrNotSent.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	return p.get(ctx, address, false, func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, address) })
+}
+
+// GetIndirect is Get, but opens a new connection with dial. Its errors wrap those of dial.
+func (p *Pool) GetIndirect(ctx context.Context, address string, dial DialFunc) (*Conn, error) {
+	return p.get(ctx, address, true, dial)
+}
+
+func (p *Pool) get(ctx context.Context, address string, indirect bool, dial DialFunc) (*Conn, error) {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, address, indirect, dial)
 		}
 		if time.Now().Before(c.idleDeadline) && c.usable() {
 			c.Reused = true
@@ -107,15 +120,31 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	c, err := p.Dial(ctx, address)
-	if err != nil {
+func (p *Pool) dial(ctx context.Context, address string, indirect bool, dial DialFunc) (*Conn, error) {
+	c, err := dial(ctx)
+	switch {
+	case err != nil && indirect:
+		return nil, err
+	case err != nil:
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	return &Conn{pool: p, address: address, conn: c, reader: bufio.NewReaderSize(c, bufferSize)}, nil
+	return &Conn{pool: p, address: address, conn: c, reader: bufio.NewReaderSize(c, bufferSize), Indirect: indirect}, nil
+}
+
+// DropIdle closes all idle connections.
+func (p *Pool) DropIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*Conn)
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Abort()
+		}
+	}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
@@ -237,6 +266,9 @@
 	return defaultIdleTimeout
 }
 
+// Interrupt makes the current and later reads and writes fail with a timeout.
+func (c *Conn) Interrupt() { c.SetDeadline(time.Unix(1, 0)) }
+
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.conn.Close() }
 
@@ -262,7 +294,7 @@
 		c.SetDeadline(deadline)
 	}
 	// A deadline in the past interrupts reads and writes when ctx is cancelled.
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.Interrupt)
 	defer stop()
 	if err := c.Send(r); err != nil {
 		c.Abort()
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -117,6 +117,7 @@
 	var out []outgoing
 	heartbeat := g.newHeartbeat(now)
 	packet := g.heartbeatPacket(now, heartbeat)
+	packet.Links = g.linksMessage()
 	if to != audienceHolder {
 		packet.Suspects = encodeSuspects(g.settings.Name, g.poison.Report(now))
 	}
@@ -190,6 +191,9 @@
 		g.handleHeartbeat(now, m.Heartbeat)
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
 		g.handleSuspects(now, m.Suspects)
+		if m.Heartbeat.Name != g.settings.Name {
+			g.handleLinks(m.Heartbeat, m.Links)
+		}
 	case m.State != nil:
 		g.handleState(now, m.State)
 	case m.Forecast != nil:
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -84,7 +84,9 @@
 		}
 		res := x.attempt(t)
 		x.g.metrics.attempt(res)
-		x.excluded[t.id] = true
+		if !x.linkFailed {
+			x.excluded[t.id] = true
+		}
 		switch res {
 		case resultDone, resultCallerGone, resultSlowReader:
 			return
@@ -181,11 +183,16 @@
 		return resultNotRun
 	}
 	defer x.endTransfer()
-	c, err := g.pool.Get(ctx, t.address)
+	x.linkFailed = false
+	c, serverFailed, err := x.connect(ctx, t)
 	remaining := x.deadline.Sub(boottime.Now())
 	if err != nil {
-		g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Err(err).Msg("front: no connection to the server")
-		g.markUnreachable(t.id, x.call.Model)
+		g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("server_failed", serverFailed).Err(err).Msg("front: no connection to the server")
+		if serverFailed {
+			g.markUnreachable(t.id, x.call.Model)
+		} else {
+			g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+		}
 		if ctx.Err() != nil {
 			return x.callerGone()
 		}
@@ -193,6 +200,15 @@
 	}
 	x.stopAbort = context.AfterFunc(ctx, c.Abort)
 	defer x.stopAbort()
+	if !c.Indirect && x.mayRepeat() {
+		if g.links.await(c, x) {
+			c.Abort()
+			g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+			x.linkFailed = true
+			return resultNotRun
+		}
+		defer g.links.done(c)
+	}
 	c.SetDeadline(wallTime(x.deadline.Add(responseGrace)))
 	x.sends++
 	x.sentAt = boottime.Now()
@@ -214,6 +230,7 @@
 		return x.attemptFailed(t, c, err)
 	}
 	x.timing.responseBegan()
+	g.serverHeard(c)
 	return x.handleResponse(t, c, resp)
 }
 
@@ -234,6 +251,11 @@
 
 func wallTime(t clock.Time) time.Time { return time.Now().Add(boottime.Until(t)) }
 
+// mayRepeat reports whether the request may be sent again if the current attempt breaks.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Retryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.sends+1 < maxSends
+}
+
 // mayFailOver reports whether the request leaves a silent server for another one.
 func (x *exchange) mayFailOver() bool {
 	return x.route.Kind == manifest.Stream && x.route.Resumable && x.possibleRuns+1 < x.route.MaxAttempts
@@ -270,16 +292,17 @@
 		return x.callerGone()
 	}
 	timeout := isTimeout(err)
-	g.attemptEnded(t.id, x.call.Model, directory.Failed)
+	g.links.done(c)
+	g.attemptEnded(t.id, x.call.Model, x.linkOutcome(c, directory.Failed))
 	var invalid invalidResponse
-	if !timeout && !errors.As(err, &invalid) {
+	if !timeout && !x.linkFailed && !errors.As(err, &invalid) {
 		x.recordCrash(t)
 	}
 	g.mu.Lock()
 	crashes, completions := g.poison.Suspicion(x.digests[0])
 	g.mu.Unlock()
 	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("reused", c.Reused).Bool("timeout", timeout).
-		Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).Err(err).Msg("front: attempt failed")
+		Bool("relayed", c.Indirect).Bool("link_failed", x.linkFailed).Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).Err(err).Msg("front: attempt failed")
 	if boottime.Now().Reached(x.deadline) {
 		x.possibleRuns++
 		return resultTimeout
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -150,6 +150,7 @@
 	metrics      *instruments
 	memory       *memory // nil without a bound
 	storeWatches storeWatches
+	links        *serverLinks
 
 	manifest       atomic.Pointer[manifest.Manifest]
 	packedManifest atomic.Pointer[packedManifest] // current manifest, as stored
@@ -252,6 +253,7 @@
 	demand           []demandMsg
 	heardAt          clock.Time
 	storeUnreachable bool
+	links            linksMsg
 }
 
 // removedServer is a backend server that is gone.
@@ -277,7 +279,7 @@
 	}
 	g := &Gateway{
 		settings: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
-		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), memory: newMemory(s.MemoryBound),
+		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), memory: newMemory(s.MemoryBound), links: newServerLinks(),
 		housekeepNow: make(chan struct{}, 1), reregister: make(chan struct{}, 1), stateChanged: make(chan struct{}), refuseQueued: make(chan struct{}),
 		servers: directory.New(), members: members.New(s.Name), configSync: configsync.New(boottime.Now(), s.Name, s.Zone), quotaWaiters: make(map[uint64]chan quota.Outcome),
 		retryBudget: budget.New(s.RetryBudget), poison: poison.New(),
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -55,6 +55,7 @@
 			g.sendHeartbeat(audienceHolder)
 			nextAck = now.Add(baseHeartbeatInterval)
 		}
+		g.checkLinks(now)
 		t.Reset(g.housekeepRound())
 	}
 }
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -30,6 +30,9 @@
 	quotaUnknown    *metrics.Counter
 	coldStarts      *metrics.Counter
 	memoryRefused   *metrics.Counter
+	// linkCuts counts the times when no server was reached on an own link, and relayed the
+	// connections to servers that were opened for other instances.
+	linkCuts, relayed *metrics.Counter
 	// crashTrials counts the sends of requests that are refused since servers crashed under them.
 	crashTrials *metrics.Counter
 	// slowReaders counts the responses that ended because their callers did not read them.
@@ -63,6 +66,8 @@
 		quotaDenied: s.NewCounter("oleanderd_quota_denied_total"), quotaUnknown: s.NewCounter("oleanderd_quota_unknown_total"),
 		coldStarts:         s.NewCounter("oleanderd_cold_starts_total"),
 		memoryRefused:      s.NewCounter("oleanderd_memory_refused_total"),
+		linkCuts:           s.NewCounter("oleanderd_link_cuts_total"),
+		relayed:            s.NewCounter("oleanderd_connections_relayed_total"),
 		crashTrials:        s.NewCounter("oleanderd_crash_trials_total"),
 		slowReaders:        s.NewCounter("oleanderd_slow_readers_total"),
 		dispatcherTimeouts: s.NewCounter("oleanderd_dispatcher_silent_total"),
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -184,6 +184,7 @@
 	Paces          *pacesMsg          `cbor:"19,keyasint,omitempty"`
 	LeaseRelease   *leaseReleaseMsg   `cbor:"20,keyasint,omitempty"` // with Heartbeat
 	Suspects       *suspectsMsg       `cbor:"22,keyasint,omitempty"` // with Heartbeat, or alone if urgent
+	Links          *linksMsg          `cbor:"23,keyasint,omitempty"` // with Heartbeat
 	// AcquireReplyDetail goes with AcquireReply.
 	AcquireReplyDetail *acquireReplyDetailMsg `cbor:"21,keyasint,omitempty"`
 	Relayed            [][]byte               `cbor:"9,keyasint,omitempty"` // encoded packets relayed by another instance of the zone
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -26,6 +26,9 @@
 		readFrom := boottime.Now()
 		n, err := resp.Body.Read(buffer)
 		waited := boottime.Now().Sub(readFrom)
+		if n > 0 {
+			x.g.serverHeard(c)
+		}
 		pending = append(pending, buffer[:n]...)
 		end := completeEventsLen(pending)
 		if err == io.EOF && !x.route.Resumable {
--- /dev/null
+++ b/oleander/gateway/relayconn.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/gateway/links"
+	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// relayDialTimeout bounds connecting through a relay: to the relay, and from it to the
+	// server.
+	relayDialTimeout = 2*links.ProbeTimeout + 50*time.Millisecond
+	// maxRelays is how many relays are tried for one connection, and maxRelaySearch how long
+	// further ones are tried after some that did not reach the server.
+	maxRelays      = 3
+	maxRelaySearch = 100 * time.Millisecond
+	// relayBufferSize is the size of the buffer of each direction.
+	relayBufferSize = 8 << 10
+	paramServer     = "server" // ID of the server to connect to
+	relayProtocol   = "oleanderd-relay"
+)
+
+var (
+	errNoRelay = errors.New("links: no instance can connect for this one")
+	// errRelayFailed says nothing about the server.
+	errRelayFailed = errors.New("links: the other instance does not relay")
+	// errUnreachable means that the relay could not connect to the server either.
+	errUnreachable = errors.New("links: the other instance does not reach the server")
+)
+
+// connect returns a connection to a server: an own one, or through another instance if this
+// one has no path or the server does not accept it. serverFailed reports whether an error is
+// the server's.
+func (x *exchange) connect(ctx context.Context, t target) (c *rawhttp.Conn, serverFailed bool, err error) {
+	g := x.g
+	if !g.links.cut() {
+		g.links.sent(boottime.Now())
+		c, err = g.pool.Get(ctx, t.address)
+		if err == nil {
+			return c, false, nil
+		}
+	}
+	if ctx.Err() != nil || boottime.Until(x.deadline) < minRelayTime {
+		return nil, false, errors.Wrap(rawhttp.ErrNotSent, "no time to connect")
+	}
+	c, relayErr := g.connectThroughRelay(ctx, t)
+	if relayErr == nil {
+		return c, false, nil
+	}
+	// Whoever is cut off, this instance or the relays that it asked, knows nothing of the server.
+	return nil, g.links.sound(boottime.Now()), relayErr
+}
+
+// connectThroughRelay connects to a server through one of the other instances. One that does
+// not reach the server may be cut off without knowing it yet, so others are asked, too, as
+// long as that is quick.
+func (g *Gateway) connectThroughRelay(ctx context.Context, t target) (*rawhttp.Conn, error) {
+	began := boottime.Now()
+	tried := make(map[string]bool)
+	for range maxRelays {
+		name, address := g.chooseRelay(tried)
+		if name == "" {
+			break
+		}
+		tried[name] = true
+		c, err := g.pool.GetIndirect(ctx, t.address, func(ctx context.Context) (net.Conn, error) { return dialRelay(ctx, address, t.id) })
+		if err == nil || ctx.Err() != nil {
+			return c, err
+		}
+		slow := boottime.Now().Sub(began) > maxRelaySearch
+		if errors.Is(err, errUnreachable) && (!slow || g.links.cut()) {
+			continue
+		}
+		if errors.Is(err, errUnreachable) {
+			return nil, err
+		}
+		g.log.Warn().Str("server", t.id).Str("relay", name).Err(err).Msg("links: relay failed")
+		g.links.mu.Lock()
+		g.links.chooser.Failed(boottime.Now(), name)
+		g.links.mu.Unlock()
+	}
+	return nil, errNoRelay
+}
+
+// chooseRelay returns the name and address of an instance that connects for this one, or "".
+func (g *Gateway) chooseRelay(exclude map[string]bool) (name, address string) {
+	g.mu.Lock()
+	now := boottime.Now()
+	var relays []links.Relay
+	addresses := make(map[string]string)
+	for _, m := range g.members.All(now) {
+		if !m.Live(now) || m.Leaving {
+			continue
+		}
+		r := links.Relay{Name: m.Name, SameZone: m.Zone == g.settings.Zone}
+		if peer := g.peerStates[m.Name]; peer != nil {
+			r.Cut, r.Relayed = peer.links.Cut, peer.links.Relayed
+		}
+		relays, addresses[m.Name] = append(relays, r), m.Address
+	}
+	g.mu.Unlock()
+	g.links.mu.Lock()
+	defer g.links.mu.Unlock()
+	name = g.links.chooser.Choose(now, relays, exclude)
+	return name, addresses[name]
+}
+
+// dialRelay opens a connection to a server through the instance at an address.
+func dialRelay(ctx context.Context, relay, server string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	defer cancel()
+	c, err := rawhttp.DialTCP(ctx, relay, links.ProbeTimeout)
+	if err != nil {
+		return nil, errors.Wrap(errRelayFailed, err.Error())
+	}
+	if err := requestRelay(ctx, c, relay, server); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// requestRelay asks an instance to relay a new connection.
+func requestRelay(ctx context.Context, c net.Conn, relay, server string) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline)
+	}
+	request := "POST " + pathConnect + "?" + url.Values{paramServer: {server}}.Encode() + " HTTP/1.1\r\nHost: " + relay +
+		"\r\nConnection: Upgrade\r\nUpgrade: " + relayProtocol + "\r\nContent-Length: 0\r\n\r\n"
+	if _, err := io.WriteString(c, request); err != nil {
+		return errors.Wrap(errRelayFailed, err.Error())
+	}
+	// The server sends nothing before it gets a request, so the reader holds nothing of it.
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return errors.Wrap(errRelayFailed, err.Error())
+	}
+	switch resp.StatusCode {
+	case http.StatusSwitchingProtocols:
+		return errors.Wrap(c.SetDeadline(time.Time{}), "links: reset the deadline")
+	case http.StatusBadGateway:
+		return errUnreachable
+	}
+	return errors.Wrapf(errRelayFailed, "status %d", resp.StatusCode)
+}
+
+// serveConnect connects another instance to a server.
+func (g *Gateway) serveConnect(w http.ResponseWriter, r *http.Request) {
+	address := g.serverAddress(r.URL.Query().Get(paramServer))
+	if address == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !g.beginRelay() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer g.endRelay()
+	ctx, cancel := context.WithTimeout(r.Context(), links.ProbeTimeout)
+	server, err := g.pool.Dial(ctx, address)
+	cancel()
+	if err != nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	g.metrics.connections.Inc()
+	caller, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		_ = server.Close()
+		g.log.Error().Err(err).Msg("links: relaying failed")
+		return
+	}
+	_ = caller.SetDeadline(time.Time{})
+	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+relayProtocol+"\r\n\r\n"); err != nil {
+		abort(caller)
+		abort(server)
+		return
+	}
+	relayBoth(caller, server)
+}
+
+// serverAddress returns the address of a server that may be used, or "".
+func (g *Gateway) serverAddress(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers.Get(id)
+	if s == nil || s.ZoneClosed() {
+		return ""
+	}
+	return s.Address
+}
+
+// beginRelay reports whether this instance can relay another connection, and counts it.
+func (g *Gateway) beginRelay() bool {
+	g.links.mu.Lock()
+	defer g.links.mu.Unlock()
+	if _, cut := g.links.monitor.Cut(); cut || g.stopping.Load() || g.links.relayed >= links.MaxRelayed {
+		return false
+	}
+	g.links.relayed++
+	g.metrics.relayed.Inc()
+	return true
+}
+
+func (g *Gateway) endRelay() {
+	g.links.mu.Lock()
+	defer g.links.mu.Unlock()
+	g.links.relayed--
+}
+
+// relayedConns returns the number of connections relayed now.
+func (g *Gateway) relayedConns() int {
+	g.links.mu.Lock()
+	defer g.links.mu.Unlock()
+	return g.links.relayed
+}
+
+// relayBoth copies between two connections until both directions end. Each side sees how the
+// other one ended: a response that is reset midway must not look complete.
+func relayBoth(a, b net.Conn) {
+	var both sync.WaitGroup
+	both.Go(func() { relayOne(a, b) })
+	both.Go(func() { relayOne(b, a) })
+	both.Wait()
+	_ = a.Close()
+	_ = b.Close()
+}
+
+// relayOne copies from one connection to another, and ends that as the first one ended.
+func relayOne(from, to net.Conn) {
+	buffer := make([]byte, relayBufferSize)
+	// The wrappers keep io.CopyBuffer from moving the bytes within the kernel, which not
+	// every kernel interface that this program runs on offers.
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, buffer)
+	if err != nil {
+		abort(from)
+		abort(to)
+		return
+	}
+	if c, ok := to.(interface{ CloseWrite() error }); ok {
+		_ = c.CloseWrite()
+	}
+}
+
+// abort resets a connection.
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -132,10 +132,21 @@
 	if err := server.Shutdown(drain); err != nil {
 		g.log.Warn().Err(err).Int64("active", g.activeRequests.Load()).Msg("gateway: requests aborted at the end of the grace period")
 	}
+	g.awaitRelayed(drain)
 	g.releaseLeases()
 	g.log.Info().Msg("gateway: stopped")
 }
 
+// awaitRelayed waits for the requests of other instances on relayed connections.
+func (g *Gateway) awaitRelayed(ctx context.Context) {
+	for g.relayedConns() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(housekeepInterval):
+		}
+	}
+}
+
 // tooLateToAccept reports whether a request that may take so long might not end
 // before a stopping process is killed.
 func (g *Gateway) tooLateToAccept(now clock.Time, duration time.Duration) bool {
@@ -202,6 +213,7 @@
 	pathMetrics  = "/metrics"
 	pathLease    = "/lease"
 	pathServers  = "/servers"
+	pathConnect  = "/connect"
 )
 
 // peerHandler serves other instances and the metrics.
@@ -210,6 +222,7 @@
 	mux.HandleFunc(pathManifest, g.serveManifest)
 	mux.HandleFunc(pathLease, g.serveLease)
 	mux.HandleFunc(pathServers, g.serveServers)
+	mux.HandleFunc(pathConnect, g.serveConnect)
 	mux.HandleFunc(pathMetrics, func(w http.ResponseWriter, _ *http.Request) { g.metrics.write(w, g) })
 	return mux
 }
