Lease: a holder without a path to the engines leaves its zone's orders to another

A cut holder gives no orders at once, renews nothing and says with its heartbeat that it is cut off, so that another instance of the zone that is not takes over as after a failure: after term and quiet period. It is a candidate again when the cut ends, and does not take the lease back. Orders are not relayed, since they would come from two machines.

--- a/core/gateway/leader/leader.go
+++ b/core/gateway/leader/leader.go
@@ -131,6 +131,7 @@
 	announced     announced  // content of the announcement with the latest row version
 	releases      releaseState
 	stopping      bool // the instance stops and takes no further part
+	yielding      bool // see SetYielding
 }
 
 // announced is what the holder announced about its lease.
@@ -158,7 +159,7 @@
 
 // MayOrder reports whether an order may be sent at now.
 func (l *Lease) MayOrder(now clock.Time) bool {
-	return l.Holds(now) && now.Reached(l.quietUntil) && !l.stopping
+	return l.Holds(now) && now.Reached(l.quietUntil) && !l.stopping && !l.yielding
 }
 
 // Fencing returns the fencing token that the orders of this holder carry.
@@ -179,7 +180,7 @@
 // not the holder. A renewal in flight need not be announced: once it is applied, the
 // row's version differs from the announced one.
 func (l *Lease) Announce(now clock.Time) (a Announcement, ok bool) {
-	if !l.isHolder || l.stopping {
+	if !l.isHolder || l.stopping || l.yielding {
 		return Announcement{}, false
 	}
 	return Announcement{
@@ -220,6 +221,12 @@
 	switch {
 	case l.inFlight || l.stopping:
 		return Step{}
+	case l.yielding:
+		if l.isHolder {
+			l.loseLease()
+			l.rowCurrent = false
+		}
+		return Step{}
 	case !l.isHolder && !l.holderTimedOut(now, rank):
 		l.rowCurrent = false
 		if l.pendingTakeover != 0 && now.Reached(l.nextAt) { // no acknowledgment is possible before the row is read
@@ -407,6 +414,12 @@
 	return heldBefore && !l.heldAtLastCheck
 }
 
+// SetYielding sets whether this instance leaves the lease to others, since its orders would
+// reach nobody. A holder gives no orders from then on and no longer renews the row, so that
+// another instance takes over as after a failure of the holder. The instance may become a
+// candidate again.
+func (l *Lease) SetYielding(yielding bool) { l.yielding = yielding }
+
 // Stop ends this instance's part in the election, at the end of a planned stop. It
 // does not release the lease: the same machine usually starts again within a second
 // and continues at once, as no other machine sent orders meanwhile. Any other machine
--- a/core/gateway/leader/release_test.go
+++ b/core/gateway/leader/release_test.go
@@ -169,3 +169,20 @@
 		t.Error("the release of an instance that the store lists is not required")
 	}
 }
+
+// Guards against two machines that send orders when holders leave the lease to others, and take
+// part again, under all other faults.
+func TestSingleHolderWhileHoldersYield(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newSimulation(t, seed, 3)
+		for range 60 {
+			for _, n := range s.nodes {
+				n.lease.SetYielding(s.rng.IntN(4) == 0)
+			}
+			s.run(time.Second, 40)
+		}
+		if s.orders == 0 || len(s.holders) < 2 {
+			t.Errorf("seed %d: %d orders by %d holders: the simulation proves nothing", seed, s.orders, len(s.holders))
+		}
+	}
+}
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -192,7 +192,7 @@
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
 		g.handleSuspects(now, m.Suspects)
 		if m.Heartbeat.Name != g.settings.Name {
-			g.handleLinks(m.Heartbeat, m.Links)
+			g.handleLinks(now, m.Heartbeat, m.Links)
 		}
 	case m.State != nil:
 		g.handleState(now, m.State)
--- a/oleander/gateway/cut_test.go
+++ b/oleander/gateway/cut_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 // cutMode is what a cut does to the connections of an instance to the servers.
@@ -230,3 +231,40 @@
 		}
 	}
 }
+
+// Guards against a holder of a zone's lease that keeps it though its orders reach no engine.
+func TestCutHolderLeavesOrdersToAnother(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("p0", "plain", ok)
+	f.backend("p1", "plain", ok)
+	urls := []string{f.start(), f.start()}
+	mayOrder := func(i int) bool {
+		g := f.gateways[i]
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.zoneLease.MayOrder(boottime.Now())
+	}
+	testutil.WaitFor(t, func() bool { return mayOrder(0) || mayOrder(1) })
+	holder, other := 0, 1
+	if mayOrder(1) {
+		holder, other = 1, 0
+	}
+	links := &cutLinks{}
+	links.install(f.gateways[holder])
+	links.set(cutHangs)
+	testutil.WaitFor(t, func() bool {
+		f.ask(http.MethodGet, urls[holder]+"/read/x", testWait, "400")
+		return mayOrder(other)
+	})
+	if mayOrder(holder) {
+		t.Error("the cut holder still sends orders")
+	}
+	links.set(notCut)
+	testutil.WaitFor(t, func() bool {
+		f.ask(http.MethodGet, urls[holder]+"/read/x", testWait, "400")
+		return !f.gateways[holder].links.cut()
+	})
+	if mayOrder(holder) || !mayOrder(other) {
+		t.Error("the lease changed hands when the cut ended")
+	}
+}
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -103,6 +103,7 @@
 	messages := append(g.quotaMessages(), g.watcherMessages(now)...)
 	messages = append(messages, g.paceMessages(now)...)
 	fleetStep := g.fleetLease.Next(now, g.updateFleetVoters(now))
+	g.zoneLease.SetYielding(g.yieldsOrders(now))
 	zoneStep := g.zoneLease.Next(now, g.updateZoneVoters(now))
 	if g.fleetLease.Holds(now) {
 		g.fleetHolder.heardAt = now
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -197,17 +197,36 @@
 }
 
 // handleLinks records the links of another instance. The caller holds mu.
-func (g *Gateway) handleLinks(b *heartbeatMsg, m *linksMsg) {
+func (g *Gateway) handleLinks(now clock.Time, b *heartbeatMsg, m *linksMsg) {
 	peer := g.peerStateOf(b.Name, b.Incarnation)
 	peer.links = linksMsg{}
 	if m != nil {
 		peer.links = *m
 	}
+	if peer.links.Cut && b.ZoneAnnouncement == nil && b.Zone == g.settings.Zone && g.zoneHolders[b.Zone].name == b.Name {
+		g.zoneLease.HandleHolderStopping(now) // it leaves the lease to others
+	}
 	g.links.mu.Lock()
 	g.links.chooser.Reported(b.Name)
 	g.links.mu.Unlock()
 }
 
+// yieldsOrders reports whether this instance leaves the orders of its zone to another one: it
+// reaches no engine, and the other one is not known to be cut off, too. Orders are never
+// relayed: they would come from two machines. The caller holds mu.
+func (g *Gateway) yieldsOrders(now clock.Time) bool {
+	if !g.links.cut() {
+		return false
+	}
+	for _, m := range g.members.All(now) {
+		peer := g.peerStates[m.Name]
+		if m.Zone == g.settings.Zone && m.Live(now) && !m.Leaving && peer != nil && !peer.links.Cut {
+			return true
+		}
+	}
+	return false
+}
+
 // linkOutcome returns what the end of an attempt says about its server: nothing if the
 // instance's own link failed.
 func (x *exchange) linkOutcome(c *rawhttp.Conn, o directory.Outcome) directory.Outcome {
