Brittle servers: bounded by their slots and by the rejections that they survive

Package brittle keeps a statement a group and a bound a server: the slots and one more, lowered by each rejection, raised slowly, none after two thirds of N in a second. The dispatcher hears of the rejections of all instances. It takes effect only where servers say that they are brittle.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/brittle"
 	"oleanderdale.org/core/gateway/evacuation"
 	"oleanderdale.org/core/gateway/fleetshare"
 	"oleanderdale.org/core/gateway/pace"
@@ -80,6 +81,7 @@
 	pacer            warmup.Pacer
 	limit            *serverlimit.Limit // nil: never named
 	rest             *rest              // nil: never asked for
+	bound            brittle.Bound      // used while its group is brittle
 	prefills         []prefill          // counted with load scheduling
 	prefixes         []cachedPrefix     // expected in the cache, least recently used first; with load scheduling
 
@@ -138,6 +140,8 @@
 	// limits are the rate limits that servers named, by ID. They outlive the entry of a
 	// server, which may be gone and back.
 	limits map[string]*serverlimit.Limit
+	// brittleGroups are the groups whose servers said that they survive few rejections.
+	brittleGroups map[string]*brittle.Group
 	// departures are the servers that said in a response that they leave, by ID. Like limits
 	// they outlive the entry.
 	departures map[string]departure
@@ -155,7 +159,7 @@
 	return &Directory{
 		servers: make(map[string]*Server), serversByPeer: make(map[string][]string),
 		zoneStates: make(map[string]evacuation.State), warmupLimits: make(map[string]warmup.Limit),
-		limits: make(map[string]*serverlimit.Limit), departures: make(map[string]departure), rests: make(map[string]*rest),
+		limits: make(map[string]*serverlimit.Limit), brittleGroups: make(map[string]*brittle.Group), departures: make(map[string]departure), rests: make(map[string]*rest),
 		paces: pace.New(),
 	}
 }
--- a/core/gateway/directory/pick.go
+++ b/core/gateway/directory/pick.go
@@ -156,12 +156,12 @@
 	if s := d.pickLeastLoaded(now, avoidResting(now, d.eligible(now, overflow, req)), req); s != nil {
 		return d.newChoice(now, s, ByOverflow, append(candidates, overflow...), req)
 	}
-	return Choice{AllFull: true, RateLimited: anyWithFreeSlot(candidates, req), Pace: d.paceOf(now, candidates, req), Candidates: len(candidates)}
+	return Choice{AllFull: true, RateLimited: d.anyWithFreeSlot(now, candidates, req), Pace: d.paceOf(now, candidates, req), Candidates: len(candidates)}
 }
 
 // anyWithFreeSlot reports whether any candidate has a free slot.
-func anyWithFreeSlot(candidates []*Server, req Requirements) bool {
-	return slices.ContainsFunc(candidates, func(s *Server) bool { return !s.full(req) })
+func (d *Directory) anyWithFreeSlot(now clock.Time, candidates []*Server, req Requirements) bool {
+	return slices.ContainsFunc(candidates, func(s *Server) bool { return !s.full(req) && d.brittleAllows(now, s) })
 }
 
 // eligible returns the candidates that have a free slot and whose limits allow another
@@ -171,7 +171,7 @@
 	var eligible, warm []*Server
 	for _, s := range candidates {
 		switch {
-		case s.full(req), !d.limitAllows(now, s):
+		case s.full(req), !d.limitAllows(now, s), !d.brittleAllows(now, s):
 		case d.warmupAllows(now, s):
 			eligible = append(eligible, s)
 		case !s.Cold(now):
--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -211,6 +211,9 @@
 	if m.Ended != nil && m.From != d.self {
 		d.recordOutcome(now, *m.Ended)
 	}
+	if m.NotRun != "" && m.From != d.self {
+		d.dir.RecordRejection(now, m.NotRun)
+	}
 	if m.Sequence > inst.sequence {
 		inst.sequence, inst.lastHeard, inst.openQueries = m.Sequence, now, m.OpenQueries
 		inst.reconcileGrants(now)
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -362,6 +362,7 @@
 	report := g.loadMessages
 	switch {
 	case resp.StatusCode != http.StatusMisdirectedRequest:
+		g.servers.RecordRejection(now, t.id)
 		report = func(now clock.Time) []outgoing { return g.notRunMessages(now, t.id) }
 	case head.Server != "" && head.Server != t.id:
 		g.servers.MarkUnreachable(now, t.id) // another server has its address
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -27,19 +27,20 @@
 
 // Headers of the test dialect.
 const (
-	testID     = "Id"
-	testKey    = "Key"
-	testWait   = "Wait-Ms"
-	testModel  = "Model"
-	testLast   = "Last-Event"
-	testSigned = "Signed"
-	testNotRun = "Not-Run"
-	testServer = "Server-Id"
-	testOwner  = "Account"
-	testLeft   = "Left-Ms" // remaining time, sent to the server
-	testLimit  = "Limit"   // requests per second that the server accepts
-	testLeaves = "Leaves"  // the server leaves
-	testRest   = "Rest-Ms" // with a rejection: how long the server wants no other request
+	testID      = "Id"
+	testKey     = "Key"
+	testWait    = "Wait-Ms"
+	testModel   = "Model"
+	testLast    = "Last-Event"
+	testSigned  = "Signed"
+	testNotRun  = "Not-Run"
+	testServer  = "Server-Id"
+	testOwner   = "Account"
+	testLeft    = "Left-Ms" // remaining time, sent to the server
+	testLimit   = "Limit"   // requests per second that the server accepts
+	testLeaves  = "Leaves"  // the server leaves
+	testBrittle = "Brittle" // rejections in a second that the server survives
+	testRest    = "Rest-Ms" // with a rejection: how long the server wants no other request
 )
 
 // testTokens is the token count of each request.
@@ -81,6 +82,9 @@
 	if ms, err := strconv.Atoi(h.Get(testRest)); err == nil && status == http.StatusServiceUnavailable {
 		info.Rest = time.Duration(ms) * time.Millisecond
 	}
+	if n, err := strconv.Atoi(h.Get(testBrittle)); err == nil {
+		info.Brittle = ports.Brittleness{Named: true, Survived: n}
+	}
 	if text := h.Get(testLimit); text != "" {
 		perSecond, err := strconv.ParseFloat(text, 64)
 		if err != nil {
@@ -131,6 +135,9 @@
 		h.Set(testRest, strconv.FormatInt(head.Rest.Milliseconds(), 10))
 		return http.StatusServiceUnavailable, h
 	}
+	if head.Brittle.Named {
+		h.Set(testBrittle, strconv.Itoa(head.Brittle.Survived))
+	}
 	if head.RateLimit.Named {
 		h.Set(testLimit, strconv.FormatFloat(head.RateLimit.PerSecond, 'f', -1, 64))
 	}
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/brittle"
 	"oleanderdale.org/core/gateway/serverlimit"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
@@ -21,6 +22,7 @@
 	now := boottime.Now()
 	g.logFeedback(now, t, head)
 	changed := g.recordLimit(now, t, head)
+	changed = g.recordBrittle(now, t, head) || changed
 	changed = g.recordLeaving(now, t, head) || changed
 	changed = g.recordRest(now, t, head) || changed
 	var out []outgoing
@@ -60,6 +62,24 @@
 	return changed
 }
 
+// recordBrittle records what a response says about the rejections that the servers of its
+// group survive. It reports whether others should be told. The caller holds mu.
+func (g *Gateway) recordBrittle(now clock.Time, t target, head ports.ResponseInfo) bool {
+	s := g.servers.Get(t.id)
+	if s == nil || !head.Brittle.Named && !saysNoMore(head) {
+		return false
+	}
+	changed := g.servers.RecordBrittle(s.Group, brittle.Statement{Brittle: head.Brittle.Named, Survived: head.Brittle.Survived, At: now})
+	if head.Brittle.Named || changed {
+		g.feedbackHeardAt[t.id] = now
+	}
+	if changed {
+		g.log.Info().Str("server", t.id).Str("group", s.Group).Bool("brittle", head.Brittle.Named).Int("survived", head.Brittle.Survived).
+			Msg("feedback: servers say how many rejections they survive")
+	}
+	return changed
+}
+
 // recordLeaving records that a response says that its server leaves. It reports whether
 // that is new. A server that said so is not believed to stay again before it restarts. The
 // caller holds mu.
--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/brittle"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/members"
 	"oleanderdale.org/core/gateway/serverlimit"
@@ -22,6 +23,15 @@
 	Limit       *limitMsg `cbor:"3,keyasint,omitempty"` // nil: the sender knows of no limit, now or before
 	Leaving     bool      `cbor:"4,keyasint,omitempty"`
 	RestMS      int64     `cbor:"5,keyasint,omitempty"` // remaining rest that it asked some instance for
+	// Brittle is the newest statement of the servers of its group; nil if there is none.
+	Brittle *brittleMsg `cbor:"6,keyasint,omitempty"`
+}
+
+// brittleMsg says how many rejections in a second the servers of a group survive.
+type brittleMsg struct {
+	Group    string `cbor:"1,keyasint"`
+	AgeMS    int64  `cbor:"2,keyasint"` // since the response
+	Survived int    `cbor:"3,keyasint,omitempty"`
 }
 
 // limitMsg is the newest statement of a server about its rate limit.
@@ -61,10 +71,14 @@
 func (g *Gateway) encodeServerFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
 	said, ok := s.LimitStatement()
 	leaving, resting := g.servers.SaidLeaving(s), s.RestRemaining(now)
-	if !ok && !leaving && resting == 0 {
+	brittle, isBrittle := g.servers.BrittleStatement(now, s.Group)
+	if !ok && !leaving && resting == 0 && !isBrittle {
 		return nil
 	}
 	f := &serverFeedbackMsg{Server: s.ID, Incarnation: s.Incarnation, Leaving: leaving, RestMS: resting.Milliseconds()}
+	if isBrittle {
+		f.Brittle = &brittleMsg{Group: s.Group, AgeMS: now.Sub(brittle.At).Milliseconds(), Survived: brittle.Survived}
+	}
 	if ok {
 		f.Limit = &limitMsg{AgeMS: now.Sub(said.At).Milliseconds(), Limited: said.Limited, PerSecond: said.PerSecond}
 	}
@@ -131,6 +145,9 @@
 	if f.Limit != nil && f.Limit.valid() {
 		g.servers.RecordLimit(f.Server, f.Incarnation, f.Limit.statement(now))
 	}
+	if b := f.Brittle; b != nil && b.AgeMS >= 0 && b.AgeMS < maxFeedbackMS && b.Survived >= 0 {
+		g.servers.RecordBrittle(b.Group, brittle.Statement{Brittle: true, Survived: b.Survived, At: now.Add(-millis(b.AgeMS))})
+	}
 	if f.RestMS > 0 && f.RestMS < maxFeedbackMS {
 		g.servers.RecordRestOfAny(now, f.Server, time.Duration(f.RestMS)*time.Millisecond)
 	}
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -70,7 +70,9 @@
 // the intended one responded.
 type Feedback struct {
 	RateLimit RateLimit
-	Leaving   bool // the server stops serving soon and takes no new requests
+	// Brittle says that the servers of the group crash when they reject too many requests.
+	Brittle Brittleness
+	Leaving bool // the server stops serving soon and takes no new requests
 	// Rest is how long the server, which rejected the request, wants no other request of
 	// this instance; 0 if it does not say so.
 	Rest time.Duration
@@ -79,6 +81,12 @@
 	Invalid string
 }
 
+// Brittleness is how many rejections for want of room a server survives.
+type Brittleness struct {
+	Named    bool
+	Survived int // in a second
+}
+
 // RateLimit is what a response says about the rate of requests that its server accepts.
 type RateLimit struct {
 	Named     bool    // the response names a limit
