--- a/oleander/connection/rawhttp/rawhttp_test.go
+++ b/oleander/connection/rawhttp/rawhttp_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 
+	"golang.org/x/sys/unix"
+
 	"oleanderdale.org/oleander/internal/testutil"
 )
 
@@ -250,3 +252,34 @@
 		}
 	}
 }
+
+// Guards against connections that break while a server is silent for a second or so, or that outlive
+// a server that is gone: with TCP_USER_TIMEOUT set, it decides when keep-alive probes give up.
+func TestUserTimeoutDecidesWhenProbesGiveUp(t *testing.T) {
+	l := testutil.Listen(t)
+	c, err := DialTCP(t.Context(), l.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	option := func(name int) (value int) {
+		if e := raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }); e != nil || err != nil {
+			t.Fatal(e, err)
+		}
+		return value
+	}
+	const longestSilence, longestUnnoticed = 1500 * time.Millisecond, 5 * time.Second
+	userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
+	idle := time.Duration(option(unix.TCP_KEEPIDLE)) * time.Second
+	interval := time.Duration(option(unix.TCP_KEEPINTVL)) * time.Second
+	if userTimeout <= longestSilence {
+		t.Errorf("user timeout %v breaks connections to servers that are silent for %v", userTimeout, longestSilence)
+	}
+	if gone := idle + max(userTimeout, interval); gone > longestUnnoticed {
+		t.Errorf("a server that is gone is noticed after %v", gone)
+	}
+}
