Gateway: attempts have a file of their own; a connection is registered by its exchange

A finished exchange could remove the registration of the next one on the same pooled connection, so that a cut would not have ended that one's attempt; found by reading.

--- /dev/null
+++ b/oleander/gateway/attempt.go
@@ -0,0 +1,388 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/gateway/ports"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+const (
+	// maxResponseBytes bounds a response that is not a stream and is buffered until
+	// complete.
+	maxResponseBytes = 16 << 20
+	// responseGrace is how long a server's response is awaited after the request's
+	// deadline: it is more informative than a timeout of the gateway.
+	responseGrace = 120 * time.Millisecond
+	// The first event of a stream that may fail over must arrive within
+	// firstEventTimeoutFactor times the objective, and at least minFirstEventTimeout,
+	// which a full batch takes to reach a new prompt.
+	firstEventTimeoutFactor = 4
+	minFirstEventTimeout    = 1200 * time.Millisecond
+	// Likewise for the time between two events.
+	eventTimeoutFactor = 4
+	minEventTimeout    = time.Second
+)
+
+// attemptResult says how an attempt ended.
+type attemptResult int
+
+// Results of an attempt.
+const (
+	resultDone       attemptResult = iota // the caller has the response
+	resultNotRun                          // the server certainly did not run the request
+	resultBroken                          // the request may have run; no complete response arrived
+	resultCallerGone                      // the caller disconnected
+	resultTimeout                         // the deadline passed; the request may have run
+	resultSlowReader                      // the caller did not read the response
+)
+
+// String names a result in the metrics.
+func (r attemptResult) String() string {
+	return [...]string{"done", "not-run", "broken", "caller-gone", "timeout", "slow-reader"}[r]
+}
+
+// attempt sends the request to one server. The caller has counted the request there;
+// attempt counts its end.
+func (x *exchange) attempt(t target) attemptResult {
+	g := x.g
+	x.lastServer, x.prefill = t.id, t.prefill
+	defer x.endPrefill()
+	ctx := x.r.Context()
+	if !x.startTransfer(t.id) {
+		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+		if ctx.Err() != nil {
+			return x.callerGone()
+		}
+		return resultNotRun
+	}
+	defer x.endTransfer()
+	c, ok := x.open(ctx, t)
+	if !ok {
+		if ctx.Err() != nil {
+			return x.callerGone()
+		}
+		return resultNotRun // nothing was sent, so it does not count in sends
+	}
+	remaining := x.deadline.Sub(boottime.Now())
+	x.stopAbort = context.AfterFunc(ctx, c.Abort)
+	defer x.stopAbort()
+	defer g.links.done(c, x)
+	c.SetDeadline(wallTime(x.deadline.Add(responseGrace)))
+	x.sends++
+	x.sentAt = boottime.Now()
+	x.timing.attemptSent()
+	err := c.Send(rawhttp.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		Header: g.dialect.ForwardHeaders(x.r.Header, ports.Attempt{
+			Account: x.accountName(), Server: t.id, Timeout: remaining, Priority: x.priority(), LastEventID: x.lastEventID,
+		}),
+	})
+	if err != nil {
+		return x.attemptFailed(t, c, err)
+	}
+	if x.mayFailOver() {
+		c.SetReadDeadline(wallTime(min(x.deadline.Add(responseGrace), boottime.Now().Add(x.firstEventTimeout()))))
+	}
+	resp, err := c.ReadResponse(x.r.Method)
+	if err != nil {
+		return x.attemptFailed(t, c, err)
+	}
+	x.timing.responseBegan()
+	g.serverHeard(c)
+	return x.handleResponse(t, c, resp)
+}
+
+// open opens the connection of an attempt, or counts the attempt's end.
+func (x *exchange) open(ctx context.Context, t target) (c *rawhttp.Conn, ok bool) {
+	g := x.g
+	x.linkFailed = false
+	c, serverFailed, err := x.connect(ctx, t)
+	switch {
+	case err != nil:
+		g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("server_failed", serverFailed).Err(err).Msg("front: no connection to the server")
+	case !c.Indirect && x.mayRepeat() && g.links.await(c, x):
+		c.Abort()
+		x.linkFailed = true
+	default:
+		return c, true
+	}
+	if serverFailed {
+		g.markUnreachable(t.id, x.call.Model)
+	} else {
+		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+	}
+	return nil, false
+}
+
+// releaseConn returns the connection of a complete response to the pool. A caller that
+// leaves later must not abort the connection, which may serve another request by then.
+func (x *exchange) releaseConn(c *rawhttp.Conn, resp *http.Response) {
+	if x.stopAbort() {
+		c.Release(resp)
+	}
+}
+
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
+func wallTime(t clock.Time) time.Time { return time.Now().Add(boottime.Until(t)) }
+
+// mayRepeat reports whether the request may be sent again if the current attempt breaks.
+func (x *exchange) mayRepeat() bool {
+	return x.route.Retryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.sends+1 < maxSends
+}
+
+// mayFailOver reports whether the request leaves a silent server for another one.
+func (x *exchange) mayFailOver() bool {
+	return x.route.Kind == manifest.Stream && x.route.Resumable && x.possibleRuns+1 < x.route.MaxAttempts
+}
+
+func (x *exchange) firstEventTimeout() time.Duration {
+	return max(minFirstEventTimeout, firstEventTimeoutFactor*x.route.LatencyObjective)
+}
+
+func (x *exchange) callerGone() attemptResult {
+	x.refundQuota()
+	x.finish(0, reasonCallerGone)
+	return resultCallerGone
+}
+
+// markUnreachable records that connecting to a server failed.
+func (g *Gateway) markUnreachable(id, model string) {
+	g.mu.Lock()
+	now := boottime.Now()
+	g.servers.RequestEnded(now, id, model, directory.Neutral)
+	g.servers.MarkUnreachable(now, id)
+	out := g.unreachableMessages(now, id)
+	g.mu.Unlock()
+	g.sendAll(out)
+}
+
+// attemptFailed ends an attempt that failed after the request was sent.
+func (x *exchange) attemptFailed(t target, c *rawhttp.Conn, err error) attemptResult {
+	c.Abort()
+	g := x.g
+	if x.r.Context().Err() != nil {
+		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+		x.possibleRuns++
+		return x.callerGone()
+	}
+	timeout := isTimeout(err)
+	g.links.done(c, x)
+	g.attemptEnded(t.id, x.call.Model, x.linkOutcome(c, directory.Failed))
+	var invalid invalidResponse
+	if !timeout && !x.linkFailed && !errors.As(err, &invalid) {
+		x.recordCrash(t)
+	}
+	g.mu.Lock()
+	crashes, completions := g.poison.Suspicion(x.digests[0])
+	g.mu.Unlock()
+	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Bool("reused", c.Reused).Bool("timeout", timeout).
+		Bool("relayed", c.Indirect).Bool("link_failed", x.linkFailed).Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).Err(err).Msg("front: attempt failed")
+	if boottime.Now().Reached(x.deadline) {
+		x.possibleRuns++
+		return resultTimeout
+	}
+	return resultBroken
+}
+
+// invalidResponse is the error of an attempt whose server answered, so that it did not
+// crash, with a response that can't be used.
+type invalidResponse struct{ error }
+
+func invalidf(format string, args ...any) error {
+	return invalidResponse{errors.Errorf(format, args...)}
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
+// handleResponse handles the response of a server.
+func (x *exchange) handleResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
+	head := x.g.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	if x.isFrom(t, head) {
+		x.recordAnswer(t)
+		x.g.handleFeedback(t, head)
+	}
+	switch {
+	case head.NotExecuted:
+		return x.handleNotRun(t, c, resp, head)
+	case head.RequestID != "" && head.RequestID != x.call.ID:
+		return x.attemptFailed(t, c, invalidf("response to another request"))
+	case resp.StatusCode < 300 && !head.Signed:
+		return x.attemptFailed(t, c, invalidf("success response without signature"))
+	case resp.StatusCode >= 500 && x.mayFailOver():
+		return x.attemptFailed(t, c, invalidf("status %d", resp.StatusCode))
+	case x.route.Kind == manifest.Stream && resp.StatusCode < 300:
+		return x.relayStream(t, c, resp)
+	case x.responseStarted:
+		return x.attemptFailed(t, c, invalidf("status %d while resuming a stream", resp.StatusCode))
+	}
+	return x.forwardResponse(t, c, resp)
+}
+
+// handleNotRun ends an attempt that the server rejected.
+func (x *exchange) handleNotRun(t target, c *rawhttp.Conn, resp *http.Response, head ports.ResponseInfo) attemptResult {
+	g := x.g
+	const rejectionLimit = 64 << 10
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, rejectionLimit)); err != nil {
+		c.Abort()
+	} else {
+		x.releaseConn(c, resp)
+	}
+	g.mu.Lock()
+	now := boottime.Now()
+	g.servers.RequestEnded(now, t.id, x.call.Model, directory.Neutral)
+	report := g.loadMessages
+	switch {
+	case resp.StatusCode != http.StatusMisdirectedRequest:
+		g.servers.RecordRejection(now, t.id)
+		report = func(now clock.Time) []outgoing { return g.notRunMessages(now, t.id) }
+	case head.Server != "" && head.Server != t.id:
+		g.servers.MarkUnreachable(now, t.id) // another server has its address
+	case x.call.Model != "":
+		g.servers.MarkMissing(t.id, x.call.Model, x.call.Adapter)
+	}
+	out := report(now)
+	g.mu.Unlock()
+	g.sendAll(out)
+	g.log.Info().Str("request", x.call.ID).Str("server", t.id).Int("status", resp.StatusCode).Msg("front: server rejected the request")
+	return resultNotRun
+}
+
+// forwardResponse forwards a response that must be complete before the caller gets
+// any of it.
+func (x *exchange) forwardResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
+	if x.g.memory != nil {
+		return x.forwardBoundedResponse(t, c, resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = invalidf("response larger than %d bytes", maxResponseBytes)
+	}
+	if err != nil {
+		return x.attemptFailed(t, c, err)
+	}
+	x.releaseConn(c, resp)
+	x.attemptAnswered(t, resp.StatusCode)
+	x.writeBufferedHead(resp, len(body))
+	if _, err := x.w.Write(body); err != nil {
+		return x.callerGone()
+	}
+	x.timing.partForwarded(x.arrived)
+	x.finish(resp.StatusCode, reasonAnswered)
+	return resultDone
+}
+
+// forwardBoundedResponse is forwardResponse with a bound on the memory.
+func (x *exchange) forwardBoundedResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
+	x.releaseBodyBeforeResponse()
+	parts, err := x.readBoundedResponse(c, resp)
+	if err != nil {
+		x.releaseResponse()
+		if errors.Is(err, errNoMemory) { // no fault of the server
+			c.Abort()
+			x.g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+			x.g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Err(err).Msg("front: attempt failed")
+			return resultBroken
+		}
+		return x.attemptFailed(t, c, err)
+	}
+	x.releaseConn(c, resp)
+	x.endTransfer()
+	x.releaseBody()
+	x.attemptAnswered(t, resp.StatusCode)
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	x.writeBufferedHead(resp, size)
+	if err := x.writeBoundedResponse(parts); err != nil {
+		return x.writeFailed(resp.StatusCode, err)
+	}
+	x.timing.partForwarded(x.arrived)
+	x.finish(resp.StatusCode, reasonAnswered)
+	return resultDone
+}
+
+// writeBufferedHead writes the status and headers of a response of known size.
+func (x *exchange) writeBufferedHead(resp *http.Response, size int) {
+	copyHeader(x.w.Header(), resp.Header)
+	if x.r.Method != http.MethodHead {
+		x.w.Header().Set("Content-Length", strconv.Itoa(size))
+	}
+	x.responseStarted = true
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// attemptAnswered counts the end of an attempt with a complete response.
+func (x *exchange) attemptAnswered(t target, status int) {
+	x.possibleRuns++
+	g := x.g
+	g.mu.Lock()
+	now := boottime.Now()
+	o := statusOutcome(status)
+	g.servers.RequestEnded(now, t.id, x.call.Model, o)
+	timing := x.runTiming(now, status)
+	if timing != nil {
+		g.servers.RecordRun(now, t.id, t.incarnation, timing.PaceRun())
+	}
+	out := g.endedMessages(now, t.id, o, timing)
+	if ranToItsEnd(status) && g.poison.RecordCompletion(now, x.digests) {
+		out = append(out, g.suspectMessages(now, x.digests)...)
+	}
+	g.mu.Unlock()
+	g.sendAll(out)
+}
+
+// statusOutcome returns the outcome that a response status counts as.
+func statusOutcome(status int) directory.Outcome {
+	if status >= 500 {
+		return directory.Failed
+	}
+	return directory.Answered
+}
+
+// ranToItsEnd reports whether a response status shows that the server ran the request and
+// survived it. Errors of the server and rejections don't.
+func ranToItsEnd(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status < 500
+}
+
+// hopByHopHeaders concern one connection and are not forwarded.
+var hopByHopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func copyHeader(to, from http.Header) {
+	h := from.Clone()
+	RemoveHopByHopHeaders(h) // not from to, where a stopping instance sets Connection
+	maps.Copy(to, h)
+	if to.Get("Content-Type") == "" {
+		to["Content-Type"] = nil // keeps net/http from guessing one
+	}
+}
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -61,11 +61,14 @@
 	return false
 }
 
-// done removes an attempt. From then on, no cut sets its exchange's linkFailed.
-func (l *serverLinks) done(c *rawhttp.Conn) {
+// done removes an attempt, if it is registered. From then on, no cut sets its exchange's
+// linkFailed. Another exchange may use the connection already.
+func (l *serverLinks) done(c *rawhttp.Conn, x *exchange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.waiting, c)
+	if l.waiting[c] == x {
+		delete(l.waiting, c)
+	}
 }
 
 // serverHeard records a sign of a server on an own link.
