--- a/oleander/gateway/crash_test.go
+++ b/oleander/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,26 @@
 	}
 }
 
+// streamHandler is handler for streams; a crashing one crashes after some events.
+func (c *crashingServers) streamHandler(firstEvents int) http.HandlerFunc {
+	var downUntil atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get(testLast))
+		crashes := strings.Contains(r.RequestURI, crashMark) && !c.survives()
+		for i := last + 1; i <= last+5; i++ {
+			if time.Now().UnixNano() < downUntil.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			if crashes && i > last+firstEvents {
+				downUntil.Store(time.Now().Add(crashDowntime).UnixNano())
+				panic(http.ErrAbortHandler)
+			}
+			events(w, i, i)
+			time.Sleep(3 * time.Millisecond)
+		}
+	}
+}
+
 // lateCrashes returns the number of crashes later than crashKnownAfter after the third.
 func (c *crashingServers) lateCrashes() (late, all int) {
 	c.mu.Lock()
@@ -92,6 +113,10 @@
 	servers     int
 	// survivedEvery is that of crashingServers.
 	survivedEvery int
+	// model makes the servers engines that have it loaded; "" for plain servers. They crash
+	// after firstEvents events.
+	model       string
+	firstEvents int
 }
 
 // play plays the scenario on three instances. It returns the crashes, and the sound requests
@@ -100,10 +125,16 @@
 	f := newFixture(t, config(1))
 	c = &crashingServers{survivedEvery: s.survivedEvery}
 	for i := range s.servers {
-		f.backend(fmt.Sprint("s", i), "plain", c.handler())
+		if s.model != "" {
+			f.backend(fmt.Sprint("s", i), "llm", c.streamHandler(s.firstEvents), s.model)
+		} else {
+			f.backend(fmt.Sprint("s", i), "plain", c.handler())
+		}
 	}
 	urls := []string{f.start(), f.start(), f.start()}
-	testutil.WaitFor(t, func() bool { return f.ask(http.MethodGet, urls[2]+"/read/first").status == http.StatusOK })
+	testutil.WaitFor(t, func() bool {
+		return f.ask(s.soundMethod, urls[2]+s.soundPath(0), testModel, s.model).status == http.StatusOK
+	})
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), crashTestPeriod)
 	defer cancel()
@@ -114,7 +145,7 @@
 			for ctx.Err() == nil {
 				n := int(number.Add(1))
 				late := time.Since(began) > soundServedAfter
-				got := f.askCtx(context.Background(), s.soundMethod, urls[i%3]+s.soundPath(n), testID, fmt.Sprint("sound", n))
+				got := f.askCtx(context.Background(), s.soundMethod, urls[i%3]+s.soundPath(n), testID, fmt.Sprint("sound", n), testModel, s.model)
 				if late {
 					sentLate.Add(1)
 				}
@@ -126,7 +157,7 @@
 		})
 	}
 	for i := 0; ctx.Err() == nil; i++ {
-		f.askCtx(ctx, s.method, urls[i%3]+s.path(i), testID, fmt.Sprint("crashing", i))
+		f.askCtx(ctx, s.method, urls[i%3]+s.path(i), testID, fmt.Sprint("crashing", i), testModel, s.model)
 		time.Sleep(crashRetryPeriod)
 	}
 	callers.Wait()
@@ -188,6 +219,19 @@
 	}.check(t)
 }
 
+// Guards against streams that crash their servers before the first event or midway.
+func TestCrashingStreamIsRefused(t *testing.T) {
+	path := func(n int) string { return fmt.Sprint("/resume/", n) }
+	for _, firstEvents := range []int{0, 2} {
+		t.Run(fmt.Sprint("after ", firstEvents, " events"), func(t *testing.T) {
+			crashScenario{
+				method: http.MethodPost, path: samePath("/resume/" + crashMark), soundPath: path, soundMethod: http.MethodPost, servers: 4,
+				model: "warm", firstEvents: firstEvents,
+			}.check(t)
+		})
+	}
+}
+
 // Guards against the refusal of sound requests that look alike and were running at several crashes.
 func TestSoundRequestsBesideCrashesAreServed(t *testing.T) {
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
