Poison: trials that servers survive don't bring further trials

Only a request that completed in the 10 s before the crashes is tried again at once; for others the waits go on until it is no longer refused.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -82,7 +82,7 @@
 	completedAt     clock.Time // last completed run known at any instance; 0: none
 	changedAt       clock.Time // last observation at this instance; 0: none
 	trialAt         clock.Time // start of the last trial at any instance; 0: none
-	trials          int        // since the last completed run
+	trials          int        // since the request is refused
 }
 
 // Decision says whether a request may be sent to a backend server.
@@ -152,10 +152,18 @@
 		s.changedAt = now
 	}
 	s.completions++
-	s.completedAt, s.trials, s.trialAt = now, 0, 0
+	s.completedAt = now
+	s.endTrials(now)
 	return refused
 }
 
+// endTrials forgets the trials of a request that is no longer refused.
+func (s *suspect) endTrials(now clock.Time) {
+	if !s.refused(now) {
+		s.trials, s.trialAt = 0, 0
+	}
+}
+
 // RecordAnswer records that a server answered a request that this instance sent at sentAt.
 // Breaks right before that were no crashes of the server.
 func (d *Detector) RecordAnswer(now clock.Time, server Server, sentAt clock.Time) {
@@ -282,15 +290,16 @@
 	return now.Sub(max(s.lastCrash(), s.changedAt)) > crashWindow
 }
 
-// nextTrial returns when a refused request may be sent again: at once if it completed
-// since the last crash or trial.
+// nextTrial returns when a refused request may be sent again. One that completed before the
+// crashes may at once if it completed since the last of them, too: it is sound, most likely.
+// A request that servers survive only now and then must not have more trials for that.
 func (s *suspect) nextTrial() clock.Time {
 	last := max(s.lastCrash(), s.trialAt)
-	if s.completedAt > last {
-		return s.completedAt
-	}
 	delay := trialDelay
 	if s.completedBefore != 0 && s.recent()[0].at.Sub(s.completedBefore) <= soundMemory {
+		if s.completedAt > last {
+			return s.completedAt
+		}
 		delay = soundTrialDelay
 	}
 	for range s.trials {
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -124,9 +124,10 @@
 		s.peerCompletions[peer] = r.Completions
 	}
 	if at := now.Add(-r.CompletedAge); r.Completed && at > s.completedAt {
-		s.completedAt, s.trials, s.trialAt = at, 0, 0
+		s.completedAt = at
 	}
-	if at := now.Add(-r.TrialAge); r.Trials > 0 && at > max(s.trialAt, s.completedAt) {
+	s.endTrials(now)
+	if at := now.Add(-r.TrialAge); r.Trials > 0 && at > s.trialAt && s.refused(now) {
 		s.trials, s.trialAt = max(s.trials, r.Trials), at
 	}
 }
