Links: failures count against a server unless requests wait in silence

An instance believed its own failed connection only if it had heard a server within 250 ms. After a quiet moment a server that is gone was not taken for it, and each request tried it again, up to 400 ms each if it is dark; found by reading. Now the links are relied on unless a request has waited 250 ms without a sign of any server, when a probe decides. TestLinksAreReliedOnUntilSilence.

--- a/core/gateway/links/links.go
+++ b/core/gateway/links/links.go
@@ -48,9 +48,10 @@
 	return ended
 }
 
-// Sound reports whether a server was heard so recently that the links can be relied on.
+// Sound reports whether the links can be relied on: no request waits for long without a sign
+// of any server.
 func (m *Monitor) Sound(now clock.Time) bool {
-	return m.cutSince == 0 && m.heardAt != 0 && now.Sub(m.heardAt) < silenceLimit
+	return m.cutSince == 0 && (m.waitingSince == 0 || now.Sub(m.waitingSince) < silenceLimit)
 }
 
 // Cut reports whether no server can be reached on an own link, and since when none was heard.
--- a/core/gateway/links/links_test.go
+++ b/core/gateway/links/links_test.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// Guards against a server that is gone and not taken for it while there are few requests, and against
+// sound servers that are taken for gone while the links are cut.
+func TestLinksAreReliedOnUntilSilence(t *testing.T) {
+	m := &Monitor{}
+	m.Heard(start)
+	m.Sent(after(60_000))
+	if !m.Sound(after(60_010)) {
+		t.Error("a connection that is refused at once, after a quiet minute, says nothing of its server")
+	}
+	if m.Sound(after(60_400)) {
+		t.Error("relied on after 400 ms of silence")
+	}
+	probe(t, m, after(60_400), true)
+	if !m.Sound(after(60_600)) {
+		t.Error("not relied on after a probe that reached a server")
+	}
+	m.Sent(after(61_000))
+	probe(t, m, after(61_300), false)
+	if m.Sound(after(61_500)) {
+		t.Error("relied on during a cut")
+	}
+}
+
 // Guards against cut instances that all choose one relay, or one that can't connect.
 func TestRelaysShareTheLoad(t *testing.T) {
 	c := NewChooser()
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
@@ -37,7 +36,7 @@
 	return cut
 }
 
-// sound reports whether a server was heard on an own link a moment ago.
+// sound reports whether the own links can be relied on.
 func (l *serverLinks) sound(now clock.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -238,6 +237,3 @@
 	}
 	return o
 }
-
-// minRelayTime is the least remaining time for which connecting through a relay is tried.
-const minRelayTime = 50 * time.Millisecond
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -21,6 +21,8 @@
 	// relayDialTimeout bounds connecting through a relay: to the relay, and from it to the
 	// server.
 	relayDialTimeout = 2*links.ProbeTimeout + 50*time.Millisecond
+	// minRelayTime is the least remaining time for which connecting through a relay is tried.
+	minRelayTime = 50 * time.Millisecond
 	// maxRelays is how many relays are tried for one connection, and maxRelaySearch how long
 	// further ones are tried after some that did not reach the server.
 	maxRelays      = 3
