--- a/core/gateway/brittle/brittle.go
+++ b/core/gateway/brittle/brittle.go
@@ -18,7 +18,7 @@
 	// no slot is idle while the next request is on its way; none if the server survives fewer
 	// rejections than minSurvivedForExtra.
 	extraRequests       = 1
-	minSurvivedForExtra = 2
+	minSurvivedForExtra = 8
 	// raiseInterval is the time without a rejection after which the bound rises by one.
 	raiseInterval = 5 * time.Second
 	// rejectionWindow is the time in which the servers count rejections.
