--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
@@ -195,7 +196,7 @@
 	g.mu.Lock()
 	crashes, completions := g.poison.Suspicion(x.digests[0])
 	g.mu.Unlock()
-	g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Str("software", t.software).Int("events", x.eventCount).Bool("reused", c.Reused).Bool("timeout", timeout).
+	x.logShared(g.log.Warn().Str("request", x.call.ID)).Str("server", t.id).Str("software", t.software).Int("events", x.eventCount).Bool("reused", c.Reused).Bool("timeout", timeout).
 		Bool("relayed", c.Indirect).Bool("link_failed", x.linkFailed).Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).Err(err).Msg("front: attempt failed")
 	if boottime.Now().Reached(x.deadline) {
 		x.possibleRuns++
@@ -204,6 +205,25 @@
 	return resultBroken
 }
 
+// logShared adds what the request has in common with others that may crash servers.
+func (x *exchange) logShared(e *zerolog.Event) *zerolog.Event {
+	e = e.Str("route", x.route.Name)
+	if x.account != nil {
+		e = e.Str("account", x.account.Name)
+	}
+	if x.call.Model != "" {
+		e = e.Str("model", x.call.Model).Str("adapter", x.call.Adapter)
+	}
+	if parts := x.sharedParts(); len(parts) > 0 {
+		ids := make([]string, len(parts))
+		for i, p := range parts {
+			ids[i] = p.ID
+		}
+		e = e.Strs("shared_parts", ids)
+	}
+	return e
+}
+
 // invalidResponse is the error of an attempt whose server answered, so that it did not
 // crash, with a response that can't be used.
 type invalidResponse struct{ error }
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,7 @@
 	testLimit   = "Limit"   // requests per second that the server accepts
 	testLeaves  = "Leaves"  // the server leaves
 	testBrittle = "Brittle" // rejections in a second that the server survives
+	testParts   = "Parts"   // "ID:TOKENS,..." of the prompt
 	testRest    = "Rest-Ms" // with a rejection: how long the server wants no other request
 )
 
@@ -58,11 +60,23 @@
 	h := r.Header
 	ms, _ := strconv.Atoi(h.Get(testWait))
 	return ports.Call{
-		ID: h.Get(testID), APIKey: h.Get(testKey), Timeout: time.Duration(ms) * time.Millisecond,
+		PromptParts: parseTestParts(h.Get(testParts)),
+		ID:          h.Get(testID), APIKey: h.Get(testKey), Timeout: time.Duration(ms) * time.Millisecond,
 		Model: h.Get(testModel), LastEventID: h.Get(testLast), Resumes: h.Get(testResumes), TotalTokens: testTokens, PromptTokens: testPrompt,
 	}
 }
 
+func parseTestParts(text string) []ports.PromptPart {
+	var parts []ports.PromptPart
+	for part := range strings.SplitSeq(text, ",") {
+		if id, tokens, ok := strings.Cut(part, ":"); ok {
+			n, _ := strconv.Atoi(tokens)
+			parts = append(parts, ports.PromptPart{ID: id, Tokens: n})
+		}
+	}
+	return parts
+}
+
 func (fakeDialect) ForwardHeaders(from http.Header, a ports.Attempt) http.Header {
 	h := from.Clone()
 	RemoveHopByHopHeaders(h)
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -270,13 +270,9 @@
 	}
 }
 
-// minAffinityTokens is the number of tokens from which shared prompt parts influence
-// the choice of the server. An engine reads about 40 tokens a millisecond, so it
-// processes shorter parts within a few batch steps, and the least loaded server is
-// faster. Measured value of five days with faults on three deployments, with affinity
-// for all parts, long parts, none: 0.741, 0.751, 0.737 (parts of 6,300 and 200
-// tokens, ten runs); 0.638, 0.646, 0.669 and 0.646, 0.643, 0.653 (mostly 155 tokens,
-// five runs each).
+// minAffinityTokens is the number of tokens from which shared prompt parts influence the
+// choice of the server. Engines read shorter parts within a few batch steps, and the least
+// loaded server is faster.
 const minAffinityTokens = 1000
 
 // affinity returns a hash of the prompt parts that other requests may share, which
@@ -287,18 +283,23 @@
 	}
 	d := xxhash.New()
 	_, _ = d.WriteString(x.call.Model + "/" + x.call.Adapter)
-	for _, p := range x.call.PromptParts[:len(x.call.PromptParts)-1] {
+	for _, p := range x.sharedParts() {
 		_, _ = d.WriteString(p.ID)
 		_, _ = d.Write(binary.LittleEndian.AppendUint32(nil, uint32(p.Tokens)))
 	}
 	return max(1, d.Sum64())
 }
 
+// sharedParts returns the prompt parts that other requests may have, too: all but the last.
+func (x *exchange) sharedParts() []ports.PromptPart {
+	return x.call.PromptParts[:max(0, len(x.call.PromptParts)-1)]
+}
+
 // sharedTokens returns the length of the prompt parts that other requests may share.
 func (x *exchange) sharedTokens() int {
 	shared := 0
-	for i := range len(x.call.PromptParts) - 1 {
-		shared += x.call.PromptParts[i].Tokens
+	for _, p := range x.sharedParts() {
+		shared += p.Tokens
 	}
 	return shared
 }
--- a/oleander/gateway/logs_test.go
+++ b/oleander/gateway/logs_test.go
@@ -43,8 +43,8 @@
 			[]string{"reason=unknown-model", "model=unknown", "status=503", "queued_ms=0", "lease: taken"},
 		},
 		{
-			"failed after sending", hangUp, "/stream/", []string{testModel, "warm"},
-			[]string{"front: attempt failed", "server=a", "timeout=false", "digest=", "crashes=1", "completions=0", "reason=broken", "ran=1", "status=502", "config: version in force"},
+			"failed after sending", hangUp, "/stream/", []string{testModel, "warm", testParts, "p1:100,p2:100,own:10"},
+			[]string{"front: attempt failed", "server=a", "account=account", "model=warm", "shared_parts=[p1 p2]", "timeout=false", "digest=", "crashes=1", "completions=0", "reason=broken", "ran=1", "status=502", "config: version in force"},
 		},
 		{
 			"stream broken off", func(w http.ResponseWriter, _ *http.Request) {
