Poison: what requests share is suspected of crashes, not only whole requests

Cause: a request was known by account, method, host, path and body; none of these repeats here, so nothing was ever known.

The one that explains most crashes, each under a run sent after the crash before, is blamed; what explains a crash clears everything else that stood beside it, the neighbors' digests included. What no run has told apart is blamed only together. Runs that servers survive clear what they share; what ran well before needs five crashes instead of three. A break at a server that goes on sending is no crash. A trial tells a wrong verdict apart; what verdicts rest on is repeated to instances that start.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -96,6 +96,10 @@
 	Trial bool
 	// NextTrial is the time until the next trial of a refused request.
 	NextTrial time.Duration
+	// Blamed is what the request shares with others that is blamed, and Crashes the number of
+	// crashes. Empty: the request itself is refused.
+	Blamed  []Digest
+	Crashes int
 }
 
 // Detector tracks the suspects. It is not safe for concurrent use.
@@ -107,13 +111,14 @@
 	alive     map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
 	aliveAt   map[Server]clock.Time // when this instance observed it; absent if another did
 	reported  clock.Time            // last report that included all refused requests
+	shared    *sharedCrashes
 }
 
 // New returns a Detector without suspects.
 func New() *Detector {
 	return &Detector{
 		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time), ownBreaks: make(map[Server]clock.Time),
-		alive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time),
+		alive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(),
 	}
 }
 
@@ -168,14 +173,18 @@
 }
 
 // RecordAnswer records that a server answered a request that this instance sent at sentAt.
-// Breaks right before that were no crashes of the server.
-func (d *Detector) RecordAnswer(now clock.Time, server Server, sentAt clock.Time) {
+// Breaks right before that were no crashes of the server. It reports whether the other instances
+// should be told, with UntoldCrashes.
+func (d *Detector) RecordAnswer(now clock.Time, server Server, sentAt clock.Time) (tell bool) {
+	d.confirmEnds(now, server, sentAt)
+	tell = d.shared.recordUp(now, server, sentAt, true)
 	brokeAt, ok := d.breaks[server]
 	if !ok || sentAt <= brokeAt || sentAt.Sub(brokeAt) > restartTime {
-		return
+		return tell
 	}
 	d.markAlive(server, sentAt)
 	d.aliveAt[server] = now
+	return true
 }
 
 // MayHaveCrashed reports whether a connection to a server broke a moment ago, so that the end of
@@ -210,6 +219,7 @@
 		}
 		s.crashes = kept
 	}
+	d.shared.dropSurvived(d, server)
 }
 
 // survived reports whether the server is known to have answered right after the break.
@@ -222,13 +232,25 @@
 func (d *Detector) Check(now clock.Time, digests []Digest) Decision {
 	refused, next := false, clock.Time(0)
 	for _, digest := range digests {
-		if s, ok := d.suspects[digest]; ok && s.refused(now) {
+		if s, ok := d.suspects[digest]; ok && s.refused(now) && d.unexplained(now, s) >= poisonThreshold {
 			refused, next = true, max(next, s.nextTrial())
 		}
 	}
 	return Decision{Refused: refused, Trial: refused && now.Reached(next), NextTrial: max(0, next.Sub(now))}
 }
 
+// unexplained returns the number of crashes of a request that nothing is blamed for that requests
+// share.
+func (d *Detector) unexplained(now clock.Time, s *suspect) int {
+	n := 0
+	for _, c := range s.recent() {
+		if !d.shared.explains(d, now, c) {
+			n++
+		}
+	}
+	return n
+}
+
 // BeginTrial records that this instance sends a refused request as a trial. The other
 // instances must be told at once.
 func (d *Detector) BeginTrial(now clock.Time, digests []Digest) {
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -22,6 +22,12 @@
 type Report struct {
 	Suspects []SuspectReport
 	Alive    []ServerAge // when a request was sent that a server answered right after a break
+	// Crashes, Survivals and SharedTrials are about what requests have in common. Up is when a
+	// request was sent that a server answered after it had crashed.
+	Crashes      []CrashReport
+	Up           []ServerAge
+	Survivals    []DigestAge
+	SharedTrials []TrialReport
 }
 
 // ServerAge names a server and how long ago something happened there.
@@ -65,13 +71,21 @@
 	for _, digest := range digests[:min(len(digests), maxReportedSuspects)] {
 		r.Suspects = append(r.Suspects, d.reportOf(now, digest))
 	}
+	r.Alive = d.reportAlive(now)
+	d.reportShared(now, &r, all)
+	return r
+}
+
+// reportAlive returns the servers that survived breaks, as this instance observed lately.
+func (d *Detector) reportAlive(now clock.Time) []ServerAge {
+	var alive []ServerAge
 	for server, at := range d.aliveAt {
 		if now.Sub(at) <= reportPeriod {
-			r.Alive = append(r.Alive, ServerAge{server, now.Sub(d.alive[server])})
+			alive = append(alive, ServerAge{server, now.Sub(d.alive[server])})
 		}
 	}
-	slices.SortFunc(r.Alive, func(a, b ServerAge) int { return cmp.Compare(a.Server, b.Server) })
-	return r
+	slices.SortFunc(alive, func(a, b ServerAge) int { return cmp.Compare(a.Server, b.Server) })
+	return alive
 }
 
 // ReportOf returns what is known of one request.
@@ -110,6 +124,7 @@
 	for _, reported := range r.Suspects {
 		d.mergeSuspect(now, peer, reported)
 	}
+	d.mergeShared(now, r)
 }
 
 func (d *Detector) mergeSuspect(now clock.Time, peer string, r SuspectReport) {
@@ -134,6 +149,7 @@
 
 // expire drops what no longer matters.
 func (d *Detector) expire(now clock.Time) {
+	d.shared.expire(d, now)
 	for digest, s := range d.suspects {
 		if s.expired(now) {
 			delete(d.suspects, digest)
--- /dev/null
+++ b/core/gateway/poison/shared.go
@@ -0,0 +1,576 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderdale.org/core/clock"
+)
+
+// Requests that differ may have in common what crashes their servers, such as a part of their
+// prompts. Each crash has many suspects then: everything that the requests shared that ran on
+// the server. The one that explains most crashes is blamed, and the crashes that it explains
+// speak against nothing else. What can't be told apart from it, since it stood beside it in
+// all these crashes, is blamed only together with it: a request is refused if it has all of it.
+
+const (
+	// soundThreshold is the number of crashes after which something shared is blamed that
+	// runs survived before.
+	soundThreshold = 5
+	// sharedSoundTrialDelay is trialDelay for what runs survived before.
+	sharedSoundTrialDelay = 2 * time.Second
+	// startedRunTime is how long a run lasts at least at a server that is up. A server that
+	// is down may accept connections and end them at once.
+	startedRunTime = 20 * time.Millisecond
+	// crashConfirmation is how long signs of life of a server may arrive until a break there
+	// counts as its crash: a server that breaks off one response goes on with the others.
+	crashConfirmation = 200 * time.Millisecond
+	// lifeMargin is how long after a break something must be read from a server to be sent after
+	// it: an instance may read late what has arrived.
+	lifeMargin = 50 * time.Millisecond
+	// maxSharedCrashes bounds the crashes remembered, maxCrashRuns the runs of each.
+	maxSharedCrashes = 64
+	maxCrashRuns     = 32
+	// maxShared bounds what a run shares with others.
+	maxShared = 16
+	// maxVerdicts bounds what is blamed at a time.
+	maxVerdicts = 16
+)
+
+// Run is one run of a request at a backend server.
+type Run struct {
+	Digests []Digest // of the request
+	Shared  []Digest // of what it has in common with other requests
+	SentAt  clock.Time
+}
+
+// has reports whether the run is one of a request with this digest, or shares it.
+func (r Run) has(d Digest) bool { return slices.Contains(r.Digests, d) || slices.Contains(r.Shared, d) }
+
+func (r Run) hasAll(digests []Digest) bool {
+	return !slices.ContainsFunc(digests, func(d Digest) bool { return !r.has(d) })
+}
+
+// sharedCrash is a crash of a server with the requests that ran there.
+type sharedCrash struct {
+	crash
+	runs  []crashRun
+	ownAt clock.Time // last run observed at this instance; 0: none
+}
+
+type crashRun struct {
+	Run
+	own  bool // observed at this instance
+	told bool // to the other instances
+}
+
+// runsWith returns the union of what the runs with a digest have, and when the last of them was sent.
+func (c *sharedCrash) runsWith(d Digest) (union []Digest, sentAt clock.Time) {
+	for _, r := range c.runs {
+		if r.has(d) {
+			union = append(append(union, r.Digests...), r.Shared...)
+			sentAt = max(sentAt, r.SentAt)
+		}
+	}
+	return union, sentAt
+}
+
+// implication is what is known of something that a run shared that met a crash.
+type implication struct {
+	crashedAt  clock.Time
+	survivedAt clock.Time // last run with it that a server survived, at any instance; 0: none known
+	ownAt      clock.Time // when this instance observed that; 0: it did not
+}
+
+// verdict blames what stands in all of its crashes.
+type verdict struct {
+	blamed  []Digest
+	crashes []*sharedCrash // explained by it
+	request bool           // blames a single request, which the digests of requests are for
+	sound   bool           // runs survived all of it right before the crashes
+	others  []Digest       // that may be guilty instead
+}
+
+type sharedTrial struct {
+	count int
+	at    clock.Time
+}
+
+type unconfirmedEnd struct {
+	run Run
+	at  clock.Time
+}
+
+// sharedCrashes finds what requests share that crashes servers.
+type sharedCrashes struct {
+	crashes     []*sharedCrash // ascending by time
+	implicated  map[Digest]*implication
+	survived    recentRuns // of all that requests share
+	trials      map[Digest]sharedTrial
+	upAt        map[Server]clock.Time       // a request sent then was answered, the first after a crash
+	ownUpAt     map[Server]clock.Time       // when this instance observed it
+	unconfirmed map[Server][]unconfirmedEnd // responses that only ended with their connections
+	verdicts    []verdict
+	outdated    bool       // the verdicts
+	confirmedAt clock.Time // when the next crash will count; 0: none is due
+}
+
+func newSharedCrashes() *sharedCrashes {
+	return &sharedCrashes{
+		implicated: make(map[Digest]*implication), trials: make(map[Digest]sharedTrial), unconfirmed: make(map[Server][]unconfirmedEnd),
+		upAt: make(map[Server]clock.Time), ownUpAt: make(map[Server]clock.Time),
+	}
+}
+
+// RecordSharedCrash records that the connection to a server broke during a run at this instance.
+// It reports whether the other instances should be told, with UntoldCrashes.
+func (d *Detector) RecordSharedCrash(now clock.Time, run Run, server Server) (tell bool) {
+	if len(run.Shared) == 0 {
+		return false
+	}
+	for _, e := range d.shared.unconfirmed[server] {
+		tell = d.addSharedCrash(crash{server, e.at}, e.run, true) || tell
+	}
+	delete(d.shared.unconfirmed, server)
+	return d.addSharedCrash(crash{server, now}, run, true) || tell
+}
+
+// RecordLife records that a server has sent on other connections after a break, so that it has not
+// crashed. It reports whether that was in doubt; then the other instances should be told, with
+// UntoldCrashes.
+func (d *Detector) RecordLife(now clock.Time, server Server, heardAt clock.Time) (tell bool) {
+	for _, c := range slices.Clone(d.shared.crashes) {
+		if c.server == server && heardAt.Sub(c.at) >= lifeMargin && heardAt.Sub(c.at) <= restartTime {
+			d.markAlive(server, c.at.Add(1))
+			d.aliveAt[server] = now
+			tell = true
+		}
+	}
+	return tell
+}
+
+// Doubtful reports whether a crash is not confirmed yet.
+func (d *Detector) Doubtful(now clock.Time) bool {
+	return len(d.shared.crashes) > 0 && now.Sub(d.shared.crashes[len(d.shared.crashes)-1].at) < crashConfirmation
+}
+
+// RecordUnconfirmedEnd records that a response of a run ended with its connection, so that the
+// server may have crashed. It reports whether the other instances should be told.
+func (d *Detector) RecordUnconfirmedEnd(now clock.Time, run Run, server Server) (tell bool) {
+	if len(run.Shared) == 0 {
+		return false
+	}
+	if d.MayHaveCrashed(now, server) {
+		return d.addSharedCrash(crash{server, now}, run, true)
+	}
+	ends := slices.DeleteFunc(d.shared.unconfirmed[server], func(e unconfirmedEnd) bool { return now.Sub(e.at) > restartTime })
+	if len(ends) < maxCrashRuns {
+		ends = append(ends, unconfirmedEnd{run, now})
+	}
+	d.shared.unconfirmed[server] = ends
+	return false
+}
+
+// confirmEnds records the survivals that the answer to a request shows that was sent after
+// responses ended with their connections.
+func (d *Detector) confirmEnds(now clock.Time, server Server, sentAt clock.Time) {
+	l := d.shared
+	ends := l.unconfirmed[server]
+	if len(ends) == 0 {
+		return
+	}
+	l.unconfirmed[server] = slices.DeleteFunc(ends, func(e unconfirmedEnd) bool {
+		if sentAt <= e.at {
+			return false
+		}
+		if sentAt.Sub(e.at) <= restartTime {
+			d.RecordSurvival(now, e.run.Shared)
+		}
+		return true
+	})
+	if len(l.unconfirmed[server]) == 0 {
+		delete(l.unconfirmed, server)
+	}
+}
+
+// addSharedCrash adds a run to a crash. It reports whether it was new.
+func (d *Detector) addSharedCrash(at crash, run Run, own bool) bool {
+	if d.survived(at) {
+		return false
+	}
+	l := d.shared
+	run.Shared = run.Shared[:min(len(run.Shared), maxShared)]
+	c := l.crashAt(at, run.SentAt)
+	if c == nil {
+		return false
+	}
+	c.at = min(c.at, at.at)
+	d.breaks[at.server] = max(d.breaks[at.server], at.at)
+	if own {
+		c.ownAt = at.at
+	}
+	for i := range c.runs {
+		if known := &c.runs[i]; slices.Equal(known.Digests, run.Digests) {
+			known.SentAt = min(known.SentAt, run.SentAt) // a report arrives late, never early
+			return false
+		}
+	}
+	if len(c.runs) >= maxCrashRuns {
+		return false
+	}
+	c.runs = append(c.runs, crashRun{Run: run, own: own})
+	for _, shared := range run.Shared {
+		l.implicate(shared, c.at)
+	}
+	l.outdated = true
+	return true
+}
+
+// crashAt returns the crash that the break of a run belongs to, or nil if the run was sent to a
+// server that was down already.
+func (l *sharedCrashes) crashAt(at crash, sentAt clock.Time) *sharedCrash {
+	last := l.lastCrash(at.server)
+	switch {
+	case last == nil:
+	case sentAt <= last.at:
+		for _, c := range l.crashes {
+			if c.server == at.server && (at.at.Sub(c.at).Abs() <= sameCrashWindow || sentAt <= c.at && c.at <= at.at) {
+				return c
+			}
+		}
+	case l.upAt[at.server] <= last.at && at.at.Sub(sentAt) < startedRunTime:
+		return nil
+	}
+	c := &sharedCrash{crash: at}
+	l.crashes = append(l.crashes, c)
+	slices.SortFunc(l.crashes, func(a, b *sharedCrash) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server))
+	})
+	if len(l.crashes) > maxSharedCrashes {
+		l.dropOldest()
+	}
+	return c
+}
+
+// lastCrash returns the last crash known of a server, nil if none.
+func (l *sharedCrashes) lastCrash(server Server) *sharedCrash {
+	for _, c := range slices.Backward(l.crashes) {
+		if c.server == server {
+			return c
+		}
+	}
+	return nil
+}
+
+// recordUp records that a server answered a request sent after its last crash, and reports whether
+// that is new.
+func (l *sharedCrashes) recordUp(now clock.Time, server Server, sentAt clock.Time, own bool) bool {
+	last := l.lastCrash(server)
+	if last == nil || sentAt <= last.at || l.upAt[server] > last.at {
+		return false
+	}
+	l.upAt[server] = sentAt
+	if own {
+		l.ownUpAt[server] = now
+	}
+	return true
+}
+
+// dropOldest drops the oldest crash that nothing explains, or the oldest of all.
+func (l *sharedCrashes) dropOldest() {
+	drop := l.crashes[0]
+	for _, c := range l.crashes {
+		if !l.explained(c) {
+			drop = c
+			break
+		}
+	}
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *sharedCrash) bool { return c == drop })
+	l.forgetImplications()
+}
+
+func (l *sharedCrashes) implicate(shared Digest, at clock.Time) {
+	known := l.implicated[shared]
+	if known == nil {
+		known = &implication{survivedAt: l.survived.last(shared)}
+		if known.survivedAt != 0 {
+			known.ownAt = at
+		}
+		l.implicated[shared] = known
+	}
+	known.crashedAt = max(known.crashedAt, at)
+}
+
+// RecordSurvival records that a server survived a run at this instance that shares something
+// with others: the run completed, or has written for long.
+func (d *Detector) RecordSurvival(now clock.Time, shared []Digest) {
+	l := d.shared
+	for _, s := range shared {
+		l.survived.add(now, s)
+		if known := l.implicated[s]; known != nil {
+			l.outdated = l.outdated || known.survivedAt <= known.crashedAt
+			known.survivedAt, known.ownAt = now, now
+		}
+	}
+}
+
+// CheckShared decides whether a request may be sent now, by what it shares with others.
+func (d *Detector) CheckShared(now clock.Time, shared []Digest) Decision {
+	var decision Decision
+	next := clock.Time(0)
+	run := Run{Shared: shared}
+	for _, v := range d.shared.judge(d, now) {
+		if v.request || !run.hasAll(v.blamed) {
+			continue
+		}
+		decision.Refused, decision.Blamed, decision.Crashes = true, v.blamed, len(v.crashes)
+		next = max(next, d.shared.nextTrial(v, run))
+	}
+	decision.Trial, decision.NextTrial = decision.Refused && now.Reached(next), max(0, next.Sub(now))
+	return decision
+}
+
+// BeginSharedTrial records that this instance sends a request as a trial that is refused for what
+// it shares. The other instances must be told at once.
+func (d *Detector) BeginSharedTrial(now clock.Time, shared []Digest) {
+	l := d.shared
+	run := Run{Shared: shared}
+	for _, v := range l.judge(d, now) {
+		if v.request || !run.hasAll(v.blamed) {
+			continue
+		}
+		for _, blamed := range v.blamed {
+			l.trials[blamed] = sharedTrial{count: l.trials[blamed].count + 1, at: now}
+		}
+	}
+}
+
+// nextTrial returns when a request with all that a verdict blames may be sent again. One without
+// the others that may be guilty tells them apart.
+func (l *sharedCrashes) nextTrial(v verdict, run Run) clock.Time {
+	last, trials := v.crashes[len(v.crashes)-1].at, 0
+	for _, blamed := range v.blamed {
+		if t, ok := l.trials[blamed]; ok && t.at > v.crashes[0].at {
+			last, trials = max(last, t.at), max(trials, t.count)
+		}
+	}
+	delay := trialDelay
+	if v.sound || len(v.others) > 0 && !slices.ContainsFunc(v.others, run.has) {
+		delay = sharedSoundTrialDelay
+	}
+	for range trials {
+		delay = min(trialFactor*delay, maxTrialDelay)
+	}
+	return last.Add(delay)
+}
+
+// Blamed returns how many things that requests share are blamed for crashes, for the metrics.
+func (d *Detector) Blamed(now clock.Time) int {
+	n := 0
+	for _, v := range d.shared.judge(d, now) {
+		if !v.request {
+			n++
+		}
+	}
+	return n
+}
+
+// judge returns the verdicts on all crashes that are confirmed.
+func (l *sharedCrashes) judge(d *Detector, now clock.Time) []verdict {
+	if !l.outdated && (l.confirmedAt == 0 || now.Before(l.confirmedAt)) {
+		return l.verdicts
+	}
+	l.outdated, l.verdicts, l.confirmedAt = false, nil, 0
+	var open []*sharedCrash
+	for _, c := range l.crashes {
+		if due := c.at.Add(crashConfirmation); now.Reached(due) {
+			open = append(open, c)
+		} else if l.confirmedAt == 0 || due < l.confirmedAt {
+			l.confirmedAt = due
+		}
+	}
+	for len(l.verdicts) < maxVerdicts {
+		suspects := l.suspects(d, open)
+		if len(suspects) == 0 {
+			break
+		}
+		v := l.blame(d, suspects[0].digest, open)
+		v.others = l.others(v, suspects)
+		l.verdicts = append(l.verdicts, v)
+		open = slices.DeleteFunc(open, func(c *sharedCrash) bool { return slices.Contains(v.crashes, c) })
+	}
+	return l.verdicts
+}
+
+// evidence is what speaks against a suspect.
+type evidence struct {
+	digest  Digest
+	crashes int // each under a run that was sent after the one before
+	margin  int // of crashes above the threshold
+	last    clock.Time
+}
+
+// suspects returns what may have caused some of the crashes, the strongest first.
+func (l *sharedCrashes) suspects(d *Detector, crashes []*sharedCrash) []evidence {
+	found := make(map[Digest]evidence)
+	for _, c := range crashes {
+		sent := make(map[Digest]clock.Time) // when the last run with it was sent
+		for _, r := range c.runs {
+			for _, digest := range r.Digests {
+				sent[digest] = max(sent[digest], r.SentAt)
+			}
+			for _, digest := range r.Shared {
+				sent[digest] = max(sent[digest], r.SentAt)
+			}
+		}
+		for digest, sentAt := range sent {
+			e := found[digest]
+			if c.at > l.lastSurvival(d, digest) && (e.crashes == 0 || sentAt > e.last) {
+				found[digest] = evidence{digest: digest, crashes: e.crashes + 1, last: c.at}
+			}
+		}
+	}
+	var suspects []evidence
+	for digest, e := range found {
+		if e.margin = e.crashes - l.threshold(d, digest); e.margin >= 0 {
+			suspects = append(suspects, e)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b evidence) int {
+		return cmp.Or(cmp.Compare(b.margin, a.margin), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.digest, b.digest))
+	})
+	return suspects
+}
+
+// others returns what requests share that the evidence speaks against about as much as against
+// the first of the suspects, which a verdict blames.
+func (l *sharedCrashes) others(v verdict, suspects []evidence) []Digest {
+	var others []Digest
+	for _, e := range suspects {
+		_, shared := l.implicated[e.digest]
+		if shared && e.crashes >= suspects[0].crashes-1 && !slices.Contains(v.blamed, e.digest) {
+			others = append(others, e.digest)
+		}
+	}
+	return others
+}
+
+func (l *sharedCrashes) threshold(d *Detector, digest Digest) int {
+	if l.lastSurvival(d, digest) != 0 {
+		return soundThreshold
+	}
+	return poisonThreshold
+}
+
+func (l *sharedCrashes) lastSurvival(d *Detector, digest Digest) clock.Time {
+	if known := l.implicated[digest]; known != nil {
+		return known.survivedAt
+	}
+	return d.completed.last(digest) // of a request
+}
+
+// blame returns the verdict on a suspect and all that can't be told apart from it.
+func (l *sharedCrashes) blame(d *Detector, suspect Digest, open []*sharedCrash) verdict {
+	var blamed []Digest
+	var first clock.Time
+	for _, c := range open {
+		union, _ := c.runsWith(suspect)
+		if c.at <= l.lastSurvival(d, suspect) || len(union) == 0 {
+			continue
+		}
+		if blamed == nil {
+			slices.Sort(union)
+			blamed, first = slices.Compact(union), c.at
+		}
+		blamed = slices.DeleteFunc(blamed, func(digest Digest) bool { return !slices.Contains(union, digest) })
+	}
+	blamed = slices.DeleteFunc(blamed, func(digest Digest) bool { return l.lastSurvival(d, digest) >= first })
+	v := verdict{blamed: blamed, sound: true}
+	for _, digest := range blamed {
+		_, shared := l.implicated[digest]
+		v.request = v.request || !shared
+		before := l.lastSurvival(d, digest)
+		v.sound = v.sound && before != 0 && first.Sub(before) <= soundMemory
+	}
+	for _, c := range open {
+		if slices.ContainsFunc(c.runs, func(r crashRun) bool { return r.hasAll(blamed) }) {
+			v.crashes = append(v.crashes, c)
+		}
+	}
+	return v
+}
+
+// explained reports whether the last verdicts blame something shared for a crash.
+func (l *sharedCrashes) explained(c *sharedCrash) bool {
+	return slices.ContainsFunc(l.verdicts, func(v verdict) bool { return !v.request && slices.Contains(v.crashes, c) })
+}
+
+// explains reports whether something shared is blamed for a crash under a request.
+func (l *sharedCrashes) explains(d *Detector, now clock.Time, at crash) bool {
+	for _, v := range l.judge(d, now) {
+		if v.request {
+			continue
+		}
+		for _, c := range v.crashes {
+			if c.server == at.server && at.at.Sub(c.at).Abs() <= sameCrashWindow {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// dropSurvived drops the crashes of a server that it survived.
+func (l *sharedCrashes) dropSurvived(d *Detector, server Server) {
+	before := len(l.crashes)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *sharedCrash) bool { return c.server == server && d.survived(c.crash) })
+	l.outdated = l.outdated || len(l.crashes) != before
+}
+
+// expire drops what no longer matters.
+func (l *sharedCrashes) expire(d *Detector, now clock.Time) {
+	l.judge(d, now)
+	before := len(l.crashes)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *sharedCrash) bool {
+		if l.explained(c) {
+			return now.Sub(c.at) > refusalMemory
+		}
+		return now.Sub(c.at) > crashWindow
+	})
+	if len(l.crashes) != before {
+		l.outdated = true
+		l.forgetImplications()
+	}
+	for digest, t := range l.trials {
+		if now.Sub(t.at) > refusalMemory {
+			delete(l.trials, digest)
+		}
+	}
+	for server, at := range l.upAt {
+		if now.Sub(at) > crashWindow {
+			delete(l.upAt, server)
+			delete(l.ownUpAt, server)
+		}
+	}
+	for server, ends := range l.unconfirmed {
+		if now.Sub(ends[len(ends)-1].at) > sameCrashWindow {
+			delete(l.unconfirmed, server)
+		}
+	}
+}
+
+// forgetImplications forgets what met none of the crashes that are still known.
+func (l *sharedCrashes) forgetImplications() {
+	kept := make(map[Digest]*implication)
+	for _, c := range l.crashes {
+		for _, r := range c.runs {
+			for _, shared := range r.Shared {
+				if known := l.implicated[shared]; known != nil {
+					kept[shared] = known
+				}
+			}
+		}
+	}
+	l.implicated = kept
+}
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -82,7 +82,7 @@
 	defer g.links.done(c, x)
 	c.SetDeadline(wallTime(x.deadline.Add(responseGrace)))
 	x.sends++
-	x.sentAt = boottime.Now()
+	x.sentAt, x.writingSince, x.survived = boottime.Now(), 0, false
 	x.timing.attemptSent()
 	err := c.Send(rawhttp.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
@@ -102,7 +102,7 @@
 	}
 	x.timing.responseBegan()
 	x.responseEnd = newResponseEnd(c, resp)
-	g.serverHeard(c)
+	g.serverHeard(t.id, c)
 	return x.handleResponse(t, c, resp)
 }
 
@@ -304,6 +304,13 @@
 	}
 	out := g.endedMessages(now, t.id, o, timing)
 	completed := ranToItsEnd(status) && (x.responseEnd.verdict == ending.Complete || !g.poison.MayHaveCrashed(now, serverHash(t.id)))
+	switch {
+	case !ranToItsEnd(status) || x.survived:
+	case x.responseEnd.verdict == ending.Complete:
+		g.poison.RecordSurvival(now, x.shared)
+	case g.poison.RecordUnconfirmedEnd(now, x.run(), serverHash(t.id)):
+		g.tellCrashesSoon()
+	}
 	if completed && g.poison.RecordCompletion(now, x.digests) {
 		out = append(out, g.suspectMessages(now, x.digests)...)
 	}
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -95,7 +95,10 @@
 	config         *manifest.Manifest
 	body           []byte
 	digests        []poison.Digest
-	returnDigest   uint64 // see callerReturnDigest
+	shared         []poison.Digest // see sharedDigests
+	blamed         []poison.Digest // of shared, what the request is refused for
+	blamedCrashes  int             // under which so many servers crashed
+	returnDigest   uint64          // see callerReturnDigest
 	quotaGrant     quotaGrant
 	timing         timing
 	prefill        directory.Prefill // of the current attempt
@@ -108,6 +111,8 @@
 	stopAbort       func() bool // keeps a caller that leaves from aborting the server's connection
 	sends           int
 	sentAt          clock.Time // of the current attempt
+	writingSince    clock.Time // first event of the current attempt; 0: none yet
+	survived        bool       // the server survived the current attempt, which is recorded
 	linkFailed      bool       // the current attempt ended since the instance has no path to any server, or its relay ended
 	probe           grantedProbe
 	possibleRuns    int // sends that may have run
@@ -159,7 +164,7 @@
 		return unavailable(reasonStopping, retryDelay)
 	}
 	x.pickGroup()
-	x.digests = x.requestDigests()
+	x.digests, x.shared = x.requestDigests(), x.sharedDigests()
 	x.returnDigest = x.callerReturnDigest()
 	if ref := x.countRequest(); ref != nil {
 		return ref
@@ -250,8 +255,8 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	g.retryBudget.RecordRequest(now, x.group)
-	if d := g.poison.Check(now, x.digests); d.Refused && !d.Trial {
-		return unavailable(reasonCrashesServers, d.NextTrial)
+	if d := x.suspicion(now); d.Refused && !d.Trial {
+		return x.refuseSuspect(d)
 	}
 	return nil
 }
@@ -377,7 +382,7 @@
 		e = e.Str("resumes", x.call.Resumes)
 	}
 	if why == reasonCrashesServers {
-		e = e.Stringer("digest", x.digests[0])
+		e = x.logBlamed(e.Stringer("digest", x.digests[0]))
 	}
 	if r := x.refusal; r != nil && r.retryAfter > 0 {
 		e = e.Int64("retry_after_ms", r.retryAfter.Milliseconds())
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
@@ -13,6 +14,9 @@
 	"oleanderdale.org/oleander/process/boottime"
 )
 
+// heardMemory is how long it is known when a server sent something last.
+const heardMemory = time.Minute
+
 // serverLinks are this instance's own links to the backend servers. Its mutex may be locked
 // while Gateway.mu is held, but not the reverse.
 type serverLinks struct {
@@ -22,10 +26,12 @@
 	// waiting are the attempts on own links that another server may repeat.
 	waiting map[*rawhttp.Conn]*exchange
 	relayed int // connections relayed for other instances
+	// heardAt is when each server sent something last, on any connection.
+	heardAt map[string]clock.Time
 }
 
 func newServerLinks() *serverLinks {
-	return &serverLinks{chooser: links.NewChooser(), waiting: make(map[*rawhttp.Conn]*exchange)}
+	return &serverLinks{chooser: links.NewChooser(), waiting: make(map[*rawhttp.Conn]*exchange), heardAt: make(map[string]clock.Time)}
 }
 
 // cut reports whether no server can be reached on an own link.
@@ -70,19 +76,26 @@
 	}
 }
 
-// serverHeard records a sign of a server on an own link.
-func (g *Gateway) serverHeard(c *rawhttp.Conn) {
-	if c.Indirect {
-		return
-	}
+// serverHeard records a sign of a server.
+func (g *Gateway) serverHeard(server string, c *rawhttp.Conn) {
 	g.links.mu.Lock()
-	ended := g.links.monitor.Heard(boottime.Now())
+	now := boottime.Now()
+	g.links.heardAt[server] = now
+	ended := !c.Indirect && g.links.monitor.Heard(now)
 	g.links.mu.Unlock()
 	if ended {
 		g.logLinks(false)
 	}
 }
 
+// lastHeard returns when each server sent something last, and forgets those silent for long.
+func (l *serverLinks) lastHeard(now clock.Time) map[string]clock.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.heardAt, func(_ string, at clock.Time) bool { return now.Sub(at) > heardMemory })
+	return maps.Clone(l.heardAt)
+}
+
 func (g *Gateway) logLinks(cut bool) {
 	if cut {
 		g.metrics.linkCuts.Inc()
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -30,7 +30,7 @@
 		n, err := resp.Body.Read(buffer)
 		waited := boottime.Now().Sub(readFrom)
 		if n > 0 {
-			x.g.serverHeard(c)
+			x.g.serverHeard(t.id, c)
 		}
 		end := scanner.Scan(buffer[:n])
 		if end > 0 {
@@ -43,6 +43,7 @@
 		x.timing.serverRead(waited, end > 0)
 		if end > 0 {
 			x.beginStream(t)
+			x.recordSurvival()
 			if writeErr := x.forwardEvents(resp, pending[:end]); writeErr != nil {
 				c.Abort()
 				x.g.attemptEnded(t.id, x.call.Model, directory.Neutral)
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -16,6 +16,11 @@
 	Name     string         `cbor:"3,keyasint"` // of the sender
 	Suspects []suspectMsg   `cbor:"1,keyasint,omitempty"`
 	Alive    []serverAgeMsg `cbor:"2,keyasint,omitempty"` // servers that survived the break of a connection
+	// Crashes, Survivals and Trials are about what requests have in common.
+	Crashes   []crashMsg       `cbor:"4,keyasint,omitempty"`
+	Survivals []digestAgeMsg   `cbor:"5,keyasint,omitempty"`
+	Trials    []sharedTrialMsg `cbor:"6,keyasint,omitempty"`
+	Up        []serverAgeMsg   `cbor:"7,keyasint,omitempty"` // servers that answered again after a crash
 }
 
 // suspectMsg is what an instance knows of one suspect.
@@ -36,10 +41,11 @@
 
 // encodeSuspects returns nil if there is nothing to tell.
 func encodeSuspects(sender string, r poison.Report) *suspectsMsg {
-	if len(r.Suspects) == 0 && len(r.Alive) == 0 {
+	if len(r.Suspects)+len(r.Alive)+len(r.Crashes)+len(r.Up)+len(r.Survivals)+len(r.SharedTrials) == 0 {
 		return nil
 	}
 	m := &suspectsMsg{Name: sender, Alive: encodeServerAges(r.Alive)}
+	m.encodeShared(r)
 	for _, s := range r.Suspects {
 		encoded := suspectMsg{
 			Digest: uint64(s.Digest), Crashes: encodeServerAges(s.Crashes), Trials: s.Trials, TrialMS: s.TrialAge.Milliseconds(), Completions: s.Completions,
@@ -64,6 +70,7 @@
 // report decodes the message.
 func (m *suspectsMsg) report() poison.Report {
 	r := poison.Report{Alive: decodeServerAges(m.Alive)}
+	m.decodeShared(&r)
 	for _, s := range m.Suspects {
 		decoded := poison.SuspectReport{
 			Digest: poison.Digest(s.Digest), Crashes: decodeServerAges(s.Crashes), Trials: s.Trials, TrialAge: millis(s.TrialMS), Completions: s.Completions,
@@ -93,13 +100,14 @@
 func (g *Gateway) handleSuspects(now clock.Time, m *suspectsMsg) {
 	if m != nil && m.Name != g.settings.Name {
 		g.poison.Merge(now, m.Name, m.report())
+		g.checkLifeSoon(now)
 	}
 }
 
 // suspectMessages returns the messages that tell all instances of one request at once. The
 // caller holds mu.
 func (g *Gateway) suspectMessages(now clock.Time, digests []poison.Digest) []outgoing {
-	report := poison.Report{Suspects: g.poison.ReportOf(now, digests)}
+	report := poison.Report{Suspects: g.poison.ReportOf(now, digests), SharedTrials: g.poison.SharedTrials(now)}
 	return g.broadcast(now, g.encode(packet{Suspects: encodeSuspects(g.settings.Name, report)}), g.members.All(now), false)
 }
 
@@ -115,6 +123,10 @@
 	if g.poison.RecordCrash(now, x.digests, serverHash(t.id)) {
 		out = g.suspectMessages(now, x.digests)
 	}
+	if g.poison.RecordSharedCrash(now, x.run(), serverHash(t.id)) {
+		g.tellCrashesSoon()
+		g.checkLifeSoon(now)
+	}
 	g.mu.Unlock()
 	g.sendAll(out)
 }
@@ -123,7 +135,9 @@
 func (x *exchange) recordAnswer(t target) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.poison.RecordAnswer(boottime.Now(), serverHash(t.id), x.sentAt)
+	if x.g.poison.RecordAnswer(boottime.Now(), serverHash(t.id), x.sentAt) {
+		x.g.tellCrashesSoon()
+	}
 }
 
 // beginTrial refuses a request that crashed servers, unless it is due for a trial, which
@@ -132,10 +146,11 @@
 	g := x.g
 	g.mu.Lock()
 	now := boottime.Now()
-	d := g.poison.Check(now, x.digests)
+	d := x.suspicion(now)
 	var out []outgoing
 	if d.Trial {
 		g.poison.BeginTrial(now, x.digests)
+		g.poison.BeginSharedTrial(now, x.shared)
 		out = g.suspectMessages(now, x.digests)
 	}
 	g.mu.Unlock()
@@ -145,7 +160,23 @@
 		g.metrics.crashTrials.Inc()
 		g.log.Warn().Str("request", x.call.ID).Stringer("digest", x.digests[0]).Msg("front: refused request is tried once more")
 	case d.Refused:
-		return unavailable(reasonCrashesServers, d.NextTrial)
+		return x.refuseSuspect(d)
 	}
 	return nil
 }
+
+// refuseSuspect refuses a request that would crash its server.
+func (x *exchange) refuseSuspect(d poison.Decision) *refusal {
+	x.blamed, x.blamedCrashes = d.Blamed, d.Crashes
+	return unavailable(reasonCrashesServers, d.NextTrial)
+}
+
+// suspicion decides whether the request may be sent now. The caller holds mu.
+func (x *exchange) suspicion(now clock.Time) poison.Decision {
+	whole, shared := x.g.poison.Check(now, x.digests), x.g.poison.CheckShared(now, x.shared)
+	return poison.Decision{
+		Refused: whole.Refused || shared.Refused, NextTrial: max(whole.NextTrial, shared.NextTrial),
+		Trial:  (whole.Trial || shared.Trial) && whole.Refused == whole.Trial && shared.Refused == shared.Trial,
+		Blamed: shared.Blamed, Crashes: shared.Crashes,
+	}
+}
