--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -16,9 +16,9 @@
 
 const (
 	// soundThreshold is the number of crashes after which something shared is blamed that
-	// runs survived before.
+	// runs survived before, or that many requests share.
 	soundThreshold = 5
-	// sharedSoundTrialDelay is trialDelay for what runs survived before.
+	// sharedSoundTrialDelay is trialDelay for these.
 	sharedSoundTrialDelay = 2 * time.Second
 	// startedRunTime is how long a run lasts at least at a server that is up. A server that
 	// is down may accept connections and end them at once.
@@ -38,6 +38,18 @@
 	maxVerdicts = 16
 )
 
+// The lowest bit of the digest of something shared says whether it is broad, such as a model. To
+// refuse it wrongly costs many requests.
+const broadBit Digest = 1
+
+// Narrow returns the digest of something that few requests share.
+func Narrow(hash uint64) Digest { return Digest(hash) &^ broadBit }
+
+// Broad returns the digest of something that many requests share.
+func Broad(hash uint64) Digest { return Digest(hash) | broadBit }
+
+func (d Digest) broad() bool { return d&broadBit != 0 }
+
 // Run is one run of a request at a backend server.
 type Run struct {
 	Digests []Digest // of the request
@@ -88,7 +100,7 @@
 	blamed  []Digest
 	crashes []*sharedCrash // explained by it
 	request bool           // blames a single request, which the digests of requests are for
-	sound   bool           // runs survived all of it right before the crashes
+	sound   bool           // all of it is broad, or runs survived it right before the crashes
 	others  []Digest       // that may be guilty instead
 }
 
@@ -457,7 +469,8 @@
 }
 
 func (l *sharedCrashes) threshold(d *Detector, digest Digest) int {
-	if l.lastSurvival(d, digest) != 0 {
+	_, shared := l.implicated[digest]
+	if shared && (digest.broad() || l.lastSurvival(d, digest) != 0) {
 		return soundThreshold
 	}
 	return poisonThreshold
@@ -491,7 +504,7 @@
 		_, shared := l.implicated[digest]
 		v.request = v.request || !shared
 		before := l.lastSurvival(d, digest)
-		v.sound = v.sound && before != 0 && first.Sub(before) <= soundMemory
+		v.sound = v.sound && (digest.broad() || before != 0 && first.Sub(before) <= soundMemory)
 	}
 	for _, c := range open {
 		if slices.ContainsFunc(c.runs, func(r crashRun) bool { return r.hasAll(blamed) }) {
--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -10,12 +10,12 @@
 
 // Digests of what the requests of these tests share.
 const (
-	deadly Digest = 1000 + iota
-	firstPart
-	secondPart
-	otherFirst
-	model
-	otherModel
+	deadly     Digest = 1000
+	firstPart  Digest = 1002
+	secondPart Digest = 1004
+	otherFirst Digest = 1006
+	model             = 1008 | broadBit
+	otherModel        = 1010 | broadBit
 )
 
 // sharedRefused reports whether requests that share this may not be sent once all crashes up to now
@@ -218,6 +218,25 @@
 	}
 }
 
+// Guards against a model that is refused for long since its servers crashed for other reasons.
+func TestModelIsTriedSoon(t *testing.T) {
+	d := New()
+	for i := range soundThreshold {
+		at := seconds(float64(i))
+		if sharedRefused(d, at, model) {
+			t.Errorf("refused after %d crashes", i)
+		}
+		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + 2*i)}, Shared: []Digest{model, Digest(200 + 2*i)}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+	}
+	last := seconds(soundThreshold - 1)
+	if !sharedRefused(d, last, model) {
+		t.Error("a model that crashes every server is not refused")
+	}
+	if c := d.CheckShared(last.Add(sharedSoundTrialDelay), []Digest{model}); !c.Trial {
+		t.Error("no trial")
+	}
+}
+
 func TestSharedMemoryIsBounded(t *testing.T) {
 	d := New()
 	for i := range 3 * maxSharedCrashes {
@@ -376,7 +395,7 @@
 			f.detectors[i] = New()
 		}
 		parts := func(isDeadly bool) []Digest {
-			shared := []Digest{firstPart + Digest(rng.IntN(3)), 100 + Digest(rng.IntN(40))}
+			shared := []Digest{firstPart + Digest(2*rng.IntN(3)), 100 + Digest(2*rng.IntN(40))}
 			if isDeadly {
 				shared[rng.IntN(2)] = deadly
 			}
--- a/oleander/gateway/sharedcrash.go
+++ b/oleander/gateway/sharedcrash.go
@@ -100,10 +100,17 @@
 }
 
 // sharedThing is something that requests have in common.
-type sharedThing struct{ kind, name string }
+type sharedThing struct {
+	kind, name string
+	broad      bool // many requests share it
+}
 
 func (s sharedThing) digest() poison.Digest {
-	return poison.Digest(xxhash.Sum64String(s.kind + "\n" + s.name))
+	hash := xxhash.Sum64String(s.kind + "\n" + s.name)
+	if s.broad {
+		return poison.Broad(hash)
+	}
+	return poison.Narrow(hash)
 }
 
 // sharedThings returns what the request may have in common with others that crashes servers: the
@@ -114,11 +121,11 @@
 	}
 	var things []sharedThing
 	for _, p := range x.sharedParts() {
-		things = append(things, sharedThing{"part", p.ID})
+		things = append(things, sharedThing{kind: "part", name: p.ID})
 	}
-	things = append(things, sharedThing{"model", x.call.Model})
+	things = append(things, sharedThing{kind: "model", name: x.call.Model, broad: true})
 	if x.call.Adapter != "" {
-		things = append(things, sharedThing{"adapter", x.call.Model + "/" + x.call.Adapter})
+		things = append(things, sharedThing{kind: "adapter", name: x.call.Model + "/" + x.call.Adapter, broad: true})
 	}
 	return things
 }
