Test: the slots of a killed instance are free (known red)

What callers see: one of three instances is killed, and the other two refuse new streams for some 2 s (no-room), though its slots are free.

--- a/oleander/gateway/crowd_test.go
+++ b/oleander/gateway/crowd_test.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 const (
@@ -169,3 +171,81 @@
 		t.Run(name, s.play)
 	}
 }
+
+// Guards against requests that are refused since the slots of an instance that was killed count as
+// taken until it is missed.
+func TestSlotsOfKilledInstanceAreFree(t *testing.T) {
+	t.Parallel()
+	const (
+		streams  = 20 // at a time, on 24 slots
+		atRandom = 25 * time.Millisecond
+	)
+	f := newFixture(t, config(1))
+	f.slots = 8
+	stream := func(w http.ResponseWriter, _ *http.Request) {
+		for i := 1; i <= 10; i++ {
+			events(w, i, i)
+			time.Sleep(40 * time.Millisecond)
+		}
+	}
+	for i := range 3 {
+		f.backend(fmt.Sprint("s", i), "llm", stream, "warm")
+	}
+	urls := []string{f.start(), f.start(), f.start()}
+	for _, url := range urls {
+		testutil.WaitFor(t, func() bool { return f.ask(http.MethodPost, url+"/stream/", testModel, "warm").status == http.StatusOK })
+	}
+	// The instance that is killed chooses for nobody.
+	killed := 0
+	testutil.WaitFor(t, func() bool {
+		g := f.gateways[0]
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.dispatcherName(boottime.Now()) != ""
+	})
+	f.gateways[0].mu.Lock()
+	for i, g := range f.gateways {
+		if g.settings.Name == f.gateways[0].dispatcherName(boottime.Now()) {
+			killed = (i + 1) % len(urls)
+		}
+	}
+	f.gateways[0].mu.Unlock()
+	at := atomic.Int64{}
+	at.Store(int64(killed))
+	var mu sync.Mutex
+	var answers []crowdAnswer
+	var callers sync.WaitGroup
+	began := time.Now()
+	killedAt := began.Add(1500 * time.Millisecond)
+	end := killedAt.Add(2 * time.Second)
+	for i := range streams {
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * atRandom)
+			for n := 0; time.Now().Before(end); n++ {
+				sentAt := time.Now()
+				got := f.ask(http.MethodPost, urls[at.Load()]+"/stream/", testID, fmt.Sprintf("k%d-%d", i, n), testModel, "warm", testWait, "1500")
+				mu.Lock()
+				answers = append(answers, crowdAnswer{sentAt, got.status})
+				mu.Unlock()
+				if got.status != http.StatusOK {
+					time.Sleep(2 * atRandom)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Until(killedAt))
+	f.gateways[killed].peers.close() // a killed process tells nothing
+	f.cancels[killed]()
+	at.Store(int64((killed + 1) % len(urls)))
+	callers.Wait()
+	refused := 0
+	for _, a := range answers {
+		if a.at.After(killedAt) && a.status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	t.Logf("%d of %d refused; killed %d", refused, len(answers), killed)
+	if refused > 0 {
+		t.Errorf("%d requests refused after the kill, want none", refused)
+	}
+}
