Peers: the slots of an instance whose process has ended are free at once

What callers saw: one of three instances is killed, and the other two refuse new streams for up to 2.2 s (no-room).

Cause: what the killed instance ran counted until its load expired, 2.2 s after its last message.

Change: an instance that is silent for 1.5 heartbeat intervals is connected to, once for each silence. If its machine refuses, the process has ended, and its slots and waiting queries are dropped. Silence alone proves nothing: the path may be cut, or the instance paused.

--- a/core/gateway/directory/load.go
+++ b/core/gateway/directory/load.go
@@ -135,6 +135,16 @@
 	delete(s.peers, peer)
 }
 
+// DropPeerLoad removes the load of an instance that has ended.
+func (d *Directory) DropPeerLoad(peer string) {
+	for _, id := range d.serversByPeer[peer] {
+		if s := d.servers[id]; s != nil {
+			s.dropPeerLoad(peer)
+		}
+	}
+	delete(d.serversByPeer, peer)
+}
+
 // ExpirePeerLoad removes the load reported by instances that are no longer heard.
 func (d *Directory) ExpirePeerLoad(now clock.Time) {
 	for _, s := range d.servers {
--- a/core/gateway/dispatch/dispatch.go
+++ b/core/gateway/dispatch/dispatch.go
@@ -335,6 +335,16 @@
 	d.dir.GrantPeerPrefill(now, s.ID, d.dir.SendPrompt(s.ID, query.Requirements.Prompt()), query.Requirements.PauseObjective)
 }
 
+// ForgetInstance drops the state of an instance that has ended: the slots that it holds and the
+// queries that it waits for.
+func (d *Dispatcher) ForgetInstance(now clock.Time, name string) {
+	if inst := d.instances[name]; inst != nil {
+		d.dropHolds(now, inst)
+		delete(d.instances, name)
+	}
+	d.dir.DropPeerLoad(name)
+}
+
 // Expire drops the state of instances that are no longer heard, and idle queues.
 func (d *Dispatcher) Expire(now clock.Time) {
 	for name, inst := range d.instances {
--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -35,6 +35,7 @@
 	Leaving     bool       // it is shutting down
 	LastHeard   clock.Time // last message; 0 if none
 	knownAt     clock.Time // last message or change of its row
+	doubtedAt   clock.Time // LastHeard when Doubtful returned it last
 }
 
 // Set is the set of the other instances. It is not safe for concurrent use.
@@ -128,6 +129,20 @@
 	return n
 }
 
+// Doubtful returns the live instances that have been silent for longer than silence, so that
+// they may have ended, each once until it is heard again.
+func (s *Set) Doubtful(now clock.Time, silence time.Duration) []Member {
+	var doubtful []Member
+	for _, m := range s.members {
+		if m.Live(now) && now.Sub(m.LastHeard) > silence && m.doubtedAt != m.LastHeard {
+			m.doubtedAt = m.LastHeard
+			doubtful = append(doubtful, *m)
+		}
+	}
+	slices.SortFunc(doubtful, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return doubtful
+}
+
 // SilentZones returns, for each zone with instances that were ever heard, whether none of
 // them was heard for longer than silence.
 func (s *Set) SilentZones(now clock.Time, silence time.Duration) map[string]bool {
--- a/core/gateway/members/members_test.go
+++ b/core/gateway/members/members_test.go
@@ -36,3 +36,30 @@
 		t.Errorf("%d instances left after forgetAfter", n)
 	}
 }
+
+// Guards against an instance that is checked again and again while it is silent, or not at all.
+func TestDoubtfulOnceForEachSilence(t *testing.T) {
+	const silence = 300 * time.Millisecond
+	s := New("self")
+	now := clock.Time(time.Hour)
+	s.UpdateFromMessage(now, Member{Name: "a"})
+	s.UpdateFromMessage(now, Member{Name: "b"})
+	if got := s.Doubtful(now.Add(silence), silence); len(got) > 0 {
+		t.Errorf("doubted at once: %v", got)
+	}
+	late := now.Add(silence + 1)
+	s.UpdateFromMessage(late, Member{Name: "b"})
+	if got := s.Doubtful(late, silence); len(got) != 1 || got[0].Name != "a" {
+		t.Errorf("doubted %v, want a", got)
+	}
+	if got := s.Doubtful(late.Add(1), silence); len(got) > 0 {
+		t.Errorf("doubted again: %v", got)
+	}
+	s.UpdateFromMessage(late.Add(1), Member{Name: "a"})
+	if got := s.Doubtful(late.Add(2*silence), silence); len(got) != 2 {
+		t.Errorf("doubted %v after another silence, want both", got)
+	}
+	if got := s.Doubtful(late.Add(time.Minute), silence); len(got) > 0 {
+		t.Errorf("doubted %v, which count as gone", got)
+	}
+}
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -56,6 +56,7 @@
 			nextAck = now.Add(baseHeartbeatInterval)
 		}
 		g.checkLinks(now)
+		g.checkSilent(now)
 		t.Reset(g.housekeepRound())
 	}
 }
