--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -76,6 +76,9 @@
 	return r
 }
 
+// ReportAllNext makes the next report include all refused requests: an instance has started.
+func (d *Detector) ReportAllNext() { d.reported = 0 }
+
 // reportAlive returns the servers that survived breaks, as this instance observed lately.
 func (d *Detector) reportAlive(now clock.Time) []ServerAge {
 	var alive []ServerAge
--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// Guards against a verdict on parts that no single request has: two requests with the part ran at
+// each crash.
+func TestPartIsBlamedWhereSeveralRequestsRanIt(t *testing.T) {
+	d := New()
+	for i := range 3 {
+		at := seconds(float64(i))
+		for j, other := range []Digest{firstPart, secondPart} {
+			d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + 2*i + j)}, Shared: []Digest{other, deadly}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+		}
+	}
+	if !sharedRefused(d, seconds(3), otherFirst, deadly) || sharedRefused(d, seconds(3), firstPart) {
+		t.Error("the part that stands in all crashes is not the one that is refused")
+	}
+}
+
 // Guards against popular parts that are blamed since many servers crash at once, or since one request
 // goes from server to server.
 func TestCrashesThatBlameNothingShared(t *testing.T) {
@@ -199,6 +214,12 @@
 
 // Guards against servers that break off single responses, whose requests' model or part is blamed.
 func TestBreaksBesideOtherResponsesAreNoCrashes(t *testing.T) {
+	late := New()
+	late.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{model}, SentAt: start.Add(-time.Second)}, 1)
+	late.RecordCrash(seconds(0.08), []Digest{2}, 1)
+	if late.RecordLife(seconds(0.1), 1, seconds(0.07)) {
+		t.Error("what was read late counts as a sign of life, though its connection broke after it")
+	}
 	d, other := New(), New()
 	for i := range 5 {
 		at := seconds(float64(i))
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -196,6 +196,9 @@
 	m.joinSoftware()
 	switch {
 	case m.Heartbeat != nil:
+		if known := g.peerStates[m.Heartbeat.Name]; known == nil || known.incarnation != m.Heartbeat.Incarnation {
+			g.poison.ReportAllNext()
+		}
 		g.handleHeartbeat(now, m.Heartbeat)
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
 		g.handleSuspects(now, m.Suspects)
