Account limits: a request whose time went by before the owner was known is granted

What callers saw: 429 with Retry-After of a microsecond, some 0.3 s after a request of an account far below its limit, where instances have just started.

Cause: the request waits for an owner longer than it may wait for tokens, and then meets a bucket that begins empty, with no time left for the microsecond that one token takes.

Change: of its time to wait for tokens, at least 20 ms are left whenever an owner is asked.

Evidence: TestUnknownOwnerRefusesNobody fails without the change (refused, RetryAfter 1µs).

--- a/core/gateway/quota/quota_test.go
+++ b/core/gateway/quota/quota_test.go
@@ -423,3 +423,26 @@
 		}
 	}
 }
+
+// Guards against requests far below their account's limit that are refused since no instance knows the
+// owner yet: when one does, they have no time left to wait for its bucket, which begins empty.
+func TestUnknownOwnerRefusesNobody(t *testing.T) {
+	const rate = 1e6
+	now := clock.Time(time.Hour)
+	l := New(Settings{Self: "n", HeartbeatInterval: heartbeatInterval}, members.New("n"))
+	l.Configure(now, singleAccount(rate, rate))
+	number := l.Acquire(now, "a", 1, 0, 50*time.Millisecond)
+	now = now.Add(290 * time.Millisecond)
+	l.MembersListed(now)
+	for range 10 {
+		l.Tick(now)
+		if o, ok := outcomesByNumber(l)[number]; ok {
+			if o.Verdict != Granted {
+				t.Errorf("refused: %+v", o)
+			}
+			return
+		}
+		now = now.Add(time.Millisecond)
+	}
+	t.Error("not decided")
+}
--- a/core/gateway/quota/tickets.go
+++ b/core/gateway/quota/tickets.go
@@ -17,6 +17,9 @@
 	// newOwnerPatience is how long a request whose owner is gone waits for tokens of the next
 	// one, whose bucket begins empty: most of its own time went by meanwhile.
 	newOwnerPatience = 300 * time.Millisecond
+	// minTokenWait is what is left at least of a request's time to wait for tokens, if it had as
+	// much: it may have gone by before anybody knew the owner.
+	minTokenWait = 20 * time.Millisecond
 	// pollInterval is the time between two sends of a request that waits for tokens.
 	// They detect that the owner is gone or that its last reply was lost.
 	pollInterval = 150 * time.Millisecond
@@ -153,7 +156,8 @@
 		end := min(now.Add(newOwnerPatience), p.startedAt.Add(replyTimeout-suspectAfter))
 		p.deadline = max(p.deadline, end)
 	}
-	req.Wait, req.Epoch = max(0, p.deadline.Sub(now)), o.epoch
+	least := min(minTokenWait, p.deadline.Sub(p.startedAt))
+	req.Wait, req.Epoch = max(least, p.deadline.Sub(now)), o.epoch
 	if d := req.Detail; d != nil {
 		elapsed := now.Sub(p.startedAt)
 		req.Detail = &AcquireDetail{Group: d.Group, Leaves: d.Leaves - elapsed, Digest: d.Digest}
