--- a/core/gateway/placer/candidates.go
+++ b/core/gateway/placer/candidates.go
@@ -59,8 +59,7 @@
 	return cmp.Or(cmp.Compare(a.readyIn, b.readyIn), cmp.Compare(b.victimIdle, a.victimIdle), strings.Compare(a.engine.id, b.engine.id))
 }
 
-// unloadTime is the time that an unload adds to a load, measured over the loopback
-// interface.
+// unloadTime is the time that an unload adds to a load.
 const unloadTime = 40 * time.Millisecond
 
 // candidateOn returns how soon an engine could have a model loaded, and whether it can load
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -75,9 +75,6 @@
 	// engines can make, serving the oldest demand first would make all of it late. So demand
 	// that can still meet its objective is served first, unless overdue demand is older by
 	// more than the penalty; thus overdue demand is still served before its callers give up.
-	// In a simulation with 9 engines, 100 models and 20 requests a second, 395 of 760
-	// requests met the objective instead of 264, and the longest wait was 7.9 s instead of
-	// 5.9 s.
 	overduePenalty = 3 * time.Second
 	// minResidence is how long a model stays loaded at least, so that the requests that it
 	// was loaded for can run.
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -123,9 +123,9 @@
 	// which the zone counts as cut off. It is two heartbeats of a small fleet; in a
 	// large fleet a zone has many instances.
 	zoneTimeout = time.Second
-	// maxLeaseExtension is how long a holder can keep its lease without the store;
-	// measured outages last up to 9 s. Instances that are not voters wait equally
-	// long after the holder died.
+	// maxLeaseExtension is how long a holder can keep its lease without the store,
+	// longer than most outages. Instances that are not voters wait equally long after
+	// the holder died.
 	maxLeaseExtension = 10 * time.Second
 	// orderTransitTime is added to the quiet period for orders still in transit when
 	// the lease of their sender ends.
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -25,9 +25,7 @@
 	// stopAcceptPeriod is how long after the stop signal all requests are still
 	// accepted; a short grace period limits it to stopAcceptFraction. Later requests
 	// come over open connections or from a balancer that has not probed yet. They are
-	// accepted only if they end before the kill: a chat of 159 events that arrived
-	// 3.3 s after the signal was cut 4.1 s later. Refused ones are served elsewhere
-	// at once.
+	// accepted only if they end before the kill; refused ones are served elsewhere at once.
 	stopAcceptPeriod   = 2800 * time.Millisecond
 	stopAcceptFraction = 0.35
 	// stopMargin is how long before the kill the last connections are closed.
