Poison: survivals are told after crashes only

For 20 minutes after a verdict, each heartbeat repeated the survivals of all popular parts that had met a crash: up to 1.4 KB to each instance, by count of the fields (not measured). They tell nothing new until the next crash; now they are told for 5 s after a crash and after the first survival that follows. TestSurvivalsAreToldAfterCrashesOnly; TestFleetFindsTheSharedPart as before.

--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -94,7 +94,7 @@
 type implication struct {
 	crashedAt  clock.Time
 	survivedAt clock.Time // last run with it that a server survived, at any instance; 0: none known
-	ownAt      clock.Time // when this instance observed that; 0: it did not
+	changedAt  clock.Time // last crash, or first survival after it, since when that is told; 0: nothing to tell
 }
 
 type unconfirmedEnd struct {
@@ -297,12 +297,12 @@
 	known := l.implicated[shared]
 	if known == nil {
 		known = &implication{survivedAt: l.survived.last(shared)}
-		if known.survivedAt != 0 {
-			known.ownAt = at
-		}
 		l.implicated[shared] = known
 	}
 	known.crashedAt = max(known.crashedAt, at)
+	if known.survivedAt != 0 {
+		known.changedAt = max(known.changedAt, at)
+	}
 }
 
 // RecordSurvival records that a server survived a run at this instance that shares something
@@ -311,10 +311,14 @@
 	l := d.shared
 	for _, s := range shared {
 		l.survived.add(now, s)
-		if known := l.implicated[s]; known != nil {
-			l.outdated = l.outdated || known.survivedAt <= known.crashedAt
-			known.survivedAt, known.ownAt = now, now
+		known := l.implicated[s]
+		if known == nil {
+			continue
+		}
+		if known.survivedAt <= known.crashedAt { // later ones tell nothing new
+			known.changedAt, l.outdated = now, true
 		}
+		known.survivedAt = now
 	}
 }
 
--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -258,6 +258,23 @@
 	}
 }
 
+// Guards against reports that repeat the survivals of popular parts as long as a crash is remembered.
+func TestSurvivalsAreToldAfterCrashesOnly(t *testing.T) {
+	d := New()
+	d.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{firstPart}, SentAt: start.Add(-time.Second)}, 1)
+	if n := len(d.Report(seconds(0.5)).Survivals); n > 0 {
+		t.Errorf("%d survivals told, though there is none", n)
+	}
+	told := 0
+	for now := seconds(1); now < seconds(30); now = now.Add(200 * time.Millisecond) {
+		d.RecordSurvival(now, []Digest{firstPart})
+		told += len(d.Report(now).Survivals)
+	}
+	if most := int(reportPeriod/(200*time.Millisecond)) + 1; told == 0 || told > most {
+		t.Errorf("told %d times, want at most %d", told, most)
+	}
+}
+
 func TestSharedMemoryIsBounded(t *testing.T) {
 	d := New()
 	for i := range 3 * maxSharedCrashes {
--- a/core/gateway/poison/sharedreport.go
+++ b/core/gateway/poison/sharedreport.go
@@ -96,7 +96,7 @@
 	r.Up = l.reportUp(now)
 	survivals := make(map[Digest]bool)
 	for digest, known := range l.implicated {
-		if known.ownAt != 0 && now.Sub(known.ownAt) <= reportPeriod && known.survivedAt != 0 {
+		if known.changedAt != 0 && now.Sub(known.changedAt) <= reportPeriod {
 			survivals[digest] = true
 		}
 	}
