--- a/oleander/gateway/pause_test.go
+++ b/oleander/gateway/pause_test.go
@@ -22,6 +22,7 @@
 	const pause = 300 * time.Millisecond
 	m := config(1)
 	m.Match(testHost, "/stream/").PauseObjective = 50 * time.Millisecond
+	m.Match(testHost, "/stream/").Timeout = 20 * time.Second
 	f := newFixture(t, m)
 	f.loadScheduling = On
 	big := "data: " + strings.Repeat("x", 2<<10) + "\n\n"
