--- a/core/gateway/members/members.go
+++ b/core/gateway/members/members.go
@@ -12,7 +12,7 @@
 
 const (
 	// liveTimeout is how long an instance counts as live after its last message. Two
-	// messages may be lost in a large fleet, where they are 0.7 s apart.
+	// messages may be lost in a large fleet, too.
 	liveTimeout = 2200 * time.Millisecond
 	// firstMessageTimeout is how long the first message of an instance that has a row is
 	// awaited: an instance sends one as soon as it has read the rows of the others.
--- a/core/process/rate/fleet_test.go
+++ b/core/process/rate/fleet_test.go
@@ -15,7 +15,7 @@
 	"oleanderdale.org/core/process/session"
 )
 
-const testAccount = id.Account("fjordlast")
+const testAccount = id.Account("account-a")
 
 // instance is the part of an instance that limits rates: membership, session
 // lease and limiter.
