--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -83,6 +83,7 @@
 	c.SetDeadline(wallTime(x.deadline.Add(responseGrace)))
 	x.sends++
 	x.sentAt, x.writingSince, x.survived = boottime.Now(), 0, false
+	x.crashesAtSend = g.knownCrashes(x)
 	x.timing.attemptSent()
 	err := c.Send(rawhttp.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
@@ -197,7 +198,8 @@
 	crashes, completions := g.poison.Suspicion(x.digests[0])
 	g.mu.Unlock()
 	x.logShared(g.log.Warn().Str("request", x.call.ID)).Str("server", t.id).Str("software", t.software).Int("events", x.eventCount).Bool("reused", c.Reused).Bool("timeout", timeout).
-		Bool("relayed", c.Indirect).Bool("link_failed", x.linkFailed).Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).Err(err).Msg("front: attempt failed")
+		Bool("relayed", c.Indirect).Bool("link_failed", x.linkFailed).Stringer("digest", x.digests[0]).Int("crashes", crashes).Int("completions", completions).
+		Int("crashes_at_send", x.crashesAtSend).Dur("running_for_ms", boottime.Now().Sub(g.started)).Err(err).Msg("front: attempt failed")
 	if boottime.Now().Reached(x.deadline) {
 		x.possibleRuns++
 		return resultTimeout
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -111,6 +111,7 @@
 	stopAbort       func() bool // keeps a caller that leaves from aborting the server's connection
 	sends           int
 	sentAt          clock.Time // of the current attempt
+	crashesAtSend   int        // known under copies of the request when the current attempt was sent
 	writingSince    clock.Time // first event of the current attempt; 0: none yet
 	survived        bool       // the server survived the current attempt, which is recorded
 	linkFailed      bool       // the current attempt ended since the instance has no path to any server, or its relay ended
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -131,6 +131,14 @@
 	g.sendAll(out)
 }
 
+// knownCrashes returns how many crashes under copies of the request this instance knows of.
+func (g *Gateway) knownCrashes(x *exchange) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	crashes, _ := g.poison.Suspicion(x.digests[0])
+	return crashes
+}
+
 // recordAnswer records that the server of the current attempt answers.
 func (x *exchange) recordAnswer(t target) {
 	x.g.mu.Lock()
