Poison: trials that crash servers long after each other don't end a refusal

Callers saw a request that is refused free again once its second trial, 2 min after the first, had crashed a server: only crashes within 60 s of the last one counted, so one was left of five. Trials began anew where a process did not know of them, too. The crashes of trials now extend the episode for which the request is refused, and those later than 2 s after its third crash count as trials, whoever sent them. TestCrashedTrialsDoNotEndRefusal failed after 2 trials, TestCrashesAfterTheRefusalCountAsTrials with a trial after 30 s instead of 8 min; both pass.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -15,6 +15,7 @@
 package poison
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -52,6 +53,9 @@
 	// refusalMemory is how long a refused request is remembered after its last crash or
 	// trial.
 	refusalMemory = 2 * maxTrialDelay
+	// refusalTold is the time after the last crash of poisonThreshold in which all instances hear
+	// of it. A later crash is that of a trial, whoever sent it.
+	refusalTold = 2 * time.Second
 	// maxSuspects bounds the memory; the suspects with the oldest crashes are dropped.
 	maxSuspects = 4096
 	// maxCrashes bounds the crashes remembered for one suspect.
@@ -243,7 +247,7 @@
 // share.
 func (d *Detector) unexplained(now clock.Time, s *suspect) int {
 	n := 0
-	for _, c := range s.recent() {
+	for _, c := range s.episode() {
 		if !d.shared.explains(d, now, c) {
 			n++
 		}
@@ -275,15 +279,50 @@
 // recent returns the crashes that count: those within crashWindow of the last one.
 func (s *suspect) recent() []crash { return s.crashesAfter(s.lastCrash().Add(-crashWindow)) }
 
-func (s *suspect) crashesAfter(from clock.Time) []crash {
-	for i, c := range s.crashes {
+func (s *suspect) crashesAfter(from clock.Time) []crash { return crashesAfter(s.crashes, from) }
+
+// crashesAfter returns the crashes after a time, of crashes that are ascending by time.
+func crashesAfter(crashes []crash, from clock.Time) []crash {
+	for i, c := range crashes {
 		if c.at > from {
-			return s.crashes[i:]
+			return crashes[i:]
 		}
 	}
 	return nil
 }
 
+// episode returns the recent crashes and, if they were trials of a refused request, also those for
+// which it was refused: trials are further apart than crashWindow.
+func (s *suspect) episode() []crash { return s.crashes[episodeStart(s.crashes):] }
+
+func episodeStart(crashes []crash) int {
+	if len(crashes) == 0 {
+		return 0
+	}
+	last := crashes[len(crashes)-1].at
+	start := len(crashes) - len(crashesAfter(crashes, last.Add(-crashWindow)))
+	if start == 0 {
+		return 0
+	}
+	mayLack := start == poisonThreshold // dropExcess drops those that followed
+	if !mayLack && crashes[start].at.Sub(crashes[start-1].at) > refusalMemory {
+		return start
+	}
+	if before := episodeStart(crashes[:start]); start-before >= poisonThreshold {
+		return before
+	}
+	return start
+}
+
+// lateCrashes returns the number of crashes after the request was refused at all instances.
+func (s *suspect) lateCrashes() int {
+	episode := s.episode()
+	if len(episode) < poisonThreshold {
+		return 0
+	}
+	return len(crashesAfter(episode, episode[poisonThreshold-1].at.Add(refusalTold)))
+}
+
 func (s *suspect) lastCrash() clock.Time {
 	if len(s.crashes) == 0 {
 		return 0
@@ -300,14 +339,15 @@
 }
 
 func (s *suspect) refused(now clock.Time) bool {
-	crashes := len(s.recent())
-	if crashes < poisonThreshold || s.expired(now) {
+	episode := s.episode()
+	if len(episode) < poisonThreshold || s.expired(now) {
 		return false
 	}
-	if crashes > s.allCompletions() && !protects(s.completedBefore, now) {
+	crashes := len(s.recent())
+	if crashes >= poisonThreshold && crashes > s.allCompletions() && !protects(s.completedBefore, now) {
 		return true
 	}
-	return len(s.crashesAfter(s.completedAt)) >= poisonThreshold && !protects(s.completedAt, now)
+	return len(crashesAfter(episode, s.completedAt)) >= poisonThreshold && !protects(s.completedAt, now)
 }
 
 // protects reports whether a completed run was so recent that the request counts as sound.
@@ -316,7 +356,7 @@
 }
 
 func (s *suspect) expired(now clock.Time) bool {
-	if len(s.recent()) >= poisonThreshold {
+	if len(s.episode()) >= poisonThreshold {
 		return now.Sub(max(s.lastCrash(), s.trialAt)) > refusalMemory
 	}
 	return now.Sub(max(s.lastCrash(), s.changedAt)) > crashWindow
@@ -328,18 +368,24 @@
 func (s *suspect) nextTrial() clock.Time {
 	last := max(s.lastCrash(), s.trialAt)
 	delay := trialDelay
-	if s.completedBefore != 0 && s.recent()[0].at.Sub(s.completedBefore) <= soundMemory {
+	if s.ranBeforeCrashes() {
 		if s.completedAt > last {
 			return s.completedAt
 		}
 		delay = soundTrialDelay
 	}
-	for range s.trials {
+	for range max(s.trials, s.lateCrashes()) {
 		delay = min(trialFactor*delay, maxTrialDelay)
 	}
 	return last.Add(delay)
 }
 
+// ranBeforeCrashes reports whether a run completed shortly before the crashes.
+func (s *suspect) ranBeforeCrashes() bool {
+	before := s.episode()[0].at.Sub(s.completedBefore)
+	return s.completedBefore != 0 && before >= 0 && before <= soundMemory
+}
+
 // addCrash adds a crash unless it is known or was none. It reports whether it was added.
 func (d *Detector) addCrash(s *suspect, c crash) bool {
 	if d.survived(c) {
@@ -358,12 +404,22 @@
 	}
 	s.crashes = append(s.crashes, c)
 	s.sortCrashes()
-	if extra := len(s.crashes) - maxCrashes; extra > 0 {
-		s.crashes = s.crashes[extra:]
-	}
+	s.dropExcess()
 	return true
 }
 
+// dropExcess drops the oldest crash beyond maxCrashes, but for those for which the request is refused.
+func (s *suspect) dropExcess() {
+	if len(s.crashes) <= maxCrashes {
+		return
+	}
+	drop := 0
+	if episodeStart(s.crashes) == 0 {
+		drop = poisonThreshold
+	}
+	s.crashes = slices.Delete(s.crashes, drop, drop+1)
+}
+
 func (d *Detector) getOrCreate(now clock.Time, digest Digest) *suspect {
 	s, ok := d.suspects[digest]
 	if !ok {
--- a/core/gateway/poison/poison_test.go
+++ b/core/gateway/poison/poison_test.go
@@ -317,3 +317,35 @@
 		t.Error("the suspect is not forgotten")
 	}
 }
+
+// Guards against a request that is free again since its last trial crashed a server long after the
+// crashes before.
+func TestCrashedTrialsDoNotEndRefusal(t *testing.T) {
+	d := New()
+	crashThree(d, start, 1)
+	now := start
+	for i := range 12 {
+		c := d.Check(now, []Digest{1})
+		if !c.Refused || c.Trial {
+			t.Fatalf("after %d trials: refused %v, trial %v", i, c.Refused, c.Trial)
+		}
+		if i > 0 && c.NextTrial < trialFactor*trialDelay {
+			t.Errorf("after %d trials that crashed: next one after %v", i, c.NextTrial)
+		}
+		now = now.Add(c.NextTrial)
+		d.BeginTrial(now, []Digest{1})
+		d.RecordCrash(now.Add(time.Second), []Digest{1}, Server(i))
+		now = now.Add(time.Second)
+	}
+}
+
+// Guards against trials that begin anew where nobody knew of them.
+func TestCrashesAfterTheRefusalCountAsTrials(t *testing.T) {
+	d := New()
+	for _, at := range []float64{0, 5, 10, 31, 36, 41} {
+		d.RecordCrash(seconds(at), []Digest{1}, Server(at))
+	}
+	if c := d.Check(seconds(41), []Digest{1}); !c.Refused || c.NextTrial < trialFactor*trialDelay {
+		t.Errorf("refused %v, next trial after %v", c.Refused, c.NextTrial)
+	}
+}
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -107,7 +107,7 @@
 		return r
 	}
 	r.Completions = s.completions
-	for _, c := range s.recent() {
+	for _, c := range s.episode() {
 		r.Crashes = append(r.Crashes, ServerAge{c.server, now.Sub(c.at)})
 	}
 	if s.completedAt != 0 {
