Poison: what is known of crashes is kept in the platform's store

Callers saw a request that crashes its servers, long refused, crash three more of them each time all instances had ended: what was known lived in their memory alone. The first of these crashes took all waiting copies along, as nobody knew of one. One instance of each zone now writes what all have told it, after each crash and each trial, and each instance reads the records of all zones before its first manifest is in force. Ages are those of the store's clock; a record counts as what another instance told, so verdicts end as before.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -86,6 +86,7 @@
 	completedBefore clock.Time
 	completions     int
 	peerCompletions map[string]int
+	keptCompletions int        // at all instances, as the store says
 	completedAt     clock.Time // last completed run known at any instance; 0: none
 	changedAt       clock.Time // last observation at this instance; 0: none
 	trialAt         clock.Time // start of the last trial at any instance; 0: none
@@ -116,6 +117,7 @@
 	aliveAt   map[Server]clock.Time // when this instance observed it; absent if another did
 	reported  clock.Time            // last report that included all refused requests
 	shared    *sharedCrashes
+	changes   Changes
 }
 
 // New returns a Detector without suspects.
@@ -160,6 +162,10 @@
 		return false
 	}
 	refused = s.refused(now)
+	if refused {
+		d.changes.Urgent++
+	}
+	d.changes.Minor++
 	if refused || s.completions == 0 || now.Sub(s.changedAt) > completionReportInterval {
 		s.changedAt = now
 	}
@@ -262,6 +268,7 @@
 		if s, ok := d.suspects[digest]; ok && s.refused(now) {
 			s.trialAt, s.changedAt = now, now
 			s.trials++
+			d.changes.Urgent++
 		}
 	}
 }
@@ -335,7 +342,7 @@
 	for _, n := range s.peerCompletions {
 		all += n
 	}
-	return all
+	return max(all, s.keptCompletions)
 }
 
 func (s *suspect) refused(now clock.Time) bool {
@@ -400,11 +407,12 @@
 		}
 	}
 	if c.at.Sub(s.lastCrash()) > crashWindow {
-		s.completedBefore, s.completions, s.peerCompletions = s.completedAt, 0, nil
+		s.completedBefore, s.completions, s.peerCompletions, s.keptCompletions = s.completedAt, 0, nil, 0
 	}
 	s.crashes = append(s.crashes, c)
 	s.sortCrashes()
 	s.dropExcess()
+	d.changes.Urgent++
 	return true
 }
 
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -45,6 +45,9 @@
 	Completions  int // at the reporting instance, since the first of the crashes
 	Trials       int // the last one began TrialAge ago
 	TrialAge     time.Duration
+	// RanBefore: a run completed before the crashes, RanBeforeAge ago.
+	RanBefore    bool
+	RanBeforeAge time.Duration
 }
 
 // Report returns what this instance observed lately and, from time to time, all refused
@@ -116,6 +119,9 @@
 	if s.trials > 0 {
 		r.Trials, r.TrialAge = s.trials, now.Sub(s.trialAt)
 	}
+	if s.completedBefore != 0 {
+		r.RanBefore, r.RanBeforeAge = true, now.Sub(s.completedBefore)
+	}
 	return r
 }
 
@@ -135,17 +141,26 @@
 	for _, c := range r.Crashes {
 		d.addCrash(s, crash{c.Server, now.Add(-c.Age)})
 	}
-	if r.Completions > 0 {
+	switch {
+	case peer == fromStore:
+		s.keptCompletions = max(s.keptCompletions, r.Completions)
+	case r.Completions > 0:
 		if s.peerCompletions == nil {
 			s.peerCompletions = make(map[string]int)
 		}
 		s.peerCompletions[peer] = r.Completions
 	}
+	if at := now.Add(-r.RanBeforeAge); r.RanBefore && at > s.completedBefore && len(s.crashes) > 0 && at <= s.crashes[0].at {
+		s.completedBefore = at
+	}
 	if at := now.Add(-r.CompletedAge); r.Completed && at > s.completedAt {
 		s.completedAt = at
 	}
 	s.endTrials(now)
 	if at := now.Add(-r.TrialAge); r.Trials > 0 && at > s.trialAt && s.refused(now) {
+		if r.Trials > s.trials {
+			d.changes.Urgent++
+		}
 		s.trials, s.trialAt = max(s.trials, r.Trials), at
 	}
 }
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -223,6 +223,7 @@
 		return false
 	}
 	c.runs = append(c.runs, crashRun{Run: run, own: own})
+	d.changes.Urgent++
 	for _, shared := range run.Shared {
 		l.implicate(shared, c.at)
 	}
@@ -317,6 +318,7 @@
 		}
 		if known.survivedAt <= known.crashedAt { // later ones tell nothing new
 			known.changedAt, l.outdated = now, true
+			d.changes.Minor++
 		}
 		known.survivedAt = now
 	}
--- a/core/gateway/poison/verdict.go
+++ b/core/gateway/poison/verdict.go
@@ -51,6 +51,7 @@
 		}
 		for _, blamed := range v.blamed {
 			l.trials[blamed] = sharedTrial{count: l.trials[blamed].count + 1, at: now}
+			d.changes.Urgent++
 		}
 	}
 }
@@ -64,6 +65,7 @@
 			last, trials = max(last, t.at), max(trials, t.count)
 		}
 	}
+	trials = max(trials, v.lateCrashes())
 	delay := trialDelay
 	if v.sound || len(v.others) > 0 && !slices.ContainsFunc(v.others, run.has) {
 		delay = sharedSoundTrialDelay
@@ -74,6 +76,17 @@
 	return last.Add(delay)
 }
 
+// lateCrashes returns the number of crashes after requests were refused at all instances.
+func (v verdict) lateCrashes() int {
+	late := 0
+	for i, c := range v.crashes {
+		if i >= soundThreshold && c.at.Sub(v.crashes[soundThreshold-1].at) > refusalTold {
+			late++
+		}
+	}
+	return late
+}
+
 // Blamed returns how many things that requests share are blamed for crashes, for the metrics.
 func (d *Detector) Blamed(now clock.Time) int {
 	n := 0
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -65,6 +65,9 @@
 		at = next
 		g.confirmConfig()
 		if state.Manifest != nil {
+			if g.manifest.Load() == nil {
+				g.readCrashRecords(firstCrashReadTimeout) // before the first request is accepted
+			}
 			g.applyManifest(state.Manifest, sourceStore)
 		} else if g.manifest.Load() == nil {
 			g.awaitFirstManifest()
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -183,8 +183,9 @@
 	quotaTimer      *time.Timer                   // fires when the quota limiter has to act next
 	retryBudget     *budget.Budget
 	poison          *poison.Detector
-	tellingCrashes  bool           // tellCrashes is due
-	checkingLife    bool           // checkLife is due
+	tellingCrashes  bool // tellCrashes is due
+	checkingLife    bool // checkLife is due
+	crashRecords    crashRecords
 	probes          *poison.Probes // of requests on probation, on which this instance decides
 	probeWaits      map[uint64]chan poison.ProbeAnswer
 	probeNumber     uint64
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -133,6 +133,14 @@
 // whole fleet.
 type LeaseName string
 
+// CrashRecord is what an instance knew of crashes of backend servers, for all instances of its zone.
+type CrashRecord struct {
+	Zone  string
+	Value []byte // as written
+	At    revision.Revision
+	Age   time.Duration // since it was written
+}
+
 // OperatorState is what the operator has written to the store.
 type OperatorState struct {
 	Manifest []byte // as stored; nil: none, or unchanged
@@ -173,6 +181,12 @@
 	// the version of expect (0: no row). Otherwise, or if the store is in another era, it
 	// returns leader.Conflict; it returns leader.Unknown if the write may have taken effect.
 	WriteLease(ctx context.Context, name LeaseName, r leader.Record, expect revision.Revision) (leader.Result, revision.Revision)
+	// CrashRecords returns the crash records of all zones, and the revision of the store at which
+	// they were read.
+	CrashRecords(ctx context.Context) (records []CrashRecord, at revision.Revision, err error)
+	// WriteCrashRecord replaces the crash record of a zone, under the conditions of WriteLease and
+	// with its results. CrashRecords must have been called before.
+	WriteCrashRecord(ctx context.Context, zone string, value []byte, expect revision.Revision) (leader.Result, revision.Revision)
 }
 
 // Engines calls the engines of backend servers.
--- a/oleander/gateway/portstest/memory.go
+++ b/oleander/gateway/portstest/memory.go
@@ -65,9 +65,16 @@
 	evacuations     map[string]evacuation.Row
 	peers           map[string]ports.Peer
 	leases          map[leaseKey]leader.Row
+	crashRecords    map[string]crashRecord // by zone
 	version         int64
 }
 
+type crashRecord struct {
+	value     []byte
+	version   int64
+	writtenAt time.Time
+}
+
 // leaseKey identifies the row of a lease: each era has its own.
 type leaseKey struct {
 	name ports.LeaseName
@@ -78,6 +85,7 @@
 	return state{
 		servers: make(map[string]directory.Entry), removalVersions: make(map[string]int64), serverVersions: make(map[string]int64),
 		evacuations: make(map[string]evacuation.Row), peers: make(map[string]ports.Peer), leases: make(map[leaseKey]leader.Row),
+		crashRecords: make(map[string]crashRecord),
 	}
 }
 
@@ -85,6 +93,7 @@
 func (s state) clone() state {
 	s.servers, s.removalVersions, s.serverVersions = maps.Clone(s.servers), maps.Clone(s.removalVersions), maps.Clone(s.serverVersions)
 	s.evacuations, s.peers, s.leases = maps.Clone(s.evacuations), maps.Clone(s.peers), maps.Clone(s.leases)
+	s.crashRecords = maps.Clone(s.crashRecords)
 	return s
 }
 
@@ -435,3 +444,37 @@
 	}
 	return result, at
 }
+
+// CrashRecords implements ports.Store.
+func (v *callerView) CrashRecords(ctx context.Context) (records []ports.CrashRecord, at revision.Revision, err error) {
+	m := v.store
+	err = v.call(ctx, func() {
+		at = m.revision()
+		for _, zone := range slices.Sorted(maps.Keys(m.state.crashRecords)) {
+			r := m.state.crashRecords[zone]
+			records = append(records, ports.CrashRecord{
+				Zone: zone, Value: r.value, At: revision.Revision{Era: m.era, Version: r.version}, Age: time.Since(r.writtenAt),
+			})
+		}
+	})
+	return records, at, err
+}
+
+// WriteCrashRecord implements ports.Store.
+func (v *callerView) WriteCrashRecord(ctx context.Context, zone string, value []byte, expect revision.Revision) (leader.Result, revision.Revision) {
+	m := v.store
+	var result leader.Result
+	var at revision.Revision
+	err := v.call(ctx, func() {
+		result = leader.Conflict
+		if expect != (revision.Revision{Era: m.era, Version: m.state.crashRecords[zone].version}) {
+			return
+		}
+		m.state.crashRecords[zone] = crashRecord{value: value, version: m.nextVersion(), writtenAt: time.Now()}
+		result, at = leader.Done, m.revision()
+	})
+	if err != nil {
+		return leader.Unknown, revision.Revision{}
+	}
+	return result, at
+}
--- a/oleander/gateway/portstest/store.go
+++ b/oleander/gateway/portstest/store.go
@@ -55,6 +55,9 @@
 		{"peers", testPeers},
 		{"lease", testLease},
 		{"leases", testLeases},
+		{"crash records", testCrashRecords},
+		{"crash record with a lost response", testCrashRecordLostResponse},
+		{"crash records of a restored snapshot", testCrashRecordsRestored},
 		{"write with a lost response", testLostResponse},
 		{"late write", testLateWrite},
 		{"late write after another", testLateWriteAfterAnother},
@@ -87,6 +90,7 @@
 	"peers":         func(s ports.Store, ctx context.Context) error { _, err := s.Peers(ctx); return err },
 	"lease":         func(s ports.Store, ctx context.Context) error { _, err := s.Lease(ctx, ""); return err },
 	"register peer": func(s ports.Store, ctx context.Context) error { return s.RegisterPeer(ctx, ports.Peer{Name: "x"}) },
+	"crash records": func(s ports.Store, ctx context.Context) error { _, _, err := s.CrashRecords(ctx); return err },
 }
 
 // AllServers reads all pages of the entries of backend servers, and returns them with the
@@ -452,3 +456,83 @@
 		t.Errorf("after the fault: %v", err)
 	}
 }
+
+// crashRecordsOf reads the crash records by zone.
+func crashRecordsOf(t *testing.T, s ports.Store) (map[string]ports.CrashRecord, revision.Revision) {
+	t.Helper()
+	all, at, err := s.CrashRecords(soon(t))
+	if err != nil {
+		t.Fatalf("crash records: %v", err)
+	}
+	records := make(map[string]ports.CrashRecord)
+	for _, r := range all {
+		records[r.Zone] = r
+	}
+	return records, at
+}
+
+// Each zone has a record, which is replaced only by those who know its revision, and whose age counts
+// from its writing, whoever reads it.
+func testCrashRecords(t *testing.T, h StoreHarness) {
+	a, b := h.Store(0), h.Store(1)
+	records, at := crashRecordsOf(t, a)
+	if len(records) != 0 {
+		t.Fatalf("records of an empty store: %+v", records)
+	}
+	first, written := a.WriteCrashRecord(soon(t), "y", []byte("1\x00\xff"), revision.Revision{Era: at.Era})
+	if first != leader.Done {
+		t.Fatalf("first write: %v", first)
+	}
+	crashRecordsOf(t, b)
+	if result, _ := b.WriteCrashRecord(soon(t), "z", []byte("2"), revision.Revision{Era: at.Era}); result != leader.Done {
+		t.Errorf("write for another zone: %v", result)
+	}
+	if result, _ := b.WriteCrashRecord(soon(t), "y", []byte("3"), revision.Revision{Era: at.Era}); result != leader.Conflict {
+		t.Errorf("write over an unknown record: %v", result)
+	}
+	const pause = 60 * time.Millisecond
+	time.Sleep(pause)
+	records, _ = crashRecordsOf(t, b)
+	if y := records["y"]; string(y.Value) != "1\x00\xff" || y.At != written || y.Age < pause/2 || y.Age > time.Minute {
+		t.Errorf("record %+v, written at %+v", y, written)
+	}
+	if result, _ := b.WriteCrashRecord(soon(t), "y", []byte("4"), written); result != leader.Done {
+		t.Errorf("write over a known record: %v", result)
+	}
+	if records, _ = crashRecordsOf(t, a); string(records["y"].Value) != "4" || string(records["z"].Value) != "2" {
+		t.Errorf("records %+v", records)
+	}
+}
+
+func testCrashRecordLostResponse(t *testing.T, h StoreHarness) {
+	a := h.Store(0)
+	_, at := crashRecordsOf(t, a)
+	h.SetFault(0, ResponseLost)
+	if result, _ := a.WriteCrashRecord(brief(t), "y", []byte("1"), revision.Revision{Era: at.Era}); result != leader.Unknown {
+		t.Errorf("write whose response is lost: %v", result)
+	}
+	h.SetFault(0, NoFault)
+	if records, _ := crashRecordsOf(t, a); string(records["y"].Value) != "1" {
+		t.Errorf("records %+v", records)
+	}
+}
+
+// A restored store has the older record, and refuses a write that expects the lost one.
+func testCrashRecordsRestored(t *testing.T, h StoreHarness) {
+	a := h.Store(0)
+	_, at := crashRecordsOf(t, a)
+	_, first := a.WriteCrashRecord(soon(t), "y", []byte("1"), revision.Revision{Era: at.Era})
+	h.TakeSnapshot()
+	_, second := a.WriteCrashRecord(soon(t), "y", []byte("2"), first)
+	h.RestoreSnapshot()
+	records, _ := crashRecordsOf(t, a)
+	if string(records["y"].Value) != "1" {
+		t.Errorf("records %+v", records)
+	}
+	if result, _ := a.WriteCrashRecord(soon(t), "y", []byte("3"), second); result != leader.Conflict {
+		t.Errorf("write that expects a lost record: %v", result)
+	}
+	if result, _ := a.WriteCrashRecord(soon(t), "y", []byte("3"), records["y"].At); result != leader.Done {
+		t.Errorf("write over the restored record: %v", result)
+	}
+}
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -92,7 +92,7 @@
 
 // startLoops starts the goroutines that run until the gateway ends.
 func (g *Gateway) startLoops() {
-	for _, f := range []func(){g.syncOperatorState, g.syncServers, g.syncPeers, g.housekeep, g.receive} {
+	for _, f := range []func(){g.syncOperatorState, g.syncServers, g.syncPeers, g.keepCrashes, g.housekeep, g.receive} {
 		go f()
 	}
 }
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -31,6 +31,7 @@
 	Trials      int            `cbor:"4,keyasint,omitempty"`
 	TrialMS     int64          `cbor:"5,keyasint,omitempty"` // since the last trial began
 	Completions int            `cbor:"6,keyasint,omitempty"` // at the sender
+	RanBeforeMS *int64         `cbor:"7,keyasint,omitempty"` // since the last completed run before the crashes
 }
 
 // serverAgeMsg says how long ago something happened at a server.
@@ -54,6 +55,10 @@
 			ms := s.CompletedAge.Milliseconds()
 			encoded.CompletedMS = &ms
 		}
+		if s.RanBefore {
+			ms := s.RanBeforeAge.Milliseconds()
+			encoded.RanBeforeMS = &ms
+		}
 		m.Suspects = append(m.Suspects, encoded)
 	}
 	return m
@@ -78,6 +83,9 @@
 		if s.CompletedMS != nil {
 			decoded.Completed, decoded.CompletedAge = true, millis(*s.CompletedMS)
 		}
+		if s.RanBeforeMS != nil {
+			decoded.RanBefore, decoded.RanBeforeAge = true, millis(*s.RanBeforeMS)
+		}
 		r.Suspects = append(r.Suspects, decoded)
 	}
 	return r
