Probes: where nobody can know of crashes, copies that waited go one at a time

Callers saw one engine end with eight copies of a request on it, after all instances had ended while the store was silent: nobody knew of its crashes, so nothing was on probation, and all copies that had waited for the model went together. An instance that could not read the crash records for 3 s after its start is in doubt for 30 s, unless one that isn't tells it otherwise; while it is, copies that waited 0.1 s or longer ask for a probe, as if the request had crashed a server before the start. A copy that completes clears all others; one that waits for 0.8 s goes all the same, so none is refused for it.

--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -124,7 +124,7 @@
 	var out []outgoing
 	heartbeat := g.newHeartbeat(now)
 	packet := g.heartbeatPacket(now, heartbeat)
-	packet.Links = g.linksMessage()
+	packet.Links, packet.InDoubt = g.linksMessage(), g.crashRecords.inDoubt(now, g.started)
 	if to != audienceHolder {
 		packet.Suspects = encodeSuspects(g.settings.Name, g.poison.Report(now))
 	}
@@ -202,6 +202,7 @@
 		g.handleHeartbeat(now, m.Heartbeat)
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
 		g.handleSuspects(now, m.Suspects)
+		g.handleDoubt(now, m.Heartbeat, m.InDoubt)
 		if m.Heartbeat.Name != g.settings.Name {
 			g.handleLinks(now, m.Heartbeat, m.Links)
 		}
--- a/oleander/gateway/crashrecord.go
+++ b/oleander/gateway/crashrecord.go
@@ -32,6 +32,10 @@
 	firstCrashReadTimeout = 500 * time.Millisecond
 	// crashRecordRetry is the time after a call that failed.
 	crashRecordRetry = 500 * time.Millisecond
+	// An instance that could not read the records within doubtAfter started while the store was
+	// silent, when crashes could not be written. It is in doubt for doubtPeriod.
+	doubtAfter  = 3 * time.Second
+	doubtPeriod = 30 * time.Second
 	// maxCrashRecordBytes is well below the size of a row.
 	maxCrashRecordBytes = 32 << 10
 )
@@ -46,6 +50,17 @@
 	written poison.Changes    // as of the last write
 	wroteAt clock.Time
 	wrote   revision.Revision // by this instance
+	// doubtUntil is when this instance ends to assume that there were crashes of which it can't know.
+	doubtUntil clock.Time
+}
+
+// inDoubt reports whether there may have been crashes of which this instance can't know. The caller
+// holds mu.
+func (r *crashRecords) inDoubt(now, started clock.Time) bool {
+	if !r.read {
+		return now.Sub(started) > doubtAfter
+	}
+	return now.Before(r.doubtUntil)
 }
 
 // keepCrashes reads the crash records, and writes that of this zone while that is this instance's duty.
@@ -66,6 +81,14 @@
 	}
 }
 
+// handleDoubt ends the doubt of this instance once it hears one that knows of all crashes. The caller
+// holds mu.
+func (g *Gateway) handleDoubt(now clock.Time, b *heartbeatMsg, inDoubt bool) {
+	if b.Name != g.settings.Name && !inDoubt {
+		g.crashRecords.doubtUntil = min(g.crashRecords.doubtUntil, now)
+	}
+}
+
 // writesCrashRecord reports whether this instance writes the record of its zone. The caller holds mu.
 func (g *Gateway) writesCrashRecord(now clock.Time) bool {
 	self := id.Instance(g.settings.Name)
@@ -126,6 +149,9 @@
 		}
 		g.poison.MergeKept(now, m.report().Aged(record.Age))
 	}
+	if first && now.Sub(g.started) > doubtAfter {
+		r.doubtUntil = now.Add(doubtPeriod)
+	}
 	if first {
 		g.log.Info().Int("records", len(records)).Int("refused", g.poison.Refused(now)).Int("blamed", g.poison.Blamed(now)).
 			Dur("running_for_ms", now.Sub(g.started)).Msg("crashes: read what is known from the store")
--- a/oleander/gateway/probes.go
+++ b/oleander/gateway/probes.go
@@ -22,6 +22,10 @@
 	// waits: some time later its caller may have been served elsewhere.
 	probeRetryInterval = 50 * time.Millisecond
 	maxProbeWait       = time.Second
+	// waitedTogether is how long a request has waited that others may have waited with, and
+	// maxDoubtWait how long it then waits for a copy of which nothing is known.
+	waitedTogether = 100 * time.Millisecond
+	maxDoubtWait   = maxProbeWait - 4*probeRetryInterval
 )
 
 // probeMsg asks whether a copy of a request on probation may run, reports the end of one, or
@@ -67,6 +71,18 @@
 	}
 }
 
+// probation returns since when a run that completes speaks for the request, and whether only one
+// copy of it may run at a time. That holds also where nobody can know of crashes, for copies that
+// waited: for a server, a model or the store, until all go on at once. The caller holds mu.
+func (x *exchange) probation(now clock.Time) (since clock.Time, ok bool) {
+	g := x.g
+	if since, ok = g.poison.Probation(now, x.digests); ok {
+		return since, true
+	}
+	waited := x.probe.waitingSince != 0 && now.Sub(x.probe.waitingSince) >= maxDoubtWait
+	return g.started, g.crashRecords.inDoubt(now, g.started) && now.Sub(x.arrived) >= waitedTogether && !waited
+}
+
 // mayProbe reports whether the request may run now. It asks the instance that decides on its probes
 // if it is on probation.
 func (x *exchange) mayProbe() bool {
@@ -74,7 +90,7 @@
 	for tried := 0; ; tried++ {
 		g.mu.Lock()
 		now := boottime.Now()
-		crashedAt, onProbation := g.poison.Probation(now, x.digests)
+		crashedAt, onProbation := x.probation(now)
 		if !onProbation || x.probe.held {
 			g.mu.Unlock()
 			return true
