Probes: trials of what requests share take turns

A trial was begun by each instance for itself: two that were due at one moment, at two instances that had not heard of each other's begin, ran side by side, and each crashed an engine. A request that is due for a trial of what is blamed now asks for a probe of it, as copies of one request on probation do. TestTrialsOfAPartTakeTurns fails without it.

--- a/oleander/gateway/crashrecord_test.go
+++ b/oleander/gateway/crashrecord_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -198,3 +199,35 @@
 func awaitRecords(f *fixture, n int) {
 	testutil.WaitFor(f.t, func() bool { return len(f.records()) == n })
 }
+
+// Guards against trials of one prompt part at several instances at once, each of which crashes an engine.
+func TestTrialsOfAPartTakeTurns(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.backend("a", "plain", ok)
+	f.start()
+	f.start()
+	part := poison.Narrow(70)
+	var trials []*exchange
+	for i, g := range f.gateways {
+		testutil.WaitFor(t, func() bool { g.mu.Lock(); defer g.mu.Unlock(); return g.members.CountLive(boottime.Now()) == 1 })
+		g.mu.Lock()
+		for n := range 3 { // crashes so long ago that a trial is due
+			age := 45*time.Second - time.Duration(n)*time.Second
+			run := poison.RunReport{Digests: []poison.Digest{poison.Digest(n)}, Shared: []poison.Digest{part}, SentAge: age}
+			g.poison.MergeKept(boottime.Now(), poison.Report{Crashes: []poison.CrashReport{{Server: poison.Server(n), Age: age, Runs: []poison.RunReport{run}}}})
+		}
+		if d := g.poison.CheckShared(boottime.Now(), []poison.Digest{part}); !d.Trial {
+			t.Errorf("no trial is due: %+v", d)
+		}
+		g.mu.Unlock()
+		trials = append(trials, &exchange{
+			g: g, r: httptest.NewRequest(http.MethodPost, "/", nil), arrived: boottime.Now(),
+			digests: []poison.Digest{poison.Digest(100 + i)}, shared: []poison.Digest{part},
+		})
+	}
+	if !trials[0].mayProbe() || trials[1].mayProbe() {
+		t.Error("the first of two trials does not run, or both run")
+	}
+	trials[0].endProbe(true)
+	testutil.WaitFor(t, trials[1].mayProbe)
+}
--- a/oleander/gateway/probes.go
+++ b/oleander/gateway/probes.go
@@ -36,7 +36,7 @@
 	Zone    string             `cbor:"3,keyasint,omitempty"`
 	Number  uint64             `cbor:"4,keyasint,omitempty"` // of the question
 	Digest  uint64             `cbor:"5,keyasint,omitempty"`
-	AgeMS   int64              `cbor:"6,keyasint,omitempty"` // since the last crash
+	AgeMS   int64              `cbor:"6,keyasint,omitempty"` // a run that completed since then speaks for the copy
 	Ended   bool               `cbor:"7,keyasint,omitempty"` // reports an end
 	Done    bool               `cbor:"8,keyasint,omitempty"` // with Ended: the copy completed
 	Reply   bool               `cbor:"9,keyasint,omitempty"` // answers
@@ -46,6 +46,7 @@
 // grantedProbe is the probe that the current attempt of an exchange was granted.
 type grantedProbe struct {
 	held         bool
+	digest       poison.Digest
 	by           string     // the instance that decided
 	waitingSince clock.Time // 0: not since the last one
 }
@@ -71,49 +72,60 @@
 	}
 }
 
-// probation returns since when a run that completes speaks for the request, and whether only one
-// copy of it may run at a time. That holds also where nobody can know of crashes, for copies that
-// waited: for a server, a model or the store, until all go on at once. The caller holds mu.
-func (x *exchange) probation(now clock.Time) (since clock.Time, ok bool) {
+// probeSubject is of what only one copy may run at a time.
+type probeSubject struct {
+	digest poison.Digest
+	since  clock.Time // a run that completed since then speaks for all copies
+}
+
+// probeSubject returns of what only one copy may run now: of a request on probation, or of all that have
+// what is blamed for crashes, while a trial of it is due. Where nobody can know of crashes, that holds
+// also for copies of a request that waited, for a server, a model or the store, until all go on at
+// once. The caller holds mu.
+func (x *exchange) probeSubject(now clock.Time) (s probeSubject, ok bool) {
 	g := x.g
-	if since, ok = g.poison.Probation(now, x.digests); ok {
-		return since, true
+	if since, ok := g.poison.Probation(now, x.digests); ok {
+		return probeSubject{digest: x.digests[0], since: since}, true
+	}
+	if d := g.poison.CheckShared(now, x.shared); d.Trial {
+		return probeSubject{digest: slices.Min(d.Blamed), since: now}, true
 	}
 	waited := x.probe.waitingSince != 0 && now.Sub(x.probe.waitingSince) >= maxDoubtWait
-	return g.started, g.crashRecords.inDoubt(now, g.started) && now.Sub(x.arrived) >= waitedTogether && !waited
+	doubtful := g.crashRecords.inDoubt(now, g.started) && now.Sub(x.arrived) >= waitedTogether && !waited
+	return probeSubject{digest: x.digests[0], since: g.started}, doubtful
 }
 
 // mayProbe reports whether the request may run now. It asks the instance that decides on its probes
-// if it is on probation.
+// if only one copy of it may.
 func (x *exchange) mayProbe() bool {
 	g := x.g
 	for tried := 0; ; tried++ {
 		g.mu.Lock()
 		now := boottime.Now()
-		crashedAt, onProbation := x.probation(now)
-		if !onProbation || x.probe.held {
+		subject, ok := x.probeSubject(now)
+		if !ok || x.probe.held {
 			g.mu.Unlock()
 			return true
 		}
-		decider := g.probeDecider(now, x.digests[0], tried)
+		decider := g.probeDecider(now, subject.digest, tried)
 		if decider == g.settings.Name || tried >= probeAskers {
-			answer := g.probes.Ask(now, x.digests[0], crashedAt)
+			answer := g.probes.Ask(now, subject.digest, subject.since)
 			g.mu.Unlock()
-			return x.probeAnswered(g.settings.Name, answer)
+			return x.probeAnswered(g.settings.Name, subject.digest, answer)
 		}
-		number, answered, out := g.askProbe(now, decider, x.digests[0], crashedAt)
+		number, answered, out := g.askProbe(now, decider, subject)
 		g.mu.Unlock()
 		g.sendAll(out)
 		answer, ok := g.awaitProbeAnswer(x.r.Context(), number, answered)
 		if ok || x.r.Context().Err() != nil {
-			return x.probeAnswered(decider, answer)
+			return x.probeAnswered(decider, subject.digest, answer)
 		}
 	}
 }
 
-func (x *exchange) probeAnswered(by string, a poison.ProbeAnswer) bool {
+func (x *exchange) probeAnswered(by string, d poison.Digest, a poison.ProbeAnswer) bool {
 	if a == poison.ProbeGranted {
-		x.probe = grantedProbe{held: true, by: by}
+		x.probe = grantedProbe{held: true, digest: d, by: by}
 	}
 	return a != poison.ProbeDenied
 }
@@ -123,14 +135,14 @@
 	if !x.probe.held {
 		return
 	}
-	g, by := x.g, x.probe.by
+	g, by, digest := x.g, x.probe.by, x.probe.digest
 	x.probe = grantedProbe{}
 	g.mu.Lock()
 	var out []outgoing
 	if m := g.members.Get(by); by == g.settings.Name {
-		g.probes.End(boottime.Now(), x.digests[0], completed)
+		g.probes.End(boottime.Now(), digest, completed)
 	} else if m != nil {
-		message := g.encode(packet{Probe: &probeMsg{From: g.settings.Name, Digest: uint64(x.digests[0]), Ended: true, Done: completed}})
+		message := g.encode(packet{Probe: &probeMsg{From: g.settings.Name, Digest: uint64(digest), Ended: true, Done: completed}})
 		out = []outgoing{{message: message, recipients: []recipient{g.recipient(m)}}}
 	}
 	g.mu.Unlock()
@@ -158,13 +170,13 @@
 }
 
 // askProbe returns the message that asks an instance, and where its answer arrives. The caller holds mu.
-func (g *Gateway) askProbe(now clock.Time, decider string, d poison.Digest, crashedAt clock.Time) (uint64, chan poison.ProbeAnswer, []outgoing) {
+func (g *Gateway) askProbe(now clock.Time, decider string, s probeSubject) (uint64, chan poison.ProbeAnswer, []outgoing) {
 	g.probeNumber++
 	answered := make(chan poison.ProbeAnswer, 1)
 	g.probeWaits[g.probeNumber] = answered
 	m := &probeMsg{
 		From: g.settings.Name, Address: g.settings.PeerAddress, Zone: g.settings.Zone, Number: g.probeNumber,
-		Digest: uint64(d), AgeMS: now.Sub(crashedAt).Milliseconds(),
+		Digest: uint64(s.digest), AgeMS: now.Sub(s.since).Milliseconds(),
 	}
 	return g.probeNumber, answered, []outgoing{{message: g.encode(packet{Probe: m}), recipients: []recipient{g.recipient(g.members.Get(decider))}}}
 }
