Retry budget: the first window of a process leaves room for what the one before it spent

A process has 0.2 instead of 0.8 of its share of the allowance for its first window; the part by requests is as before.

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -20,6 +20,9 @@
 	// safetyFactor leaves a part of the budget unused, because the instances' slots are
 	// not aligned and their counts of the instances may differ.
 	safetyFactor = 0.8
+	// firstWindowFactor replaces safetyFactor for the allowance in the first window of a process. The
+	// one before it may have spent its part, and all instances may have ended at once.
+	firstWindowFactor = 1 - safetyFactor
 )
 
 // Settings of a Budget.
@@ -38,12 +41,13 @@
 // servers. It is not safe for concurrent use.
 type Budget struct {
 	settings Settings
+	started  clock.Time
 	groups   map[string]*[slotsPerWindow + 1]slotCounts
 }
 
-// New returns a Budget.
-func New(s Settings) *Budget {
-	return &Budget{settings: s, groups: make(map[string]*[slotsPerWindow + 1]slotCounts)}
+// New returns the Budget of a process that started at a time.
+func New(started clock.Time, s Settings) *Budget {
+	return &Budget{settings: s, started: started, groups: make(map[string]*[slotsPerWindow + 1]slotCounts)}
 }
 
 func (b *Budget) currentSlot(now clock.Time, group string) *slotCounts {
@@ -90,7 +94,11 @@
 
 func (b *Budget) remaining(now clock.Time, group string, instances int) float64 {
 	counts := b.sum(now, group)
-	allowed := safetyFactor * (float64(counts.requests)*b.settings.Ratio + b.settings.Allowance/float64(max(1, instances)))
+	allowance := safetyFactor * b.settings.Allowance
+	if now.Sub(b.started) < b.settings.Window {
+		allowance = firstWindowFactor * b.settings.Allowance
+	}
+	allowed := safetyFactor*float64(counts.requests)*b.settings.Ratio + allowance/float64(max(1, instances))
 	return allowed - float64(counts.retries)
 }
 
--- a/core/gateway/budget/budget_test.go
+++ b/core/gateway/budget/budget_test.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,24 +11,41 @@
 
 var testSettings = Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 58}
 
-// For half a minute every request fails and every instance retries as often as its budget
-// allows. In any window of ten seconds the retries of all instances together stay within
-// the ratio and the allowance.
+// Guards against retries beyond the ratio and the allowance in some window, over all instances. For half a
+// minute every request fails and every instance retries as often as its budget allows.
 func TestRetriesOverAllInstances(t *testing.T) {
-	const instances, perSecond = 9, 10
-	var budgets []*Budget
-	for range instances {
-		budgets = append(budgets, New(testSettings))
+	for name, restarts := range map[string][]int{"no restart": nil, "all restarted": {150}, "all restarted twice": {130, 240}} {
+		for _, perSecond := range []int{1, 10} {
+			t.Run(fmt.Sprintf("%s, %d requests a second", name, perSecond), func(t *testing.T) { checkRetries(t, perSecond, restarts) })
+		}
+	}
+}
+
+// checkRetries restarts all instances in some steps. Each gets so many requests a second.
+func checkRetries(t *testing.T, perSecond int, restarts []int) {
+	const instances = 9
+	now := clock.Time(time.Hour)
+	start := func(at clock.Time) []*Budget {
+		var budgets []*Budget
+		for range instances {
+			budgets = append(budgets, New(at, testSettings))
+		}
+		return budgets
 	}
+	budgets := start(0)
 	const step = 100 * time.Millisecond
 	var retriesPerStep, requestsPerStep []int
-	now := clock.Time(time.Hour)
-	for range 300 {
+	for i := range 300 {
 		now = now.Add(step)
+		if slices.Contains(restarts, i) {
+			budgets = start(now)
+		}
 		retries, requests := 0, 0
 		for _, b := range budgets {
-			b.RecordRequest(now, "g")
-			requests++
+			if i%(10/perSecond) == 0 {
+				b.RecordRequest(now, "g")
+				requests++
+			}
 			for b.TryRetry(now, "g", instances) {
 				retries++
 			}
@@ -60,7 +79,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			b := New(testSettings)
+			b := New(0, testSettings)
 			now := clock.Time(time.Hour)
 			for range tc.requests {
 				b.RecordRequest(now, "g")
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -293,7 +293,7 @@
 		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), memory: newMemory(s.MemoryBound), links: newServerLinks(),
 		housekeepNow: make(chan struct{}, 1), reregister: make(chan struct{}, 1), stateChanged: make(chan struct{}), refuseQueued: make(chan struct{}),
 		servers: directory.New(), members: members.New(s.Name), configSync: configsync.New(boottime.Now(), s.Name, s.Zone), quotaWaiters: make(map[uint64]chan quota.Outcome),
-		retryBudget: budget.New(s.RetryBudget), poison: poison.New(), probes: poison.NewProbes(), probeWaits: make(map[uint64]chan poison.ProbeAnswer), origins: origin.NewBook(), originWaits: make(map[origin.Stream][]*originWait), mixedGroups: make(map[string]bool),
+		retryBudget: budget.New(boottime.Now(), s.RetryBudget), poison: poison.New(), probes: poison.NewProbes(), probeWaits: make(map[uint64]chan poison.ProbeAnswer), origins: origin.NewBook(), originWaits: make(map[origin.Stream][]*originWait), mixedGroups: make(map[string]bool),
 		outlook:     outlook.New[placer.Key](outlook.Settings{HolderTimeout: holderTimeout}),
 		localDemand: make(map[placer.Key]placer.Demand), expectedRetries: make(map[placer.Key]expectedRetry), arrivalCounts: make(map[string]arrivalCount),
 		peerStates: make(map[string]*peerState), zoneHolders: make(map[string]zoneHolder), forwardedOrders: newForwardedOrders(), lapse: lapse.New(), removedServers: make(map[string]removedServer),
