--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// poisonThreshold is the number of crashes after which a request is refused. On days
-	// with many crashes, harmless requests meet two by chance.
+	// poisonThreshold is the number of crashes after which a request is refused. Sound requests
+	// meet two by chance.
 	poisonThreshold = 3
 	// crashWindow is the time within which the crashes must lie, and how long a suspect
 	// that is not refused is remembered.
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -277,8 +277,7 @@
 }
 
 // minAffinityTokens is the number of tokens from which shared prompt parts influence the
-// choice of the server. Engines read shorter parts within a few batch steps, and the least
-// loaded server is faster.
+// choice of the server.
 const minAffinityTokens = 1000
 
 // affinity returns a hash of the prompt parts that other requests may share, which
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -15,8 +15,7 @@
 	// housekeepInterval is the time between two rounds of housekeeping.
 	housekeepInterval = 50 * time.Millisecond
 	// planInterval is the time between rounds while orders are in progress, and the
-	// minimum between two rounds. A round takes the lease holder about 1 ms with a
-	// hundred engines.
+	// minimum between two rounds.
 	planInterval = 15 * time.Millisecond
 	// storelessJoinDelay is when an instance that cannot read the instances' rows
 	// starts to count the instances that it heard: by then every reachable one has
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -21,8 +21,7 @@
 // another instance makes the call as well. This is safe because the store checks the
 // row's version in any case.
 
-// hedgeDelay is when an unanswered call is also made through another instance. A
-// normal answer takes 4 ms, one of a slow store up to 300 ms.
+// hedgeDelay is when an unanswered call is also made through another instance.
 const hedgeDelay = 120 * time.Millisecond
 
 // leaseCall is a read or write of a lease row.
