Front: a body that arrives too slowly is answered 408, not 400

Callers whose bodies were not there within their timeout got 400, after which nobody sends again, though the request was sound and had not run. TestSlowBodyMayBeSentAgain failed with 400 before.

--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -32,6 +32,7 @@
 	reasonNoRoute         reason = "no-route"
 	reasonInvalidKey      reason = "key"
 	reasonInvalidBody     reason = "body"
+	reasonBodyTimeout     reason = "body-timeout"
 	reasonTooLarge        reason = "too-large"
 	reasonQuota           reason = "quota"
 	reasonQuotaUnknown    reason = "quota-not-known"
@@ -212,7 +213,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
 	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: reasonInvalidBody}
+		return bodyRefusal(err)
 	}
 	if int64(len(body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
@@ -221,6 +222,15 @@
 	return nil
 }
 
+// bodyRefusal returns the answer to a request whose body could not be read. One that arrives too slowly
+// is no fault of the request, which may be sent again.
+func bodyRefusal(err error) *refusal {
+	if isTimeout(err) {
+		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyTimeout}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: reasonInvalidBody}
+}
+
 // requestDigests identify a request that is sent repeatedly: by account, method, host,
 // path and body, and by the query as well if there is one. Without the query, copies whose
 // query changes are one request. With it, a request is told from others of its path that
--- a/oleander/gateway/memory.go
+++ b/oleander/gateway/memory.go
@@ -158,7 +158,7 @@
 	}
 	x.body = make([]byte, length)
 	if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: reasonInvalidBody}
+		return bodyRefusal(err)
 	}
 	// net/http watches the connection for a caller that leaves after the end of the body
 	// was read.
@@ -205,7 +205,7 @@
 			return nil
 		}
 		if err != nil {
-			return &refusal{status: http.StatusBadRequest, reason: reasonInvalidBody}
+			return bodyRefusal(err)
 		}
 	}
 }
--- a/oleander/gateway/memory_test.go
+++ b/oleander/gateway/memory_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -385,3 +386,27 @@
 	}
 	f.awaitNothingHeld()
 }
+
+// Guards against a refusal for good of a sound request whose body only arrives too slowly.
+func TestSlowBodyMayBeSentAgain(t *testing.T) {
+	f := boundedFixture(t, 20*mb, 2*time.Second)
+	f.backend("a", "plain", ok)
+	address := strings.TrimPrefix(f.start(), "http://")
+	for name, framing := range map[string]string{"length": "Content-Length: 1000\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n3e8\r\n"} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST /order/x HTTP/1.1\r\nHost: %s\r\n%s: slow\r\n%s: secret\r\n%s: 200\r\n%sbegin", testHost, testID, testKey, testWait, framing)
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if resp.StatusCode != http.StatusRequestTimeout || !resp.Close {
+			t.Errorf("%s: status %d, closes %v", name, resp.StatusCode, resp.Close)
+		}
+		_ = conn.Close()
+	}
+	f.awaitNothingHeld()
+}
