Lag: how late an instance is, who says that a server lives, in logs and metrics

The hypotheses need it: lateness of the own timers and of the quickest answer of other instances, open connections, and the grounds on which a crash is taken back. At the machine with the connections of two zones: timers 50 to 250 ms late, quickest answer 54 to 379 ms, once with timers on time (1 ms, 191 requests active): link and processor both bind. Other machines are 50 ms late 1 to 3 times in 20 s.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -205,14 +205,16 @@
 }
 
 // RecordLinkFailure records that this instance has had no path to any server since a time.
-// Its connections that broke since then say nothing about the servers.
-func (d *Detector) RecordLinkFailure(now, since clock.Time) {
+// Its connections that broke since then say nothing about the servers. It returns at how many.
+func (d *Detector) RecordLinkFailure(now, since clock.Time) (servers int) {
 	for server, at := range d.ownBreaks {
 		if at >= since {
 			d.markAlive(server, at.Add(1))
 			d.aliveAt[server] = now
+			servers++
 		}
 	}
+	return servers
 }
 
 // markAlive drops the crashes of a server that it survived.
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
 	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/lag"
 	"oleanderdale.org/core/gateway/lapse"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/manifest"
@@ -152,6 +153,7 @@
 	memory       *memory // nil without a bound
 	storeWatches storeWatches
 	links        *serverLinks
+	callerConns  atomic.Int64 // open connections of callers
 
 	manifest       atomic.Pointer[manifest.Manifest]
 	packedManifest atomic.Pointer[packedManifest] // current manifest, as stored
@@ -171,6 +173,7 @@
 	cancel       context.CancelFunc
 
 	mu              sync.Mutex
+	lag             lag.Meter
 	servers         *directory.Directory
 	members         *members.Set
 	configSync      *configsync.Sync
--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -128,6 +128,7 @@
 func (g *Gateway) quotaMessages() []outgoing {
 	messages, outcomes := g.limiter.Drain()
 	for _, o := range outcomes {
+		g.recordTrip(o)
 		if waiter := g.quotaWaiters[o.Number]; waiter != nil {
 			waiter <- o
 			delete(g.quotaWaiters, o.Number)
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -188,7 +188,9 @@
 		c.Abort()
 	}
 	g.mu.Lock()
-	g.poison.RecordLinkFailure(now, since)
+	if taken := g.poison.RecordLinkFailure(now, since); taken > 0 {
+		g.log.Warn().Int("servers", taken).Int64("lag_ms", g.lag.Lag(now).Milliseconds()).Msg("crashes: breaks since the links failed are no crashes")
+	}
 	g.servers.ForgetUnreachable()
 	g.wakeWaiting()
 	g.mu.Unlock()
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -54,6 +54,7 @@
 	cachedTokens  *metrics.Counter
 	queueWait     *metrics.Histogram
 	configVersion atomic.Uint64
+	lag           atomic.Int64 // a time.Duration
 }
 
 func newMetrics() *instruments {
@@ -176,6 +177,8 @@
 	metrics.WriteGaugeFloat64(w, "oleanderd_queue_forecast_correction", forecast.Correction)
 	metrics.WriteGaugeUint64(w, "oleanderd_servers_slow", uint64(slow))
 	metrics.WriteGaugeUint64(w, "oleanderd_config_version", i.configVersion.Load())
+	metrics.WriteGaugeFloat64(w, "oleanderd_lag_seconds", time.Duration(i.lag.Load()).Seconds())
+	metrics.WriteGaugeUint64(w, "oleanderd_caller_connections", uint64(g.callerConns.Load()))
 	metrics.WriteGaugeUint64(w, "oleanderd_requests_active", uint64(g.activeRequests.Load()))
 	held := g.memory.status()
 	metrics.WriteGaugeUint64(w, "oleanderd_memory_held_bytes", uint64(held.Held))
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -59,6 +59,7 @@
 	callerServer := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ErrorLog: nil, ConnContext: g.withCallerConn,
+		ConnState: g.countCallerConn,
 	}
 	servers := []struct {
 		address string
@@ -92,11 +93,20 @@
 
 // startLoops starts the goroutines that run until the gateway ends.
 func (g *Gateway) startLoops() {
-	for _, f := range []func(){g.syncOperatorState, g.syncServers, g.syncPeers, g.keepCrashes, g.housekeep, g.receive} {
+	for _, f := range []func(){g.syncOperatorState, g.syncServers, g.syncPeers, g.keepCrashes, g.housekeep, g.receive, g.measureLag} {
 		go f()
 	}
 }
 
+func (g *Gateway) countCallerConn(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		g.callerConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.callerConns.Add(-1)
+	}
+}
+
 func (g *Gateway) receive() {
 	g.peers.receive(g.handlePacket, func(err error) {
 		g.metrics.damagedMessages.Inc()
--- a/oleander/gateway/sharedcrash.go
+++ b/oleander/gateway/sharedcrash.go
@@ -197,6 +197,7 @@
 	now := boottime.Now()
 	for server, at := range heard {
 		if g.poison.RecordLife(now, serverHash(server), at) {
+			g.log.Warn().Str("server", server).Int64("heard_ms", now.Sub(at).Milliseconds()).Int64("lag_ms", g.lag.Lag(now).Milliseconds()).Msg("crashes: the server goes on sending, so it did not crash")
 			g.tellCrashesSoon()
 		}
 	}
