Attempts: what arrived before a deadline is read after it, a crash too

Cause: a read after its deadline fails with a timeout, whatever has arrived. An instance that stood still until then, or was late, took the end of a connection for a timeout, and a break by a timeout is no crash; the same where its caller had left meanwhile. So crashes under its requests were nobody's, and it sent the next one. Change: the client of servers reads what has arrived within a second after the deadline; an aborted connection says whether its server had ended it before.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,6 +67,10 @@
 	idleDeadline time.Time // a pooled connection is not reused after this
 	Reused       bool
 	Indirect     bool // opened by a DialFunc of the caller
+
+	readDeadline  atomic.Int64 // Unix nanoseconds
+	aborted       atomic.Bool
+	endedByServer atomic.Bool // before it was aborted
 }
 
 // DialFunc opens a connection to one address.
@@ -131,7 +136,9 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	return &Conn{pool: p, address: address, conn: c, reader: bufio.NewReaderSize(c, bufferSize), Indirect: indirect}, nil
+	opened := &Conn{pool: p, address: address, conn: c, Indirect: indirect}
+	opened.reader = bufio.NewReaderSize(arrivedReader{opened}, bufferSize)
+	return opened, nil
 }
 
 // DropIdle closes all idle connections.
@@ -232,10 +239,16 @@
 }
 
 // SetDeadline sets the deadline of all reads and writes.
-func (c *Conn) SetDeadline(t time.Time) { _ = c.conn.SetDeadline(t) }
+func (c *Conn) SetDeadline(t time.Time) {
+	c.readDeadline.Store(t.UnixNano())
+	_ = c.conn.SetDeadline(t)
+}
 
 // SetReadDeadline sets the deadline of reads.
-func (c *Conn) SetReadDeadline(t time.Time) { _ = c.conn.SetReadDeadline(t) }
+func (c *Conn) SetReadDeadline(t time.Time) {
+	c.readDeadline.Store(t.UnixNano())
+	_ = c.conn.SetReadDeadline(t)
+}
 
 // Release returns the connection to the pool. It closes the connection if it cannot
 // be reused or if the pool has enough idle ones for the address.
@@ -283,6 +296,9 @@
 // it would keep sending, and a cancelled order or request could arrive seconds
 // later, when a network partition ends.
 func (c *Conn) Abort() {
+	if !c.aborted.Swap(true) {
+		c.endedByServer.Store(c.endedUnread())
+	}
 	if t, ok := c.conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0)
 	}
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -182,6 +182,9 @@
 	c.Abort()
 	g := x.g
 	if x.r.Context().Err() != nil {
+		if c.EndedByServer() && !x.linkFailed {
+			x.recordCrash(t)
+		}
 		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
 		x.possibleRuns++
 		return x.callerGone()
