Crashes: an instance that reads late takes no crash back

Cause: something read of a server 50 ms after others saw their connections break counted as a sign of life at all instances. An instance that is late (little processor time, stood still) reads then what the server had sent before it ended, and all forgot the crash. Change: what is read counts as sent as much earlier as the instance was late at most; only what was read in the last half second is told.

--- a/core/gateway/lag/lag.go
+++ b/core/gateway/lag/lag.go
@@ -15,9 +15,10 @@
 const (
 	// Interval is how often the instance must call Ticked.
 	Interval = 20 * time.Millisecond
-	// window is how long a measurement counts.
-	window = 300 * time.Millisecond
-	// minTrips is how many answers within the window tell a full link from single slow instances.
+	// tickMemory and tripMemory are how long measurements are kept.
+	tickMemory = time.Second
+	tripMemory = 300 * time.Millisecond
+	// minTrips is how many answers within tripMemory tell a full link from single slow instances.
 	minTrips = 8
 	// maxSamples bounds the memory.
 	maxSamples = 64
@@ -38,31 +39,31 @@
 // Ticked records that a timer fired that was set to now+Interval at the last call.
 func (m *Meter) Ticked(now clock.Time) {
 	if m.due != 0 {
-		m.ticks = record(m.ticks, sample{now, max(0, now.Sub(m.due))})
+		m.ticks = record(m.ticks, sample{now, max(0, now.Sub(m.due))}, tickMemory)
 	}
 	m.due = now.Add(Interval)
 }
 
 // Answered records how long another instance took for an answer for which it did not wait.
 func (m *Meter) Answered(now clock.Time, took time.Duration) {
-	m.trips = record(m.trips, sample{now, took})
+	m.trips = record(m.trips, sample{now, took}, tripMemory)
 }
 
-func record(samples []sample, s sample) []sample {
-	for len(samples) > 0 && (s.at.Sub(samples[0].at) > window || len(samples) >= maxSamples) {
+func record(samples []sample, s sample, memory time.Duration) []sample {
+	for len(samples) > 0 && (s.at.Sub(samples[0].at) > memory || len(samples) >= maxSamples) {
 		samples = samples[1:]
 	}
 	return append(samples, s)
 }
 
-// Timers returns how late the timers were at most lately.
-func (m *Meter) Timers(now clock.Time) time.Duration {
+// Timers returns how late the timers were at most since a time, at most tickMemory ago.
+func (m *Meter) Timers(now, since clock.Time) time.Duration {
 	worst := time.Duration(0)
 	if m.due != 0 {
 		worst = max(0, now.Sub(m.due)) // the next tick is late already
 	}
 	for _, s := range m.ticks {
-		if now.Sub(s.at) <= window {
+		if s.at >= since {
 			worst = max(worst, s.lag)
 		}
 	}
@@ -73,7 +74,7 @@
 func (m *Meter) Trips(now clock.Time) time.Duration {
 	quickest, n := time.Duration(0), 0
 	for _, s := range m.trips {
-		if now.Sub(s.at) > window {
+		if now.Sub(s.at) > tripMemory {
 			continue
 		}
 		if n == 0 || s.lag < quickest {
@@ -87,7 +88,7 @@
 	return quickest
 }
 
-// Lag returns how late the instance is at most.
-func (m *Meter) Lag(now clock.Time) time.Duration {
-	return max(m.Timers(now), m.Trips(now))
+// Since returns how late the instance was at most since a time.
+func (m *Meter) Since(now, since clock.Time) time.Duration {
+	return max(m.Timers(now, since), m.Trips(now))
 }
--- a/core/gateway/lag/lag_test.go
+++ b/core/gateway/lag/lag_test.go
@@ -13,7 +13,7 @@
 
 func TestLateTimersAreMeasured(t *testing.T) {
 	var m Meter
-	if got := m.Lag(start); got != 0 {
+	if got := m.Since(start, 0); got != 0 {
 		t.Errorf("lag %v before the first tick", got)
 	}
 	now := start
@@ -21,20 +21,20 @@
 		m.Ticked(now)
 		now = now.Add(Interval)
 	}
-	if got := m.Lag(now); got != 0 {
+	if got := m.Since(now, now.Add(-ms(300))); got != 0 {
 		t.Errorf("lag %v of timers on time", got)
 	}
-	if got := m.Lag(now.Add(ms(70))); got != ms(70) {
+	if got := m.Since(now.Add(ms(70)), now); got != ms(70) {
 		t.Errorf("lag %v while a tick is 70 ms late", got)
 	}
 	m.Ticked(now.Add(ms(80)))
-	if got := m.Lag(now.Add(ms(90))); got != ms(80) {
+	if got := m.Since(now.Add(ms(90)), now); got != ms(80) {
 		t.Errorf("lag %v right after a tick that was 80 ms late", got)
 	}
 	for now = now.Add(ms(100)); now < start.Add(ms(800)); now = now.Add(Interval) {
 		m.Ticked(now)
 	}
-	if got := m.Lag(now); got != 0 {
+	if got := m.Since(now, now.Add(-ms(300))); got != 0 {
 		t.Errorf("lag %v long after it", got)
 	}
 }
@@ -44,18 +44,18 @@
 	for i := range minTrips - 1 {
 		m.Answered(start.Add(ms(i)), ms(100+i))
 	}
-	if got := m.Lag(start.Add(ms(20))); got != 0 {
+	if got := m.Since(start.Add(ms(20)), 0); got != 0 {
 		t.Errorf("lag %v from few answers", got)
 	}
 	m.Answered(start.Add(ms(20)), ms(500))
-	if got := m.Lag(start.Add(ms(20))); got != ms(100) {
+	if got := m.Since(start.Add(ms(20)), 0); got != ms(100) {
 		t.Errorf("lag %v, want that of the quickest answer", got)
 	}
 	m.Answered(start.Add(ms(30)), ms(2))
-	if got := m.Lag(start.Add(ms(30))); got != ms(2) {
+	if got := m.Since(start.Add(ms(30)), 0); got != ms(2) {
 		t.Errorf("lag %v beside one quick answer", got)
 	}
-	if got := m.Lag(start.Add(window + ms(40))); got != 0 {
+	if got := m.Since(start.Add(tripMemory+ms(40)), 0); got != 0 {
 		t.Errorf("lag %v of old answers", got)
 	}
 }
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -27,7 +27,7 @@
 	// counts as its crash: a server that breaks off one response goes on with the others.
 	crashConfirmation = 200 * time.Millisecond
 	// lifeMargin is how long after a break something must be read from a server to be sent after
-	// it: an instance may read late what has arrived.
+	// it, by an instance that is not late.
 	lifeMargin = 50 * time.Millisecond
 	// maxSharedCrashes bounds the crashes remembered, maxCrashRuns the runs of each.
 	maxSharedCrashes = 64
@@ -137,14 +137,14 @@
 }
 
 // RecordLife records that a server has sent on other connections after a break, so that it has not
-// crashed. It reports whether that was in doubt; then the other instances should be told, with
+// crashed. This instance read it at heardAt, and reads what has arrived at most so late. It reports whether that was in doubt; then the other instances should be told, with
 // UntoldCrashes.
-func (d *Detector) RecordLife(now clock.Time, server Server, heardAt clock.Time) (tell bool) {
+func (d *Detector) RecordLife(now clock.Time, server Server, heardAt clock.Time, late time.Duration) (tell bool) {
 	if heardAt <= d.ownBreaks[server] {
 		return false // these connections broke, too
 	}
 	for _, c := range slices.Clone(d.shared.crashes) {
-		if c.server == server && heardAt.Sub(c.at) >= lifeMargin && heardAt.Sub(c.at) <= restartTime {
+		if c.server == server && heardAt.Sub(c.at)-late >= lifeMargin && heardAt.Sub(c.at) <= restartTime {
 			d.markAlive(server, c.at.Add(1))
 			d.aliveAt[server] = now
 			tell = true
--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -217,7 +217,7 @@
 	late := New()
 	late.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{model}, SentAt: start.Add(-time.Second)}, 1)
 	late.RecordCrash(seconds(0.08), []Digest{2}, 1)
-	if late.RecordLife(seconds(0.1), 1, seconds(0.07)) {
+	if late.RecordLife(seconds(0.1), 1, seconds(0.07), 0) {
 		t.Error("what was read late counts as a sign of life, though its connection broke after it")
 	}
 	d, other := New(), New()
@@ -226,10 +226,10 @@
 		d.RecordCrash(at, []Digest{Digest(i)}, Server(i))
 		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(i)}, Shared: []Digest{model}, SentAt: at.Add(-time.Second)}, Server(i))
 		other.Merge(at, "peer", d.UntoldCrashes(at))
-		if other.RecordLife(at.Add(60*time.Millisecond), Server(i), at.Add(10*time.Millisecond)) {
+		if other.RecordLife(at.Add(60*time.Millisecond), Server(i), at.Add(10*time.Millisecond), 0) {
 			t.Error("what may have been sent before the crash counts as a sign of life")
 		}
-		if !other.RecordLife(at.Add(120*time.Millisecond), Server(i), at.Add(110*time.Millisecond)) {
+		if !other.RecordLife(at.Add(120*time.Millisecond), Server(i), at.Add(110*time.Millisecond), 0) {
 			t.Error("a sign of life is not told")
 		}
 		d.Merge(at.Add(130*time.Millisecond), "other", other.UntoldCrashes(at.Add(130*time.Millisecond)))
@@ -239,6 +239,24 @@
 	}
 }
 
+// Guards against crashes that all forget since one instance reads late what servers sent before.
+func TestLateInstanceTakesNoCrashBack(t *testing.T) {
+	d := New()
+	sharedCrashes3(d, seconds(10), deadly)
+	for i := range 3 {
+		at := seconds(10).Add(time.Duration(i-2) * time.Second / 2)
+		if d.RecordLife(seconds(10.2), Server(100+i), at.Add(150*time.Millisecond), 120*time.Millisecond) {
+			t.Errorf("crash %d is taken back by an instance that reads 120 ms late", i)
+		}
+	}
+	if !sharedRefused(d, seconds(10), deadly) {
+		t.Error("the part is not refused")
+	}
+	if !d.RecordLife(seconds(10.2), 102, seconds(10.18), 120*time.Millisecond) {
+		t.Error("what was sent after the break, though read late, is no sign of life")
+	}
+}
+
 // Guards against a model that is refused for long since its servers crashed for other reasons.
 func TestModelIsTriedSoon(t *testing.T) {
 	d := New()
--- a/oleander/gateway/lag.go
+++ b/oleander/gateway/lag.go
@@ -23,7 +23,7 @@
 		g.mu.Lock()
 		now := boottime.Now()
 		g.lag.Ticked(now)
-		timers, trips := g.lag.Timers(now), g.lag.Trips(now)
+		timers, trips := g.lag.Timers(now, now.Add(-lagLogInterval)), g.lag.Trips(now)
 		g.mu.Unlock()
 		g.metrics.lag.Store(int64(max(timers, trips)))
 		if max(timers, trips) >= loggedLag && now.Sub(logged) >= lagLogInterval {
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -189,7 +189,7 @@
 	}
 	g.mu.Lock()
 	if taken := g.poison.RecordLinkFailure(now, since); taken > 0 {
-		g.log.Warn().Int("servers", taken).Int64("lag_ms", g.lag.Lag(now).Milliseconds()).Msg("crashes: breaks since the links failed are no crashes")
+		g.log.Warn().Int("servers", taken).Int64("lag_ms", g.lag.Since(now, since).Milliseconds()).Msg("crashes: breaks since the links failed are no crashes")
 	}
 	g.servers.ForgetUnreachable()
 	g.wakeWaiting()
--- a/oleander/gateway/sharedcrash.go
+++ b/oleander/gateway/sharedcrash.go
@@ -20,6 +20,10 @@
 	// lifeCheckDelay is how long after the word of a crash an instance says whether the server
 	// goes on sending.
 	lifeCheckDelay = 120 * time.Millisecond
+	// maxLifeAge is how long ago something may have been read at most that is told as a sign of life.
+	maxLifeAge = 500 * time.Millisecond
+	// catchUpTime is how long an instance that stood still may read what arrived meanwhile.
+	catchUpTime = 100 * time.Millisecond
 )
 
 // crashMsg tells of the crash of a server and of requests that ran there.
@@ -196,8 +200,12 @@
 	g.checkingLife = false
 	now := boottime.Now()
 	for server, at := range heard {
-		if g.poison.RecordLife(now, serverHash(server), at) {
-			g.log.Warn().Str("server", server).Int64("heard_ms", now.Sub(at).Milliseconds()).Int64("lag_ms", g.lag.Lag(now).Milliseconds()).Msg("crashes: the server goes on sending, so it did not crash")
+		if now.Sub(at) > maxLifeAge {
+			continue
+		}
+		late := g.lag.Since(now, at.Add(-catchUpTime))
+		if g.poison.RecordLife(now, serverHash(server), at, late) {
+			g.log.Warn().Str("server", server).Int64("heard_ms", now.Sub(at).Milliseconds()).Int64("lag_ms", late.Milliseconds()).Msg("crashes: the server goes on sending, so it did not crash")
 			g.tellCrashesSoon()
 		}
 	}
