Crashes: a link failure takes back no crash that other instances saw

Cause: an instance that found no path to any server, as one that is overloaded does, told all that the servers at which its connections broke had not crashed, real crashes included. Change: only breaks that no other instance observed are taken back.

--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -113,6 +113,8 @@
 	completed recentRuns
 	breaks    map[Server]clock.Time // last break at a server that may have crashed
 	ownBreaks map[Server]clock.Time // of them, those of this instance's connections
+	// peerBreaks are the last breaks that others observed.
+	peerBreaks map[Server]clock.Time
 	alive     map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
 	aliveAt   map[Server]clock.Time // when this instance observed it; absent if another did
 	reported  clock.Time            // last report that included all refused requests
@@ -124,6 +126,7 @@
 func New() *Detector {
 	return &Detector{
 		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time), ownBreaks: make(map[Server]clock.Time),
+		peerBreaks: make(map[Server]clock.Time),
 		alive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(),
 	}
 }
@@ -205,10 +208,12 @@
 }
 
 // RecordLinkFailure records that this instance has had no path to any server since a time.
-// Its connections that broke since then say nothing about the servers. It returns at how many.
+// Its connections that broke since then say nothing about the servers, but for those where
+// connections of other instances broke, too. It returns at how many servers.
 func (d *Detector) RecordLinkFailure(now, since clock.Time) (servers int) {
 	for server, at := range d.ownBreaks {
-		if at >= since {
+		peerAt, both := d.peerBreaks[server]
+		if at >= since && !(both && at.Sub(peerAt).Abs() <= sameCrashWindow) {
 			d.markAlive(server, at.Add(1))
 			d.aliveAt[server] = now
 			servers++
@@ -217,10 +222,15 @@
 	return servers
 }
 
+func (d *Detector) recordPeerBreak(server Server, at clock.Time) {
+	d.peerBreaks[server] = max(d.peerBreaks[server], at)
+}
+
 // markAlive drops the crashes of a server that it survived.
 func (d *Detector) markAlive(server Server, sentAt clock.Time) {
 	delete(d.breaks, server)
 	delete(d.ownBreaks, server)
+	delete(d.peerBreaks, server)
 	d.alive[server] = max(d.alive[server], sentAt)
 	for _, s := range d.suspects {
 		kept := s.crashes[:0]
--- a/core/gateway/poison/poison_test.go
+++ b/core/gateway/poison/poison_test.go
@@ -349,3 +349,38 @@
 		t.Errorf("refused %v, next trial after %v", c.Refused, c.NextTrial)
 	}
 }
+
+// Guards against a real crash that all forget since one of the instances that saw it then lost all its links.
+func TestLinkFailureTakesNoCrashBackThatOthersSaw(t *testing.T) {
+	own, other := New(), New()
+	run := func(n int) Run {
+		return Run{Digests: []Digest{Digest(n)}, Shared: []Digest{deadly}, SentAt: start}
+	}
+	own.RecordSharedCrash(seconds(1), run(1), 1)
+	own.RecordCrash(seconds(1), []Digest{1}, 1)
+	own.RecordCrash(seconds(1), []Digest{1}, 2)
+	other.RecordSharedCrash(seconds(1), run(2), 1)
+	own.Merge(seconds(1.1), "other", other.UntoldCrashes(seconds(1.1)))
+	if servers := own.RecordLinkFailure(seconds(2), seconds(0.9)); servers != 1 {
+		t.Errorf("breaks at %d servers are taken back, want those at the one that only this instance saw", servers)
+	}
+	if n := len(own.shared.crashes); n != 1 {
+		t.Errorf("%d crashes known, want the one that others saw", n)
+	}
+	if crashes, _ := own.Suspicion(1); crashes != 1 {
+		t.Errorf("%d crashes known of the request, want the one that others saw", crashes)
+	}
+}
+
+// Guards against an instance's own word that comes back from another one and seems to confirm it.
+func TestOwnWordConfirmsNoBreak(t *testing.T) {
+	own, other := New(), New()
+	run := Run{Digests: []Digest{1}, Shared: []Digest{deadly}, SentAt: start}
+	own.RecordSharedCrash(seconds(1), run, 1)
+	own.RecordCrash(seconds(1), run.Digests, 1)
+	other.Merge(seconds(1.1), "own", own.Report(seconds(1.1)))
+	own.Merge(seconds(1.2), "other", other.Report(seconds(1.2)))
+	if servers := own.RecordLinkFailure(seconds(2), seconds(0.9)); servers != 1 {
+		t.Errorf("breaks at %d servers are taken back, want 1", servers)
+	}
+}
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -139,7 +139,9 @@
 func (d *Detector) mergeSuspect(now clock.Time, peer string, r SuspectReport) {
 	s := d.getOrCreate(now, r.Digest)
 	for _, c := range r.Crashes {
-		d.addCrash(s, crash{c.Server, now.Add(-c.Age)})
+		if at := now.Add(-c.Age); d.addCrash(s, crash{c.Server, at}) {
+			d.recordPeerBreak(c.Server, at)
+		}
 	}
 	switch {
 	case peer == fromStore:
@@ -177,6 +179,7 @@
 		if now.Sub(at) > crashWindow {
 			delete(d.breaks, server)
 			delete(d.ownBreaks, server)
+			delete(d.peerBreaks, server)
 		}
 	}
 	for server, at := range d.alive {
--- a/core/gateway/poison/sharedreport.go
+++ b/core/gateway/poison/sharedreport.go
@@ -154,7 +154,10 @@
 			if len(run.Digests) == 0 || len(run.Shared) == 0 {
 				continue // from a version that tells less
 			}
-			d.addSharedCrash(crash{c.Server, now.Add(-c.Age)}, Run{Digests: run.Digests, Shared: run.Shared, SentAt: now.Add(-run.SentAge)}, false)
+			at := crash{c.Server, now.Add(-c.Age)}
+			if d.addSharedCrash(at, Run{Digests: run.Digests, Shared: run.Shared, SentAt: now.Add(-run.SentAge)}, false) {
+				d.recordPeerBreak(at.server, at.at)
+			}
 		}
 	}
 	for _, up := range r.Up {
