Intake: an instance closes connections unread that it can't serve

Cause: an instance had no bound on what it reads. One with most connections of a zone and a fifth of a core, or 10 Mbit/s, read all and refused after 600 ms what other instances had room for, since its own messages and answers waited behind. Change: new connections are closed unread while the instance's own timers are late, its link is full by the bytes that it has passed, or too many connections are open, but for one each 0.2 s, and unless most other instances are late, too. Callers are asked to close their connections meanwhile. Their next try is read elsewhere.

--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -124,7 +124,7 @@
 	var out []outgoing
 	heartbeat := g.newHeartbeat(now)
 	packet := g.heartbeatPacket(now, heartbeat)
-	packet.Links, packet.InDoubt = g.linksMessage(), g.crashRecords.inDoubt(now, g.started)
+	packet.Links, packet.InDoubt, packet.Late = g.linksMessage(), g.crashRecords.inDoubt(now, g.started), g.late(now)
 	if to != audienceHolder {
 		packet.Suspects = encodeSuspects(g.settings.Name, g.poison.Report(now))
 	}
@@ -203,6 +203,7 @@
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
 		g.handleSuspects(now, m.Suspects)
 		g.handleDoubt(now, m.Heartbeat, m.InDoubt)
+		g.peerStateOf(m.Heartbeat.Name, m.Heartbeat.Incarnation).late = m.Late
 		if m.Heartbeat.Name != g.settings.Name {
 			g.handleLinks(now, m.Heartbeat, m.Links)
 		}
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -138,10 +138,11 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	if g.stopping.Load() {
+	if g.stopping.Load() || g.partsWithCallers() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{g: g, w: w, r: r, arrived: boottime.Now(), excluded: make(map[string]bool)}
+	g.carriedRequest(r)
+	x := &exchange{g: g, w: countedWriter{w, g}, r: r, arrived: boottime.Now(), excluded: make(map[string]bool)}
 	x.call = g.dialect.ParseCall(r)
 	x.lastEventID = x.call.LastEventID
 	defer x.releaseMemory()
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -72,6 +72,10 @@
 	// MemoryBound is the most bytes of requests and responses held at a time; 0 means no
 	// bound.
 	MemoryBound int64
+	// LinkBytesPerSecond is the rate of the machine's link in each direction, and
+	// MaxCallerConnections how many connections of callers are kept open; 0 means no bound.
+	LinkBytesPerSecond   float64
+	MaxCallerConnections int
 	// DroppedLogLines returns how many log lines were dropped so far; it may be nil.
 	DroppedLogLines func() int64
 }
@@ -154,6 +158,7 @@
 	storeWatches storeWatches
 	links        *serverLinks
 	callerConns  atomic.Int64 // open connections of callers
+	intake       callerIntake
 
 	manifest       atomic.Pointer[manifest.Manifest]
 	packedManifest atomic.Pointer[packedManifest] // current manifest, as stored
@@ -268,6 +273,7 @@
 	heardAt          clock.Time
 	storeUnreachable bool
 	links            linksMsg
+	late             bool // it does not keep up with what it receives
 }
 
 // removedServer is a backend server that is gone.
@@ -293,7 +299,7 @@
 	}
 	g := &Gateway{
 		settings: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
-		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), memory: newMemory(s.MemoryBound), links: newServerLinks(),
+		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), memory: newMemory(s.MemoryBound), links: newServerLinks(), intake: newCallerIntake(s),
 		housekeepNow: make(chan struct{}, 1), reregister: make(chan struct{}, 1), stateChanged: make(chan struct{}), refuseQueued: make(chan struct{}),
 		servers: directory.New(), members: members.New(s.Name), configSync: configsync.New(boottime.Now(), s.Name, s.Zone), quotaWaiters: make(map[uint64]chan quota.Outcome),
 		retryBudget: budget.New(boottime.Now(), s.RetryBudget), poison: poison.New(), probes: poison.NewProbes(), probeWaits: make(map[uint64]chan poison.ProbeAnswer), origins: origin.NewBook(), originWaits: make(map[origin.Stream][]*originWait), mixedGroups: make(map[string]bool),
--- a/oleander/gateway/lag.go
+++ b/oleander/gateway/lag.go
@@ -23,6 +23,7 @@
 		g.mu.Lock()
 		now := boottime.Now()
 		g.lag.Ticked(now)
+		g.updateIntake(now)
 		timers, trips := g.lag.Timers(now, now.Add(-lagLogInterval)), g.lag.Trips(now)
 		g.mu.Unlock()
 		g.metrics.lag.Store(int64(max(timers, trips)))
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/intake"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/core/gateway/reservation"
 	"oleanderdale.org/oleander/process/boottime"
@@ -117,6 +118,11 @@
 	}
 }
 
+// closedUnread counts connections of callers that were not taken.
+func (i *instruments) closedUnread(why intake.Verdict) {
+	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_connections_closed_unread_total{reason=%q}`, why)).Inc()
+}
+
 func (i *instruments) attempt(r attemptResult) {
 	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_attempts_total{result=%q}`, r)).Inc()
 }
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -52,7 +52,7 @@
 func (g *Gateway) Run(ctx context.Context, stop <-chan struct{}) error {
 	defer g.cancel()
 	var err error
-	if g.peers, err = newPeerTransport(g.settings.PeerAddress, g.metrics.peerBytes); err != nil {
+	if g.peers, err = newPeerTransport(g.settings.PeerAddress, g.countPeerBytes); err != nil {
 		return err
 	}
 	defer g.peers.close()
@@ -75,6 +75,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "gateway: listen on %s", s.address)
 		}
+		if s.server == callerServer {
+			l = callerListener{l, g}
+		}
 		defer func() { _ = s.server.Close() }()
 		go func() { failed <- s.server.Serve(l) }()
 	}
