--- a/core/gateway/intake/intake.go
+++ b/core/gateway/intake/intake.go
@@ -18,9 +18,9 @@
 	maxLag = 40 * time.Millisecond
 	// linkShare is the part of the link for requests and responses; retransmissions and
 	// packets that are not counted need the rest.
-	linkShare = 0.75
+	linkShare = 0.85
 	// maxLinkBacklog is how long the link may take for what is under way.
-	maxLinkBacklog = 100 * time.Millisecond
+	maxLinkBacklog = 150 * time.Millisecond
 	// minTakeInterval is the longest time without a new connection, so that the balancer never
 	// finds an instance that is ready and takes none.
 	minTakeInterval = 200 * time.Millisecond
--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -115,11 +115,11 @@
 	ownBreaks map[Server]clock.Time // of them, those of this instance's connections
 	// peerBreaks are the last breaks that others observed.
 	peerBreaks map[Server]clock.Time
-	alive     map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
-	aliveAt   map[Server]clock.Time // when this instance observed it; absent if another did
-	reported  clock.Time            // last report that included all refused requests
-	shared    *sharedCrashes
-	changes   Changes
+	alive      map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
+	aliveAt    map[Server]clock.Time // when this instance observed it; absent if another did
+	reported   clock.Time            // last report that included all refused requests
+	shared     *sharedCrashes
+	changes    Changes
 }
 
 // New returns a Detector without suspects.
@@ -127,7 +127,7 @@
 	return &Detector{
 		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time), ownBreaks: make(map[Server]clock.Time),
 		peerBreaks: make(map[Server]clock.Time),
-		alive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(),
+		alive:      make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(),
 	}
 }
 
--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,7 +21,7 @@
 	// packetOverhead and requestOverhead are bytes on the link beside those of a message, and
 	// beside those of a request: handshakes, acknowledgments, and messages to other instances.
 	packetOverhead  = 66
-	requestOverhead = 1000
+	requestOverhead = 700
 )
 
 // callerIntake decides which new connections of callers are taken. Its mutex may be locked while
@@ -45,23 +44,6 @@
 	}
 }
 
-// callerListener closes connections unread that the instance does not take.
-type callerListener struct {
-	net.Listener
-	g *Gateway
-}
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil || l.g.takesConnection() {
-			return c, err
-		}
-		_ = c.Close() // a caller whose request was not read sends it to another instance at once
-	}
-}
-
 // takesConnection decides on a new connection of a caller.
 func (g *Gateway) takesConnection() bool {
 	now := boottime.Now()
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -61,23 +61,23 @@
 		DisableGeneralOptionsHandler: true, ErrorLog: nil, ConnContext: g.withCallerConn,
 		ConnState: g.countCallerConn,
 	}
+	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	listenCallers := func(address string) (net.Listener, error) { return listenForCallers(address, g.takesConnection) }
 	servers := []struct {
 		address string
+		listen  func(address string) (net.Listener, error)
 		server  *http.Server
 	}{
-		{g.settings.CallerAddress, callerServer},
-		{g.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{g.settings.PeerAddress, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout}},
+		{g.settings.CallerAddress, listenCallers, callerServer},
+		{g.settings.ReadinessAddress, listen, &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout}},
+		{g.settings.PeerAddress, listen, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout}},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
-		l, err := net.Listen("tcp", s.address)
+		l, err := s.listen(s.address)
 		if err != nil {
 			return errors.Wrapf(err, "gateway: listen on %s", s.address)
 		}
-		if s.server == callerServer {
-			l = callerListener{l, g}
-		}
 		defer func() { _ = s.server.Close() }()
 		go func() { failed <- s.server.Serve(l) }()
 	}
