--- a/core/gateway/intake/intake.go
+++ b/core/gateway/intake/intake.go
@@ -34,6 +34,7 @@
 
 // Settings describe the machine; a zero means that there is no bound.
 type Settings struct {
+	BoundLag           bool    // the lag is that of the machine, so that another one may be better
 	LinkBytesPerSecond float64 // in each direction
 	MaxConnections     int     // of callers
 }
@@ -103,7 +104,7 @@
 		return TooManyConnections
 	case s.OthersLate || now.Sub(g.tookAt) >= minTakeInterval:
 		return Take
-	case s.Lag >= maxLag:
+	case g.late(s):
 		return TooLate
 	case g.linkFull(now):
 		return LinkFull
@@ -120,7 +121,9 @@
 }
 
 // Late reports whether the instance does not keep up, which others should know.
-func (g *Gate) Late(now clock.Time, s State) bool { return s.Lag >= maxLag || g.linkFull(now) }
+func (g *Gate) Late(now clock.Time, s State) bool { return g.late(s) || g.linkFull(now) }
+
+func (g *Gate) late(s State) bool { return g.settings.BoundLag && s.Lag >= maxLag }
 
 // Parting reports whether callers should be asked to close their connections after the response.
 func (g *Gate) Parting(now clock.Time, connections int) bool {
--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -39,7 +39,7 @@
 
 func newCallerIntake(s Settings) callerIntake {
 	return callerIntake{
-		gate:   intake.New(intake.Settings{LinkBytesPerSecond: s.LinkBytesPerSecond, MaxConnections: s.MaxCallerConnections}),
+		gate:   intake.New(intake.Settings{BoundLag: s.BoundLag, LinkBytesPerSecond: s.LinkBytesPerSecond, MaxConnections: s.MaxCallerConnections}),
 		closed: make(map[intake.Verdict]int),
 	}
 }
