--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -334,6 +335,7 @@
 	nextID    Digest
 	crashes   []clock.Time
 	sends     []clock.Time // of requests with the part
+	toCrash   int          // a server crashes at most so many milliseconds after a send with the part; 0: 220
 	soundLate [2]int       // sound requests after the verdict is due: refused, all
 }
 
@@ -385,7 +387,7 @@
 	length := 600 * time.Millisecond
 	if isDeadly {
 		f.sends = append(f.sends, f.now)
-		length = time.Duration(20+f.rng.IntN(200)) * time.Millisecond
+		length = time.Duration(20+f.rng.IntN(cmp.Or(f.toCrash, 200))) * time.Millisecond
 	}
 	f.detectors[i].RecordAnswer(f.now.Add(10*time.Millisecond), Server(server), f.now)
 	f.runs = append(f.runs, fleetRun{Run{[]Digest{1<<20 + f.nextID}, shared, f.now}, i, server, isDeadly, f.now.Add(length)})
