Crashes: standing still is no survival

Cause: a server that writes for half a second counts as having survived the run, by the reader's clock. An instance that stood still between two events that came right after each other cleared the part of all its crashes at all instances. Change: the time for which the instance was late is taken off. Result: TestStandingStillIsNoSurvival failed before, passes now.

--- a/oleander/gateway/sharedcrash.go
+++ b/oleander/gateway/sharedcrash.go
@@ -224,8 +224,11 @@
 	case now.Sub(x.writingSince) < survivalTime:
 		return
 	}
-	x.survived = true
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	if now.Sub(x.writingSince)-x.g.lag.Since(now, x.writingSince) < survivalTime {
+		return // what was read late may have been sent at once
+	}
+	x.survived = true
 	x.g.poison.RecordSurvival(now, x.shared)
 }
