--- a/core/gateway/intake/intake.go
+++ b/core/gateway/intake/intake.go
@@ -34,7 +34,7 @@
 
 // Settings describe the machine; a zero means that there is no bound.
 type Settings struct {
-	BoundLag           bool    // the lag is that of the machine, so that another one may be better
+	RefuseWhenLate     bool    // the lag is this instance's own, so that another one may be better
 	LinkBytesPerSecond float64 // in each direction
 	MaxConnections     int     // of callers
 }
@@ -123,7 +123,7 @@
 // Late reports whether the instance does not keep up, which others should know.
 func (g *Gate) Late(now clock.Time, s State) bool { return g.late(s) || g.linkFull(now) }
 
-func (g *Gate) late(s State) bool { return g.settings.BoundLag && s.Lag >= maxLag }
+func (g *Gate) late(s State) bool { return g.settings.RefuseWhenLate && s.Lag >= maxLag }
 
 // Parting reports whether callers should be asked to close their connections after the response.
 func (g *Gate) Parting(now clock.Time, connections int) bool {
--- a/core/gateway/intake/intake_test.go
+++ b/core/gateway/intake/intake_test.go
@@ -12,7 +12,7 @@
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func TestDecide(t *testing.T) {
-	link := Settings{BoundLag: true, LinkBytesPerSecond: 1e6, MaxConnections: 100}
+	link := Settings{RefuseWhenLate: true, LinkBytesPerSecond: 1e6, MaxConnections: 100}
 	for name, tc := range map[string]struct {
 		settings Settings
 		state    State
@@ -41,7 +41,7 @@
 
 // Guards against an instance that says it is ready and takes no connection for seconds.
 func TestSomeConnectionsAreTakenAlways(t *testing.T) {
-	g := New(Settings{BoundLag: true})
+	g := New(Settings{RefuseWhenLate: true})
 	taken := 0
 	for i := range 2000 {
 		if g.Decide(start.Add(ms(i)), State{Lag: time.Second}) == Take {
@@ -72,7 +72,7 @@
 
 // Guards against connections kept open that load an instance for ever.
 func TestCallersAreAskedToClose(t *testing.T) {
-	g := New(Settings{BoundLag: true, MaxConnections: 100})
+	g := New(Settings{RefuseWhenLate: true, MaxConnections: 100})
 	g.Decide(start, State{})
 	if g.Parting(start, 74) {
 		t.Error("callers are asked to close their connections at an idle instance")
--- a/oleander/connection/rawhttp/arrived.go
+++ b/oleander/connection/rawhttp/arrived.go
@@ -38,17 +38,22 @@
 	return c.conn.Read(b)
 }
 
-// poll returns which of these events the connection has, without waiting.
-func (c *Conn) poll(events int16) (found int16) {
+// control calls f with the descriptor of the connection, and reports whether it has one that is open.
+func (c *Conn) control(f func(fd int)) bool {
 	sc, ok := c.conn.(syscall.Conn)
 	if !ok {
-		return 0
+		return false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0
+		return false
 	}
-	_ = raw.Control(func(fd uintptr) { // fails once the connection is closed
+	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
+
+// poll returns which of these events the connection has, without waiting.
+func (c *Conn) poll(events int16) (found int16) {
+	c.control(func(fd int) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		if n, err := unix.Poll(p, 0); err == nil && n > 0 {
 			found = p[0].Revents
@@ -57,25 +62,25 @@
 	return found
 }
 
+// peek looks at the next byte without waiting; n is 0 at the end of the connection.
+func (c *Conn) peek() (n int, err error) {
+	open := c.control(func(fd int) {
+		var b [1]byte
+		n, _, err = unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if !open {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
 // endedUnread reports whether the server has ended the connection and nothing is left to read.
 func (c *Conn) endedUnread() bool {
 	if c.poll(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) == 0 {
 		return false
 	}
-	sc, ok := c.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	left := -1
-	_ = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		left, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return left == 0 || left < 0 && err == unix.ECONNRESET
+	n, err := c.peek()
+	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 }
 
 // EndedByServer reports whether the server had ended the connection, with nothing left to read, before
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -172,22 +172,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = e == unix.EAGAIN || e == unix.EWOULDBLOCK
-		return true
-	})
-	return err == nil && noData
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // Request is an HTTP request. It is sent as given, with Host and Content-Length
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -72,9 +72,9 @@
 	// MemoryBound is the most bytes of requests and responses held at a time; 0 means no
 	// bound.
 	MemoryBound int64
-	// BoundLag says whether connections are refused while this instance alone is late. Instances
-	// that share a machine are late together.
-	BoundLag bool
+	// RefuseWhenLate says whether connections are refused while this instance is late and most others
+	// are not. Instances in one process are late together.
+	RefuseWhenLate bool
 	// LinkBytesPerSecond is the rate of the machine's link in each direction, and
 	// MaxCallerConnections how many connections of callers are kept open; 0 means no bound.
 	LinkBytesPerSecond   float64
--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -15,7 +15,7 @@
 	// lagPeriod is how long the lag of an instance counts for its intake.
 	lagPeriod = 100 * time.Millisecond
 	// othersInterval is how often the other instances are counted that are late.
-	othersInterval = 50 * time.Millisecond
+	othersInterval = 250 * time.Millisecond
 	// intakeLogInterval is the time between two log lines about connections closed unread.
 	intakeLogInterval = time.Second
 	// packetOverhead and requestOverhead are bytes on the link beside those of a message, and
@@ -39,7 +39,7 @@
 
 func newCallerIntake(s Settings) callerIntake {
 	return callerIntake{
-		gate:   intake.New(intake.Settings{BoundLag: s.BoundLag, LinkBytesPerSecond: s.LinkBytesPerSecond, MaxConnections: s.MaxCallerConnections}),
+		gate:   intake.New(intake.Settings{RefuseWhenLate: s.RefuseWhenLate, LinkBytesPerSecond: s.LinkBytesPerSecond, MaxConnections: s.MaxCallerConnections}),
 		closed: make(map[intake.Verdict]int),
 	}
 }
