Intake: a large body does not keep all others off the link

At 10 Mbit/s a body of 4 MB counted as 3.8 s of a full link at once, though it shares the link. 64 KB of it count; the users' largest is 55 KB.

--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -22,6 +22,9 @@
 	// beside those of a request: handshakes, acknowledgments, and messages to other instances.
 	packetOverhead  = 66
 	requestOverhead = 700
+	// maxBodyCharge is how much of a body counts at once. The rest of a large one shares the link with
+	// other requests.
+	maxBodyCharge = 64 << 10
 )
 
 // callerIntake decides which new connections of callers are taken. Its mutex may be locked while
@@ -134,7 +137,7 @@
 	if g.settings.LinkBytesPerSecond == 0 {
 		return
 	}
-	size := requestOverhead + len(r.Method) + len(r.RequestURI) + len(r.Host) + int(max(0, r.ContentLength))
+	size := requestOverhead + len(r.Method) + len(r.RequestURI) + len(r.Host) + int(min(max(0, r.ContentLength), maxBodyCharge))
 	for name, values := range r.Header {
 		for _, v := range values {
 			size += len(name) + len(v) + len(": \r\n")
