--- a/core/gateway/intake/intake.go
+++ b/core/gateway/intake/intake.go
@@ -24,12 +24,12 @@
 	// minTakeInterval is the longest time without a new connection, so that the balancer never
 	// finds an instance that is ready and takes none.
 	minTakeInterval = 200 * time.Millisecond
-	// partingShare is the part of the connections allowed from which callers are asked to close
+	// askToCloseShare is the part of the connections allowed from which callers are asked to close
 	// theirs.
-	partingShare = 0.75
-	// partingTime is how long after connections were closed unread callers are asked to
+	askToCloseShare = 0.75
+	// askToCloseTime is how long after connections were closed unread callers are asked to
 	// close theirs, which would come back to this instance for ever.
-	partingTime = time.Second
+	askToCloseTime = time.Second
 )
 
 // Settings describe the machine; a zero means that there is no bound.
@@ -125,10 +125,10 @@
 
 func (g *Gate) late(s State) bool { return g.settings.RefuseWhenLate && s.Lag >= maxLag }
 
-// Parting reports whether callers should be asked to close their connections after the response.
-func (g *Gate) Parting(now clock.Time, connections int) bool {
-	if limit := g.settings.MaxConnections; limit > 0 && float64(connections) >= partingShare*float64(limit) {
+// AskToClose reports whether callers should be asked to close their connections after the response.
+func (g *Gate) AskToClose(now clock.Time, connections int) bool {
+	if limit := g.settings.MaxConnections; limit > 0 && float64(connections) >= askToCloseShare*float64(limit) {
 		return true
 	}
-	return g.closedAt != 0 && now.Sub(g.closedAt) < partingTime
+	return g.closedAt != 0 && now.Sub(g.closedAt) < askToCloseTime
 }
--- a/core/gateway/intake/intake_test.go
+++ b/core/gateway/intake/intake_test.go
@@ -74,14 +74,14 @@
 func TestCallersAreAskedToClose(t *testing.T) {
 	g := New(Settings{RefuseWhenLate: true, MaxConnections: 100})
 	g.Decide(start, State{})
-	if g.Parting(start, 74) {
+	if g.AskToClose(start, 74) {
 		t.Error("callers are asked to close their connections at an idle instance")
 	}
-	if !g.Parting(start, 75) {
+	if !g.AskToClose(start, 75) {
 		t.Error("callers keep their connections near the bound")
 	}
 	g.Decide(start.Add(ms(1)), State{Lag: maxLag})
-	if !g.Parting(start.Add(ms(500)), 1) || g.Parting(start.Add(ms(1002)), 1) {
+	if !g.AskToClose(start.Add(ms(500)), 1) || g.AskToClose(start.Add(ms(1002)), 1) {
 		t.Error("callers are asked to close at a late instance for another time than a second")
 	}
 }
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -137,7 +137,8 @@
 }
 
 // RecordLife records that a server has sent on other connections after a break, so that it has not
-// crashed. This instance read it at heardAt, and reads what has arrived at most so late. It reports whether that was in doubt; then the other instances should be told, with
+// crashed. This instance read it at heardAt, and reads what has arrived late by late at most. It
+// reports whether the crash was in doubt; then the other instances should be told, with
 // UntoldCrashes.
 func (d *Detector) RecordLife(now clock.Time, server Server, heardAt clock.Time, late time.Duration) (tell bool) {
 	if heardAt <= d.ownBreaks[server] {
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -138,7 +138,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	if g.stopping.Load() || g.partsWithCallers() {
+	if g.stopping.Load() || g.asksToClose() {
 		w.Header().Set("Connection", "close")
 	}
 	g.carriedRequest(r)
--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -114,11 +114,11 @@
 	return g.intake.gate.Late(now, g.intakeState(now))
 }
 
-// partsWithCallers reports whether callers are asked to close their connections.
-func (g *Gateway) partsWithCallers() bool {
+// asksToClose reports whether callers are asked to close their connections.
+func (g *Gateway) asksToClose() bool {
 	g.intake.mu.Lock()
 	defer g.intake.mu.Unlock()
-	return g.intake.gate.Parting(boottime.Now(), int(g.callerConns.Load()))
+	return g.intake.gate.AskToClose(boottime.Now(), int(g.callerConns.Load()))
 }
 
 // carried records bytes on the machine's link, in both directions.
