Intake: connections that are not taken are reset; tests count only these as unread

Cause: a connection that is accepted and closed before its request arrives ends like one whose request was read and dropped, for the caller as for a test. The soak's callers and the slow instance's test therefore took every missing answer on a new connection for an unread request: their checks were weaker than the users' rule since. Change: the listener resets what it doesn't take. Refused and reset connections count as unread, ended and silent ones as read (TestOnlyResetConnectionsAreUnread).

--- a/oleander/gateway/callerlistener.go
+++ b/oleander/gateway/callerlistener.go
@@ -44,13 +44,21 @@
 		if err != nil || l.takes() {
 			return c, err
 		}
-		_ = c.Close()
+		closeUnread(c)
 		if err := l.refuse(); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// closeUnread resets a connection. The end of an open one could be that of an answer that was cut off.
+func closeUnread(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // refuse refuses connections for refuseTime.
 func (l *callerListener) refuse() error {
 	l.mu.Lock()
