Crashes: a late instance takes no break at a server that is down for its next crash

Cause: a run that breaks within 20 ms at a server that has not answered since its crash met a server that is down. A late instance sees such a break later; it counted as one more crash, under whatever the run had, and a sound part was blamed alone. Change: the time for which the instance was late is taken off. Result: TestLateBreakAtDownServerIsNoCrash failed before (the sound part refused), passes now. A crash at a server that had not answered since its last one is missed where the sender was late for longer than the run; others that see it count it.

--- a/core/gateway/poison/kept_test.go
+++ b/core/gateway/poison/kept_test.go
@@ -91,7 +91,7 @@
 	for i := range 3 {
 		at := float64(i)
 		run := Run{Digests: []Digest{Digest(100 + i)}, Shared: []Digest{part, model}, SentAt: seconds(at)}
-		d.RecordSharedCrash(seconds(at+0.1), run, Server(i))
+		d.RecordSharedCrash(seconds(at+0.1), run, Server(i), 0)
 		d = restart(d, at+0.2, at+0.5)
 	}
 	if !d.CheckShared(seconds(3), []Digest{part, model}).Refused {
@@ -113,7 +113,7 @@
 	for i := range 3 * maxKeptSuspects {
 		digest := Digest(1000 + i)
 		d.RecordCrash(start, []Digest{digest}, 1)
-		d.RecordSharedCrash(start, Run{Digests: []Digest{digest}, Shared: []Digest{Narrow(uint64(4 * i))}, SentAt: seconds(-1)}, Server(i%20))
+		d.RecordSharedCrash(start, Run{Digests: []Digest{digest}, Shared: []Digest{Narrow(uint64(4 * i))}, SentAt: seconds(-1)}, Server(i%20), 0)
 	}
 	crashThree(d, seconds(1), 1)
 	for _, limit := range []int{0, 10} {
--- a/core/gateway/poison/poison_test.go
+++ b/core/gateway/poison/poison_test.go
@@ -356,10 +356,10 @@
 	run := func(n int) Run {
 		return Run{Digests: []Digest{Digest(n)}, Shared: []Digest{deadly}, SentAt: start}
 	}
-	own.RecordSharedCrash(seconds(1), run(1), 1)
+	own.RecordSharedCrash(seconds(1), run(1), 1, 0)
 	own.RecordCrash(seconds(1), []Digest{1}, 1)
 	own.RecordCrash(seconds(1), []Digest{1}, 2)
-	other.RecordSharedCrash(seconds(1), run(2), 1)
+	other.RecordSharedCrash(seconds(1), run(2), 1, 0)
 	own.Merge(seconds(1.1), "other", other.UntoldCrashes(seconds(1.1)))
 	if servers := own.RecordLinkFailure(seconds(2), seconds(0.9)); servers != 1 {
 		t.Errorf("breaks at %d servers are taken back, want those at the one that only this instance saw", servers)
@@ -376,7 +376,7 @@
 func TestOwnWordConfirmsNoBreak(t *testing.T) {
 	own, other := New(), New()
 	run := Run{Digests: []Digest{1}, Shared: []Digest{deadly}, SentAt: start}
-	own.RecordSharedCrash(seconds(1), run, 1)
+	own.RecordSharedCrash(seconds(1), run, 1, 0)
 	own.RecordCrash(seconds(1), run.Digests, 1)
 	other.Merge(seconds(1.1), "own", own.Report(seconds(1.1)))
 	own.Merge(seconds(1.2), "other", other.Report(seconds(1.2)))
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -123,17 +123,17 @@
 	}
 }
 
-// RecordSharedCrash records that the connection to a server broke during a run at this instance.
-// It reports whether the other instances should be told, with UntoldCrashes.
-func (d *Detector) RecordSharedCrash(now clock.Time, run Run, server Server) (tell bool) {
+// RecordSharedCrash records that the connection to a server broke during a run at this instance, which
+// reads what has arrived late by late at most. It reports whether the other instances should be told, with UntoldCrashes.
+func (d *Detector) RecordSharedCrash(now clock.Time, run Run, server Server, late time.Duration) (tell bool) {
 	if len(run.Shared) == 0 {
 		return false
 	}
 	for _, e := range d.shared.unconfirmed[server] {
-		tell = d.addSharedCrash(crash{server, e.at}, e.run, true) || tell
+		tell = d.addSharedCrash(crash{server, e.at}, e.run, true, late) || tell
 	}
 	delete(d.shared.unconfirmed, server)
-	return d.addSharedCrash(crash{server, now}, run, true) || tell
+	return d.addSharedCrash(crash{server, now}, run, true, late) || tell
 }
 
 // RecordLife records that a server has sent on other connections after a break, so that it has not
@@ -166,7 +166,7 @@
 		return false
 	}
 	if d.MayHaveCrashed(now, server) {
-		return d.addSharedCrash(crash{server, now}, run, true)
+		return d.addSharedCrash(crash{server, now}, run, true, 0)
 	}
 	ends := slices.DeleteFunc(d.shared.unconfirmed[server], func(e unconfirmedEnd) bool { return now.Sub(e.at) > restartTime })
 	if len(ends) < maxCrashRuns {
@@ -198,14 +198,15 @@
 	}
 }
 
-// addSharedCrash adds a run to a crash. It reports whether it was new.
-func (d *Detector) addSharedCrash(at crash, run Run, own bool) bool {
+// addSharedCrash adds a run to a crash that was observed late by late at most. It reports whether it
+// was new.
+func (d *Detector) addSharedCrash(at crash, run Run, own bool, late time.Duration) bool {
 	if d.survived(at) {
 		return false
 	}
 	l := d.shared
 	run.Shared = run.Shared[:min(len(run.Shared), maxShared)]
-	c := l.crashAt(at, run.SentAt)
+	c := l.crashAt(at, run.SentAt, late)
 	if c == nil {
 		return false
 	}
@@ -234,7 +235,7 @@
 
 // crashAt returns the crash that the break of a run belongs to, or nil if the run was sent to a
 // server that was down already.
-func (l *sharedCrashes) crashAt(at crash, sentAt clock.Time) *sharedCrash {
+func (l *sharedCrashes) crashAt(at crash, sentAt clock.Time, late time.Duration) *sharedCrash {
 	last := l.lastCrash(at.server)
 	switch {
 	case last == nil:
@@ -244,7 +245,7 @@
 				return c
 			}
 		}
-	case l.upAt[at.server] <= last.at && at.at.Sub(sentAt) < startedRunTime:
+	case l.upAt[at.server] <= last.at && at.at.Sub(sentAt)-late < startedRunTime:
 		return nil
 	}
 	c := &sharedCrash{crash: at}
--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -31,7 +31,7 @@
 func sharedCrashes3(d *Detector, now clock.Time, shared ...Digest) {
 	for i := range 3 {
 		at := now.Add(time.Duration(i-2) * time.Second / 2)
-		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + i)}, Shared: shared, SentAt: at.Add(-100 * time.Millisecond)}, Server(100+i))
+		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + i)}, Shared: shared, SentAt: at.Add(-100 * time.Millisecond)}, Server(100+i), 0)
 	}
 }
 
@@ -59,7 +59,7 @@
 		t.Error("requests that have some of it are refused")
 	}
 	at := seconds(1)
-	d.RecordSharedCrash(at, Run{Digests: []Digest{20}, Shared: []Digest{otherFirst, deadly, otherModel}, SentAt: at.Add(-time.Millisecond)}, 110)
+	d.RecordSharedCrash(at, Run{Digests: []Digest{20}, Shared: []Digest{otherFirst, deadly, otherModel}, SentAt: at.Add(-time.Millisecond)}, 110, 0)
 	if !sharedRefused(d, at, secondPart, deadly, model) || sharedRefused(d, at, firstPart, model) {
 		t.Error("a crash beside other parts does not tell them apart")
 	}
@@ -72,7 +72,7 @@
 	for i := range 3 {
 		at := seconds(float64(i))
 		for j, other := range []Digest{firstPart, secondPart} {
-			d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + 2*i + j)}, Shared: []Digest{other, deadly}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+			d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + 2*i + j)}, Shared: []Digest{other, deadly}, SentAt: at.Add(-time.Millisecond)}, Server(i), 0)
 		}
 	}
 	if !sharedRefused(d, seconds(3), otherFirst, deadly) || sharedRefused(d, seconds(3), firstPart) {
@@ -86,7 +86,7 @@
 	at := func(s float64, digest Digest, sent float64, server Server) func(*Detector) {
 		return func(d *Detector) {
 			run := Run{Digests: []Digest{digest}, Shared: []Digest{firstPart, model}, SentAt: seconds(sent)}
-			d.RecordSharedCrash(seconds(s), run, server)
+			d.RecordSharedCrash(seconds(s), run, server, 0)
 		}
 	}
 	tests := map[string][]func(*Detector){
@@ -111,7 +111,7 @@
 	for i := range 4 {
 		at := seconds(float64(i))
 		d.RecordCrash(at, []Digest{Digest(i)}, Server(i))
-		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(i)}, Shared: []Digest{firstPart}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(i)}, Shared: []Digest{firstPart}, SentAt: at.Add(-time.Millisecond)}, Server(i), 0)
 		d.RecordAnswer(at.Add(200*time.Millisecond), Server(i), at.Add(100*time.Millisecond))
 	}
 	if sharedRefused(d, seconds(4), firstPart) {
@@ -125,14 +125,14 @@
 	for i := range 3 {
 		at := seconds(float64(i))
 		d.RecordCrash(at, []Digest{1}, Server(i))
-		d.RecordSharedCrash(at, Run{Digests: []Digest{1}, Shared: []Digest{firstPart}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+		d.RecordSharedCrash(at, Run{Digests: []Digest{1}, Shared: []Digest{firstPart}, SentAt: at.Add(-time.Millisecond)}, Server(i), 0)
 	}
 	if !refused(d, seconds(2), 1) {
 		t.Fatal("not refused, so the test proves nothing")
 	}
 	for i := range 4 {
 		at := seconds(float64(i))
-		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(20 + i)}, Shared: []Digest{deadly}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(20 + i)}, Shared: []Digest{deadly}, SentAt: at.Add(-time.Millisecond)}, Server(i), 0)
 	}
 	if refused(d, seconds(3.2), 1) {
 		t.Error("refused although a part explains the crashes")
@@ -151,7 +151,7 @@
 		if c := d.CheckShared(now, []Digest{deadly}); c.Trial {
 			trials++
 			d.BeginSharedTrial(now, []Digest{deadly})
-			d.RecordSharedCrash(now, Run{Digests: []Digest{Digest(50 + trials)}, Shared: []Digest{deadly}, SentAt: now}, Server(200+trials))
+			d.RecordSharedCrash(now, Run{Digests: []Digest{Digest(50 + trials)}, Shared: []Digest{deadly}, SentAt: now}, Server(200+trials), 0)
 		}
 		other.Merge(now, "peer", d.Report(now))
 		if c := other.CheckShared(now, []Digest{deadly}); !c.Refused || c.Trial {
@@ -198,7 +198,7 @@
 		at := seconds(float64(i))
 		end(d, i, deadly)
 		d.RecordCrash(at.Add(5*time.Millisecond), []Digest{Digest(40 + i)}, Server(i))
-		d.RecordSharedCrash(at.Add(5*time.Millisecond), Run{Digests: []Digest{Digest(40 + i)}, Shared: []Digest{Digest(60 + i)}, SentAt: at}, Server(i))
+		d.RecordSharedCrash(at.Add(5*time.Millisecond), Run{Digests: []Digest{Digest(40 + i)}, Shared: []Digest{Digest(60 + i)}, SentAt: at}, Server(i), 0)
 	}
 	if !sharedRefused(d, seconds(2.1), deadly) {
 		t.Error("a run whose response ended right before its server broke others does not count as crashed")
@@ -216,7 +216,7 @@
 // Guards against servers that break off single responses, whose requests' model or part is blamed.
 func TestBreaksBesideOtherResponsesAreNoCrashes(t *testing.T) {
 	late := New()
-	late.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{model}, SentAt: start.Add(-time.Second)}, 1)
+	late.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{model}, SentAt: start.Add(-time.Second)}, 1, 0)
 	late.RecordCrash(seconds(0.08), []Digest{2}, 1)
 	if late.RecordLife(seconds(0.1), 1, seconds(0.07), 0) {
 		t.Error("what was read late counts as a sign of life, though its connection broke after it")
@@ -225,7 +225,7 @@
 	for i := range 5 {
 		at := seconds(float64(i))
 		d.RecordCrash(at, []Digest{Digest(i)}, Server(i))
-		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(i)}, Shared: []Digest{model}, SentAt: at.Add(-time.Second)}, Server(i))
+		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(i)}, Shared: []Digest{model}, SentAt: at.Add(-time.Second)}, Server(i), 0)
 		other.Merge(at, "peer", d.UntoldCrashes(at))
 		if other.RecordLife(at.Add(60*time.Millisecond), Server(i), at.Add(10*time.Millisecond), 0) {
 			t.Error("what may have been sent before the crash counts as a sign of life")
@@ -266,7 +266,7 @@
 		if sharedRefused(d, at, model) {
 			t.Errorf("refused after %d crashes", i)
 		}
-		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + 2*i)}, Shared: []Digest{model, Digest(200 + 2*i)}, SentAt: at.Add(-time.Millisecond)}, Server(i))
+		d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(10 + 2*i)}, Shared: []Digest{model, Digest(200 + 2*i)}, SentAt: at.Add(-time.Millisecond)}, Server(i), 0)
 	}
 	last := seconds(soundThreshold - 1)
 	if !sharedRefused(d, last, model) {
@@ -280,7 +280,7 @@
 // Guards against reports that repeat the survivals of popular parts as long as a crash is remembered.
 func TestSurvivalsAreToldAfterCrashesOnly(t *testing.T) {
 	d := New()
-	d.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{firstPart}, SentAt: start.Add(-time.Second)}, 1)
+	d.RecordSharedCrash(start, Run{Digests: []Digest{1}, Shared: []Digest{firstPart}, SentAt: start.Add(-time.Second)}, 1, 0)
 	if n := len(d.Report(seconds(0.5)).Survivals); n > 0 {
 		t.Errorf("%d survivals told, though there is none", n)
 	}
@@ -303,7 +303,7 @@
 			for k := range shared {
 				shared[k] = Digest(1e9 + i*1e6 + j*1e3 + k)
 			}
-			d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(j)}, Shared: shared, SentAt: at}, Server(i))
+			d.RecordSharedCrash(at, Run{Digests: []Digest{Digest(j)}, Shared: shared, SentAt: at}, Server(i), 0)
 		}
 	}
 	if n := len(d.shared.crashes); n != maxSharedCrashes {
@@ -435,7 +435,7 @@
 	kept := f.runs[:0]
 	for _, r := range f.runs {
 		if r.server == server {
-			f.detectors[r.instance].RecordSharedCrash(f.now, r.Run, Server(server))
+			f.detectors[r.instance].RecordSharedCrash(f.now, r.Run, Server(server), 0)
 			continue
 		}
 		kept = append(kept, r)
@@ -484,3 +484,24 @@
 		}
 	}
 }
+
+// Guards against a sound part that is blamed since late instances take breaks at a server that is down for its next crash.
+func TestLateBreakAtDownServerIsNoCrash(t *testing.T) {
+	d := New()
+	run := func(n int, sentAt clock.Time, shared ...Digest) Run {
+		return Run{Digests: []Digest{Digest(n)}, Shared: shared, SentAt: sentAt}
+	}
+	for i := range 2 {
+		at := seconds(float64(1 + i))
+		d.RecordSharedCrash(at, run(i, at.Add(-100*time.Millisecond), deadly, secondPart), Server(i), 0)
+	}
+	sentAt := seconds(2.5)
+	d.RecordSharedCrash(sentAt.Add(21*time.Millisecond), run(10, sentAt, secondPart), 1, 15*time.Millisecond)
+	if sharedRefused(d, seconds(3), secondPart) {
+		t.Error("a sound part is refused since a server was down")
+	}
+	d.RecordSharedCrash(seconds(4), run(11, seconds(3.9), deadly, secondPart), 2, 0)
+	if !sharedRefused(d, seconds(4), deadly, secondPart) || sharedRefused(d, seconds(4), secondPart) {
+		t.Error("the part that crashes servers is not told from the sound one")
+	}
+}
--- a/core/gateway/poison/sharedreport.go
+++ b/core/gateway/poison/sharedreport.go
@@ -155,7 +155,7 @@
 				continue // from a version that tells less
 			}
 			at := crash{c.Server, now.Add(-c.Age)}
-			if d.addSharedCrash(at, Run{Digests: run.Digests, Shared: run.Shared, SentAt: now.Add(-run.SentAge)}, false) {
+			if d.addSharedCrash(at, Run{Digests: run.Digests, Shared: run.Shared, SentAt: now.Add(-run.SentAge)}, false, 0) {
 				d.recordPeerBreak(at.server, at.at)
 			}
 		}
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -131,7 +131,7 @@
 	if g.poison.RecordCrash(now, x.digests, serverHash(t.id)) {
 		out = g.suspectMessages(now, x.digests)
 	}
-	if g.poison.RecordSharedCrash(now, x.run(), serverHash(t.id)) {
+	if g.poison.RecordSharedCrash(now, x.run(), serverHash(t.id), g.lag.Since(now, x.sentAt)) {
 		g.tellCrashesSoon()
 		g.checkLifeSoon(now)
 	}
