Intake: goroutines that wait to run count as lateness, too

Cause: the slow instance was late by its requests' measure (100 to 800 ms each, its servers' slots full of requests that it still held, 220 no-room) and on time by its own: only timers were measured, and the Go scheduler runs what a timer wakes before the queue of goroutines. Trial with the runtime's histogram of waits, each 0.1 s: timers 6 or 7 ms late while the longest wait was 50 to 67 ms; 0 to 4 ms at the instances beside it.

Change: the longest wait of a goroutine since the last tick (histogram /sched/latencies:seconds, 0.3 us a reading) counts as lateness beside the timer's, for the intake and for verdicts on crashes alike. Log field timers_ms is now processor_ms.

--- a/core/gateway/lag/lag.go
+++ b/core/gateway/lag/lag.go
@@ -1,6 +1,7 @@
 // Package lag measures how late an instance is in handling what it has received: how much
-// later than asked its timers fire, since its processor is busy or the process was paused, and how
-// long even the quickest answer of another instance takes, since its link is full.
+// later than asked its timers fire and how long its goroutines wait to run, since its processor is
+// busy or the process was paused, and how long even the quickest answer of another instance
+// takes, since its link is full.
 //
 // An instance that is late takes for silence what it has not read yet, and for new what was
 // sent long ago.
@@ -15,8 +16,8 @@
 const (
 	// Interval is how often the instance must call Ticked.
 	Interval = 20 * time.Millisecond
-	// tickMemory and tripMemory are how long measurements are kept.
-	tickMemory = time.Second
+	// waitMemory and tripMemory are how long measurements are kept.
+	waitMemory = time.Second
 	tripMemory = 300 * time.Millisecond
 	// minTrips is how many answers within tripMemory tell a full link from single slow instances.
 	minTrips = 8
@@ -32,14 +33,16 @@
 // Meter measures the lag. It is not safe for concurrent use.
 type Meter struct {
 	due   clock.Time // when Ticked is due next; 0: not started
-	ticks []sample
+	waits []sample   // for the processor
 	trips []sample
 }
 
-// Ticked records that a timer fired that was set to now+Interval at the last call.
-func (m *Meter) Ticked(now clock.Time) {
+// Ticked records that a timer fired that was set to now+Interval at the last call, and how long a
+// goroutine waited to run at most since then. Timers alone don't show a queue of goroutines,
+// which they go before.
+func (m *Meter) Ticked(now clock.Time, longestWait time.Duration) {
 	if m.due != 0 {
-		m.ticks = record(m.ticks, sample{now, max(0, now.Sub(m.due))}, tickMemory)
+		m.waits = record(m.waits, sample{now, max(longestWait, now.Sub(m.due))}, waitMemory)
 	}
 	m.due = now.Add(Interval)
 }
@@ -56,13 +59,14 @@
 	return append(samples, s)
 }
 
-// Timers returns how late the timers were at most since a time, at most tickMemory ago.
-func (m *Meter) Timers(now, since clock.Time) time.Duration {
+// Processor returns how long the instance waited for its processor at most since a time, at most
+// waitMemory ago.
+func (m *Meter) Processor(now, since clock.Time) time.Duration {
 	worst := time.Duration(0)
 	if m.due != 0 {
 		worst = max(0, now.Sub(m.due)) // the next tick is late already
 	}
-	for _, s := range m.ticks {
+	for _, s := range m.waits {
 		if s.at >= since {
 			worst = max(worst, s.lag)
 		}
@@ -90,5 +94,5 @@
 
 // Since returns how late the instance was at most since a time.
 func (m *Meter) Since(now, since clock.Time) time.Duration {
-	return max(m.Timers(now, since), m.Trips(now))
+	return max(m.Processor(now, since), m.Trips(now))
 }
--- a/core/gateway/lag/lag_test.go
+++ b/core/gateway/lag/lag_test.go
@@ -18,7 +18,7 @@
 	}
 	now := start
 	for range 10 {
-		m.Ticked(now)
+		m.Ticked(now, 0)
 		now = now.Add(Interval)
 	}
 	if got := m.Since(now, now.Add(-ms(300))); got != 0 {
@@ -27,18 +27,32 @@
 	if got := m.Since(now.Add(ms(70)), now); got != ms(70) {
 		t.Errorf("lag %v while a tick is 70 ms late", got)
 	}
-	m.Ticked(now.Add(ms(80)))
+	m.Ticked(now.Add(ms(80)), 0)
 	if got := m.Since(now.Add(ms(90)), now); got != ms(80) {
 		t.Errorf("lag %v right after a tick that was 80 ms late", got)
 	}
 	for now = now.Add(ms(100)); now < start.Add(ms(800)); now = now.Add(Interval) {
-		m.Ticked(now)
+		m.Ticked(now, 0)
 	}
 	if got := m.Since(now, now.Add(-ms(300))); got != 0 {
 		t.Errorf("lag %v long after it", got)
 	}
 }
 
+// Guards against an instance that thinks it is on time while its requests wait for each other.
+func TestWaitsOfGoroutinesAreMeasured(t *testing.T) {
+	var m Meter
+	m.Ticked(start, ms(90))
+	m.Ticked(start.Add(Interval), ms(50))
+	if got := m.Processor(start.Add(Interval), start); got != ms(50) {
+		t.Errorf("lag %v, want that of the goroutines since the start", got)
+	}
+	m.Ticked(start.Add(2*Interval+ms(70)), ms(1))
+	if got := m.Processor(start.Add(2*Interval+ms(70)), start.Add(2*Interval)); got != ms(70) {
+		t.Errorf("lag %v, want that of the timer", got)
+	}
+}
+
 func TestQuickestAnswerCounts(t *testing.T) {
 	var m Meter
 	for i := range minTrips - 1 {
--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -36,7 +36,7 @@
 	countedAt  clock.Time // when othersLate was determined
 	closed     map[intake.Verdict]int
 	loggedAt   clock.Time
-	timersLag  time.Duration // as of the last tick
+	ownLag     time.Duration // as of the last tick
 	lastTick   clock.Time
 }
 
@@ -60,7 +60,7 @@
 	g.metrics.closedUnread(v)
 	in.closed[v]++
 	if now.Sub(in.loggedAt) >= intakeLogInterval {
-		e := g.log.Warn().Int64("lag_ms", in.timersLag.Milliseconds()).Int64("caller_connections", g.callerConns.Load()).Int64("active", g.activeRequests.Load())
+		e := g.log.Warn().Int64("lag_ms", in.ownLag.Milliseconds()).Int64("caller_connections", g.callerConns.Load()).Int64("active", g.activeRequests.Load())
 		for why, n := range in.closed {
 			e = e.Int(string(why), n)
 		}
@@ -77,16 +77,16 @@
 	if g.intake.lastTick != 0 {
 		overdue = now.Sub(g.intake.lastTick.Add(lag.Interval))
 	}
-	return intake.State{Lag: max(g.intake.timersLag, overdue), Connections: int(g.callerConns.Load()), OthersLate: g.intake.othersLate}
+	return intake.State{Lag: max(g.intake.ownLag, overdue), Connections: int(g.callerConns.Load()), OthersLate: g.intake.othersLate}
 }
 
 // updateIntake tells the intake how late this instance and the others are. The caller holds mu.
 func (g *Gateway) updateIntake(now clock.Time) {
-	late := g.lag.Timers(now, now.Add(-lagPeriod))
+	late := g.lag.Processor(now, now.Add(-lagPeriod))
 	in := &g.intake
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.timersLag, in.lastTick = late, now
+	in.ownLag, in.lastTick = late, now
 	if now.Sub(in.countedAt) >= othersInterval {
 		in.othersLate, in.countedAt = g.othersLate(now), now
 	}
--- a/oleander/gateway/lag.go
+++ b/oleander/gateway/lag.go
@@ -7,6 +7,7 @@
 	"oleanderdale.org/core/gateway/lag"
 	"oleanderdale.org/core/gateway/quota"
 	"oleanderdale.org/oleander/process/boottime"
+	"oleanderdale.org/oleander/process/schedwait"
 )
 
 const (
@@ -19,17 +20,18 @@
 // measureLag measures until the gateway ends how late this instance is.
 func (g *Gateway) measureLag() {
 	var logged clock.Time
+	waits := schedwait.New()
 	for g.sleep(lag.Interval) {
 		g.mu.Lock()
 		now := boottime.Now()
-		g.lag.Ticked(now)
+		g.lag.Ticked(now, waits.Longest())
 		g.updateIntake(now)
-		timers, trips := g.lag.Timers(now, now.Add(-lagLogInterval)), g.lag.Trips(now)
+		processor, trips := g.lag.Processor(now, now.Add(-lagLogInterval)), g.lag.Trips(now)
 		g.mu.Unlock()
-		g.metrics.lag.Store(int64(max(timers, trips)))
-		if max(timers, trips) >= loggedLag && now.Sub(logged) >= lagLogInterval {
+		g.metrics.lag.Store(int64(max(processor, trips)))
+		if max(processor, trips) >= loggedLag && now.Sub(logged) >= lagLogInterval {
 			logged = now
-			g.log.Warn().Int64("timers_ms", timers.Milliseconds()).Int64("quickest_answer_ms", trips.Milliseconds()).
+			g.log.Warn().Int64("processor_ms", processor.Milliseconds()).Int64("quickest_answer_ms", trips.Milliseconds()).
 				Int64("caller_connections", g.callerConns.Load()).Int64("active", g.activeRequests.Load()).Msg("lag: this instance is late")
 		}
 	}
--- a/oleander/gateway/latesurvival_test.go
+++ b/oleander/gateway/latesurvival_test.go
@@ -15,8 +15,8 @@
 	g := &Gateway{poison: poison.New()}
 	now := boottime.Now()
 	x := &exchange{g: g, shared: []poison.Digest{poison.Narrow(8)}, writingSince: now.Add(-survivalTime - 50*time.Millisecond)}
-	g.lag.Ticked(x.writingSince)
-	g.lag.Ticked(now)
+	g.lag.Ticked(x.writingSince, 0)
+	g.lag.Ticked(now, 0)
 	if x.recordSurvival(); x.survived {
 		t.Error("the server counts as having written for long, though this instance stood still")
 	}
