Crashes: a server that ends without breaking a connection has ended

What callers saw: one prompt part, or one request, took down server after server. The servers fell silent instead of closing. Cause: only the break of a connection, not by a timeout, counted as a crash. A silent end was nobody's, and so was an end under a run that its instance had given up (timeout, caller gone, slow reader, unusable response). Change: each run is remembered until its outcome or the fate of its server is known, at most 15 s after its deadline. A server has ended if another run breaks there, its entry comes back with a later start, its entry lapses after 2 s of silence, or no instance has heard of it for a second (asked and told with the heartbeats) and it answers nothing on a new connection. Signs of life from any instance, and an entry that is back with the same start, take it back. An instance that is late, cut off, or hears nobody of the server's zone concludes nothing from silence. It counts with the time of the last sign of life. Log line and counter name the evidence. TestSilenceOfServersThatLiveIsNoCrash: slow, hanging, cut and frozen servers and a frozen instance: no sound request refused as crashing.

--- a/core/gateway/manifest/manifest.go
+++ b/core/gateway/manifest/manifest.go
@@ -81,6 +81,7 @@
 // Group is a set of interchangeable backend servers.
 type Group struct {
 	Name           string
+	HealthPath     string  // of the liveness check of a backend server; empty: none
 	MaxConnections int     // accepted by one backend server in total
 	ColdRateLimit  float64 // requests per second that a cold server sustains; 0 means no limit
 	Engine         *Engine // nil if the servers are not model engines
--- a/core/gateway/poison/kept.go
+++ b/core/gateway/poison/kept.go
@@ -77,7 +77,7 @@
 		if l.explained(c) {
 			continue
 		}
-		reported := CrashReport{Server: c.server, Age: now.Sub(c.at)}
+		reported := CrashReport{Server: c.server, Age: now.Sub(c.at), Silent: c.silent}
 		for _, run := range c.runs[:min(maxRuns, len(c.runs))] {
 			reported.Runs = append(reported.Runs, run.report(now))
 			for _, shared := range run.Shared {
@@ -125,7 +125,7 @@
 		for i := range runs {
 			runs[i].SentAge += by
 		}
-		aged.Crashes = append(aged.Crashes, CrashReport{Server: c.Server, Age: c.Age + by, Runs: runs})
+		aged.Crashes = append(aged.Crashes, CrashReport{Server: c.Server, Age: c.Age + by, Silent: c.Silent, Runs: runs})
 	}
 	for _, s := range r.Survivals {
 		aged.Survivals = append(aged.Survivals, DigestAge{s.Digest, s.Age + by})
--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -119,6 +119,7 @@
 	aliveAt    map[Server]clock.Time // when this instance observed it; absent if another did
 	reported   clock.Time            // last report that included all refused requests
 	shared     *sharedCrashes
+	ends       *ends
 	changes    Changes
 }
 
@@ -127,7 +128,7 @@
 	return &Detector{
 		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time), ownBreaks: make(map[Server]clock.Time),
 		peerBreaks: make(map[Server]clock.Time),
-		alive:      make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(),
+		alive:      make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(), ends: newEnds(),
 	}
 }
 
@@ -143,6 +144,7 @@
 			urgent = true
 		}
 	}
+	d.countGivenUp(now, crash{server, now})
 	return urgent
 }
 
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -28,6 +28,10 @@
 	Up           []ServerAge
 	Survivals    []DigestAge
 	SharedTrials []TrialReport
+	// Asked are the servers that are silent at the reporting instance. Heard is when it last heard of
+	// those that others ask for.
+	Asked []Start
+	Heard []StartAge
 }
 
 // ServerAge names a server and how long ago something happened there.
@@ -76,6 +80,7 @@
 	}
 	r.Alive = d.reportAlive(now)
 	d.reportShared(now, &r, all)
+	d.reportEnds(now, &r)
 	return r
 }
 
@@ -134,6 +139,7 @@
 		d.mergeSuspect(now, peer, reported)
 	}
 	d.mergeShared(now, r)
+	d.mergeEnds(now, r)
 }
 
 func (d *Detector) mergeSuspect(now clock.Time, peer string, r SuspectReport) {
@@ -141,6 +147,7 @@
 	for _, c := range r.Crashes {
 		if at := now.Add(-c.Age); d.addCrash(s, crash{c.Server, at}) {
 			d.recordPeerBreak(c.Server, at)
+			d.countGivenUp(now, crash{c.Server, at})
 		}
 	}
 	switch {
@@ -170,6 +177,7 @@
 // expire drops what no longer matters.
 func (d *Detector) expire(now clock.Time) {
 	d.shared.expire(d, now)
+	d.ends.expire(now)
 	for digest, s := range d.suspects {
 		if s.expired(now) {
 			delete(d.suspects, digest)
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -65,8 +65,9 @@
 // sharedCrash is a crash of a server with the requests that ran there.
 type sharedCrash struct {
 	crash
-	runs  []crashRun
-	ownAt clock.Time // last run observed at this instance; 0: none
+	runs   []crashRun
+	ownAt  clock.Time // last run observed at this instance; 0: none
+	silent bool       // no connection broke; the time is that of the last sign of life
 }
 
 type crashRun struct {
@@ -201,15 +202,26 @@
 // addSharedCrash adds a run to a crash that was observed late by late at most. It reports whether it
 // was new.
 func (d *Detector) addSharedCrash(at crash, run Run, own bool, late time.Duration) bool {
+	return d.addSharedRun(at, run, own, false, late)
+}
+
+// addSharedRun is addSharedCrash, also for a server that ended silently.
+func (d *Detector) addSharedRun(at crash, run Run, own, silent bool, late time.Duration) bool {
 	if d.survived(at) {
 		return false
 	}
 	l := d.shared
 	run.Shared = run.Shared[:min(len(run.Shared), maxShared)]
-	c := l.crashAt(at, run.SentAt, late)
+	var c *sharedCrash
+	if silent {
+		c = l.silentCrashAt(at, run.SentAt)
+	} else {
+		c = l.crashAt(at, run.SentAt, late)
+	}
 	if c == nil {
 		return false
 	}
+	c.silent = silent && (c.silent || len(c.runs) == 0)
 	c.at = min(c.at, at.at)
 	d.breaks[at.server] = max(d.breaks[at.server], at.at)
 	if own {
@@ -248,6 +260,10 @@
 	case l.upAt[at.server] <= last.at && at.at.Sub(sentAt)-late < startedRunTime:
 		return nil
 	}
+	return l.newCrash(at)
+}
+
+func (l *sharedCrashes) newCrash(at crash) *sharedCrash {
 	c := &sharedCrash{crash: at}
 	l.crashes = append(l.crashes, c)
 	slices.SortFunc(l.crashes, func(a, b *sharedCrash) int {
--- a/core/gateway/poison/sharedreport.go
+++ b/core/gateway/poison/sharedreport.go
@@ -21,6 +21,7 @@
 	Server Server
 	Age    time.Duration
 	Runs   []RunReport
+	Silent bool // no connection broke; Age is that of the last sign of life
 }
 
 // RunReport is a run that met a crash.
@@ -47,7 +48,7 @@
 func (d *Detector) UntoldCrashes(now clock.Time) Report {
 	var r Report
 	for _, c := range d.shared.crashes {
-		reported := CrashReport{Server: c.server, Age: now.Sub(c.at)}
+		reported := CrashReport{Server: c.server, Age: now.Sub(c.at), Silent: c.silent}
 		for i := range c.runs {
 			if run := &c.runs[i]; run.own && !run.told {
 				run.told = true
@@ -85,7 +86,7 @@
 		if c.ownAt == 0 || now.Sub(c.ownAt) > reportPeriod {
 			continue
 		}
-		reported := CrashReport{Server: c.server, Age: now.Sub(c.at)}
+		reported := CrashReport{Server: c.server, Age: now.Sub(c.at), Silent: c.silent}
 		for _, run := range c.runs {
 			if run.own {
 				reported.Runs = append(reported.Runs, run.report(now))
@@ -126,7 +127,7 @@
 		}
 		for _, c := range v.crashes[max(0, len(v.crashes)-maxVerdictCrashes):] {
 			i := slices.IndexFunc(c.runs, func(r crashRun) bool { return r.hasAll(v.blamed) })
-			r.Crashes = append(r.Crashes, CrashReport{Server: c.server, Age: now.Sub(c.at), Runs: []RunReport{c.runs[i].report(now)}})
+			r.Crashes = append(r.Crashes, CrashReport{Server: c.server, Age: now.Sub(c.at), Silent: c.silent, Runs: []RunReport{c.runs[i].report(now)}})
 			for _, shared := range c.runs[i].Shared {
 				survivals[shared] = survivals[shared] || l.implicated[shared].survivedAt != 0
 			}
@@ -155,8 +156,9 @@
 				continue // from a version that tells less
 			}
 			at := crash{c.Server, now.Add(-c.Age)}
-			if d.addSharedCrash(at, Run{Digests: run.Digests, Shared: run.Shared, SentAt: now.Add(-run.SentAge)}, false, 0) {
+			if d.addSharedRun(at, Run{Digests: run.Digests, Shared: run.Shared, SentAt: now.Add(-run.SentAge)}, false, c.Silent, 0) {
 				d.recordPeerBreak(at.server, at.at)
+				d.countGivenUp(now, at)
 			}
 		}
 	}
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -298,6 +298,19 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	return c.do(ctx, r, limit)
+}
+
+// DoNew is Do, but on a new connection.
+func (p *Pool) DoNew(ctx context.Context, address string, r Request, limit int64) (*http.Response, []byte, error) {
+	c, err := p.dial(ctx, address, false, func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, address) })
+	if err != nil {
+		return nil, nil, err
+	}
+	return c.do(ctx, r, limit)
+}
+
+func (c *Conn) do(ctx context.Context, r Request, limit int64) (*http.Response, []byte, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		c.SetDeadline(deadline)
 	}
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -57,6 +57,7 @@
 // attempt sends the request to one server. The caller has counted the request there;
 // attempt counts its end.
 func (x *exchange) attempt(t target) attemptResult {
+	defer x.giveUpRun()
 	g := x.g
 	x.lastServer, x.lastSoftware, x.prefill = t.id, t.software, t.prefill
 	defer x.endPrefill()
@@ -83,7 +84,7 @@
 	c.SetDeadline(wallTime(x.deadline.Add(responseGrace)))
 	x.sends++
 	x.sentAt, x.writingSince, x.survived = boottime.Now(), 0, false
-	x.crashesAtSend = g.knownCrashes(x)
+	x.beginRun(t)
 	x.timing.attemptSent()
 	err := c.Send(rawhttp.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
@@ -103,7 +104,7 @@
 	}
 	x.timing.responseBegan()
 	x.responseEnd = newResponseEnd(c, resp)
-	g.serverHeard(t.id, c)
+	g.serverHeard(t, c)
 	return x.handleResponse(t, c, resp)
 }
 
@@ -277,6 +278,7 @@
 	}
 	g.mu.Lock()
 	now := boottime.Now()
+	x.settleRun()
 	g.servers.RequestEnded(now, t.id, x.call.Model, directory.Neutral)
 	report := g.loadMessages
 	switch {
@@ -301,6 +303,7 @@
 	g := x.g
 	g.mu.Lock()
 	now := boottime.Now()
+	x.settleRun()
 	o := statusOutcome(status)
 	g.servers.RequestEnded(now, t.id, x.call.Model, o)
 	timing := x.runTiming(now, status)
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -126,6 +126,7 @@
 	packet := g.heartbeatPacket(now, heartbeat)
 	packet.Links, packet.InDoubt, packet.Late = g.linksMessage(), g.crashRecords.inDoubt(now, g.started), g.late(now)
 	if to != audienceHolder {
+		g.checkSilence(now)
 		packet.Suspects = encodeSuspects(g.settings.Name, g.poison.Report(now))
 	}
 	switch {
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -34,6 +34,8 @@
 	prefill     directory.Prefill
 }
 
+func (t target) start() serverStart { return serverStart{t.id, t.incarnation} }
+
 func newTarget(s *directory.Server) target {
 	return target{id: s.ID, address: s.Address, incarnation: s.Incarnation, software: s.Software}
 }
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -111,11 +111,12 @@
 	slotDue         clock.Time  // latest useful grant, as the instance's own queues were told; 0: not asked
 	stopAbort       func() bool // keeps a caller that leaves from aborting the server's connection
 	sends           int
-	sentAt          clock.Time // of the current attempt
-	crashesAtSend   int        // known under copies of the request when the current attempt was sent
-	writingSince    clock.Time // first event of the current attempt; 0: none yet
-	survived        bool       // the server survived the current attempt, which is recorded
-	linkFailed      bool       // the current attempt ended since the instance has no path to any server, or its relay ended
+	sentAt          clock.Time      // of the current attempt
+	crashesAtSend   int             // known under copies of the request when the current attempt was sent
+	writingSince    clock.Time      // first event of the current attempt; 0: none yet
+	survived        bool            // the server survived the current attempt, which is recorded
+	linkFailed      bool            // the current attempt ended since the instance has no path to any server, or its relay ended
+	openRun         *poison.OpenRun // the current attempt, while its outcome is not known; nil: it is, or nothing was sent
 	probe           grantedProbe
 	possibleRuns    int // sends that may have run
 	excluded        map[string]bool
--- a/oleander/gateway/links.go
+++ b/oleander/gateway/links.go
@@ -17,6 +17,12 @@
 // heardMemory is how long it is known when a server sent something last.
 const heardMemory = time.Minute
 
+// serverStart is one start of a backend server.
+type serverStart struct {
+	server      string
+	incarnation int64
+}
+
 // serverLinks are this instance's own links to the backend servers. Its mutex may be locked
 // while Gateway.mu is held, but not the reverse.
 type serverLinks struct {
@@ -26,12 +32,12 @@
 	// waiting are the attempts on own links that another server may repeat.
 	waiting map[*rawhttp.Conn]*exchange
 	relayed int // connections relayed for other instances
-	// heardAt is when each server sent something last, on any connection.
-	heardAt map[string]clock.Time
+	// heardAt is when each start of a server sent something last, on any connection.
+	heardAt map[serverStart]clock.Time
 }
 
 func newServerLinks() *serverLinks {
-	return &serverLinks{chooser: links.NewChooser(), waiting: make(map[*rawhttp.Conn]*exchange), heardAt: make(map[string]clock.Time)}
+	return &serverLinks{chooser: links.NewChooser(), waiting: make(map[*rawhttp.Conn]*exchange), heardAt: make(map[serverStart]clock.Time)}
 }
 
 // cut reports whether no server can be reached on an own link.
@@ -77,10 +83,10 @@
 }
 
 // serverHeard records a sign of a server.
-func (g *Gateway) serverHeard(server string, c *rawhttp.Conn) {
+func (g *Gateway) serverHeard(t target, c *rawhttp.Conn) {
 	g.links.mu.Lock()
 	now := boottime.Now()
-	g.links.heardAt[server] = now
+	g.links.heardAt[t.start()] = now
 	ended := !c.Indirect && g.links.monitor.Heard(now)
 	g.links.mu.Unlock()
 	if ended {
@@ -88,11 +94,11 @@
 	}
 }
 
-// lastHeard returns when each server sent something last, and forgets those silent for long.
-func (l *serverLinks) lastHeard(now clock.Time) map[string]clock.Time {
+// lastHeard returns when each start of a server sent something last, and forgets those silent for long.
+func (l *serverLinks) lastHeard(now clock.Time) map[serverStart]clock.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.heardAt, func(_ string, at clock.Time) bool { return now.Sub(at) > heardMemory })
+	maps.DeleteFunc(l.heardAt, func(_ serverStart, at clock.Time) bool { return now.Sub(at) > heardMemory })
 	return maps.Clone(l.heardAt)
 }
 
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -102,6 +102,11 @@
 	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_servers_transfers_total{result=%q}`, result)).Inc()
 }
 
+// silentEnds counts the servers that ended without a broken connection, by what showed it.
+func (i *instruments) silentEnds(evidence string) *metrics.Counter {
+	return i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_silent_ends_total{evidence=%q}`, evidence))
+}
+
 // returnPlace is where a caller had been refused.
 type returnPlace string
 
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -196,4 +196,7 @@
 	// FetchReport returns what the engine of a backend server has loaded. It fails if
 	// another server listens at the address.
 	FetchReport(ctx context.Context, address, server string) (placer.Report, Feedback, error)
+	// Ping asks a backend server for a sign of life on a new connection: a plain one at the path of
+	// its liveness check, an engine, with an empty path, for its report. Any response is one.
+	Ping(ctx context.Context, address, server, path string) error
 }
--- a/oleander/gateway/portstest/engines.go
+++ b/oleander/gateway/portstest/engines.go
@@ -290,6 +290,12 @@
 }
 
 // feedbackTo returns what the engine says about itself to a call for a server.
+// Ping implements ports.Engines.
+func (m *MemoryEngines) Ping(ctx context.Context, address, server, _ string) error {
+	_, _, err := m.FetchReport(ctx, address, server)
+	return err
+}
+
 func (e *memoryEngine) feedbackTo(server string) ports.Feedback {
 	if server != e.id {
 		return ports.Feedback{}
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -30,7 +30,7 @@
 		n, err := resp.Body.Read(buffer)
 		waited := boottime.Now().Sub(readFrom)
 		if n > 0 {
-			x.g.serverHeard(t.id, c)
+			x.g.serverHeard(t, c)
 		}
 		end := scanner.Scan(buffer[:n])
 		if end > 0 {
--- a/oleander/gateway/serverread.go
+++ b/oleander/gateway/serverread.go
@@ -201,6 +201,7 @@
 	delete(g.removedServers, e.ID)
 	delete(g.publisher.gone, e.ID)
 	old := g.servers.Get(e.ID)
+	g.recordStart(now, old, e)
 	// Until all entries were read, the servers are new to this instance only: one line for
 	// each of 3,000 servers at each start hides everything else.
 	if old == nil && g.serversComplete || old != nil && (old.Incarnation != e.Incarnation || old.Draining != e.Draining) {
@@ -231,6 +232,7 @@
 // mu.
 func (g *Gateway) removeServer(now clock.Time, id string, at revision.Revision) {
 	if s := g.servers.Get(id); s != nil {
+		g.recordLapse(now, s)
 		g.removedServers[id] = removedServer{incarnation: s.Incarnation, removedAt: now, goneRevision: at}
 	}
 	g.lapse.Forget(id)
--- a/oleander/gateway/sharedcrash.go
+++ b/oleander/gateway/sharedcrash.go
@@ -31,6 +31,7 @@
 	Server uint64   `cbor:"1,keyasint"`
 	AgeMS  int64    `cbor:"2,keyasint"`
 	Runs   []runMsg `cbor:"3,keyasint,omitempty"`
+	Silent bool     `cbor:"4,keyasint,omitempty"` // the server ended silently
 }
 
 // runMsg is a run that met a crash.
@@ -55,7 +56,7 @@
 
 func (m *suspectsMsg) encodeShared(r poison.Report) {
 	for _, c := range r.Crashes {
-		encoded := crashMsg{Server: uint64(c.Server), AgeMS: c.Age.Milliseconds()}
+		encoded := crashMsg{Server: uint64(c.Server), AgeMS: c.Age.Milliseconds(), Silent: c.Silent}
 		for _, run := range c.Runs {
 			encoded.Runs = append(encoded.Runs, runMsg{Digests: numbers(run.Digests), Shared: numbers(run.Shared), SentMS: run.SentAge.Milliseconds()})
 		}
@@ -72,7 +73,7 @@
 
 func (m *suspectsMsg) decodeShared(r *poison.Report) {
 	for _, c := range m.Crashes {
-		decoded := poison.CrashReport{Server: poison.Server(c.Server), Age: millis(c.AgeMS)}
+		decoded := poison.CrashReport{Server: poison.Server(c.Server), Age: millis(c.AgeMS), Silent: c.Silent}
 		for _, run := range c.Runs {
 			decoded.Runs = append(decoded.Runs, poison.RunReport{Digests: digestsOf(run.Digests), Shared: digestsOf(run.Shared), SentAge: millis(run.SentMS)})
 		}
@@ -199,10 +200,11 @@
 	defer g.mu.Unlock()
 	g.checkingLife = false
 	now := boottime.Now()
-	for server, at := range heard {
+	for start, at := range heard {
 		if now.Sub(at) > maxLifeAge {
 			continue
 		}
+		server := start.server
 		late := g.lag.Since(now, at.Add(-catchUpTime))
 		if g.poison.RecordLife(now, serverHash(server), at, late) {
 			g.log.Warn().Str("server", server).Int64("heard_ms", now.Sub(at).Milliseconds()).Int64("lag_ms", late.Milliseconds()).Msg("crashes: the server goes on sending, so it did not crash")
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -21,6 +21,8 @@
 	Survivals []digestAgeMsg   `cbor:"5,keyasint,omitempty"`
 	Trials    []sharedTrialMsg `cbor:"6,keyasint,omitempty"`
 	Up        []serverAgeMsg   `cbor:"7,keyasint,omitempty"` // servers that answered again after a crash
+	Asked     []uint64         `cbor:"8,keyasint,omitempty"` // starts of servers that are silent at the sender
+	Heard     []serverAgeMsg   `cbor:"9,keyasint,omitempty"` // when the sender heard of starts that others ask for
 }
 
 // suspectMsg is what an instance knows of one suspect.
@@ -42,11 +44,12 @@
 
 // encodeSuspects returns nil if there is nothing to tell.
 func encodeSuspects(sender string, r poison.Report) *suspectsMsg {
-	if len(r.Suspects)+len(r.Alive)+len(r.Crashes)+len(r.Up)+len(r.Survivals)+len(r.SharedTrials) == 0 {
+	if len(r.Suspects)+len(r.Alive)+len(r.Crashes)+len(r.Up)+len(r.Survivals)+len(r.SharedTrials)+len(r.Asked)+len(r.Heard) == 0 {
 		return nil
 	}
 	m := &suspectsMsg{Name: sender, Alive: encodeServerAges(r.Alive)}
 	m.encodeShared(r)
+	m.encodeEnds(r)
 	for _, s := range r.Suspects {
 		encoded := suspectMsg{
 			Digest: uint64(s.Digest), Crashes: encodeServerAges(s.Crashes), Trials: s.Trials, TrialMS: s.TrialAge.Milliseconds(), Completions: s.Completions,
@@ -76,6 +79,7 @@
 func (m *suspectsMsg) report() poison.Report {
 	r := poison.Report{Alive: decodeServerAges(m.Alive)}
 	m.decodeShared(&r)
+	m.decodeEnds(&r)
 	for _, s := range m.Suspects {
 		decoded := poison.SuspectReport{
 			Digest: poison.Digest(s.Digest), Crashes: decodeServerAges(s.Crashes), Trials: s.Trials, TrialAge: millis(s.TrialMS), Completions: s.Completions,
@@ -128,6 +132,7 @@
 	g.mu.Lock()
 	now := boottime.Now()
 	var out []outgoing
+	x.settleRun()
 	if g.poison.RecordCrash(now, x.digests, serverHash(t.id)) {
 		out = g.suspectMessages(now, x.digests)
 	}
@@ -139,14 +144,6 @@
 	g.sendAll(out)
 }
 
-// knownCrashes returns how many crashes under copies of the request this instance knows of.
-func (g *Gateway) knownCrashes(x *exchange) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	crashes, _ := g.poison.Suspicion(x.digests[0])
-	return crashes
-}
-
 // recordAnswer records that the server of the current attempt answers.
 func (x *exchange) recordAnswer(t target) {
 	x.g.mu.Lock()
