Crashes: of each crash 128 runs are kept, not 32

What callers saw: requests with one part go on to crash engines while these are crowded. Cause: of the runs that met a crash the first 32 were kept; the engines run and queue up to 64, so that the guilty one was often not among them. Change: 128 are kept; a report repeats the 256 runs of the newest crashes at most, some 15 KB.

--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -31,7 +31,7 @@
 	lifeMargin = 50 * time.Millisecond
 	// maxSharedCrashes bounds the crashes remembered, maxCrashRuns the runs of each.
 	maxSharedCrashes = 64
-	maxCrashRuns     = 32
+	maxCrashRuns     = 128
 	// maxShared bounds what a run shares with others.
 	maxShared = 16
 )
--- a/core/gateway/poison/shared_test.go
+++ b/core/gateway/poison/shared_test.go
@@ -334,9 +334,10 @@
 	messages  []fleetMessage
 	nextID    Digest
 	crashes   []clock.Time
-	sends     []clock.Time // of requests with the part
-	toCrash   int          // a server crashes at most so many milliseconds after a send with the part; 0: 220
-	soundLate [2]int       // sound requests after the verdict is due: refused, all
+	sends     []clock.Time  // of requests with the part
+	toCrash   int           // a server crashes at most so many milliseconds after a send with the part; 0: 220
+	length    time.Duration // of a sound run; 0: 600 ms
+	soundLate [2]int        // sound requests after the verdict is due: refused, all
 }
 
 type fleetRun struct {
@@ -384,7 +385,7 @@
 	}
 	f.nextID++
 	server := up[f.rng.IntN(len(up))]
-	length := 600 * time.Millisecond
+	length := cmp.Or(f.length, 600*time.Millisecond)
 	if isDeadly {
 		f.sends = append(f.sends, f.now)
 		length = time.Duration(20+f.rng.IntN(cmp.Or(f.toCrash, 200))) * time.Millisecond
--- a/core/gateway/poison/sharedreport.go
+++ b/core/gateway/poison/sharedreport.go
@@ -11,6 +11,9 @@
 const (
 	// maxReportedSurvivals bounds one report.
 	maxReportedSurvivals = 100
+	// maxRepeatedRuns bounds the runs that one report repeats, those of the newest crashes: each is some
+	// 60 bytes of a datagram.
+	maxRepeatedRuns = 256
 	// maxVerdictCrashes is how many crashes of a verdict are repeated to the other instances:
 	// enough for them to come to it, also if runs survived before.
 	maxVerdictCrashes = soundThreshold + 1
@@ -82,14 +85,16 @@
 // rest on.
 func (d *Detector) reportShared(now clock.Time, r *Report, all bool) {
 	l := d.shared
-	for _, c := range l.crashes {
-		if c.ownAt == 0 || now.Sub(c.ownAt) > reportPeriod {
+	room := maxRepeatedRuns
+	for _, c := range slices.Backward(l.crashes) {
+		if c.ownAt == 0 || now.Sub(c.ownAt) > reportPeriod || room == 0 {
 			continue
 		}
 		reported := CrashReport{Server: c.server, Age: now.Sub(c.at), Silent: c.silent}
 		for _, run := range c.runs {
-			if run.own {
+			if run.own && room > 0 {
 				reported.Runs = append(reported.Runs, run.report(now))
+				room--
 			}
 		}
 		r.Crashes = append(r.Crashes, reported)
