Connections: idle ones end with their server, and when they expire

What operators saw: an instance went from 537 to 4,058 of 4,100 descriptors in 47 s while servers were replaced in series, and then took itself for cut off. Cause: idle connections were looked at only when the same address was used again, so that up to 32 stayed for each server that was gone.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -48,6 +47,7 @@
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
 	mu     sync.Mutex
 	idle   map[string][]*Conn
+	swept  time.Time // when expired connections were last dropped
 	onOpen func()
 }
 
@@ -101,20 +101,6 @@
 	}
 }
 
-// popIdle takes the most recently used idle connection out of the pool. It returns
-// nil if there is none.
-func (p *Pool) popIdle(address string) *Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
-}
-
 // DialTCP opens a TCP connection that notices within a few seconds that its peer is gone.
 func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
@@ -141,19 +127,6 @@
 	return opened, nil
 }
 
-// DropIdle closes all idle connections.
-func (p *Pool) DropIdle() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = make(map[string][]*Conn)
-	p.mu.Unlock()
-	for _, list := range idle {
-		for _, c := range list {
-			c.Abort()
-		}
-	}
-}
-
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var err error
@@ -236,41 +209,6 @@
 	_ = c.conn.SetReadDeadline(t)
 }
 
-// Release returns the connection to the pool. It closes the connection if it cannot
-// be reused or if the pool has enough idle ones for the address.
-// The body of resp must have been read to its end.
-func (c *Conn) Release(resp *http.Response) {
-	if resp.Close || resp.ProtoMinor == 0 || c.reader.Buffered() > 0 || EndsWithConnection(resp) {
-		c.Close()
-		return
-	}
-	c.SetDeadline(time.Time{})
-	c.idleDeadline = time.Now().Add(idleTimeout(resp.Header.Get("Keep-Alive")))
-	p := c.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerAddress {
-		c.Close()
-		return
-	}
-	p.idle[c.address] = append(p.idle[c.address], c)
-}
-
-// idleTimeout returns how long a connection may stay idle, from the Keep-Alive
-// header of a response.
-func idleTimeout(header string) time.Duration {
-	for _, part := range strings.Split(header, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if n, err := strconv.Atoi(value); err == nil {
-			return max(0, time.Duration(n)*time.Second-idleTimeoutMargin)
-		}
-	}
-	return defaultIdleTimeout
-}
-
 // Interrupt makes the current and later reads and writes fail with a timeout.
 func (c *Conn) Interrupt() { c.SetDeadline(time.Unix(1, 0)) }
 
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -56,6 +56,7 @@
 		}
 		g.checkLinks(now)
 		g.checkSilent(now)
+		g.pool.DropExpired()
 		t.Reset(g.housekeepRound())
 	}
 }
--- a/oleander/gateway/serverends.go
+++ b/oleander/gateway/serverends.go
@@ -161,6 +161,9 @@
 // recordStart records what a server's entry says of the start that was known, if any. The caller holds
 // mu.
 func (g *Gateway) recordStart(now clock.Time, old *directory.Server, e directory.Entry) {
+	if old != nil && (e.Incarnation != old.Incarnation || e.Address != old.Address) {
+		go g.pool.Drop(old.Address)
+	}
 	removed, wasRemoved := g.removedServers[e.ID]
 	switch {
 	case old != nil && e.Incarnation > old.Incarnation:
@@ -175,8 +178,9 @@
 	}
 }
 
-// recordLapse records that the entry of a server is gone. The caller holds mu.
+// recordLapse records that the entry of a server is gone: nothing more is sent there. The caller holds mu.
 func (g *Gateway) recordLapse(now clock.Time, s *directory.Server) {
+	go g.pool.Drop(s.Address)
 	known := serverStart{s.ID, s.Incarnation}
 	if s.Draining || g.servers.SaidLeaving(s) {
 		g.poison.RecordLeft(known.hash())
