Responses: bytes without end are read up to a bound

Cause: a head had no bound; a part of an event had one only where the memory bound is on; each buffered body could grow to 16 MiB, all of them together without a bound, and was held in a buffer that grows. A rejection longer than 64 KiB left its connection to the next request. What was no response counted as a crash of its server. Change: a head ends after 64 KiB, informational responses included, a part of an event after 1 MiB, all buffered bodies together after 48 MiB, read in parts. The connection ends, and the log says why. An error in what the server sent, on a connection that has not failed, is no crash.

--- a/oleander/connection/rawhttp/arrived.go
+++ b/oleander/connection/rawhttp/arrived.go
@@ -23,6 +23,16 @@
 
 // Read implements io.Reader.
 func (r arrivedReader) Read(b []byte) (int, error) {
+	if r.c.inHead && r.c.headBytes >= maxHeadBytes {
+		return 0, errHeadTooLong
+	}
+	n, err := r.read(b)
+	r.c.headBytes += n
+	r.c.readFailed = r.c.readFailed || err != nil
+	return n, err
+}
+
+func (r arrivedReader) read(b []byte) (int, error) {
 	c := r.c
 	n, err := c.conn.Read(b)
 	var timeout net.Error
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -24,8 +24,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrNotSent means that no byte of the request was sent.
-var ErrNotSent = errors.New("rawhttp: not sent")
+var (
+	// ErrNotSent means that no byte of the request was sent.
+	ErrNotSent = errors.New("rawhttp: not sent")
+	// ErrMalformed means that what the server sent is no response: the connection did not fail.
+	ErrMalformed = errors.New("rawhttp: malformed response")
+	// errHeadTooLong ends the reading of a head.
+	errHeadTooLong = errors.Errorf("head longer than %d bytes", maxHeadBytes)
+)
 
 const (
 	// defaultIdleTimeout is how long an idle connection is kept if the server
@@ -39,6 +45,9 @@
 	tcpUserTimeout    = 2 * time.Second
 	bufferSize        = 8 << 10
 	maxIdlePerAddress = 32
+	// maxHeadBytes bounds the status line and headers of a response, informational ones before it
+	// included.
+	maxHeadBytes = 64 << 10
 )
 
 // Pool opens connections and keeps idle ones for reuse, by address.
@@ -68,6 +77,9 @@
 	Reused       bool
 	Indirect     bool // opened by a DialFunc of the caller
 
+	inHead        bool // a head is read
+	headBytes     int  // read since its begin
+	readFailed    bool
 	readDeadline  atomic.Int64 // Unix nanoseconds
 	aborted       atomic.Bool
 	endedByServer atomic.Bool // before it was aborted
@@ -178,10 +190,16 @@
 }
 
 // ReadResponse reads the status line and headers of the response to a request with
-// this method, and skips informational responses. The caller reads the body.
+// this method, and skips informational responses. The caller reads the body. Its errors wrap
+// ErrMalformed if the connection did not fail.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.inHead, c.headBytes = true, c.reader.Buffered()
+	defer func() { c.inHead = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.Malformed() {
+			return nil, errors.Wrap(ErrMalformed, err.Error())
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "rawhttp: read response")
 		}
@@ -191,6 +209,10 @@
 	}
 }
 
+// Malformed reports whether an error of reading a response lies in what the server sent: the connection
+// has not failed.
+func (c *Conn) Malformed() bool { return !c.readFailed }
+
 // EndsWithConnection reports whether a response has neither a length nor chunks, so that its
 // end is that of the connection, whether or not it is complete.
 func EndsWithConnection(resp *http.Response) bool {
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -99,12 +99,12 @@
 		c.SetReadDeadline(wallTime(min(x.deadline.Add(responseGrace), boottime.Now().Add(x.firstEventTimeout()))))
 	}
 	resp, err := c.ReadResponse(x.r.Method)
+	if errors.Is(err, rawhttp.ErrMalformed) {
+		err = invalidResponse{err}
+	}
 	if err != nil {
 		return x.attemptFailed(t, c, err)
 	}
-	x.timing.responseBegan()
-	x.responseEnd = newResponseEnd(c, resp)
-	g.serverHeard(t, c)
 	return x.handleResponse(t, c, resp)
 }
 
@@ -238,6 +238,14 @@
 	return invalidResponse{errors.Errorf(format, args...)}
 }
 
+// bodyError returns the error of reading a body, as one of the response if the connection has not failed.
+func bodyError(c *rawhttp.Conn, err error) error {
+	if c.Malformed() {
+		return invalidResponse{err}
+	}
+	return err
+}
+
 func isTimeout(err error) bool {
 	var n net.Error
 	return errors.As(err, &n) && n.Timeout()
@@ -246,6 +254,9 @@
 // handleResponse handles the response of a server.
 func (x *exchange) handleResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
 	head := x.g.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	x.timing.responseBegan()
+	x.responseEnd = newResponseEnd(c, resp)
+	x.g.serverHeard(t, c)
 	if x.isFrom(t, head) {
 		x.recordAnswer(t)
 		x.g.handleFeedback(t, head)
@@ -271,7 +282,7 @@
 func (x *exchange) handleNotRun(t target, c *rawhttp.Conn, resp *http.Response, head ports.ResponseInfo) attemptResult {
 	g := x.g
 	const rejectionLimit = 64 << 10
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, rejectionLimit)); err != nil {
+	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, rejectionLimit)); err != nil || n == rejectionLimit {
 		c.Abort()
 	} else {
 		x.releaseConn(c, resp)
--- a/oleander/gateway/forward.go
+++ b/oleander/gateway/forward.go
@@ -10,6 +10,7 @@
 
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/ending"
+	"oleanderdale.org/core/gateway/membudget"
 	"oleanderdale.org/oleander/connection/rawhttp"
 )
 
@@ -19,19 +20,22 @@
 	if x.g.memory != nil {
 		return x.forwardBoundedResponse(t, c, resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = invalidf("response larger than %d bytes", maxResponseBytes)
+	parts, size, err := x.readResponse(resp)
+	defer x.g.bufferedBytes.Add(-int64(size))
+	if errors.Is(err, errNoMemory) {
+		return x.noRoomForResponse(t, c)
 	}
 	if err != nil {
-		return x.attemptFailed(t, c, err)
+		return x.attemptFailed(t, c, bodyError(c, err))
 	}
 	x.responseEnd.judge(nil)
 	x.releaseConn(c, resp)
 	x.attemptAnswered(t, resp.StatusCode)
-	x.writeBufferedHead(resp, len(body))
-	if _, err := x.w.Write(body); err != nil {
-		return x.callerGone()
+	x.writeBufferedHead(resp, size)
+	for _, part := range parts {
+		if _, err := x.w.Write(part); err != nil {
+			return x.callerGone()
+		}
 	}
 	x.endUnframed()
 	x.timing.partForwarded(x.arrived)
@@ -39,19 +43,57 @@
 	return resultDone
 }
 
+// noRoomForResponse ends an attempt whose response this instance has no memory for, which is no fault
+// of the server.
+func (x *exchange) noRoomForResponse(t target, c *rawhttp.Conn) attemptResult {
+	c.Abort()
+	x.g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+	x.g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Err(errNoMemory).Msg("front: attempt failed")
+	return resultBroken
+}
+
+// maxBufferedBytes bounds what is read of all responses together that must be complete before their
+// callers get any of it.
+const maxBufferedBytes = 48 << 20
+
+// readResponse reads a response, in parts: a buffer that grows would hold it twice. The caller must
+// subtract the size from bufferedBytes.
+func (x *exchange) readResponse(resp *http.Response) (parts [][]byte, size int, err error) {
+	for next := firstPartSize(resp); ; next = membudget.Chunk {
+		part, err := readPart(resp.Body, make([]byte, next))
+		parts, size = append(parts, part), size+len(part)
+		held := x.g.bufferedBytes.Add(int64(len(part)))
+		switch {
+		case err == io.EOF || err == nil && resp.ContentLength == int64(size):
+			return parts, size, nil
+		case err != nil:
+			return nil, size, err
+		case size > maxResponseBytes:
+			return nil, size, invalidf("response larger than %d bytes", maxResponseBytes)
+		case held > maxBufferedBytes:
+			return nil, size, errNoMemory
+		}
+	}
+}
+
+// firstPartSize returns how much of a response is read at first.
+func firstPartSize(resp *http.Response) int {
+	if resp.ContentLength < 0 {
+		return firstBodyBuffer
+	}
+	return int(min(resp.ContentLength, membudget.Chunk))
+}
+
 // forwardBoundedResponse is forwardResponse with a bound on the memory.
 func (x *exchange) forwardBoundedResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
 	x.releaseBodyBeforeResponse()
 	parts, err := x.readBoundedResponse(c, resp)
 	if err != nil {
 		x.releaseResponse()
-		if errors.Is(err, errNoMemory) { // no fault of the server
-			c.Abort()
-			x.g.attemptEnded(t.id, x.call.Model, directory.Neutral)
-			x.g.log.Warn().Str("request", x.call.ID).Str("server", t.id).Err(err).Msg("front: attempt failed")
-			return resultBroken
+		if errors.Is(err, errNoMemory) {
+			return x.noRoomForResponse(t, c)
 		}
-		return x.attemptFailed(t, c, err)
+		return x.attemptFailed(t, c, bodyError(c, err))
 	}
 	x.responseEnd.judge(nil)
 	x.releaseConn(c, resp)
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -147,21 +147,23 @@
 
 // Gateway is one entry instance.
 type Gateway struct {
-	settings     Settings
-	incarnation  uint64
-	started      clock.Time
-	log          zerolog.Logger
-	store        ports.Store
-	engines      ports.Engines
-	dialect      ports.Dialect
-	pool         *rawhttp.Pool
-	peers        *peerTransport
-	metrics      *instruments
-	memory       *memory // nil without a bound
-	storeWatches storeWatches
-	links        *serverLinks
-	callerConns  atomic.Int64 // open connections of callers
-	intake       callerIntake
+	settings    Settings
+	incarnation uint64
+	started     clock.Time
+	log         zerolog.Logger
+	store       ports.Store
+	engines     ports.Engines
+	dialect     ports.Dialect
+	pool        *rawhttp.Pool
+	peers       *peerTransport
+	metrics     *instruments
+	memory      *memory // nil without a bound
+	// bufferedBytes is what is held of responses without it.
+	bufferedBytes atomic.Int64
+	storeWatches  storeWatches
+	links         *serverLinks
+	callerConns   atomic.Int64 // open connections of callers
+	intake        callerIntake
 
 	manifest       atomic.Pointer[manifest.Manifest]
 	packedManifest atomic.Pointer[packedManifest] // current manifest, as stored
--- a/oleander/gateway/memory.go
+++ b/oleander/gateway/memory.go
@@ -400,7 +400,7 @@
 			parts = append(parts, part)
 		}
 		if size += len(part); size > maxResponseBytes {
-			return nil, errors.Errorf("response larger than %d bytes", maxResponseBytes)
+			return nil, invalidf("response larger than %d bytes", maxResponseBytes)
 		}
 		if err == io.EOF {
 			break
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -53,12 +53,12 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case x.g.memory != nil && len(pending) > maxEventBytes:
+		case len(pending) > maxEventBytes:
 			return x.attemptFailed(t, c, errEventTooBig)
 		case err == io.EOF:
 			return x.streamEnded(t, c, resp, &ending.Stream{InEvent: scanner.InEvent(), Events: scanner.Events(), Resumed: resumed})
 		case err != nil:
-			return x.attemptFailed(t, c, err)
+			return x.attemptFailed(t, c, bodyError(c, err))
 		}
 		if x.mayFailOver() {
 			pause := max(minEventTimeout, eventTimeoutFactor*x.route.PauseObjective)
