Responses: matched to the request before anything in them is believed

What callers saw: an order ran at two servers, or was refused with 503 and ran. Cause: a rejection was understood before its ID was compared, so that a late second copy of an earlier rejection was taken for the answer to the next request on the connection. Limits, rests and signs of life in it were believed, too. Change: one place compares the ID for all responses, before anything else. Without an ID a response is that to the first request on its connection only. What does not match ends the connection; the request counts as one that may have run.

--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -251,21 +251,32 @@
 	return errors.As(err, &n) && n.Timeout()
 }
 
+// matches reports whether a response answers this request. Nothing in any other one is taken for news
+// of its server. A second copy of an earlier response may arrive where the next one is expected; on a
+// new connection there was no earlier one.
+func (x *exchange) matches(c *rawhttp.Conn, head ports.ResponseInfo) bool {
+	if head.RequestID == "" {
+		return !c.Reused || x.call.ID == ""
+	}
+	return head.RequestID == x.call.ID
+}
+
 // handleResponse handles the response of a server.
 func (x *exchange) handleResponse(t target, c *rawhttp.Conn, resp *http.Response) attemptResult {
 	head := x.g.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	if !x.matches(c, head) {
+		return x.attemptFailed(t, c, invalidf("response to another request, %q with status %d", head.RequestID, resp.StatusCode))
+	}
 	x.timing.responseBegan()
 	x.responseEnd = newResponseEnd(c, resp)
 	x.g.serverHeard(t, c)
-	if x.isFrom(t, head) {
+	if head.Server == "" || head.Server == t.id {
 		x.recordAnswer(t)
 		x.g.handleFeedback(t, head)
 	}
 	switch {
 	case head.NotExecuted:
 		return x.handleNotRun(t, c, resp, head)
-	case head.RequestID != "" && head.RequestID != x.call.ID:
-		return x.attemptFailed(t, c, invalidf("response to another request"))
 	case resp.StatusCode < 300 && !head.Signed:
 		return x.attemptFailed(t, c, invalidf("success response without signature"))
 	case resp.StatusCode >= 500 && x.mayFailOver():
--- a/oleander/gateway/feedback.go
+++ b/oleander/gateway/feedback.go
@@ -10,12 +10,6 @@
 	"oleanderdale.org/oleander/process/boottime"
 )
 
-// isFrom reports whether a response is the answer of the target to this request, and not
-// of another server at its address or to another request.
-func (x *exchange) isFrom(t target, head ports.ResponseInfo) bool {
-	return (head.RequestID == "" || head.RequestID == x.call.ID) && (head.Server == "" || head.Server == t.id)
-}
-
 // handleFeedback handles what a server says about itself in a response.
 func (g *Gateway) handleFeedback(t target, head ports.ResponseInfo) {
 	g.mu.Lock()
--- /dev/null
+++ b/oleander/gateway/foreign_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// secondCopies is a server that answers the first request on a connection, and sends a second copy of that answer where the
+// next one is expected, while it runs the next request.
+type secondCopies struct {
+	mu     sync.Mutex
+	copies map[string]string // by connection
+	runs   map[string]int
+	head   string // of the first answer, %s is the request's ID
+}
+
+func (s *secondCopies) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(testID)
+	s.mu.Lock()
+	known, later := s.copies[r.RemoteAddr]
+	if !later {
+		s.copies[r.RemoteAddr] = fmt.Sprintf(s.head, id)
+	} else {
+		s.runs[id]++
+	}
+	answer := s.copies[r.RemoteAddr]
+	s.mu.Unlock()
+	c, b, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	if !later {
+		_, _ = io.WriteString(c, answer)
+		next, err := http.ReadRequest(b.Reader)
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+		known, id = answer, next.Header.Get(testID)
+		s.mu.Lock()
+		s.runs[id]++
+		s.mu.Unlock()
+	}
+	_, _ = io.WriteString(c, known)
+	time.Sleep(30 * time.Millisecond)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\nContent-Length: 2\r\n\r\nok", testID, id, testSigned)
+	_ = c.Close()
+}
+
+// Guards against an order that runs twice, or ran and is refused, since a second copy of an earlier answer is believed.
+func TestSecondCopyIsNoAnswerToTheNextRequest(t *testing.T) {
+	const line = "%%s\r\n%s: 1\r\nContent-Length: 0\r\n"
+	notRun := fmt.Sprintf("%s: "+line, testID, testNotRun)
+	for name, head := range map[string]string{
+		"503":            "HTTP/1.1 503 Service Unavailable\r\n" + notRun + "\r\n",
+		"421":            "HTTP/1.1 421 Misdirected Request\r\n" + notRun + "\r\n",
+		"429 with rest":  "HTTP/1.1 429 Too Many Requests\r\n" + notRun + "Retry-After: 30\r\n\r\n",
+		"no ID":          "HTTP/1.1 503 Service Unavailable\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\nIgnored: %s\r\n\r\n",
+		"served":         "HTTP/1.1 200 OK\r\n" + fmt.Sprintf("%s: "+line, testID, testSigned) + "\r\n",
+		"failed":         "HTTP/1.1 500 Internal Server Error\r\n" + fmt.Sprintf("%s: "+line, testID, testSigned) + "\r\n",
+		"informational":  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 503 Service Unavailable\r\n" + notRun + "\r\n",
+		"client's fault": "HTTP/1.1 400 Bad Request\r\n" + notRun + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, config(1))
+			servers := []*secondCopies{}
+			for i := range 2 {
+				s := &secondCopies{copies: make(map[string]string), runs: make(map[string]int), head: head}
+				servers = append(servers, s)
+				f.backend(fmt.Sprint("s", i), "plain", s.ServeHTTP)
+			}
+			url := f.start()
+			refused := make(map[string]int)
+			for n := range 12 {
+				id := fmt.Sprint("r", n)
+				if got := f.ask(http.MethodPost, url+"/order/x", testID, id); got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests || got.status == http.StatusRequestTimeout {
+					refused[id] = got.status
+				} else if got.status == http.StatusOK && name != "served" && got.body != "ok" {
+					t.Errorf("%s: body %q", id, got.body)
+				}
+			}
+			second := 0
+			for n := range 12 {
+				id := fmt.Sprint("r", n)
+				runs := servers[0].runs[id] + servers[1].runs[id]
+				second += runs
+				if runs > 1 {
+					t.Errorf("%s ran %d times", id, runs)
+				}
+				if refused[id] != 0 && runs > 0 {
+					t.Errorf("%s was refused with %d and ran", id, refused[id])
+				}
+			}
+			if second == 0 {
+				t.Error("no connection was used again, so the test proves nothing")
+			}
+		})
+	}
+}
