Orders: those to an earlier start of an engine are planned for until they can't come any more

What operators saw: an engine that had started again with its ID was ordered to hold 290,800 MB of 220,000 by an order of before, carried out 11 s late. Cause: an engine's state, its unanswered order included, was dropped with the start it was sent to. The count that the order names comes back, and then nothing tells it from a new one. Change: a load without a response is remembered for 12.5 s after it was sent, over restarts, lapsed entries and changes of the planner at this instance. A new start keeps its memory and adapter slots free until the count is past the order's. Weighed: leading the count past it at once, which costs loads and unloads of models that nobody asked for; room costs one of three places for 12 s, and only where an order was unanswered at the crash. Open: orders of another planner before the restart, or of this one before it was restarted itself.

--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -27,6 +27,7 @@
 
 	reservation reservation
 	pending     *pendingOrder // an order without a final result
+	late        []lateOrder   // orders to earlier starts that may still be carried out
 	loading     *modelLoad    // an accepted load of a model
 	conflicts   int           // orders in a row refused as busy
 	changedAt   clock.Time    // when an order last changed the models or adapters
@@ -308,9 +309,10 @@
 	return m.LoadFromStore, true
 }
 
-// usedMB returns the memory in use by models and adapters, including a load in progress.
+// usedMB returns the memory in use by models and adapters, including a load in progress, and what orders
+// to earlier starts may still take.
 func (e *engineState) usedMB() float64 {
-	total := 0.0
+	total := e.lateMB()
 	for name, m := range e.models {
 		spec := e.config.Models[name]
 		total += spec.WeightsMB + float64(len(m.adapters))*spec.AdapterMB
@@ -321,9 +323,10 @@
 	return total
 }
 
-// adapterCount returns the number of adapters of all models.
+// adapterCount returns the number of adapters of all models, and of those that orders to earlier starts
+// may still load.
 func (e *engineState) adapterCount() int {
-	n := 0
+	n := e.lateAdapters()
 	for _, m := range e.models {
 		n += len(m.adapters)
 	}
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -181,6 +181,7 @@
 	storeTokens   float64                 // loads from the weight store that may start now
 	storeTokensAt clock.Time
 	notFoundAt    map[Key]clock.Time
+	lateOrders    map[string][]lateOrder // by server
 	// storeClaimedAt is when a model with saturated engines last requested a load from the
 	// weight store.
 	storeClaimedAt clock.Time
@@ -210,7 +211,7 @@
 func New(check *invariant.Checker) *Placer {
 	return &Placer{
 		check: check, engines: make(map[string]*engineState), demand: make(map[Key]Demand),
-		rates: make(map[string]*arrivalRate), notFoundAt: make(map[Key]clock.Time),
+		rates: make(map[string]*arrivalRate), notFoundAt: make(map[Key]clock.Time), lateOrders: make(map[string][]lateOrder),
 		expectedReady: make(map[Key]clock.Time), queuedWork: make(map[*engineState]time.Duration),
 	}
 }
@@ -251,6 +252,9 @@
 // ForgetEngines removes the state of all engines, since another instance gives them orders
 // from now on.
 func (p *Placer) ForgetEngines() {
+	for _, e := range p.engines {
+		p.recordAbandoned(e)
+	}
 	clear(p.engines)
 	clear(p.expectedReady)
 	p.sortedEngines = nil
@@ -271,6 +275,7 @@
 
 // Sync updates the engines from their directory entries and removes those that are gone.
 func (p *Placer) Sync(now clock.Time, servers []*directory.Server, groups map[string]*manifest.Group) {
+	p.expireLateOrders(now)
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		g := groups[s.Group]
@@ -279,17 +284,22 @@
 		}
 		present[s.ID] = true
 		e := p.engines[s.ID]
+		if e != nil && e.incarnation != s.Incarnation {
+			p.recordAbandoned(e)
+		}
 		if e == nil || e.incarnation != s.Incarnation {
 			e = newEngineState(s, now)
 			p.engines[s.ID] = e
 		}
+		e.setLateOrders(p.lateOrders[s.ID])
 		if p.reachability != nil {
 			e.setReachability(p.reachability(s.Zone))
 		}
 		p.observeLoad(now, e, func() { e.syncEntry(now, s, s.PublishedEntry(), g.Engine) })
 	}
-	for id := range p.engines {
+	for id, e := range p.engines {
 		if !present[id] {
+			p.recordAbandoned(e)
 			delete(p.engines, id)
 		}
 	}
@@ -373,6 +383,9 @@
 // HandleResult applies the result of an order.
 func (p *Placer) HandleResult(now clock.Time, o Order, result OrderResult) {
 	e := p.engines[o.Server]
+	if result == NoResponse {
+		p.recordUnanswered(o, now)
+	}
 	if e == nil || e.incarnation != o.Incarnation || e.pending == nil || e.pending.order != o {
 		return
 	}
