--- a/oleander/gateway/foreign_test.go
+++ b/oleander/gateway/foreign_test.go
@@ -7,6 +7,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/gateway/ports"
 )
 
 // secondCopies is a server that answers the first request on a connection, and sends a second copy of that answer where the
@@ -101,3 +104,15 @@
 		})
 	}
 }
+
+func BenchmarkMatchResponse(b *testing.B) {
+	x := &exchange{call: ports.Call{ID: "9c41d07be2a35f68"}}
+	c := &rawhttp.Conn{Reused: true}
+	head := ports.ResponseInfo{RequestID: "9c41d07be2a35f68"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !x.matches(c, head) {
+			b.Fatal("no match")
+		}
+	}
+}
