--- a/oleander/gateway/broadcast_test.go
+++ b/oleander/gateway/broadcast_test.go
@@ -60,21 +60,31 @@
 		t.Fatalf("sent to %v", counts)
 	}
 	wrapped := decode(t, out[1].message)
-	if relay.handlePacketForTest(wrapped); relay.members.Get("new") == nil {
+	relayed := relay.relayedForTest(wrapped)
+	if relay.members.Get("new") == nil {
 		t.Error("the relay did not handle the message")
 	}
-	relayed := relay.relayMessages(now)
 	if got := addresses(relayed); len(got) != 4 || got["b4"] != 1 || got["b0"] != 0 {
 		t.Fatalf("relayed to %v", got)
 	}
-	if receiver.handlePacketForTest(decode(t, relayed[0].message)); receiver.members.Get("new") == nil {
+	further := receiver.relayedForTest(decode(t, relayed[0].message))
+	if receiver.members.Get("new") == nil {
 		t.Error("the receiver did not handle the message")
 	}
-	if further := receiver.relayMessages(now); len(further) != 0 {
+	if len(further) != 0 {
 		t.Errorf("the receiver relays it to %v", addresses(further))
 	}
 }
 
+// relayedForTest handles a packet and returns what is relayed of it, which would else be sent soon.
+func (g *Gateway) relayedForTest(p packet) []outgoing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	g.handleLocked(now, p)
+	return g.relayMessages(now)
+}
+
 // handlePacketForTest handles a packet without sending the resulting messages.
 func (g *Gateway) handlePacketForTest(p packet) {
 	g.mu.Lock()
