--- a/core/gateway/poison/openrun_test.go
+++ b/core/gateway/poison/openrun_test.go
@@ -176,3 +176,24 @@
 		t.Errorf("%d runs at %d starts are left", d.ends.givenUp, len(d.ends.starts))
 	}
 }
+
+// Guards against silent ends of which each instance has seen one only.
+func TestSilentEndsSeenByDifferentInstances(t *testing.T) {
+	instances := []*Detector{New(), New(), New()}
+	now := start
+	for i, d := range instances {
+		sendTo(d, serverN(i), now, Digest(50+2*i), deadly, Digest(2000+2*i))
+		now, _ = silentFor(d, now.Add(time.Second), time.Second)
+		report := d.UntoldCrashes(now)
+		for j, peer := range instances {
+			if j != i {
+				peer.Merge(now, "peer", report)
+			}
+		}
+	}
+	for i, d := range instances {
+		if c := d.CheckShared(now, []Digest{deadly, firstPart}); !c.Refused {
+			t.Errorf("instance %d does not refuse the part", i)
+		}
+	}
+}
