Tests: an order that another planner sent before a restart (known red)

Found by reading while the orders to earlier starts were mended: the planner that begins after the restart fills the engine to the count that the order names.

--- a/core/gateway/placer/late_test.go
+++ b/core/gateway/placer/late_test.go
@@ -81,3 +81,22 @@
 		})
 	}
 }
+
+// Guards against an order that overfills its engine, which has started again since another planner sent it.
+func TestOrderOfAnotherPlannerFits(t *testing.T) {
+	sim := newSimulation(t, 2, 1, 5)
+	e, late := restartUnderOrder(t, sim)
+	sentAt := sim.now
+	sim.restart(e)
+	sim.placer, sim.responses = New(nil), nil
+	clear(sim.demand)
+	for i := 0; sim.now.Sub(sentAt) < 12*time.Second; i++ {
+		if i%100 == 0 {
+			sim.request(Key{Group: group, Model: model(i / 100 % 3)})
+		}
+		sim.tick()
+		if sim.overfills(e, late) {
+			t.Fatalf("%v after the order was sent: count %d, %d models, so that it overfills the engine", sim.now.Sub(sentAt), e.sequence, len(e.models))
+		}
+	}
+}
