Engines: each order and report has a connection of its own

What operators saw: an order that its engine had refused counted as accepted, or one that it had accepted as refused, after a late second copy of an earlier result came where the next one was expected; a report could be that of an earlier moment, or the result of an order. A response was matched by its place on the connection only. Change: each call has a connection of its own, closed after the response, so that no response to an earlier call can arrive on it.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -69,7 +69,7 @@
 
 // Conn is a connection. It carries one request at a time.
 type Conn struct {
-	pool         *Pool
+	pool         *Pool // nil: the connection carries one request
 	address      string
 	conn         net.Conn
 	reader       *bufio.Reader
@@ -134,11 +134,18 @@
 	if p.onOpen != nil {
 		p.onOpen()
 	}
-	opened := &Conn{pool: p, address: address, conn: c, Indirect: indirect}
-	opened.reader = bufio.NewReaderSize(arrivedReader{opened}, bufferSize)
+	opened := newConn(c, address)
+	opened.pool, opened.Indirect = p, indirect
 	return opened, nil
 }
 
+// newConn returns a connection that belongs to no pool.
+func newConn(conn net.Conn, address string) *Conn {
+	c := &Conn{address: address, conn: conn}
+	c.reader = bufio.NewReaderSize(arrivedReader{c}, bufferSize)
+	return c
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var err error
@@ -258,19 +265,31 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return c.do(ctx, r, limit)
+	resp, body, err := c.roundTrip(ctx, r, limit)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !c.aborted.Load() {
+		c.Release(resp)
+	}
+	return resp, body, nil
 }
 
-// DoNew is Do, but on a new connection.
-func (p *Pool) DoNew(ctx context.Context, address string, r Request, limit int64) (*http.Response, []byte, error) {
-	c, err := p.dial(ctx, address, false, func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, address) })
+// DoOnce is Do on a connection of its own, which it closes after the response. A late copy of an earlier
+// response can't be taken for the one to this request.
+func DoOnce(ctx context.Context, address string, dialTimeout time.Duration, r Request, limit int64) (*http.Response, []byte, error) {
+	conn, err := DialTCP(ctx, address, dialTimeout)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return c.do(ctx, r, limit)
+	c := newConn(conn, address)
+	defer c.Close()
+	return c.roundTrip(ctx, r, limit)
 }
 
-func (c *Conn) do(ctx context.Context, r Request, limit int64) (*http.Response, []byte, error) {
+// roundTrip sends a request and reads the complete response. The connection is aborted if this fails, and
+// if ctx has ended.
+func (c *Conn) roundTrip(ctx context.Context, r Request, limit int64) (*http.Response, []byte, error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		c.SetDeadline(deadline)
 	}
@@ -296,8 +315,6 @@
 	}
 	if !stop() {
 		c.Abort()
-	} else {
-		c.Release(resp)
 	}
 	return resp, body, nil
 }
