Connections: none carries requests with the same ID one after the other

What callers saw: an order was refused with 503 and ran. Its server had ended and another one had its address; that one rejected the order with 421 and got it again, on the same connection, as the server that it is. A late second copy of the 421 bears the order's own ID, so that it was taken for the answer, while the order ran. Cause: the mend compares IDs, and a copy of a request's own rejection has the right one. A server is not asked again, but a server is known by its ID and connections by address. Likewise, a request without an ID believed a copy of the answer to an earlier one without. Change: a connection remembers the ID of its last request, and Pool.Get does not use it for a request with the same one. A copy comes where the next response is expected, so nothing else can be taken for the answer. TestConnectionCarriesNoRequestTwice.

--- a/oleander/connection/rawhttp/arrived_test.go
+++ b/oleander/connection/rawhttp/arrived_test.go
@@ -28,7 +28,7 @@
 		_, _ = conn.Write([]byte(answer))
 		_ = conn.Close()
 	}()
-	c, err := NewPool(time.Second, nil).Get(context.Background(), l.Addr().String())
+	c, err := NewPool(time.Second, nil).Get(context.Background(), l.Addr().String(), "r1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	c, err := NewPool(time.Second, nil).Get(context.Background(), l.Addr().String())
+	c, err := NewPool(time.Second, nil).Get(context.Background(), l.Addr().String(), "r1")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/oleander/connection/rawhttp/endless_test.go
+++ b/oleander/connection/rawhttp/endless_test.go
@@ -51,7 +51,7 @@
 			p := NewPool(time.Second, nil)
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
-			c, err := p.Get(ctx, endlessServer(t, s.text, s.more))
+			c, err := p.Get(ctx, endlessServer(t, s.text, s.more), "r1")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -72,7 +72,7 @@
 // Guards against the end of a connection in the middle of a head that counts as a response of a server that goes on.
 func TestBrokenHeadIsNotMalformed(t *testing.T) {
 	s := startServer(t, "!HTTP/1.1 200 OK\r\nNa")
-	c, err := NewPool(time.Second, nil).Get(context.Background(), s.address)
+	c, err := NewPool(time.Second, nil).Get(context.Background(), s.address, "r1")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -74,6 +74,7 @@
 	conn         net.Conn
 	reader       *bufio.Reader
 	idleDeadline time.Time // a pooled connection is not reused after this
+	lastID       string    // of the request that it carried last
 	Reused       bool
 	Indirect     bool // opened by a DialFunc of the caller
 
@@ -88,29 +89,44 @@
 // DialFunc opens a connection to one address.
 type DialFunc func(ctx context.Context) (net.Conn, error)
 
-// Get returns an idle connection that is still usable, or a new one. Its errors
-// wrap ErrNotSent.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	return p.get(ctx, address, false, func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, address) })
+// Get returns an idle connection that is still usable, or a new one, for a request with an ID. A connection
+// whose last request had the same ID is not used: a second copy of its response would be taken for the
+// response to this one. Its errors wrap ErrNotSent.
+func (p *Pool) Get(ctx context.Context, address, id string) (*Conn, error) {
+	return p.get(ctx, address, id, false, p.dialer(address))
 }
 
 // GetIndirect is Get, but opens a new connection with dial. Its errors wrap those of dial.
-func (p *Pool) GetIndirect(ctx context.Context, address string, dial DialFunc) (*Conn, error) {
-	return p.get(ctx, address, true, dial)
+func (p *Pool) GetIndirect(ctx context.Context, address, id string, dial DialFunc) (*Conn, error) {
+	return p.get(ctx, address, id, true, dial)
 }
 
-func (p *Pool) get(ctx context.Context, address string, indirect bool, dial DialFunc) (*Conn, error) {
-	for {
-		c := p.popIdle(address)
-		if c == nil {
-			return p.dial(ctx, address, indirect, dial)
-		}
+func (p *Pool) get(ctx context.Context, address, id string, indirect bool, dial DialFunc) (*Conn, error) {
+	c := p.takeIdle(address)
+	if c != nil && c.lastID == id {
+		c.Close()
+		c = nil
+	}
+	if c == nil {
+		return p.dial(ctx, address, indirect, dial)
+	}
+	return c, nil
+}
+
+// takeIdle returns an idle connection that is still usable, or nil.
+func (p *Pool) takeIdle(address string) *Conn {
+	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
 		if time.Now().Before(c.idleDeadline) && c.usable() {
 			c.Reused = true
-			return c, nil
+			return c
 		}
 		c.Close()
 	}
+	return nil
+}
+
+func (p *Pool) dialer(address string) DialFunc {
+	return func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, address) }
 }
 
 // DialTCP opens a TCP connection that notices within a few seconds that its peer is gone.
@@ -171,6 +187,7 @@
 // Request is an HTTP request. It is sent as given, with Host and Content-Length
 // added to the headers.
 type Request struct {
+	ID     string // tells it from others, for Pool.Get; not sent
 	Method string
 	Target string // path and query, sent unchanged
 	Host   string
@@ -181,6 +198,7 @@
 // Send writes a request. If it fails, part of the request may have been sent, unless
 // the error wraps ErrNotSent.
 func (c *Conn) Send(r Request) error {
+	c.lastID = r.ID
 	var b bytes.Buffer
 	b.Grow(1024)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -258,12 +276,15 @@
 	_ = c.conn.Close()
 }
 
-// Do sends a request and reads the complete response. A body of more than limit
-// bytes is an error.
+// Do sends a request and reads the complete response, which is matched to the request by its place on the
+// connection only. A body of more than limit bytes is an error.
 func (p *Pool) Do(ctx context.Context, address string, r Request, limit int64) (*http.Response, []byte, error) {
-	c, err := p.Get(ctx, address)
-	if err != nil {
-		return nil, nil, err
+	c := p.takeIdle(address)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, address, false, p.dialer(address)); err != nil {
+			return nil, nil, err
+		}
 	}
 	resp, body, err := c.roundTrip(ctx, r, limit)
 	if err != nil {
--- a/oleander/connection/rawhttp/rawhttp_test.go
+++ b/oleander/connection/rawhttp/rawhttp_test.go
@@ -283,3 +283,32 @@
 		t.Errorf("a server that is gone is noticed after %v", gone)
 	}
 }
+
+// Guards against a second copy of a request's response that counts as the response to the request sent again.
+func TestConnectionCarriesNoRequestTwice(t *testing.T) {
+	s := startServer(t, okResponse)
+	p := NewPool(time.Second, nil)
+	send := func(id string) (reused bool) {
+		c, err := p.Get(context.Background(), s.address, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, _, err := c.roundTrip(context.Background(), Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h"}, 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Release(resp)
+		return c.Reused
+	}
+	for i, r := range []struct {
+		id     string
+		reused bool
+	}{{"a", false}, {"a", false}, {"b", true}, {"a", true}, {"", true}, {"", false}, {"a", true}} {
+		if reused := send(r.id); reused != r.reused {
+			t.Errorf("request %d, %q: reused %v, want %v", i, r.id, reused, r.reused)
+		}
+	}
+	if n := p.Idle(); n != 1 {
+		t.Errorf("%d idle connections, want those that were passed over closed", n)
+	}
+}
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -87,7 +87,7 @@
 	x.beginRun(t)
 	x.timing.attemptSent()
 	err := c.Send(rawhttp.Request{
-		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		ID: x.call.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: g.dialect.ForwardHeaders(x.r.Header, ports.Attempt{
 			Account: x.accountName(), Server: t.id, Timeout: remaining, Priority: x.priority(), LastEventID: x.lastEventID,
 		}),
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -175,6 +175,7 @@
 // backend is a server with scripted responses.
 type backend struct {
 	id       string
+	address  string
 	handler  http.HandlerFunc
 	mu       sync.Mutex
 	received []*http.Request
@@ -260,12 +261,12 @@
 
 // softwareBackend starts a server with a version of its software.
 func (f *fixture) softwareBackend(id, group, software string, h http.HandlerFunc, models ...string) *backend {
-	b := &backend{id: id, handler: h}
 	l := testutil.Listen(f.t)
+	b := &backend{id: id, address: l.Addr().String(), handler: h}
 	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
 	f.t.Cleanup(func() { _ = server.Close() })
-	e := directory.Entry{ID: id, Address: l.Addr().String(), Zone: "z", Group: group, Software: software, Incarnation: 1, Slots: cmp.Or(f.slots, 4)}
+	e := directory.Entry{ID: id, Address: b.address, Zone: "z", Group: group, Software: software, Incarnation: 1, Slots: cmp.Or(f.slots, 4)}
 	for _, m := range models {
 		e.LoadedModels = append(e.LoadedModels, directory.LoadedModel{Model: m})
 	}
--- a/oleander/gateway/foreign_test.go
+++ b/oleander/gateway/foreign_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/gateway/ports"
 )
@@ -105,6 +106,117 @@
 	}
 }
 
+// rejectsFirst is a server that rejects each request once. It sends a second copy of the rejection before the answer to the next
+// request on the connection, which it runs.
+type rejectsFirst struct {
+	mu       sync.Mutex
+	id       string // requests for another server are rejected as misdirected
+	all      bool   // the others are rejected, too
+	rejected map[string]bool
+	runs     map[string]int
+}
+
+func newRejectsFirst(id string, all bool) *rejectsFirst {
+	return &rejectsFirst{id: id, all: all, rejected: make(map[string]bool), runs: make(map[string]int)}
+}
+
+// rejection returns the rejection of a request, or "" if it runs. again reports whether it comes on a connection on which an
+// earlier one was rejected.
+func (s *rejectsFirst) rejection(r *http.Request, again bool) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, status := r.Header.Get(testID), 0
+	switch {
+	case r.Header.Get(testServer) != s.id:
+		status = http.StatusMisdirectedRequest
+	case s.all && !again && !s.rejected[id]:
+		status = http.StatusServiceUnavailable
+	default:
+		s.runs[id]++
+		return ""
+	}
+	s.rejected[id] = true
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), testID, id, testServer, s.id, testNotRun)
+}
+
+func (s *rejectsFirst) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, b, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	earlier := ""
+	for {
+		own := s.rejection(r, earlier != "")
+		_, _ = io.WriteString(c, earlier)
+		if own == "" {
+			break
+		}
+		_, _ = io.WriteString(c, own)
+		earlier = own
+		if r, err = http.ReadRequest(b.Reader); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	time.Sleep(20 * time.Millisecond)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", testID, r.Header.Get(testID), testSigned)
+}
+
+// Guards against an order that runs twice, or ran and is refused, since a second copy of its own rejection is believed where it was
+// sent again: to the same server, or to the one that has the address of a server that is gone.
+func TestSecondCopyOfOwnRejectionIsNotBelieved(t *testing.T) {
+	const requests = 20
+	for name, tc := range map[string]struct {
+		servers int
+		gone    int // entries of servers that are gone name the address of the last one
+		all     bool
+	}{
+		"one server":                    {1, 0, true},
+		"three servers":                 {3, 0, true},
+		"address of servers gone":       {1, 6, false},
+		"address of servers gone, full": {1, 6, true},
+		"address of one of three":       {3, 6, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, config(1))
+			var servers []*rejectsFirst
+			address := ""
+			for i := range tc.servers {
+				s := newRejectsFirst(fmt.Sprint("s", i), tc.all)
+				b := f.backend(s.id, "plain", s.ServeHTTP)
+				servers = append(servers, s)
+				address = b.address
+			}
+			for n := range tc.gone {
+				f.store.PutServer(directory.Entry{ID: fmt.Sprint("gone", n), Address: address, Zone: "z", Group: "plain", Incarnation: 1, Slots: 4})
+			}
+			url := f.start()
+			var callers sync.WaitGroup
+			status := make([]int, requests)
+			for n := range requests {
+				callers.Go(func() { status[n] = f.ask(http.MethodPost, url+"/order/x", testID, fmt.Sprint("r", n)).status })
+				if n%2 == 1 {
+					callers.Wait()
+				}
+			}
+			callers.Wait()
+			for n := range requests {
+				id, runs := fmt.Sprint("r", n), 0
+				for _, s := range servers {
+					runs += s.runs[id]
+				}
+				if runs > 1 {
+					t.Errorf("%s ran %d times", id, runs)
+				}
+				if runs > 0 && status[n] == http.StatusServiceUnavailable {
+					t.Errorf("%s was refused and ran", id)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkMatchResponse(b *testing.B) {
 	x := &exchange{call: ports.Call{ID: "9c41d07be2a35f68"}}
 	c := &rawhttp.Conn{Reused: true}
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -51,7 +51,7 @@
 	g := x.g
 	if !g.links.cut() {
 		g.links.sent(boottime.Now())
-		c, err = g.pool.Get(ctx, t.address)
+		c, err = g.pool.Get(ctx, t.address, x.call.ID)
 		if err == nil {
 			return c, false, nil
 		}
@@ -59,7 +59,7 @@
 	if ctx.Err() != nil || boottime.Until(x.deadline) < minRelayTime {
 		return nil, false, errors.Wrap(rawhttp.ErrNotSent, "no time to connect")
 	}
-	c, relayErr := g.connectThroughRelay(ctx, t)
+	c, relayErr := g.connectThroughRelay(ctx, t, x.call.ID)
 	if relayErr == nil {
 		return c, false, nil
 	}
@@ -67,10 +67,10 @@
 	return nil, g.links.sound(boottime.Now()), relayErr
 }
 
-// connectThroughRelay connects to a server through one of the other instances. One that does
+// connectThroughRelay connects to a server through one of the other instances, for a request with an ID. One that does
 // not reach the server may be cut off without knowing it yet, so others are asked, too, as
 // long as that is quick.
-func (g *Gateway) connectThroughRelay(ctx context.Context, t target) (*rawhttp.Conn, error) {
+func (g *Gateway) connectThroughRelay(ctx context.Context, t target, id string) (*rawhttp.Conn, error) {
 	began := boottime.Now()
 	tried := make(map[string]bool)
 	for range maxRelays {
@@ -79,7 +79,7 @@
 			break
 		}
 		tried[name] = true
-		c, err := g.pool.GetIndirect(ctx, t.address, func(ctx context.Context) (net.Conn, error) { return dialRelay(ctx, address, t.id) })
+		c, err := g.pool.GetIndirect(ctx, t.address, id, func(ctx context.Context) (net.Conn, error) { return dialRelay(ctx, address, t.id) })
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
