Own interface: each call to a backend server has a connection of its own

What callers saw: the answer to another caller's call, complete and with status 200, after a late second copy of an earlier answer came where theirs was expected. Cause: calls that may be repeated, streams and status queries went over pooled connections of net/http. It closes an idle connection on which bytes arrive, but takes bytes that arrive after the next request was sent for the response; servers echo no ID of a call. Change: no connection carries a second call, as it was for calls that run once. TestNonIdempotentRequestIsSentOnce expected that net/http sends a repeatable call twice, as the reason for the two transports; it now expects one send of both (TestRequestIsSentOnce).

--- a/oleander/connection/upstream/upstream.go
+++ b/oleander/connection/upstream/upstream.go
@@ -26,8 +26,6 @@
 const (
 	dialTimeout    = time.Second
 	probeTimeout   = 500 * time.Millisecond
-	idlePerServer  = 64
-	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -45,48 +43,31 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Client sends requests to backend servers.
-type Client struct {
-	pooled   *http.Transport // for calls that may be retried
-	unpooled *http.Transport // for non-idempotent calls: a new connection for each
-}
+// Client sends requests to backend servers, each on a connection of its own. Servers echo nothing that
+// tells which request a response belongs to, so a late second copy of an earlier response would be taken
+// for the next one on a connection, and a caller would get another caller's answer. net/http would
+// also retry a request by itself when a reused connection fails and the request looks idempotent, as any
+// POST with an Idempotency-Key header does.
+type Client struct{ transport *http.Transport }
 
 // New returns a Client.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
 	// ResponseHeaderTimeout stays unset: a cold engine may need long, and the
 	// deadline of the call limits the wait.
-	pooled := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true,
-	}
-	// net/http retries a request by itself when a reused connection fails and
-	// the request looks idempotent, as any POST with an Idempotency-Key header
-	// does. The server may have run the request before the connection failed,
-	// and would run it twice. A new connection for each request prevents this:
-	// net/http does not retry on a connection that it has just opened.
-	unpooled := &http.Transport{
+	return &Client{transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true,
 		MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true,
-	}
-	return &Client{pooled: pooled, unpooled: unpooled}
+	}}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.unpooled.CloseIdleConnections()
-}
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Do sends r. If once is set, net/http does not retry it either. Status 503 is
-// returned as an *Error, and so is any other status of 500 or more unless once is
-// set. The caller must close the body of all other responses.
+// Do sends r. Status 503 is returned as an *Error, and so is any other status of 500 or more unless
+// once, that r must not be sent again, is set. The caller must close the body of all other responses.
 func (c *Client) Do(r *http.Request, once bool) (*http.Response, error) {
-	t := c.pooled
-	if once {
-		t = c.unpooled
-	}
-	resp, err := t.RoundTrip(r)
+	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		return nil, c.classifyTransportError(r, err)
 	}
@@ -130,8 +111,8 @@
 
 const drainLimit = 64 << 10
 
-// drain reads up to drainLimit bytes of b, so that the connection can be reused, and
-// closes it.
+// drain reads up to drainLimit bytes of b, so that the server is not cut off in the middle of a short
+// response, and closes it.
 func drain(b io.ReadCloser) {
 	_, _ = io.CopyN(io.Discard, b, drainLimit)
 	_ = b.Close()
--- a/oleander/connection/upstream/upstream_test.go
+++ b/oleander/connection/upstream/upstream_test.go
@@ -23,11 +23,11 @@
 	return r
 }
 
-// TestNonIdempotentRequestIsSentOnce: a server runs a request and closes the
-// connection without a response. On a reused connection net/http would retry it,
-// since an Idempotency-Key header makes it look idempotent, and the server would
-// run it twice. With once set it must be sent once and reported as broken.
-func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
+// TestRequestIsSentOnce: a server runs a request and closes the connection without a
+// response. On a reused connection net/http would retry it, since an Idempotency-Key
+// header makes it look idempotent, and the server would run it twice. It must be sent
+// once and reported as broken.
+func TestRequestIsSentOnce(t *testing.T) {
 	var runs atomic.Int64
 	dropConnection := atomic.Bool{}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -54,13 +54,8 @@
 		if !errors.As(err, &e) || e.Result != event.AttemptBroken {
 			t.Errorf("once %v: %v", once, err)
 		}
-		switch n := runs.Load(); {
-		case once && n != 1:
-			t.Errorf("the request ran %d times", n)
-		case !once && n != 2:
-			// net/http no longer retries; a new connection for each request may
-			// be unnecessary.
-			t.Errorf("net/http sent a retryable request %d times, want 2: is a new connection for each request still needed?", n)
+		if n := runs.Load(); n != 1 {
+			t.Errorf("once %v: the request ran %d times", once, n)
 		}
 	}
 }
@@ -154,3 +149,23 @@
 		t.Errorf("a line over maxLineBytes: %v", err)
 	}
 }
+
+func BenchmarkDo(b *testing.B) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }))
+	defer s.Close()
+	c := New()
+	defer c.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, s.URL, strings.NewReader("{}"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		resp, err := c.Do(r, false)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
