Own interface: each report of an engine is read on a connection of its own

What operators saw: an engine's state as it was before, or that of an earlier start of it. Change: one client for both, which reuses none.

--- a/oleander/clients/engine/engine.go
+++ b/oleander/clients/engine/engine.go
@@ -69,21 +69,19 @@
 // concurrent use.
 type Client struct {
 	settings Settings
-	reports  *http.Client
-	orders   *http.Client
+	http     *http.Client
 }
 
-// New returns a client. Requests for reports reuse connections. Each order opens
-// a new connection, because an order sent on an idle connection that the server
-// has just closed would end as event.OrderUnknown.
+// New returns a client. Each call opens a new connection: a late second copy of an earlier response would
+// be taken for the next one on a connection, and an order sent on an idle connection that the server has
+// just closed would end as event.OrderUnknown.
 func New(s Settings) *Client {
 	if s.Timeout == 0 {
 		s.Timeout = DefaultTimeout
 	}
 	return &Client{
 		settings: s,
-		reports:  wire.NewClient(wire.Options{MaxBodySize: MaxReportSize}),
-		orders:   wire.NewClient(wire.Options{MaxBodySize: MaxReportSize, DisableKeepAlives: true}),
+		http:     wire.NewClient(wire.Options{MaxBodySize: MaxReportSize, DisableKeepAlives: true}),
 	}
 }
 
@@ -92,7 +90,7 @@
 func (c *Client) FetchReport(ctx context.Context, addr string) (message.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
-	body, err := wire.GetJSON(ctx, c.reports, "http://"+addr+ReportPath)
+	body, err := wire.GetJSON(ctx, c.http, "http://"+addr+ReportPath)
 	if err != nil {
 		return message.Report{}, convertError(err)
 	}
@@ -155,7 +153,7 @@
 		return event.OrderUnknown, errors.Wrap(err, "create order request")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.orders.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return event.OrderUnknown, errors.Wrap(ErrUnavailable, err.Error())
 	}
--- a/oleander/clients/engine/engine_test.go
+++ b/oleander/clients/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -177,3 +178,16 @@
 		t.Errorf("order: %v", got)
 	}
 }
+
+// Guards against a report that is an earlier one, since a second copy of it is believed.
+func TestSecondCopyIsNoReport(t *testing.T) {
+	var boots atomic.Int64
+	addr := testutil.ServeCopies(t, func(*http.Request) string { return fmt.Sprintf(`{"boot":"b%d"}`, boots.Add(1)) })
+	c := engine.New(engine.Settings{Timeout: time.Second})
+	for n := 1; n <= 4; n++ {
+		r, err := c.FetchReport(t.Context(), addr)
+		if err != nil || string(r.BootID) != fmt.Sprint("b", n) {
+			t.Errorf("report %d: of start %q, %v", n, r.BootID, err)
+		}
+	}
+}
