--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,6 +218,7 @@
 	zones     []string          // of the gateways in order; further ones are in zone z
 	memory    int64             // bound of each gateway; 0: none
 	slots     int               // of each server; 0: 4
+	asked     atomic.Int64      // requests of callers
 
 	loadScheduling Switch
 }
@@ -359,7 +361,7 @@
 	err    error // from reading the body
 }
 
-// ask sends a request as a caller.
+// ask sends a request as a caller. Its ID is r1, r2 and so on.
 func (f *fixture) ask(method, url string, header ...string) answer {
 	f.t.Helper()
 	return f.askCtx(context.Background(), method, url, header...)
@@ -375,7 +377,7 @@
 		return answer{err: err}
 	}
 	r.Host = testHost
-	r.Header.Set(testID, "r1")
+	r.Header.Set(testID, fmt.Sprint("r", f.asked.Add(1)))
 	r.Header.Set(testKey, "secret")
 	for pair := range slices.Chunk(header, 2) {
 		r.Header.Set(pair[0], pair[1])
--- a/oleander/gateway/foreign_test.go
+++ b/oleander/gateway/foreign_test.go
@@ -4,13 +4,18 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/dispatch"
+	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/gateway/ports"
+	"oleanderdale.org/oleander/process/boottime"
 )
 
 // secondCopies is a server that answers the first request on a connection, and sends a second copy of that answer where the
@@ -106,6 +111,115 @@
 	}
 }
 
+// streamCopies is a model server that sends a second copy of the earlier stream on a connection before the next one.
+type streamCopies struct {
+	mu     sync.Mutex
+	runs   map[string]int
+	copies int
+}
+
+// testStreamEvents is the number of events of a stream of streamCopies.
+const testStreamEvents = 3
+
+// ownEvents returns the events of a request's stream after the last one that its caller has.
+func ownEvents(id string, last int) string {
+	var b strings.Builder
+	for i := last + 1; i <= testStreamEvents; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, id)
+	}
+	return b.String()
+}
+
+func (s *streamCopies) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, b, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	for earlier := ""; ; {
+		id := r.Header.Get(testID)
+		last, _ := strconv.Atoi(r.Header.Get(testLast))
+		s.mu.Lock()
+		s.runs[id]++
+		if earlier != "" {
+			s.copies++
+		}
+		s.mu.Unlock()
+		body := ownEvents(id, last)
+		own := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", testID, id, testSigned, len(body), body)
+		_, _ = io.WriteString(c, earlier+own)
+		earlier = own
+		if r, err = http.ReadRequest(b.Reader); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
+// Guards against events of another caller's stream, and against a stream that runs twice, since a second copy of an earlier one is
+// believed.
+func TestSecondCopyOfAStreamIsNotTheNextStream(t *testing.T) {
+	const requests = 20
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, config(1))
+			s := &streamCopies{runs: make(map[string]int)}
+			for i := range 2 {
+				f.backend(fmt.Sprint("s", i), "llm", s.ServeHTTP, "warm")
+			}
+			url := f.start()
+			for n := range requests {
+				id := fmt.Sprint("r", n)
+				got := f.ask(http.MethodPost, url+path, testID, id, testModel, "warm")
+				switch {
+				case got.status == http.StatusOK && got.body != ownEvents(id, 0):
+					t.Errorf("%s: body %q", id, got.body)
+				case got.status == http.StatusServiceUnavailable && s.runs[id] > 0:
+					t.Errorf("%s was refused and ran", id)
+				case path == "/stream/x" && s.runs[id] > 1:
+					t.Errorf("%s ran %d times", id, s.runs[id])
+				}
+			}
+			if s.copies == 0 {
+				t.Error("no connection was used again, so the test proves nothing")
+			}
+		})
+	}
+}
+
+// Guards against a result that belongs to another order, or a server that counts as granted twice, since an instance's reply came
+// twice, or comes for an earlier start of this instance.
+func TestSecondCopyIsNoReplyOfAnotherInstance(t *testing.T) {
+	_, g := single(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := make(chan placer.OrderResult, 1)
+	g.forwardedOrders.open[2] = next
+	for _, m := range []orderResultMsg{
+		{Incarnation: g.incarnation, Number: 1, Result: placer.Accepted},
+		{Incarnation: g.incarnation - 1, Number: 2, Result: placer.Accepted},
+	} {
+		g.handleOrderResult(&m)
+	}
+	if len(next) != 0 {
+		t.Errorf("order 2 has result %v, which is not its own", <-next)
+	}
+	now := boottime.Now()
+	q := &pendingQuery{replies: make(chan dispatchReply, maxBufferedReplies)}
+	number := g.dispatchClient.BeginQuery()
+	g.pendingQueries[number] = q
+	before := g.servers.Get("a").Running()
+	grant := dispatch.Reply{Incarnation: g.incarnation, Number: number, Decision: dispatch.Granted, Choice: directory.Choice{Server: g.servers.Get("a")}}
+	earlier := grant
+	earlier.Incarnation--
+	for _, r := range []dispatch.Reply{earlier, grant, grant} {
+		g.handleChoiceMsg(now, g.encodeChoice(now, r), g.encodeChoiceDetail(now, r))
+	}
+	if n := g.servers.Get("a").Running() - before; n != 1 || len(q.replies) != 1 {
+		t.Errorf("one grant counts as %d, with %d replies", n, len(q.replies))
+	}
+}
+
 // rejectsFirst is a server that rejects each request once. It sends a second copy of the rejection before the answer to the next
 // request on the connection, which it runs.
 type rejectsFirst struct {
--- a/oleander/gateway/logs_test.go
+++ b/oleander/gateway/logs_test.go
@@ -89,7 +89,7 @@
 			f.backend("a", "plain", tc.handler)
 			url := f.start()
 			f.ask(http.MethodPost, url+"/order/", testID, "r0")
-			f.ask(http.MethodPost, url+"/order/")
+			f.ask(http.MethodPost, url+"/order/", testID, "r1")
 			testutil.WaitFor(t, func() bool { return strings.Contains(f.explain("r1"), "request ended") })
 			explanation := f.explain("r1")
 			for _, want := range tc.want {
