--- a/core/gateway/placer/placer_test.go
+++ b/core/gateway/placer/placer_test.go
@@ -290,6 +290,23 @@
 	}
 }
 
+// firstOrder returns the first order for a demand, or none if there is none within ten seconds. It is not sent.
+func (sim *simulation) firstOrder(key Key) Order {
+	start := sim.now
+	for sim.now.Sub(start) < 10*time.Second {
+		sim.now = sim.now.Add(testTick)
+		sim.placer.SetDemand(map[Key]Demand{key: {Requests: 1, Since: start}})
+		sim.placer.Sync(sim.now, sim.dir.InGroup(group), sim.groups)
+		for _, id := range sim.placer.DueQueries(sim.now) {
+			sim.placer.HandleReport(sim.now, id, 1, sim.now, Report{LoadedModels: sim.engines[id].loadedModels()})
+		}
+		if orders := sim.placer.Plan(sim.now); len(orders) > 0 {
+			return orders[0]
+		}
+	}
+	return Order{}
+}
+
 // restart restarts an engine under the same id; only the copies on its disk remain.
 func (sim *simulation) restart(e *fakeEngine) {
 	e.incarnation++
--- a/core/gateway/placer/software_test.go
+++ b/core/gateway/placer/software_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"oleanderdale.org/core/gateway/origin"
 )
@@ -24,20 +23,7 @@
 		sim.dir.Put(sim.now, entry)
 	}
 	key := Key{Group: group, Model: model(0), Origin: origin.At("v1")}
-	start := sim.now
-	for sim.now.Sub(start) < 10*time.Second {
-		sim.now = sim.now.Add(testTick)
-		sim.placer.SetDemand(map[Key]Demand{key: {Requests: 1, Since: start}})
-		sim.placer.Sync(sim.now, sim.dir.InGroup(group), sim.groups)
-		for _, id := range sim.placer.DueQueries(sim.now) {
-			sim.placer.HandleReport(sim.now, id, 1, sim.now, Report{LoadedModels: sim.engines[id].loadedModels()})
-		}
-		for _, o := range sim.placer.Plan(sim.now) {
-			if software[o.Server] != "v1" || o.Model != model(0) {
-				t.Fatalf("order %+v to an engine of %s", o, software[o.Server])
-			}
-			return
-		}
+	if o := sim.firstOrder(key); software[o.Server] != "v1" || o.Model != model(0) {
+		t.Errorf("order %+v to an engine of %q", o, software[o.Server])
 	}
-	t.Error("no order within ten seconds")
 }
