Suspects: only the instance that observed a run or a trial tells it on

Callers' requests with a part that ran well before ended one server after the other. Cause: reportShared told the last good run on that others had seen, as an age; the receiver counts it back from the receipt, so it is younger by the delay of a message, and keeps the latest. The last good run so wandered forward over all crashes, which count only after it. The same held for the trials of parts, the trials and completed runs of requests, and completed runs before the crashes, and for what two zones' writers read and write again in the store.

Each of these now has a time that this instance observed, and only that is told; the store keeps all, but marks what its writer had read there itself, which counts only for a process that knows nothing. Who observed it is one message away, so the error is the delay of one message and does not grow.

--- a/core/gateway/poison/kept.go
+++ b/core/gateway/poison/kept.go
@@ -38,7 +38,7 @@
 	}
 	var r Report
 	for _, digest := range d.mostSuspicious(now, suspects) {
-		report := d.reportOf(now, digest)
+		report := d.reportOf(now, digest, true)
 		report.Completions = d.suspects[digest].allCompletions()
 		r.Suspects = append(r.Suspects, report)
 	}
@@ -82,7 +82,7 @@
 			reported.Runs = append(reported.Runs, run.report(now))
 			for _, shared := range run.Shared {
 				known := l.implicated[shared]
-				survivals[shared] = known != nil && known.survivedAt != 0
+				survivals[shared] = known != nil && known.survived.at != 0
 			}
 		}
 		maxRuns -= len(reported.Runs)
@@ -91,7 +91,7 @@
 		}
 	}
 	slices.SortStableFunc(r.Crashes, func(a, b CrashReport) int { return cmp.Compare(b.Age, a.Age) })
-	r.Survivals, r.SharedTrials = l.reportSurvivals(now, survivals), d.SharedTrials(now)
+	r.Survivals, r.SharedTrials = l.reportSurvivals(now, survivals, true), l.reportTrials(now, true)
 	for server, at := range l.upAt {
 		r.Up = append(r.Up, ServerAge{server, now.Sub(at)})
 	}
@@ -128,7 +128,8 @@
 		aged.Crashes = append(aged.Crashes, CrashReport{Server: c.Server, Age: c.Age + by, Silent: c.Silent, Runs: runs})
 	}
 	for _, s := range r.Survivals {
-		aged.Survivals = append(aged.Survivals, DigestAge{s.Digest, s.Age + by})
+		s.Age += by
+		aged.Survivals = append(aged.Survivals, s)
 	}
 	for _, t := range r.SharedTrials {
 		t.Age += by
--- a/core/gateway/poison/openrun.go
+++ b/core/gateway/poison/openrun.go
@@ -315,7 +315,7 @@
 	for _, digest := range o.Digests {
 		s := d.getOrCreate(now, digest)
 		s.changedAt = now
-		if s.completedBefore >= at.at { // it completed elsewhere since
+		if s.completedBefore.at >= at.at { // it completed elsewhere since
 			s.completions++
 		}
 		d.addCrash(s, at)
--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -80,16 +80,15 @@
 
 type suspect struct {
 	crashes []crash // ascending by time
-	// completedBefore is the last completed run known before the crashes that count, 0 if
-	// none. completions and peerCompletions count the runs since, at this instance and at
+	// completedBefore is the last completed run known before the crashes that count. completions and peerCompletions count the runs since, at this instance and at
 	// the others.
-	completedBefore clock.Time
+	completedBefore lastSeen
 	completions     int
 	peerCompletions map[string]int
 	keptCompletions int        // at all instances, as the store says
-	completedAt     clock.Time // last completed run known at any instance; 0: none
+	completed       lastSeen   // last completed run
 	changedAt       clock.Time // last observation at this instance; 0: none
-	trialAt         clock.Time // start of the last trial at any instance; 0: none
+	trial           lastSeen   // start of the last trial
 	trials          int        // since the request is refused
 }
 
@@ -152,7 +151,7 @@
 // whether the other instances should be told at once: they may refuse the request.
 func (d *Detector) RecordCompletion(now clock.Time, digests []Digest) (urgent bool) {
 	for _, digest := range digests {
-		d.completed.add(now, digest)
+		d.completed.observe(now, digest)
 		if d.clear(now, digest) {
 			urgent = true
 		}
@@ -175,7 +174,7 @@
 		s.changedAt = now
 	}
 	s.completions++
-	s.completedAt = now
+	s.completed.observe(now)
 	s.endTrials(now)
 	return refused
 }
@@ -183,7 +182,7 @@
 // endTrials forgets the trials of a request that is no longer refused.
 func (s *suspect) endTrials(now clock.Time) {
 	if !s.refused(now) {
-		s.trials, s.trialAt = 0, 0
+		s.trials, s.trial = 0, lastSeen{}
 	}
 }
 
@@ -280,7 +279,8 @@
 func (d *Detector) BeginTrial(now clock.Time, digests []Digest) {
 	for _, digest := range digests {
 		if s, ok := d.suspects[digest]; ok && s.refused(now) {
-			s.trialAt, s.changedAt = now, now
+			s.trial.observe(now)
+			s.changedAt = now
 			s.trials++
 			d.changes.Urgent++
 		}
@@ -365,10 +365,10 @@
 		return false
 	}
 	crashes := len(s.recent())
-	if crashes >= poisonThreshold && crashes > s.allCompletions() && !protects(s.completedBefore, now) {
+	if crashes >= poisonThreshold && crashes > s.allCompletions() && !protects(s.completedBefore.at, now) {
 		return true
 	}
-	return len(crashesAfter(episode, s.completedAt)) >= poisonThreshold && !protects(s.completedAt, now)
+	return len(crashesAfter(episode, s.completed.at)) >= poisonThreshold && !protects(s.completed.at, now)
 }
 
 // protects reports whether a completed run was so recent that the request counts as sound.
@@ -378,7 +378,7 @@
 
 func (s *suspect) expired(now clock.Time) bool {
 	if len(s.episode()) >= poisonThreshold {
-		return now.Sub(max(s.lastCrash(), s.trialAt)) > refusalMemory
+		return now.Sub(max(s.lastCrash(), s.trial.at)) > refusalMemory
 	}
 	return now.Sub(max(s.lastCrash(), s.changedAt)) > crashWindow
 }
@@ -387,11 +387,11 @@
 // crashes may at once if it completed since the last of them, too: it is sound, most likely.
 // A request that servers survive only now and then must not have more trials for that.
 func (s *suspect) nextTrial() clock.Time {
-	last := max(s.lastCrash(), s.trialAt)
+	last := max(s.lastCrash(), s.trial.at)
 	delay := trialDelay
 	if s.ranBeforeCrashes() {
-		if s.completedAt > last {
-			return s.completedAt
+		if s.completed.at > last {
+			return s.completed.at
 		}
 		delay = soundTrialDelay
 	}
@@ -403,8 +403,8 @@
 
 // ranBeforeCrashes reports whether a run completed shortly before the crashes.
 func (s *suspect) ranBeforeCrashes() bool {
-	before := s.episode()[0].at.Sub(s.completedBefore)
-	return s.completedBefore != 0 && before >= 0 && before <= soundMemory
+	before := s.episode()[0].at.Sub(s.completedBefore.at)
+	return s.completedBefore.at != 0 && before >= 0 && before <= soundMemory
 }
 
 // addCrash adds a crash unless it is known or was none. It reports whether it was added.
@@ -421,7 +421,7 @@
 		}
 	}
 	if c.at.Sub(s.lastCrash()) > crashWindow {
-		s.completedBefore, s.completions, s.peerCompletions, s.keptCompletions = s.completedAt, 0, nil, 0
+		s.completedBefore, s.completions, s.peerCompletions, s.keptCompletions = s.completed, 0, nil, 0
 	}
 	s.crashes = append(s.crashes, c)
 	s.sortCrashes()
@@ -446,8 +446,8 @@
 	s, ok := d.suspects[digest]
 	if !ok {
 		d.makeRoom(now)
-		s = &suspect{completedAt: d.completed.last(digest)}
-		s.completedBefore = s.completedAt
+		s = &suspect{completed: d.completed.get(digest)}
+		s.completedBefore = s.completed
 		d.suspects[digest] = s
 	}
 	return s
--- a/core/gateway/poison/probe.go
+++ b/core/gateway/poison/probe.go
@@ -28,7 +28,7 @@
 		return 0, false
 	}
 	last := s.lastCrash()
-	if s.completedAt > last || protects(s.completedAt, now) || d.unexplained(now, s) == 0 {
+	if s.completed.at > last || protects(s.completed.at, now) || d.unexplained(now, s) == 0 {
 		return 0, false
 	}
 	return last, true
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -52,6 +52,8 @@
 	// RanBefore: a run completed before the crashes, RanBeforeAge ago.
 	RanBefore    bool
 	RanBeforeAge time.Duration
+	// CompletedAgain, TrialAgain and RanBeforeAgain are set in what the store keeps if its writer had read it there.
+	CompletedAgain, TrialAgain, RanBeforeAgain bool
 }
 
 // Report returns what this instance observed lately and, from time to time, all refused
@@ -76,7 +78,7 @@
 	})
 	var r Report
 	for _, digest := range digests[:min(len(digests), maxReportedSuspects)] {
-		r.Suspects = append(r.Suspects, d.reportOf(now, digest))
+		r.Suspects = append(r.Suspects, d.reportOf(now, digest, false))
 	}
 	r.Alive = d.reportAlive(now)
 	d.reportShared(now, &r, all)
@@ -103,12 +105,14 @@
 func (d *Detector) ReportOf(now clock.Time, digests []Digest) []SuspectReport {
 	var reports []SuspectReport
 	for _, digest := range digests {
-		reports = append(reports, d.reportOf(now, digest))
+		reports = append(reports, d.reportOf(now, digest, false))
 	}
 	return reports
 }
 
-func (d *Detector) reportOf(now clock.Time, digest Digest) SuspectReport {
+// reportOf returns the crashes of a suspect, and what this instance observed of it or, to keep it in
+// the store, all that is known.
+func (d *Detector) reportOf(now clock.Time, digest Digest, keep bool) SuspectReport {
 	r := SuspectReport{Digest: digest}
 	s, ok := d.suspects[digest]
 	if !ok {
@@ -118,14 +122,14 @@
 	for _, c := range s.episode() {
 		r.Crashes = append(r.Crashes, ServerAge{c.server, now.Sub(c.at)})
 	}
-	if s.completedAt != 0 {
-		r.Completed, r.CompletedAge = true, now.Sub(s.completedAt)
+	if at, again := s.completed.toTell(keep); at != 0 {
+		r.Completed, r.CompletedAge, r.CompletedAgain = true, now.Sub(at), again
 	}
-	if s.trials > 0 {
-		r.Trials, r.TrialAge = s.trials, now.Sub(s.trialAt)
+	if at, again := s.trial.toTell(keep); at != 0 {
+		r.Trials, r.TrialAge, r.TrialAgain = s.trials, now.Sub(at), again
 	}
-	if s.completedBefore != 0 {
-		r.RanBefore, r.RanBeforeAge = true, now.Sub(s.completedBefore)
+	if at, again := s.completedBefore.toTell(keep); at != 0 {
+		r.RanBefore, r.RanBeforeAge, r.RanBeforeAgain = true, now.Sub(at), again
 	}
 	return r
 }
@@ -138,7 +142,7 @@
 	for _, reported := range r.Suspects {
 		d.mergeSuspect(now, peer, reported)
 	}
-	d.mergeShared(now, r)
+	d.mergeShared(now, r, peer == fromStore)
 	d.mergeEnds(now, r)
 }
 
@@ -159,18 +163,19 @@
 		}
 		s.peerCompletions[peer] = r.Completions
 	}
-	if at := now.Add(-r.RanBeforeAge); r.RanBefore && at > s.completedBefore && len(s.crashes) > 0 && at <= s.crashes[0].at {
-		s.completedBefore = at
+	stored := peer == fromStore
+	if at := now.Add(-r.RanBeforeAge); r.RanBefore && len(s.crashes) > 0 && at <= s.crashes[0].at {
+		s.completedBefore.merge(at, stored, r.RanBeforeAgain)
 	}
-	if at := now.Add(-r.CompletedAge); r.Completed && at > s.completedAt {
-		s.completedAt = at
+	if r.Completed {
+		s.completed.merge(now.Add(-r.CompletedAge), stored, r.CompletedAgain)
 	}
 	s.endTrials(now)
-	if at := now.Add(-r.TrialAge); r.Trials > 0 && at > s.trialAt && s.refused(now) {
+	if r.Trials > 0 && s.refused(now) && s.trial.merge(now.Add(-r.TrialAge), stored, r.TrialAgain) {
 		if r.Trials > s.trials {
 			d.changes.Urgent++
 		}
-		s.trials, s.trialAt = max(s.trials, r.Trials), at
+		s.trials = max(s.trials, r.Trials)
 	}
 }
 
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -93,9 +93,9 @@
 
 // implication is what is known of something that a run shared that met a crash.
 type implication struct {
-	crashedAt  clock.Time
-	survivedAt clock.Time // last run with it that a server survived, at any instance; 0: none known
-	changedAt  clock.Time // last crash, or first survival after it, since when that is told; 0: nothing to tell
+	crashedAt clock.Time
+	survived  lastSeen   // last run with it that a server survived
+	changedAt clock.Time // last crash, or first survival after it, since when that is told; 0: nothing to tell
 }
 
 type unconfirmedEnd struct {
@@ -315,11 +315,11 @@
 func (l *sharedCrashes) implicate(shared Digest, at clock.Time) {
 	known := l.implicated[shared]
 	if known == nil {
-		known = &implication{survivedAt: l.survived.last(shared)}
+		known = &implication{survived: l.survived.get(shared)}
 		l.implicated[shared] = known
 	}
 	known.crashedAt = max(known.crashedAt, at)
-	if known.survivedAt != 0 {
+	if known.survived.own != 0 {
 		known.changedAt = max(known.changedAt, at)
 	}
 }
@@ -329,16 +329,16 @@
 func (d *Detector) RecordSurvival(now clock.Time, shared []Digest) {
 	l := d.shared
 	for _, s := range shared {
-		l.survived.add(now, s)
+		l.survived.observe(now, s)
 		known := l.implicated[s]
 		if known == nil {
 			continue
 		}
-		if known.survivedAt <= known.crashedAt { // later ones tell nothing new
+		if known.survived.at <= known.crashedAt { // later ones tell nothing new
 			known.changedAt, l.outdated = now, true
 			d.changes.Minor++
 		}
-		known.survivedAt = now
+		known.survived.observe(now)
 	}
 }
 
@@ -364,7 +364,7 @@
 		l.forgetImplications()
 	}
 	for digest, t := range l.trials {
-		if now.Sub(t.at) > refusalMemory {
+		if now.Sub(t.begun.at) > refusalMemory {
 			delete(l.trials, digest)
 		}
 	}
--- a/core/gateway/poison/sharedreport.go
+++ b/core/gateway/poison/sharedreport.go
@@ -38,6 +38,7 @@
 type DigestAge struct {
 	Digest Digest
 	Age    time.Duration
+	Again  bool // in what the store keeps: its writer had read it there
 }
 
 // TrialReport is the last trial of something that is blamed.
@@ -45,6 +46,7 @@
 	Digest Digest
 	Trials int
 	Age    time.Duration
+	Again  bool // as in DigestAge
 }
 
 // UntoldCrashes returns the crashes with the runs of this instance that were not told yet.
@@ -109,15 +111,22 @@
 	if all {
 		l.reportVerdicts(d, now, r, survivals)
 	}
-	r.Survivals = l.reportSurvivals(now, survivals)
+	r.Survivals = l.reportSurvivals(now, survivals, false)
 	r.SharedTrials = d.SharedTrials(now)
 }
 
-// SharedTrials returns the trials of what is blamed.
+// SharedTrials returns the trials of what is blamed that this instance began.
 func (d *Detector) SharedTrials(now clock.Time) []TrialReport {
+	return d.shared.reportTrials(now, false)
+}
+
+// reportTrials returns the trials that this instance began or, to keep them in the store, all.
+func (l *sharedCrashes) reportTrials(now clock.Time, keep bool) []TrialReport {
 	var trials []TrialReport
-	for digest, t := range d.shared.trials {
-		trials = append(trials, TrialReport{digest, t.count, now.Sub(t.at)})
+	for digest, t := range l.trials {
+		if at, again := t.begun.toTell(keep); at != 0 {
+			trials = append(trials, TrialReport{Digest: digest, Trials: t.count, Age: now.Sub(at), Again: again})
+		}
 	}
 	slices.SortFunc(trials, func(a, b TrialReport) int { return cmp.Compare(a.Digest, b.Digest) })
 	return trials
@@ -134,26 +143,30 @@
 			i := slices.IndexFunc(c.runs, func(r crashRun) bool { return r.hasAll(v.blamed) })
 			r.Crashes = append(r.Crashes, CrashReport{Server: c.server, Age: now.Sub(c.at), Silent: c.silent, Runs: []RunReport{c.runs[i].report(now)}})
 			for _, shared := range c.runs[i].Shared {
-				survivals[shared] = survivals[shared] || l.implicated[shared].survivedAt != 0
+				survivals[shared] = survivals[shared] || l.implicated[shared].survived.at != 0
 			}
 		}
 	}
 }
 
-// reportSurvivals returns the newest survivals.
-func (l *sharedCrashes) reportSurvivals(now clock.Time, of map[Digest]bool) []DigestAge {
+// reportSurvivals returns the newest survivals that this instance observed or, to keep them in the
+// store, of all.
+func (l *sharedCrashes) reportSurvivals(now clock.Time, of map[Digest]bool, keep bool) []DigestAge {
 	var ages []DigestAge
 	for digest, known := range of {
-		if known {
-			ages = append(ages, DigestAge{digest, now.Sub(l.implicated[digest].survivedAt)})
+		if !known {
+			continue
+		}
+		if at, again := l.implicated[digest].survived.toTell(keep); at != 0 {
+			ages = append(ages, DigestAge{Digest: digest, Age: now.Sub(at), Again: again})
 		}
 	}
 	slices.SortFunc(ages, func(a, b DigestAge) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Digest, b.Digest)) })
 	return ages[:min(len(ages), maxReportedSurvivals)]
 }
 
-// mergeShared adds what another instance reports.
-func (d *Detector) mergeShared(now clock.Time, r Report) {
+// mergeShared adds what another instance reports, or the store keeps.
+func (d *Detector) mergeShared(now clock.Time, r Report, stored bool) {
 	l := d.shared
 	for _, c := range r.Crashes {
 		for _, run := range c.Runs {
@@ -171,17 +184,19 @@
 		l.recordUp(now, up.Server, now.Add(-up.Age), false)
 	}
 	for _, s := range r.Survivals {
-		at := now.Add(-s.Age)
-		if at > l.survived.last(s.Digest) {
-			l.survived.add(at, s.Digest)
+		at, last := now.Add(-s.Age), l.survived.get(s.Digest)
+		if last.merge(at, stored, s.Again) {
+			l.survived.set(s.Digest, last)
 		}
-		if known := l.implicated[s.Digest]; known != nil && at > known.survivedAt {
-			known.survivedAt, l.outdated = at, true
+		if known := l.implicated[s.Digest]; known != nil && known.survived.merge(at, stored, s.Again) {
+			l.outdated = true
 		}
 	}
 	for _, t := range r.SharedTrials {
-		if at := now.Add(-t.Age); t.Trials > 0 && at > l.trials[t.Digest].at {
-			l.trials[t.Digest] = sharedTrial{count: max(t.Trials, l.trials[t.Digest].count), at: at}
+		known := l.trials[t.Digest]
+		if t.Trials > 0 && known.begun.merge(now.Add(-t.Age), stored, t.Again) {
+			known.count = max(known.count, t.Trials)
+			l.trials[t.Digest] = known
 		}
 	}
 }
--- a/core/gateway/poison/verdict.go
+++ b/core/gateway/poison/verdict.go
@@ -21,7 +21,7 @@
 
 type sharedTrial struct {
 	count int
-	at    clock.Time
+	begun lastSeen
 }
 
 // CheckShared decides whether a request may be sent now, by what it shares with others.
@@ -50,7 +50,10 @@
 			continue
 		}
 		for _, blamed := range v.blamed {
-			l.trials[blamed] = sharedTrial{count: l.trials[blamed].count + 1, at: now}
+			t := l.trials[blamed]
+			t.count++
+			t.begun.observe(now)
+			l.trials[blamed] = t
 			d.changes.Urgent++
 		}
 	}
@@ -61,8 +64,8 @@
 func (l *sharedCrashes) nextTrial(v verdict, run Run) clock.Time {
 	last, trials := v.crashes[len(v.crashes)-1].at, 0
 	for _, blamed := range v.blamed {
-		if t, ok := l.trials[blamed]; ok && t.at > v.crashes[0].at {
-			last, trials = max(last, t.at), max(trials, t.count)
+		if t, ok := l.trials[blamed]; ok && t.begun.at > v.crashes[0].at {
+			last, trials = max(last, t.begun.at), max(trials, t.count)
 		}
 	}
 	trials = max(trials, v.lateCrashes())
@@ -188,9 +191,9 @@
 
 func (l *sharedCrashes) lastSurvival(d *Detector, digest Digest) clock.Time {
 	if known := l.implicated[digest]; known != nil {
-		return known.survivedAt
+		return known.survived.at
 	}
-	return d.completed.last(digest) // of a request
+	return d.completed.get(digest).at // of a request
 }
 
 // blame returns the verdict on a suspect and all that can't be told apart from it.
--- a/oleander/gateway/sharedcrash.go
+++ b/oleander/gateway/sharedcrash.go
@@ -45,6 +45,7 @@
 type digestAgeMsg struct {
 	Digest uint64 `cbor:"1,keyasint"`
 	AgeMS  int64  `cbor:"2,keyasint"`
+	Again  bool   `cbor:"3,keyasint,omitempty"` // in the store: the sender had read it there
 }
 
 // sharedTrialMsg tells of the last trial of something that is blamed.
@@ -52,6 +53,7 @@
 	Digest uint64 `cbor:"1,keyasint"`
 	Trials int    `cbor:"2,keyasint"`
 	AgeMS  int64  `cbor:"3,keyasint"`
+	Again  bool   `cbor:"4,keyasint,omitempty"` // as in digestAgeMsg
 }
 
 func (m *suspectsMsg) encodeShared(r poison.Report) {
@@ -64,10 +66,10 @@
 	}
 	m.Up = encodeServerAges(r.Up)
 	for _, s := range r.Survivals {
-		m.Survivals = append(m.Survivals, digestAgeMsg{uint64(s.Digest), s.Age.Milliseconds()})
+		m.Survivals = append(m.Survivals, digestAgeMsg{uint64(s.Digest), s.Age.Milliseconds(), s.Again})
 	}
 	for _, t := range r.SharedTrials {
-		m.Trials = append(m.Trials, sharedTrialMsg{uint64(t.Digest), t.Trials, t.Age.Milliseconds()})
+		m.Trials = append(m.Trials, sharedTrialMsg{uint64(t.Digest), t.Trials, t.Age.Milliseconds(), t.Again})
 	}
 }
 
@@ -81,10 +83,10 @@
 	}
 	r.Up = decodeServerAges(m.Up)
 	for _, s := range m.Survivals {
-		r.Survivals = append(r.Survivals, poison.DigestAge{Digest: poison.Digest(s.Digest), Age: millis(s.AgeMS)})
+		r.Survivals = append(r.Survivals, poison.DigestAge{Digest: poison.Digest(s.Digest), Age: millis(s.AgeMS), Again: s.Again})
 	}
 	for _, t := range m.Trials {
-		r.SharedTrials = append(r.SharedTrials, poison.TrialReport{Digest: poison.Digest(t.Digest), Trials: t.Trials, Age: millis(t.AgeMS)})
+		r.SharedTrials = append(r.SharedTrials, poison.TrialReport{Digest: poison.Digest(t.Digest), Trials: t.Trials, Age: millis(t.AgeMS), Again: t.Again})
 	}
 }
 
--- a/oleander/gateway/suspects.go
+++ b/oleander/gateway/suspects.go
@@ -34,6 +34,10 @@
 	TrialMS     int64          `cbor:"5,keyasint,omitempty"` // since the last trial began
 	Completions int            `cbor:"6,keyasint,omitempty"` // at the sender
 	RanBeforeMS *int64         `cbor:"7,keyasint,omitempty"` // since the last completed run before the crashes
+	// These are set in the store if the sender had read it there.
+	CompletedAgain bool `cbor:"8,keyasint,omitempty"`
+	TrialAgain     bool `cbor:"9,keyasint,omitempty"`
+	RanBeforeAgain bool `cbor:"10,keyasint,omitempty"`
 }
 
 // serverAgeMsg says how long ago something happened at a server.
@@ -53,6 +57,7 @@
 	for _, s := range r.Suspects {
 		encoded := suspectMsg{
 			Digest: uint64(s.Digest), Crashes: encodeServerAges(s.Crashes), Trials: s.Trials, TrialMS: s.TrialAge.Milliseconds(), Completions: s.Completions,
+			CompletedAgain: s.CompletedAgain, TrialAgain: s.TrialAgain, RanBeforeAgain: s.RanBeforeAgain,
 		}
 		if s.Completed {
 			ms := s.CompletedAge.Milliseconds()
@@ -83,6 +88,7 @@
 	for _, s := range m.Suspects {
 		decoded := poison.SuspectReport{
 			Digest: poison.Digest(s.Digest), Crashes: decodeServerAges(s.Crashes), Trials: s.Trials, TrialAge: millis(s.TrialMS), Completions: s.Completions,
+			CompletedAgain: s.CompletedAgain, TrialAgain: s.TrialAgain, RanBeforeAgain: s.RanBeforeAgain,
 		}
 		if s.CompletedMS != nil {
 			decoded.Completed, decoded.CompletedAge = true, millis(*s.CompletedMS)
