Suspects: a sign of life is told by the instance that observed it, as it observed it

A server that answered right after the break of a connection did not crash. Each instance that had observed such an answer told the latest one that it knew, also that of others, so that it grew younger with each message, for 5 s; a real crash of that server within that time, up to 2 s after the break, was taken back at all instances, and the request that had ended it was sent on.

Now each instance tells its own observation (ownAlive).

--- a/core/gateway/poison/openrun.go
+++ b/core/gateway/poison/openrun.go
@@ -179,8 +179,7 @@
 
 // takeBack drops the crash of a server that ended without a sign, as it seemed.
 func (d *Detector) takeBack(now clock.Time, s *openRuns) {
-	d.markAlive(s.server, s.endedAt.Add(1))
-	d.aliveAt[s.server] = now
+	d.observeAlive(now, s.server, s.endedAt.Add(1))
 	s.endedAt = 0
 	for _, o := range s.runs {
 		o.counted = false
--- a/core/gateway/poison/poison.go
+++ b/core/gateway/poison/poison.go
@@ -115,7 +115,8 @@
 	// peerBreaks are the last breaks that others observed.
 	peerBreaks map[Server]clock.Time
 	alive      map[Server]clock.Time // when the last request was sent whose answer showed that a break was no crash
-	aliveAt    map[Server]clock.Time // when this instance observed it; absent if another did
+	ownAlive   map[Server]clock.Time // of them, those that this instance observed
+	aliveAt    map[Server]clock.Time // when it observed them
 	reported   clock.Time            // last report that included all refused requests
 	shared     *sharedCrashes
 	ends       *ends
@@ -127,7 +128,7 @@
 	return &Detector{
 		suspects: make(map[Digest]*suspect), breaks: make(map[Server]clock.Time), ownBreaks: make(map[Server]clock.Time),
 		peerBreaks: make(map[Server]clock.Time),
-		alive:      make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(), ends: newEnds(),
+		alive:      make(map[Server]clock.Time), ownAlive: make(map[Server]clock.Time), aliveAt: make(map[Server]clock.Time), shared: newSharedCrashes(), ends: newEnds(),
 	}
 }
 
@@ -196,8 +197,7 @@
 	if !ok || sentAt <= brokeAt || sentAt.Sub(brokeAt) > restartTime {
 		return tell
 	}
-	d.markAlive(server, sentAt)
-	d.aliveAt[server] = now
+	d.observeAlive(now, server, sentAt)
 	return true
 }
 
@@ -215,8 +215,7 @@
 	for server, at := range d.ownBreaks {
 		peerAt, both := d.peerBreaks[server]
 		if at >= since && !(both && at.Sub(peerAt).Abs() <= sameCrashWindow) {
-			d.markAlive(server, at.Add(1))
-			d.aliveAt[server] = now
+			d.observeAlive(now, server, at.Add(1))
 			servers++
 		}
 	}
@@ -227,6 +226,12 @@
 	d.peerBreaks[server] = max(d.peerBreaks[server], at)
 }
 
+// observeAlive is markAlive for what this instance observed itself.
+func (d *Detector) observeAlive(now clock.Time, server Server, sentAt clock.Time) {
+	d.ownAlive[server], d.aliveAt[server] = max(d.ownAlive[server], sentAt), now
+	d.markAlive(server, sentAt)
+}
+
 // markAlive drops the crashes of a server that it survived.
 func (d *Detector) markAlive(server Server, sentAt clock.Time) {
 	delete(d.breaks, server)
--- a/core/gateway/poison/report.go
+++ b/core/gateway/poison/report.go
@@ -94,7 +94,7 @@
 	var alive []ServerAge
 	for server, at := range d.aliveAt {
 		if now.Sub(at) <= reportPeriod {
-			alive = append(alive, ServerAge{server, now.Sub(d.alive[server])})
+			alive = append(alive, ServerAge{server, now.Sub(d.ownAlive[server])})
 		}
 	}
 	slices.SortFunc(alive, func(a, b ServerAge) int { return cmp.Compare(a.Server, b.Server) })
@@ -198,6 +198,7 @@
 	for server, at := range d.alive {
 		if now.Sub(at) > crashWindow {
 			delete(d.alive, server)
+			delete(d.ownAlive, server)
 			delete(d.aliveAt, server)
 		}
 	}
--- a/core/gateway/poison/shared.go
+++ b/core/gateway/poison/shared.go
@@ -147,8 +147,7 @@
 	}
 	for _, c := range slices.Clone(d.shared.crashes) {
 		if c.server == server && heardAt.Sub(c.at)-late >= lifeMargin && heardAt.Sub(c.at) <= restartTime {
-			d.markAlive(server, c.at.Add(1))
-			d.aliveAt[server] = now
+			d.observeAlive(now, server, c.at.Add(1))
 			tell = true
 		}
 	}
--- a/core/gateway/poison/toldagain_test.go
+++ b/core/gateway/poison/toldagain_test.go
@@ -206,3 +206,27 @@
 	same("completed run before the crashes", after.Suspects[0].RanBeforeAge, aged.Suspects[0].RanBeforeAge)
 	same("trial of the request", after.Suspects[0].TrialAge, aged.Suspects[0].TrialAge)
 }
+
+// Guards against a sign of life that is told on until it follows a later crash, which is taken back.
+func TestSignsOfLifeStayWhereTheyWere(t *testing.T) {
+	g := newGossip(9, false)
+	for i, d := range g.detectors {
+		d.RecordCrash(start, []Digest{Digest(10 + i)}, 1)
+	}
+	for _, d := range g.detectors {
+		d.RecordAnswer(seconds(0.1), 1, seconds(0.1))
+	}
+	g.until(seconds(1))
+	g.detectors[0].RecordCrash(seconds(1), []Digest{99}, 1)
+	g.until(seconds(8))
+	if crashes, _ := g.detectors[0].Suspicion(99); crashes != 1 {
+		t.Errorf("%d crashes of the request that ended the server later, want 1", crashes)
+	}
+	latest := clock.Time(0)
+	for _, d := range g.detectors {
+		latest = max(latest, d.alive[1])
+	}
+	if late := latest.Sub(seconds(0.1)); late > 25*time.Millisecond {
+		t.Errorf("the sign of life is said to have been %v later than it was", late)
+	}
+}
