Suspects: crashes for other reasons do not hide what is rare

Real processes (36 instances) showed that the evidence on crashes side by side went on and off: for each crash under the part there were two that a bystander alone had met, since its run had been given up after 1.2 s, or its server was down. Each was taken to speak against the part, as if it caused nine in ten. Now the share that it causes is what it would be (a generalized likelihood ratio), and the evidence must be 1 in a million (13.8) in place of 1 in 100,000.

All of core/gateway/poison passes.

--- a/core/gateway/poison/rarity.go
+++ b/core/gateway/poison/rarity.go
@@ -18,12 +18,12 @@
 	runCountPeriod = 15 * time.Second
 	// maxCounted bounds what is counted in a period.
 	maxCounted = 8192
-	// causeRate is the least share of the crashes at which something stands that causes them: others
-	// may lie between, and a report may be lost.
-	causeRate = 0.9
+	// maxCauseRate is the greatest share of the crashes that something is taken to cause: others may
+	// lie between, and a report may be lost.
+	maxCauseRate = 0.9
 	// enoughEvidence is the least logarithm of how much better the crashes are explained by something
 	// that causes them than by chance. A fleet has thousands of prompt parts.
-	enoughEvidence = 11.5
+	enoughEvidence = 13.8
 )
 
 // runCounts counts how many runs of this instance shared something, over some time.
@@ -101,27 +101,28 @@
 func shareOf(with, all int) float64 { return float64(with+1) / float64(all+1) }
 
 // explains reports whether crashes under runs that were sent before the others came are better explained
-// by a digest than by chance. The crashes are those since the last run with it that a server survived.
+// by a digest than by chance. The crashes are those since the last run with it that a server survived;
+// others may have other reasons.
 func (r *rarity) explains(digest Digest, crashes []*sharedCrash) bool {
 	with := func(c *sharedCrash) bool { return len(c.runsWith(digest)) > 0 }
-	first := slices.IndexFunc(crashes, with)
-	if first < 0 {
-		return false
-	}
+	first := max(0, slices.IndexFunc(crashes, with))
+	crashes = crashes[first:]
 	n := 0
-	for _, c := range crashes[first:] {
+	for _, c := range crashes {
 		if with(c) {
 			n++
 		}
 	}
-	share, evidence := r.share(digest, n), 0.0
-	for _, c := range crashes[first:] {
-		chance := min(causeRate, 1-math.Pow(1-share, float64(len(c.runs))))
+	share, caused := r.share(digest, n), min(maxCauseRate, float64(n)/float64(len(crashes)))
+	expected, evidence := 0.0, 0.0
+	for _, c := range crashes {
+		chance := min(maxCauseRate, 1-math.Pow(1-share, float64(len(c.runs))))
+		expected += chance
 		if with(c) {
-			evidence += math.Log(causeRate / chance)
+			evidence += math.Log(caused / chance)
 		} else {
-			evidence += math.Log((1 - causeRate) / (1 - chance))
+			evidence += math.Log((1 - caused) / (1 - chance))
 		}
 	}
-	return evidence >= enoughEvidence
+	return float64(n) > expected && evidence >= enoughEvidence
 }
