Streams: without the name of the stream, only an instance that has known all versions goes on

Streams were answered 200 to their end, with the first part by one software version and the rest by another, once all instances had been killed while the servers of the old version left. Cause: findOrigin took the only version that the instance knows for that of the stream if the caller named none; how long the instance has known the servers was asked only for callers that name one.

Now both are refused (503, Retry-After) until the instance has run for as long as a stream may last; platforms whose servers name no version are as before. In TestStreamOfUnknownOriginIsRefused a caller that names no stream got 200 at an instance that had just started: that was the fault; it now wants 503 there and 200 once the instance is old enough.

--- a/oleander/gateway/software_test.go
+++ b/oleander/gateway/software_test.go
@@ -312,6 +312,10 @@
 		urls := []string{f.start(), f.start()}
 		f.cancels[0]()
 		<-f.ended[0]
+		if got := f.resume(urls[1], "", 2); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("the instance is new: status %d, %q", got.status, got.body)
+		}
+		f.age(time.Minute)
 		if got := f.resume(urls[1], "", 2); got.status != http.StatusOK {
 			t.Errorf("status %d, %q", got.status, got.body)
 		}
@@ -332,6 +336,43 @@
 	})
 }
 
+// Guards against streams that go on at another software version once all instances were killed, which knew where they began.
+func TestStreamTakenUpAfterAllInstancesWereKilled(t *testing.T) {
+	never := func(int) int { return 0 }
+	for _, left := range []bool{false, true} {
+		for _, named := range []bool{true, false} {
+			t.Run(fmt.Sprintf("old servers left %v, callers name the stream %v", left, named), func(t *testing.T) {
+				f := newFixture(t, config(1))
+				f.softwareBackend("e0", "llm", "v1", versioned("v1", func(int) int { return 2 }), "warm")
+				before := []string{f.start(), f.start(), f.start()}
+				began := f.takeUp("s", 1, func(int) string { return before[0] })
+				if began.last < 2 {
+					t.Fatalf("the stream did not begin: %+v", began)
+				}
+				f.softwareBackend("e1", "llm", "v2", versioned("v2", never), "warm")
+				testutil.WaitFor(t, func() bool { return f.knowsServers(2) })
+				for i := range before {
+					f.cancels[i]()
+					<-f.ended[i]
+				}
+				if left {
+					f.store.RemoveServer("e0")
+				}
+				after := []string{f.start(), f.start(), f.start()}
+				stream := ""
+				if named {
+					stream = "s-0"
+				}
+				for _, url := range after {
+					if got := f.resume(url, stream, began.last); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+						t.Errorf("status %d, %q", got.status, got.body)
+					}
+				}
+			})
+		}
+	}
+}
+
 // age makes the gateways believe that they started earlier.
 func (f *fixture) age(d time.Duration) {
 	for _, g := range f.gateways {
