--- a/oleander/gateway/takeup.go
+++ b/oleander/gateway/takeup.go
@@ -34,17 +34,13 @@
 	}
 	g := x.g
 	software, ok := g.soleSoftware(x.group)
-	versionless := ok && software == ""
-	switch {
-	case versionless:
-	case x.call.Resumes == "": // nobody can say where it began
-		ok = ok && g.knowsAllVersions()
-	default:
+	// Callers who name no stream are those of a platform without versions.
+	if x.call.Resumes != "" && !(ok && software == "") {
 		began, answers, found := g.askOrigin(x.r.Context(), streamOf(x.call.Resumes))
 		if found {
 			software = began
 		}
-		ok = found || ok && g.inTouch(answers) && g.knowsAllVersions()
+		ok = found || ok && g.knowsAllVersions(answers)
 	}
 	if !ok {
 		g.metrics.originsUnknown.Inc()
@@ -62,20 +58,14 @@
 	return g.servers.SoleSoftware(boottime.Now(), group, g.takeUpPeriod())
 }
 
-// inTouch reports whether other instances answered, or there are none.
-func (g *Gateway) inTouch(answers int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return answers > 0 || g.members.Count() == 1
-}
-
-// knowsAllVersions reports whether this instance has known the servers for as long as a stream may be
-// taken up.
-func (g *Gateway) knowsAllVersions() bool {
+// knowsAllVersions reports whether this instance knew the servers all the while, and is in touch
+// with the other instances: some answered, or there are none.
+func (g *Gateway) knowsAllVersions(answers int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	return g.serversComplete && !g.serversStale(now) && now.Sub(g.started) >= g.takeUpPeriod()
+	inTouch := answers > 0 || g.members.Count() == 1
+	return inTouch && g.serversComplete && !g.serversStale(now) && now.Sub(g.started) >= g.takeUpPeriod()
 }
 
 // askOrigin returns the version at which a stream began, from the own records or from another
