Connections: none carries a request again that was rejected on it

Callers saw an order refused with 503 that had run. It is rejected on a connection (421, by a server that has the address of one that is gone), waits for room, another request is served on that connection, and the order's turn comes on it at the server that has the address now. A second copy of the rejection that comes there bears the order's ID, and a connection remembered its last ID only, which is the other request's.

A connection now remembers all requests that were rejected on it, 64 at most, after which it is closed rather than kept: only a rejected request is sent again, and it does not get such a connection.

--- a/oleander/connection/rawhttp/idle.go
+++ b/oleander/connection/rawhttp/idle.go
@@ -110,6 +110,17 @@
 	}
 }
 
+// ReleaseRejected is Release after a rejection, whose request may be sent again: not on this connection, since a second
+// copy of the rejection may still come.
+func (c *Conn) ReleaseRejected(resp *http.Response) {
+	if len(c.rejectedIDs) >= maxRejectedIDs {
+		c.Close()
+		return
+	}
+	c.rejectedIDs = append(c.rejectedIDs, c.lastID)
+	c.Release(resp)
+}
+
 // keep adds an idle connection, and returns those to close.
 func (p *Pool) keep(now time.Time, c *Conn) (drop []*Conn) {
 	p.mu.Lock()
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,8 @@
 	tcpUserTimeout    = 2 * time.Second
 	bufferSize        = 8 << 10
 	maxIdlePerAddress = 32
+	// maxRejectedIDs is how many rejected requests a connection remembers. It is closed after them.
+	maxRejectedIDs = 64
 	// maxHeadBytes bounds the status line and headers of a response, informational ones before it
 	// included.
 	maxHeadBytes = 64 << 10
@@ -75,6 +78,7 @@
 	reader       *bufio.Reader
 	idleDeadline time.Time // a pooled connection is not reused after this
 	lastID       string    // of the request that it carried last
+	rejectedIDs  []string  // of requests that it carried and the server rejected
 	Reused       bool
 	Indirect     bool // opened by a DialFunc of the caller
 
@@ -90,8 +94,8 @@
 type DialFunc func(ctx context.Context) (net.Conn, error)
 
 // Get returns an idle connection that is still usable, or a new one, for a request with an ID. A connection
-// whose last request had the same ID is not used: a second copy of its response would be taken for the
-// response to this one. Its errors wrap ErrNotSent.
+// on which a request with the same ID was the last one, or was rejected, is not used: a second copy of that
+// response would be taken for the response to this one. Its errors wrap ErrNotSent.
 func (p *Pool) Get(ctx context.Context, address, id string) (*Conn, error) {
 	return p.get(ctx, address, id, false, p.dialer(address))
 }
@@ -103,7 +107,7 @@
 
 func (p *Pool) get(ctx context.Context, address, id string, indirect bool, dial DialFunc) (*Conn, error) {
 	c := p.takeIdle(address)
-	if c != nil && c.lastID == id {
+	if c != nil && c.carried(id) {
 		c.Close()
 		c = nil
 	}
@@ -113,6 +117,9 @@
 	return c, nil
 }
 
+// carried reports whether a second copy of an earlier response may be taken for the response to a request with an ID.
+func (c *Conn) carried(id string) bool { return c.lastID == id || slices.Contains(c.rejectedIDs, id) }
+
 // takeIdle returns an idle connection that is still usable, or nil.
 func (p *Pool) takeIdle(address string) *Conn {
 	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
--- a/oleander/connection/rawhttp/rawhttp_test.go
+++ b/oleander/connection/rawhttp/rawhttp_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -312,3 +313,38 @@
 		t.Errorf("%d idle connections, want those that were passed over closed", n)
 	}
 }
+
+// Guards against the copy of a request's own rejection that comes after other requests on the connection.
+func TestConnectionCarriesNoRejectedRequestAgain(t *testing.T) {
+	s := startServer(t, okResponse)
+	p := NewPool(time.Second, nil)
+	send := func(id string, release func(c *Conn, resp *http.Response)) (reused bool) {
+		c, err := p.Get(context.Background(), s.address, id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, _, err := c.roundTrip(context.Background(), Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h"}, 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-s.requestLines
+		release(c, resp)
+		return c.Reused
+	}
+	send("a", (*Conn).ReleaseRejected)
+	for n := range maxRejectedIDs - 1 {
+		if !send(fmt.Sprint("b", n), (*Conn).ReleaseRejected) || !send(fmt.Sprint("c", n), (*Conn).Release) {
+			t.Fatalf("connection dropped after %d rejections", n+1)
+		}
+	}
+	if send("a", (*Conn).Release) {
+		t.Error("the connection was used for a request that was rejected on it")
+	}
+	for n := range maxRejectedIDs {
+		send(fmt.Sprint("d", n), (*Conn).ReleaseRejected)
+	}
+	send("e", (*Conn).ReleaseRejected)
+	if n := p.Idle(); n != 0 {
+		t.Errorf("%d idle connections, want those that can remember no more closed", n)
+	}
+}
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -295,8 +295,8 @@
 	const rejectionLimit = 64 << 10
 	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, rejectionLimit)); err != nil || n == rejectionLimit {
 		c.Abort()
-	} else {
-		x.releaseConn(c, resp)
+	} else if x.stopAbort() {
+		c.ReleaseRejected(resp)
 	}
 	g.mu.Lock()
 	now := boottime.Now()
@@ -315,7 +315,8 @@
 	out := report(now)
 	g.mu.Unlock()
 	g.sendAll(out)
-	g.log.Info().Str("request", x.call.ID).Str("server", t.id).Int("status", resp.StatusCode).Msg("front: server rejected the request")
+	g.log.Info().Str("request", x.call.ID).Str("server", t.id).Int("status", resp.StatusCode).Str("named", head.Server).Bool("reused", c.Reused).
+		Bool("relayed", c.Indirect).Msg("front: server rejected the request")
 	return resultNotRun
 }
 
--- a/oleander/gateway/foreign_test.go
+++ b/oleander/gateway/foreign_test.go
@@ -15,6 +15,7 @@
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/gateway/ports"
+	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -331,6 +332,104 @@
 	}
 }
 
+// lateCopy is a server that follows another one at its address. It sends a second copy of its rejection of a request as that request
+// is back on the connection.
+type lateCopy struct {
+	mu     sync.Mutex
+	id     string
+	runs   map[string]int
+	held   chan struct{} // closed: requests with IDs that begin with "held" are answered
+	copies int           // after the answer to another request
+	shared int           // answers to others on a connection on which a request was rejected
+}
+
+func (s *lateCopy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, b, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	rejections := make(map[string]string) // by ID
+	for last := ""; ; {
+		id, closes := r.Header.Get(testID), ""
+		earlier, rejected := rejections[id]
+		switch misdirected := r.Header.Get(testServer) == "gone"; {
+		case misdirected:
+			rejections[id] = fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", testID, id, testServer, s.id)
+			_, _ = io.WriteString(c, rejections[id])
+		default:
+			s.mu.Lock()
+			s.runs[id]++
+			if rejected && last != id {
+				s.copies++
+			}
+			if !rejected && len(rejections) > 0 {
+				s.shared++
+			}
+			s.mu.Unlock()
+			_, _ = io.WriteString(c, earlier)
+			if strings.HasPrefix(id, "held") {
+				<-s.held
+				closes = "Connection: close\r\n"
+			}
+			body := ownEvents(id, 0)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: %d\r\n\r\n%s", testID, id, testSigned, closes, len(body), body)
+		}
+		last = id
+		if r, err = http.ReadRequest(b.Reader); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
+// ran returns how often a request was run.
+func (s *lateCopy) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// Guards against an order that ran and is refused, since the copy of its own rejection is believed that comes after the answer to
+// another request on the connection.
+func TestLateCopyOfOwnRejectionIsNotBelieved(t *testing.T) {
+	f := newFixture(t, config(1))
+	f.slots = 1
+	s := &lateCopy{id: "live", runs: make(map[string]int), held: make(chan struct{})}
+	b := f.backend(s.id, "plain", s.ServeHTTP)
+	f.store.PutServer(directory.Entry{
+		ID: "engine", Address: b.address, Zone: "z", Group: "llm", Incarnation: 1, Slots: 1, LoadedModels: []directory.LoadedModel{{Model: "warm"}},
+	})
+	url := f.start()
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for n := range 2 { // as many as the server takes at once
+		asking.Go(func() { f.ask(http.MethodPost, url+"/order/x", testID, fmt.Sprint("held", n)) })
+	}
+	testutil.WaitFor(t, func() bool { return s.ran("held0")+s.ran("held1") == 2 })
+	f.store.PutServer(directory.Entry{ID: "gone", Address: b.address, Zone: "z", Group: "plain", Incarnation: 1, Slots: 1})
+	testutil.WaitFor(t, func() bool { return f.knows(f.gateways[0], "gone") })
+	var order answer
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		order = f.ask(http.MethodPost, url+"/order/x", testID, "order")
+	}()
+	testutil.WaitFor(t, func() bool { return strings.Contains(f.log.String(), "server rejected the request") })
+	if got := f.ask(http.MethodPost, url+"/stream/x", testID, "between", testModel, "warm"); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	close(s.held)
+	<-asked
+	if n := s.ran("order"); n > 1 || n > 0 && order.status != http.StatusOK && order.status != http.StatusBadGateway {
+		t.Errorf("the order ran %d times and was answered with %d", n, order.status)
+	}
+	if s.shared == 0 {
+		t.Error("no other request went over the connection of the rejection, so the test proves nothing")
+	}
+	t.Logf("status %d, %d copies", order.status, s.copies)
+}
+
 func BenchmarkMatchResponse(b *testing.B) {
 	x := &exchange{call: ports.Call{ID: "9c41d07be2a35f68"}}
 	c := &rawhttp.Conn{Reused: true}
