Responses: a server's 408, 429 or 503 that does not say that the request did not run is no promise

Callers saw an order answered with 503 (429, 408) that had run: a server answered so after the run, without the statement that it did not run it, and the instance passed the answer on.

For requests that may run once at most such an answer now ends as 502, without the server's signature, since a failure that bears it must have the server's status.

TestServersOwnRefusalIsNoPromise: 12 of 18 cases for orders and streams failed before (the status was passed on), all pass now.

--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -279,6 +279,8 @@
 		return x.handleNotRun(t, c, resp, head)
 	case resp.StatusCode < 300 && !head.Signed:
 		return x.attemptFailed(t, c, invalidf("success response without signature"))
+	case promisesNotRun(resp.StatusCode) && !x.route.Retryable():
+		return x.attemptFailed(t, c, invalidf("status %d, which does not say that the request did not run", resp.StatusCode))
 	case resp.StatusCode >= 500 && x.mayFailOver():
 		return x.attemptFailed(t, c, invalidf("status %d", resp.StatusCode))
 	case x.route.Kind == manifest.Stream && resp.StatusCode < 300:
@@ -289,6 +291,15 @@
 	return x.forwardResponse(t, c, resp)
 }
 
+// promisesNotRun reports whether callers take a response status for the promise that the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // handleNotRun ends an attempt that the server rejected.
 func (x *exchange) handleNotRun(t target, c *rawhttp.Conn, resp *http.Response, head ports.ResponseInfo) attemptResult {
 	g := x.g
--- a/oleander/gateway/foreign_test.go
+++ b/oleander/gateway/foreign_test.go
@@ -430,6 +430,52 @@
 	t.Logf("status %d, %d copies", order.status, s.copies)
 }
 
+// Guards against an order that ran and is refused, since its server answers with a status that promises the opposite, without saying that
+// it did not run.
+func TestServersOwnRefusalIsNoPromise(t *testing.T) {
+	for _, tc := range []struct {
+		path   string
+		passed bool // the request may be repeated, so that the answer does no harm
+	}{{"/order/x", false}, {"/stream/x", false}, {"/read/x", true}} {
+		for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			for _, signature := range []string{"", "1"} {
+				t.Run(fmt.Sprintf("%s %d signed %q", tc.path, status, signature), func(t *testing.T) {
+					f := newFixture(t, config(1))
+					ran := func(w http.ResponseWriter, _ *http.Request) {
+						if signature != "" {
+							w.Header().Set(testSigned, signature)
+						}
+						w.WriteHeader(status)
+					}
+					var servers []*backend
+					for i := range 2 {
+						servers = append(servers, f.backend(fmt.Sprint("plain", i), "plain", ran), f.backend(fmt.Sprint("llm", i), "llm", ran, "warm"))
+					}
+					model := ""
+					if tc.path == "/stream/x" {
+						model = "warm"
+					}
+					got := f.ask(http.MethodPost, f.start()+tc.path, testModel, model)
+					want, wantSignature := http.StatusBadGateway, ""
+					if tc.passed {
+						want, wantSignature = status, signature
+					}
+					if got.status != want || got.header.Get(testSigned) != wantSignature {
+						t.Errorf("status %d with signature %q, want %d with %q", got.status, got.header.Get(testSigned), want, wantSignature)
+					}
+					runs := 0
+					for _, s := range servers {
+						runs += s.requests()
+					}
+					if runs != 1 {
+						t.Errorf("ran %d times", runs)
+					}
+				})
+			}
+		}
+	}
+}
+
 func BenchmarkMatchResponse(b *testing.B) {
 	x := &exchange{call: ports.Call{ID: "9c41d07be2a35f68"}}
 	c := &rawhttp.Conn{Reused: true}
