--- /dev/null
+++ b/oleander/gateway/notrun_test.go
@@ -0,0 +1,348 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/budget"
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/core/gateway/membudget"
+	"oleanderdale.org/oleander/internal/testutil"
+	"oleanderdale.org/oleander/process/boottime"
+)
+
+// promisesNotRun reports whether a status promises that the request did not run and will not.
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, status)
+}
+
+// runCounts counts the runs of each request at all servers.
+type runCounts struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func newRunCounts() *runCounts { return &runCounts{runs: make(map[string]int)} }
+
+func (c *runCounts) add(r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[r.Header.Get(testID)]++
+}
+
+func (c *runCounts) of(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
+
+// check reports a request that was refused and ran, or that ran more often than it may.
+func (c *runCounts) check(t *testing.T, id string, status, most int) {
+	t.Helper()
+	n := c.of(id)
+	if n > most {
+		t.Errorf("%s ran %d times, at most %d allowed", id, n, most)
+	}
+	if n > 0 && promisesNotRun(status) {
+		t.Errorf("%s was refused with %d and ran %d times", id, status, n)
+	}
+}
+
+// firstEnd is how the first attempt of a request ends.
+type firstEnd string
+
+const (
+	endRejected firstEnd = "rejected"
+	endRan      firstEnd = "ran"
+)
+
+// subjectID is the ID of the request whose refusal is tested.
+const subjectID = "subject"
+
+// laterRefusal is a way in which a request is refused after its first attempt.
+type laterRefusal struct {
+	reason reason // of the refusal if the first attempt was rejected
+	status int    // of that refusal; 0: 503
+	// path is that of a route whose requests may run twice; "" means /read/. Those that may run once have oncePath.
+	path, oncePath string
+	model          string
+	header         []string
+	adapt          func(m *manifest.Manifest) // changes the first configuration
+	before         func(f *fixture)           // called once the instance runs, before its first server is there
+	during         func(f *fixture)           // called while the first attempt is under way
+}
+
+func (l laterRefusal) paths() map[string]string {
+	if l.path == "" {
+		return map[string]string{"repeatable": "/read/x", "once": "/order/x"}
+	}
+	return map[string]string{"repeatable": l.path, "once": l.oncePath}
+}
+
+// startFirst adds the server that gets the first attempt, and waits until the instance knows it.
+func (l laterRefusal) startFirst(f *fixture, runs *runCounts, end firstEnd) {
+	group := "plain"
+	var models []string
+	if l.model != "" {
+		group, models = "llm", []string{l.model}
+	}
+	f.backend("a", group, func(w http.ResponseWriter, r *http.Request) {
+		if l.during != nil {
+			l.during(f)
+		}
+		if end == endRejected {
+			w.Header().Set(testNotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		runs.add(r)
+		panic(http.ErrAbortHandler)
+	}, models...)
+	testutil.WaitFor(f.t, func() bool { return f.knows(f.gateways[0], "a") })
+}
+
+// setVersion puts a changed configuration in force.
+func (f *fixture) setVersion(change func(m *manifest.Manifest)) {
+	m := config(2)
+	change(m)
+	f.store.SetManifest(m)
+	testutil.WaitFor(f.t, func() bool { return f.gateways[0].manifest.Load().Version == 2 })
+}
+
+// withoutRoutes returns a configuration that knows no route.
+func withoutRoutes(f *fixture) {
+	f.store.SetEmptyManifest(2)
+	testutil.WaitFor(f.t, func() bool { return f.gateways[0].manifest.Load().Version == 2 })
+}
+
+// fill makes a server look full to the instance.
+func fill(f *fixture, id string) {
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for range 20 {
+		g.servers.RequestStarted(boottime.Now(), id, "")
+	}
+}
+
+// addKnown adds a server and waits until the instance knows it.
+func addKnown(f *fixture, id, group string, h http.HandlerFunc, models ...string) {
+	f.backend(id, group, h, models...)
+	testutil.WaitFor(f.t, func() bool { return f.knows(f.gateways[0], id) })
+}
+
+// blameSubject records crashes of several servers under the request.
+func blameSubject(f *fixture, path, body string) {
+	g := f.gateways[0]
+	r := httptest.NewRequest(http.MethodPost, path, nil)
+	r.Host = testHost
+	x := &exchange{g: g, r: r, body: []byte(body), account: &manifest.Account{Name: "account"}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range []string{"c1", "c2", "c3", "c4"} {
+		g.poison.RecordCrash(boottime.Now(), x.requestDigests(), serverHash(id))
+	}
+}
+
+func setTimes(timeout, objective time.Duration) func(m *manifest.Manifest) {
+	return func(m *manifest.Manifest) {
+		for _, path := range []string{"/read/", "/order/", "/resume/", "/stream/"} {
+			r := m.Match(testHost, path)
+			r.Timeout, r.LatencyObjective = timeout, objective
+		}
+	}
+}
+
+// laterRefusals returns the ways in which a request is refused after its first attempt.
+func laterRefusals() map[string]laterRefusal {
+	rejects := status(http.StatusServiceUnavailable, testNotRun, "1")
+	return map[string]laterRefusal{
+		"no other server":   {reason: reasonNoServer},
+		"route is gone":     {reason: reasonNoRoute, status: http.StatusNotFound, during: withoutRoutes},
+		"key is withdrawn":  {reason: reasonInvalidKey, status: http.StatusUnauthorized, during: func(f *fixture) { f.setVersion(withoutKey) }},
+		"no allowed region": {reason: reasonNoAllowedRegion, during: func(f *fixture) { f.setVersion(disjointRegions) }},
+		"no room": {
+			reason: reasonNoFreeSlot,
+			before: func(f *fixture) {
+				addKnown(f, "b", "plain", ok)
+				fill(f, "b")
+			},
+		},
+		"limited server": {
+			reason: reasonNoFreeSlot, // after a send, a late answer is better than none
+			before: func(f *fixture) {
+				addKnown(f, "b", "plain", limited(0.1))
+				for range 3 {
+					f.ask(http.MethodPost, "http://"+f.gateways[0].settings.CallerAddress+"/order/fill", testWait, "300")
+				}
+			},
+		},
+		"resting server": {
+			reason: reasonServersResting,
+			before: func(f *fixture) {
+				addKnown(f, "b", "plain", rejecting(5*time.Second))
+				f.ask(http.MethodPost, "http://"+f.gateways[0].settings.CallerAddress+"/order/fill")
+			},
+		},
+		"model not loaded": {
+			reason: reasonNotLoaded, path: "/resume/x", oncePath: "/stream/x", model: "slow", header: []string{testModel, "slow", testWait, "1500"},
+			before: func(f *fixture) { addKnown(f, "b", "llm", ok) },
+		},
+		"model is gone": {
+			reason: reasonUnknownModel, path: "/resume/x", oncePath: "/stream/x", model: "warm", header: []string{testModel, "warm"},
+			during: func(f *fixture) {
+				f.setVersion(func(m *manifest.Manifest) { delete(m.Groups["llm"].Engine.Models, "warm") })
+			},
+		},
+		"group is gone": {
+			reason: reasonNoServer,
+			during: func(f *fixture) {
+				f.setVersion(func(m *manifest.Manifest) {
+					for _, path := range []string{"/read/", "/order/"} {
+						m.Match(testHost, path).Targets = []manifest.Target{{Group: "gone", Weight: 1}}
+					}
+				})
+			},
+		},
+		"rejected by all others": {
+			reason: reasonRefused,
+			before: func(f *fixture) {
+				for _, id := range []string{"b", "c", "d", "e"} {
+					addKnown(f, id, "plain", rejects)
+					fill(f, id) // the first attempt goes to another one
+				}
+			},
+			during: func(f *fixture) {
+				g := f.gateways[0]
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				for _, id := range []string{"b", "c", "d", "e"} {
+					for range 20 {
+						g.servers.RequestEnded(boottime.Now(), id, "", 0)
+					}
+				}
+			},
+		},
+		"no retries left": {
+			reason: reasonRefused,
+			before: func(f *fixture) {
+				g := f.gateways[0]
+				g.mu.Lock()
+				g.retryBudget = budget.New(boottime.Now(), budget.Settings{Window: 10 * time.Second})
+				g.mu.Unlock()
+				addKnown(f, "b", "plain", rejects)
+				fill(f, "b")
+			},
+			during: func(f *fixture) { empty(f, "b") },
+		},
+		"instance stops": {
+			reason: reasonStopping, adapt: setTimes(10*time.Second, 8*time.Second),
+			before: func(f *fixture) {
+				addKnown(f, "b", "plain", ok)
+				fill(f, "b")
+			},
+			during: func(f *fixture) { close(f.stops[0]) },
+		},
+		"deadline": {
+			reason: reasonTimeout, header: []string{testWait, "300"},
+			during: func(*fixture) { time.Sleep(340 * time.Millisecond) },
+		},
+		"server with too many bytes": {
+			reason: reasonNoServer,
+			before: func(f *fixture) {
+				m := f.gateways[0].memory
+				m.update(func(clock.Time) { m.servers.Start("b", membudget.ID(1<<40), membudget.MaxServerBytes) })
+				addKnown(f, "b", "plain", ok)
+				fill(f, "b")
+			},
+			during: func(f *fixture) { empty(f, "b") },
+		},
+		"crashes servers": {
+			reason: reasonCrashesServers,
+			before: func(f *fixture) {
+				addKnown(f, "b", "plain", ok)
+				fill(f, "b")
+			},
+			during: func(f *fixture) {
+				empty(f, "b")
+				for _, path := range []string{"/read/x", "/order/x"} {
+					blameSubject(f, path, strings.Repeat("x", 1000))
+				}
+			},
+		},
+	}
+}
+
+// empty takes back what fill did.
+func empty(f *fixture, id string) {
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for range 20 {
+		g.servers.RequestEnded(boottime.Now(), id, "", 0)
+	}
+}
+
+func withoutKey(m *manifest.Manifest) {
+	m.AddKey(manifest.DigestOf("secret"), nil)
+	m.AddKey(manifest.DigestOf("another"), m.Accounts["account"])
+}
+
+func disjointRegions(m *manifest.Manifest) {
+	m.Accounts["account"].AllowedRegions = "north"
+	for _, path := range []string{"/read/", "/order/", "/resume/", "/stream/"} {
+		m.Match(testHost, path).AllowedRegions = "south"
+	}
+}
+
+// Guards against a refusal that promises that a request did not run, after an attempt that ran it.
+func TestRefusalAfterARunPromisesNothing(t *testing.T) {
+	for name, l := range laterRefusals() {
+		for kind, path := range l.paths() {
+			for _, end := range []firstEnd{endRejected, endRan} {
+				t.Run(name+"/"+kind+"/"+string(end), func(t *testing.T) {
+					t.Parallel()
+					playLaterRefusal(t, l, kind, path, end)
+				})
+			}
+		}
+	}
+}
+
+func playLaterRefusal(t *testing.T, l laterRefusal, kind, path string, end firstEnd) {
+	m := config(1)
+	if l.adapt != nil {
+		l.adapt(m)
+	}
+	f := newFixture(t, m)
+	f.memory = 64 * mb
+	f.backend("other", "none", ok)
+	url := f.start()
+	runs := newRunCounts()
+	if l.before != nil {
+		l.before(f)
+	}
+	l.startFirst(f, runs, end)
+	got := f.ask(http.MethodPost, url+path, append([]string{testID, subjectID}, l.header...)...)
+	runs.check(t, subjectID, got.status, map[string]int{"repeatable": 2, "once": 1}[kind])
+	if end == endRan {
+		if runs.of(subjectID) == 0 {
+			t.Errorf("not run, so the test proves nothing: %+v", got)
+		}
+		t.Logf("after a run: %d %s", got.status, got.body)
+		return
+	}
+	want := l.status
+	if want == 0 {
+		want = http.StatusServiceUnavailable
+	}
+	if got.status != want || !strings.Contains(got.body, `"`+string(l.reason)+`"`) {
+		t.Errorf("after a rejection: %d %s, want %d %s", got.status, got.body, want, l.reason)
+	}
+}
