Routes: one that becomes non-idempotent lets no request be sent again

A request whose attempt broke off, and may have run, was sent once more on a route that a new configuration had made non-idempotent, limited to one attempt, or turned into a stream that may not be resumed: it ran twice. The loop asked the old route whether the request may be sent again, then the choice of a server resolved the route anew, and nobody asked the new one. The choice now asks it, by the same function as the loop, and the request ends with 502.

--- a/oleander/gateway/callerconn_test.go
+++ b/oleander/gateway/callerconn_test.go
@@ -197,7 +197,7 @@
 		c := dialCaller(t, g)
 		_, _ = io.WriteString(c, rawPost("/order/x", fmt.Sprint("late", i), "", "body")+rawPost("/order/x", fmt.Sprint("later", i), "", "body"))
 		for _, a := range readRawAnswers(c, 300*time.Millisecond) {
-			if promisesNotRun(a.status) {
+			if claimsNotRun(a.status) {
 				refused++
 			}
 			runs.check(t, fmt.Sprint("late", i), a.status, 1)
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -141,6 +141,10 @@
 		if ref := x.resolve(); ref != nil {
 			return selection{}, ref
 		}
+		if !x.mayRunAgain() {
+			ref := x.finalRefusal()
+			return selection{}, &ref
+		}
 		if x.possibleRuns == 0 && !x.responseStarted {
 			x.pickGroup()
 		}
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -67,7 +67,7 @@
 		case resultBroken:
 			x.possibleRuns++
 			x.broken = t.id
-			if !x.route.Retryable() || x.possibleRuns >= x.route.MaxAttempts {
+			if !x.mayRunAgain() {
 				x.fail(x.finalRefusal())
 				return
 			}
@@ -79,6 +79,11 @@
 	}
 }
 
+// mayRunAgain reports whether the route lets the request be sent, after the runs that it may have had.
+func (x *exchange) mayRunAgain() bool {
+	return x.possibleRuns == 0 || x.route.Retryable() && x.possibleRuns < x.route.MaxAttempts
+}
+
 // returnTarget ends the use of a server to which nothing was sent.
 func (x *exchange) returnTarget(t target) {
 	x.prefill = t.prefill
--- a/oleander/gateway/notrun_test.go
+++ b/oleander/gateway/notrun_test.go
@@ -17,8 +17,8 @@
 	"oleanderdale.org/oleander/process/boottime"
 )
 
-// promisesNotRun reports whether a status promises that the request did not run and will not.
-func promisesNotRun(status int) bool {
+// claimsNotRun reports whether a status promises that the request did not run and will not.
+func claimsNotRun(status int) bool {
 	return slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, status)
 }
 
@@ -49,7 +49,7 @@
 	if n > most {
 		t.Errorf("%s ran %d times, at most %d allowed", id, n, most)
 	}
-	if n > 0 && promisesNotRun(status) {
+	if n > 0 && claimsNotRun(status) {
 		t.Errorf("%s was refused with %d and ran %d times", id, status, n)
 	}
 }
--- a/oleander/gateway/relayfault_test.go
+++ b/oleander/gateway/relayfault_test.go
@@ -66,7 +66,7 @@
 				got := f.ask(http.MethodPost, url+"/order/x", testID, id)
 				runs := servers[0].runs[id] + servers[1].runs[id]
 				ran += runs
-				if runs > 1 || runs > 0 && promisesNotRun(got.status) {
+				if runs > 1 || runs > 0 && claimsNotRun(got.status) {
 					t.Errorf("%s ran %d times, status %d", id, runs, got.status)
 				}
 			}
@@ -109,7 +109,7 @@
 				for _, s := range servers {
 					runs += s.runs[id]
 				}
-				if runs > 1 || runs > 0 && promisesNotRun(status[n]) {
+				if runs > 1 || runs > 0 && claimsNotRun(status[n]) {
 					t.Errorf("%s ran %d times, status %d", id, runs, status[n])
 				}
 			}
