Callers: one that closed only its side of a connection gets no response that looks whole

A caller that ends its sending after the request and reads on got 200 with a length of 0 and no body, or part of a stream followed by the last chunk. net/http takes the end of sending for a caller that left and cancels the request; the handler then returned without a response, and net/http ended one as if it were whole. The same on our own interface, for all four kinds of calls, and for callers that read too slowly.

The handler now aborts the connection, which promises nothing; a caller that has left altogether sees no difference, and the server's work is ended as before.

--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -59,8 +59,11 @@
 			x.excluded[t.id] = true
 		}
 		switch res {
-		case resultDone, resultCallerGone, resultSlowReader:
+		case resultDone:
 			return
+		case resultCallerGone, resultSlowReader:
+			// A caller may have closed only its side, and net/http would end the response as if it were whole.
+			panic(http.ErrAbortHandler)
 		case resultTimeout:
 			x.fail(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 			return
--- a/oleander/request/front/exchange.go
+++ b/oleander/request/front/exchange.go
@@ -62,8 +62,7 @@
 			}
 		case <-r.Context().Done():
 			x.front.poster.Post(event.CallerDisconnected{Request: x.call.Request})
-			x.recordEnd(outcomeCallerGone, "")
-			return
+			x.abandon()
 		case <-overdueTimer.C:
 			metric.FrontDeadlinesExpired.Inc()
 			x.front.poster.Post(event.CallerDisconnected{Request: x.call.Request})
@@ -113,8 +112,7 @@
 		x.refuse(w, cancel.Refusal)
 		return true
 	case r.Context().Err() != nil && !d.AtMostOnce:
-		x.recordEnd(outcomeCallerGone, "")
-		return true
+		x.abandon()
 	case ended.Result == event.AttemptCancelled && !d.AtMostOnce:
 		x.refuse(w, event.Refusal{Reason: event.ReasonDeadline, Execution: event.MayHaveRun, RetryAfter: time.Second, Detail: "the deadline passed while the call was running"})
 		return true
@@ -122,6 +120,13 @@
 	return false
 }
 
+// abandon ends a call whose caller has left, without a response. A caller may have closed only its side, and
+// net/http would end the response as if it were whole.
+func (x *exchange) abandon() {
+	x.recordEnd(outcomeCallerGone, "")
+	panic(http.ErrAbortHandler)
+}
+
 // cancelWatcher reads the commands that arrive while an attempt runs, and
 // cancels the attempt when one of them is a Cancel.
 type cancelWatcher struct {
