Responses: one without length ends plainly only once all of it is with the kernel

A caller that read slowly got 81920 of 82920 bytes of a response with neither length nor chunks, then a plain end of the connection, which passes for the end of the response, as the instance ended. The connection's end was set from a reset to a plain one while net/http still held the last part, under 4 KiB. It is flushed first now; if that fails, the end stays a reset.

--- a/oleander/gateway/responseend.go
+++ b/oleander/gateway/responseend.go
@@ -56,9 +56,9 @@
 	}
 }
 
-// endUnframed lets the connection end plainly after the response.
+// endUnframed lets the connection end plainly after the response, once all of it is with the kernel.
 func (x *exchange) endUnframed() {
-	if !x.unframed {
+	if !x.unframed || http.NewResponseController(x.w).Flush() != nil {
 		return
 	}
 	if c, ok := callerConn(x.r.Context()).(*net.TCPConn); ok {
