Relays: a read deadline inside a frame header loses no byte

The reader of a relayed connection read a frame's two-byte header at once, into a variable. A read deadline that passed after the first byte lost it, and the next byte was taken for the first of the next header: from there on other bytes than the server's counted as its response. The part that was read is kept now.

--- a/oleander/gateway/relayframe.go
+++ b/oleander/gateway/relayframe.go
@@ -77,18 +77,24 @@
 // server closed its side.
 type framedConn struct {
 	relayedConn
-	remaining int // bytes of the current frame
-	ended     bool
+	header      [frameHeaderSize]byte
+	headerBytes int // that were read of the next header, of which a deadline may leave a part
+	remaining   int // bytes of the current frame
+	ended       bool
 }
 
 // Read implements io.Reader.
 func (c *framedConn) Read(b []byte) (int, error) {
 	for c.remaining == 0 && !c.ended {
-		var header [frameHeaderSize]byte
-		if _, err := io.ReadFull(c.relayedConn, header[:]); err != nil {
-			return 0, err
+		n, err := c.relayedConn.Read(c.header[c.headerBytes:])
+		if c.headerBytes += n; c.headerBytes < frameHeaderSize {
+			if err != nil {
+				return 0, err
+			}
+			continue
 		}
-		c.remaining = int(binary.BigEndian.Uint16(header[:]))
+		c.headerBytes = 0
+		c.remaining = int(binary.BigEndian.Uint16(c.header[:]))
 		c.ended = c.remaining == 0
 	}
 	if c.ended {
