Relays: a reset that the write of a request is told of is no end of the response

An instance behind another one took a response with neither length nor chunks for ended, though its server had reset the connection. The kernel tells of a reset once: where the relay's write of the request was told, its read of the response saw a plain end, and the relay passed on that the server had closed its side. The relay now remembers a failed write, waits for one that is on its way, and resets both sides.

--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -246,20 +246,50 @@
 // frames, the instance also sees the end of this relay.
 func relayBoth(instance, server net.Conn, framed bool) {
 	var both sync.WaitGroup
-	both.Go(func() { relayOne(instance, server, server, nil) })
+	request := &requestWriter{to: server}
+	both.Go(func() { relayOne(instance, server, request, nil) })
 	both.Go(func() {
 		if !framed {
 			relayOne(server, instance, instance, nil)
 			return
 		}
 		frames := frameWriter{instance}
-		relayOne(server, instance, frames, frames.end)
+		relayOne(server, instance, frames, func() error {
+			if err := request.failed(); err != nil {
+				return err
+			}
+			return frames.end()
+		})
 	})
 	both.Wait()
 	_ = instance.Close()
 	_ = server.Close()
 }
 
+// requestWriter writes a request to a server and remembers a failure. The kernel tells of a reset once: if it
+// tells the write, the read of the response sees a plain end.
+type requestWriter struct {
+	mu  sync.Mutex
+	to  io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(b []byte) (n int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err = w.to.Write(b)
+	w.err = err
+	return n, err
+}
+
+// failed returns the error of the last write, after it has ended.
+func (w *requestWriter) failed() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
 // relayOne copies from one connection through a writer to another, and ends that as the first
 // one ended, after calling end, unless that is nil.
 func relayOne(from, to net.Conn, writer io.Writer, end func() error) {
