Connections: a head that a deadline splits is no shorter head

A caller got a response with too short a body, or with a body that begins two bytes too soon, as whole. The reader of a head takes a line before an error for a whole one and reads on. A head that arrived in two parts around the read deadline, of which the second is still read after it, was so taken for a shorter one: the end of a line passed for the empty line that ends the head, and the length was lost. An error ends the reading of a head now.

--- a/oleander/connection/rawhttp/arrived.go
+++ b/oleander/connection/rawhttp/arrived.go
@@ -23,12 +23,20 @@
 
 // Read implements io.Reader.
 func (r arrivedReader) Read(b []byte) (int, error) {
-	if r.c.inHead && r.c.headBytes >= maxHeadBytes {
+	c := r.c
+	switch {
+	case c.headError != nil:
+		return 0, c.headError
+	case c.inHead && c.headBytes >= maxHeadBytes:
 		return 0, errHeadTooLong
 	}
 	n, err := r.read(b)
-	r.c.headBytes += n
-	r.c.readFailed = r.c.readFailed || err != nil
+	c.headBytes += n
+	c.readFailed = c.readFailed || err != nil
+	if c.inHead {
+		// The reader of a head takes a line before an error for a whole one, and would read on.
+		c.headError = err
+	}
 	return n, err
 }
 
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -82,8 +82,9 @@
 	Reused       bool
 	Indirect     bool // opened by a DialFunc of the caller
 
-	inHead        bool // a head is read
-	headBytes     int  // read since its begin
+	inHead        bool  // a head is read
+	headBytes     int   // read since its begin
+	headError     error // of reading it, which ends it; nil outside a head
 	readFailed    bool
 	readDeadline  atomic.Int64 // Unix nanoseconds
 	aborted       atomic.Bool
@@ -226,7 +227,7 @@
 // ErrMalformed if the connection did not fail.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.inHead, c.headBytes = true, c.reader.Buffered()
-	defer func() { c.inHead = false }()
+	defer func() { c.inHead, c.headError = false, nil }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.Malformed() {
