Connections: a reset stays one for its reader, whoever was told of it

The kernel tells of a reset once. Where the look at a connection that is aborted was told, a read at that moment saw a plain end, which passes for the end of a response with neither length nor chunks. The connection remembers the reset now, and an end that is read after an abort is none of the response.

TestLookAtAResetConnectionLeavesTheReset was red; it reads by the connection's reader now, since what the socket itself says after the look cannot be changed. That a caller met this is not shown.

--- a/oleander/connection/rawhttp/arrived.go
+++ b/oleander/connection/rawhttp/arrived.go
@@ -1,6 +1,7 @@
 package rawhttp
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 		return 0, errHeadTooLong
 	}
 	n, err := r.read(b)
+	if err == io.EOF && (c.aborted.Load() || c.reset.Load()) {
+		err = errReset
+	}
 	c.headBytes += n
 	c.readFailed = c.readFailed || err != nil
 	if c.inHead {
@@ -89,6 +93,9 @@
 	if !open {
 		return 0, net.ErrClosed
 	}
+	if errors.Is(err, unix.ECONNRESET) {
+		c.reset.Store(true) // the kernel says so once, and then that the connection has ended
+	}
 	return n, err
 }
 
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -30,6 +30,8 @@
 	ErrNotSent = errors.New("rawhttp: not sent")
 	// ErrMalformed means that what the server sent is no response: the connection did not fail.
 	ErrMalformed = errors.New("rawhttp: malformed response")
+	// errReset is a reset of which the kernel told somebody else than the reader.
+	errReset = errors.New("rawhttp: connection reset")
 	// errHeadTooLong ends the reading of a head.
 	errHeadTooLong = errors.Errorf("head longer than %d bytes", maxHeadBytes)
 )
@@ -89,6 +91,7 @@
 	readDeadline  atomic.Int64 // Unix nanoseconds
 	aborted       atomic.Bool
 	endedByServer atomic.Bool // before it was aborted
+	reset         atomic.Bool // by the server, as seen other than by a read
 }
 
 // DialFunc opens a connection to one address.
--- a/oleander/connection/rawhttp/torn_test.go
+++ b/oleander/connection/rawhttp/torn_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderdale.org/oleander/internal/testutil"
 )
 
@@ -77,6 +79,18 @@
 	}
 }
 
+// Guards against a reset that passes for a plain end, and so for the end of a response without length, once somebody has looked at the connection.
+func TestLookAtAResetConnectionLeavesTheReset(t *testing.T) {
+	here, server := pair(t)
+	c := newConn(here, "")
+	_ = server.SetLinger(0)
+	_ = server.Close()
+	testutil.WaitFor(t, c.endedUnread)
+	if _, err := c.reader.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("read %v, want the reset", err)
+	}
+}
+
 // Guards against heads cut at any byte, by an end or a reset, that are taken for a response.
 func TestTornHeadIsNoResponse(t *testing.T) {
 	for name, head := range map[string]string{
