--- a/oleander/gateway/callerconn_test.go
+++ b/oleander/gateway/callerconn_test.go
@@ -215,3 +215,42 @@
 		t.Error("nothing was refused, so the test proves nothing")
 	}
 }
+
+// Guards against an answer of the HTTP server itself that promises something about a request, and against a malformed request that runs.
+func TestAnswersOfTheHTTPServerPromiseNothing(t *testing.T) {
+	good := rawPost("/order/x", "first", "", "body")
+	for name, text := range map[string]string{
+		"no host":               strings.Replace(good, "Host: ", "Other: ", 1),
+		"two hosts":             strings.Replace(good, "Host: ", "Host: other\r\nHost: ", 1),
+		"malformed line":        "POST /order/x\r\n\r\n",
+		"unknown version":       strings.Replace(good, "HTTP/1.1", "HTTP/3.7", 1),
+		"long header":           rawPost("/order/x", "first", "Long: "+strings.Repeat("x", 2*maxHeaderBytes)+"\r\n", "body"),
+		"unknown coding":        rawHead(http.MethodPost, "/order/x", "first", "Transfer-Encoding: gzip\r\n") + "body",
+		"unknown expectation":   rawPost("/order/x", "first", "Expect: 200-ok\r\n", "body"),
+		"two lengths":           rawPost("/order/x", "first", "Content-Length: 3\r\n", "body"),
+		"malformed length":      rawHead(http.MethodPost, "/order/x", "first", "Content-Length: x\r\n") + "body",
+		"header without an end": strings.TrimSuffix(rawHead(http.MethodPost, "/order/x", "first", ""), "\r\n"),
+		"body without an end":   rawHead(http.MethodPost, "/order/x", "first", "Content-Length: 10\r\n") + "body",
+		"other protocol":        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+	} {
+		for _, bound := range []int64{0, 64 * mb} {
+			t.Run(fmt.Sprintf("%s, bound %d MB", name, bound/mb), func(t *testing.T) {
+				t.Parallel()
+				f, runs := countedFixture(t, config(1), bound)
+				c := dialCaller(t, f.gateways[0])
+				go func() { _, _ = io.WriteString(c, text) }()
+				answers := readRawAnswers(c, headerTimeout+time.Second)
+				for _, a := range answers {
+					promised := promisesNotRun(a.status) && (name != "body without an end" || a.status != http.StatusRequestTimeout)
+					if promised || a.status == http.StatusOK {
+						t.Errorf("answers %v", answers)
+					}
+				}
+				if runs.of("first") != 0 {
+					t.Errorf("ran; answers %v", answers)
+				}
+				t.Logf("answers %v", answers)
+			})
+		}
+	}
+}
