Feedback of servers is repeated only by the instance that heard it

Cause: limits, rests and statements on rejections were told as an age, also by instances that had them from others. A receiver counts an age back from its receipt, so each hop made a statement younger by the delay of a message, and the latest was kept.

Change: each instance keeps what a server said to itself beside the latest of all (serverlimit, brittle; a rest had both). What goes to all and is repeated for 2.5 s is the own one (OwnFeedback). A choice of a dispatcher and the answer to an uninformed one still tell what others heard, as older by 250 ms (KnownFeedback), so that it never grows younger while messages take less. The wire format is the same, to the byte.

The simulated fleet of package dispatch uses the new functions with unchanged checks.

--- a/core/gateway/brittle/brittle.go
+++ b/core/gateway/brittle/brittle.go
@@ -42,12 +42,29 @@
 }
 
 // Group is what the servers of a group say. The zero Group said nothing.
-type Group struct{ last Statement }
+type Group struct {
+	last Statement // to any instance
+	own  Statement // to this instance
+}
 
-// Record records a statement, unless a newer one is known or it would end one too soon. It
-// reports whether it changes anything.
+// Record records a statement to this instance, unless a newer one is known or it would end one
+// too soon. It reports whether it changes anything.
 func (g *Group) Record(s Statement) (changed bool) {
-	if s.At < g.last.At || !s.Brittle && g.last.Brittle && s.At.Sub(g.last.At) < minTimeSaid {
+	if !g.accepts(s) {
+		return false
+	}
+	g.own = s
+	return g.Hear(s)
+}
+
+// accepts reports whether a statement is not older than the newest, and does not end it too soon.
+func (g *Group) accepts(s Statement) bool {
+	return s.At >= g.last.At && (s.Brittle || !g.last.Brittle || s.At.Sub(g.last.At) >= minTimeSaid)
+}
+
+// Hear is Record for a statement to another instance.
+func (g *Group) Hear(s Statement) (changed bool) {
+	if !g.accepts(s) {
 		return false
 	}
 	changed = s.Brittle != g.last.Brittle || s.Survived != g.last.Survived
@@ -55,10 +72,14 @@
 	return changed
 }
 
-// Last returns the newest statement; ok is false if it no longer holds.
-func (g *Group) Last(now clock.Time) (s Statement, ok bool) {
-	return g.last, g.last.Brittle && now.Sub(g.last.At) < validity
-}
+// Last returns the newest statement to any instance; ok is false if it no longer holds.
+func (g *Group) Last(now clock.Time) (s Statement, ok bool) { return g.last, g.last.holds(now) }
+
+// Own returns the newest statement to this instance; ok is false if it no longer holds.
+func (g *Group) Own(now clock.Time) (s Statement, ok bool) { return g.own, g.own.holds(now) }
+
+// holds reports whether the servers are still taken to be brittle.
+func (s Statement) holds(now clock.Time) bool { return s.Brittle && now.Sub(s.At) < validity }
 
 // Bound is the bound of one server. The zero Bound has seen no rejection.
 type Bound struct {
--- a/core/gateway/directory/brittle.go
+++ b/core/gateway/directory/brittle.go
@@ -5,18 +5,28 @@
 	"oleanderdale.org/core/gateway/brittle"
 )
 
-// RecordBrittle records what an answer of a server said about the rejections that the servers
-// of its group survive. It reports whether that changes anything.
+// RecordBrittle records what an answer of a server to this instance said about the rejections
+// that the servers of its group survive. It reports whether that changes anything.
 func (d *Directory) RecordBrittle(group string, s brittle.Statement) (changed bool) {
+	g := d.brittleGroupOf(group, s)
+	return g != nil && g.Record(s)
+}
+
+// HearBrittle is RecordBrittle for an answer to another instance.
+func (d *Directory) HearBrittle(group string, s brittle.Statement) (changed bool) {
+	g := d.brittleGroupOf(group, s)
+	return g != nil && g.Hear(s)
+}
+
+// brittleGroupOf returns the group that a statement is about, a new one if it is the first; nil
+// if there is none.
+func (d *Directory) brittleGroupOf(group string, s brittle.Statement) *brittle.Group {
 	g := d.brittleGroups[group]
-	if g == nil {
-		if !s.Brittle {
-			return false
-		}
+	if g == nil && s.Brittle {
 		g = &brittle.Group{}
 		d.brittleGroups[group] = g
 	}
-	return g.Record(s)
+	return g
 }
 
 // BrittleStatement returns what the servers of a group said last; ok is false if it does not
--- a/core/gateway/directory/limit.go
+++ b/core/gateway/directory/limit.go
@@ -23,13 +23,26 @@
 // this instance matters.
 func (d *Directory) PacesServers() bool { return len(d.warmupLimits) > 0 || len(d.limits) > 0 }
 
-// RecordLimit records what a response of a server said about its rate limit. It reports
-// whether the limit was named, changed or ended.
+// RecordLimit records what a response of a server to this instance said about its rate limit.
+// It reports whether the limit was named, changed or ended.
 func (d *Directory) RecordLimit(id string, incarnation int64, statement serverlimit.Statement) bool {
+	l := d.limitOf(id, incarnation, statement)
+	return l != nil && l.Record(statement)
+}
+
+// HearLimit is RecordLimit for a response to another instance.
+func (d *Directory) HearLimit(id string, incarnation int64, statement serverlimit.Statement) bool {
+	l := d.limitOf(id, incarnation, statement)
+	return l != nil && l.Hear(statement)
+}
+
+// limitOf returns the limit that a statement of a server is about, a new one if it names the
+// first; nil if a later incarnation is known or there is none.
+func (d *Directory) limitOf(id string, incarnation int64, statement serverlimit.Statement) *serverlimit.Limit {
 	l := d.limits[id]
 	if l == nil || l.Incarnation < incarnation {
 		if !statement.Limited {
-			return false
+			return nil
 		}
 		l = serverlimit.New(incarnation)
 		d.limits[id] = l
@@ -37,7 +50,10 @@
 			s.limit = l
 		}
 	}
-	return l.Incarnation == incarnation && l.Record(statement)
+	if l.Incarnation != incarnation {
+		return nil
+	}
+	return l
 }
 
 // keptLimit returns the limit that an incarnation of a server named before; nil if none.
--- a/core/gateway/directory/toldagain_test.go
+++ b/core/gateway/directory/toldagain_test.go
@@ -20,6 +20,9 @@
 
 type record func(now clock.Time, d *Directory)
 
+// feedback returns what an instance tells of a server.
+type feedback func(d *Directory, now clock.Time, s *Server) Feedback
+
 // retell lets directories tell each other what they know of a server, as instances do for 2.5 s after they heard it themselves.
 func retell(directories []*Directory, report func(now clock.Time, d *Directory) record) (end clock.Time) {
 	rng := rand.New(rand.NewPCG(1, 66))
@@ -56,22 +59,23 @@
 		// A message takes 20 ms.
 		maxLate = 25 * time.Millisecond
 	)
+	tells := map[string]feedback{"to all": (*Directory).OwnFeedback, "to one": (*Directory).KnownFeedback}
 	for _, tc := range []struct {
 		name   string
 		happen func(d *Directory)
-		report func(now clock.Time, d *Directory) record
+		report func(now clock.Time, d *Directory, tell feedback) record
 		late   func(now clock.Time, d *Directory) time.Duration
 	}{
 		{
 			"limit", func(d *Directory) {
 				d.RecordLimit("s0", 1, serverlimit.Statement{Limited: true, PerSecond: 5, At: start})
 			},
-			func(now clock.Time, d *Directory) record {
-				said, _ := d.Get("s0").LimitStatement()
+			func(now clock.Time, d *Directory, tell feedback) record {
+				said := *tell(d, now, d.Get("s0")).Limit
 				age := now.Sub(said.At)
 				return func(now clock.Time, d *Directory) {
 					said.At = now.Add(-age)
-					d.RecordLimit("s0", 1, said)
+					d.HearLimit("s0", 1, said)
 				}
 			},
 			func(_ clock.Time, d *Directory) time.Duration {
@@ -80,9 +84,12 @@
 			},
 		},
 		{
-			"rest", func(d *Directory) { d.RecordRestOfAny(start, "s0", rest) },
-			func(now clock.Time, d *Directory) record {
-				left := d.Get("s0").RestRemaining(now)
+			"rest", func(d *Directory) {
+				d.RecordRest(start, "s0", rest)
+				d.RecordRestOfAny(start, "s0", rest)
+			},
+			func(now clock.Time, d *Directory, tell feedback) record {
+				left := tell(d, now, d.Get("s0")).Rest
 				return func(now clock.Time, d *Directory) { d.RecordRestOfAny(now, "s0", left) }
 			},
 			func(now clock.Time, d *Directory) time.Duration {
@@ -91,12 +98,12 @@
 		},
 		{
 			"brittle", func(d *Directory) { d.RecordBrittle("g", brittle.Statement{Brittle: true, Survived: 8, At: start}) },
-			func(now clock.Time, d *Directory) record {
-				said, _ := d.BrittleStatement(now, "g")
+			func(now clock.Time, d *Directory, tell feedback) record {
+				said := *tell(d, now, d.Get("s0")).Brittle
 				age := now.Sub(said.At)
 				return func(now clock.Time, d *Directory) {
 					said.At = now.Add(-age)
-					d.RecordBrittle("g", said)
+					d.HearBrittle("g", said)
 				}
 			},
 			func(now clock.Time, d *Directory) time.Duration {
@@ -106,22 +113,24 @@
 		},
 	} {
 		for _, instances := range []int{9, 36} {
-			t.Run(fmt.Sprintf("%s, %d instances", tc.name, instances), func(t *testing.T) {
-				var directories []*Directory
-				for range instances {
-					d := newDirectory(1)
-					tc.happen(d)
-					directories = append(directories, d)
-				}
-				end := retell(directories, tc.report)
-				late := time.Duration(0)
-				for _, d := range directories {
-					late = max(late, tc.late(end, d))
-				}
-				if late > maxLate {
-					t.Errorf("said to have been %v later than it was", late)
-				}
-			})
+			for to, tell := range tells {
+				t.Run(fmt.Sprintf("%s, %d instances, told %s", tc.name, instances, to), func(t *testing.T) {
+					var directories []*Directory
+					for range instances {
+						d := newDirectory(1)
+						tc.happen(d)
+						directories = append(directories, d)
+					}
+					end := retell(directories, func(now clock.Time, d *Directory) record { return tc.report(now, d, tell) })
+					late := time.Duration(0)
+					for _, d := range directories {
+						late = max(late, tc.late(end, d))
+					}
+					if late > maxLate {
+						t.Errorf("said to have been %v later than it was", late)
+					}
+				})
+			}
 		}
 	}
 }
--- a/core/gateway/dispatch/feedback_fleet_test.go
+++ b/core/gateway/dispatch/feedback_fleet_test.go
@@ -251,7 +251,9 @@
 		}
 		var known serverlimit.Statement
 		if r.Choice.Server != nil {
-			known, _ = r.Choice.Server.LimitStatement()
+			if limit := n.dir.KnownFeedback(f.now, r.Choice.Server).Limit; limit != nil {
+				known = *limit
+			}
 		}
 		if to == n {
 			n.handleReply(n, r, known)
@@ -281,10 +283,10 @@
 		return
 	}
 	if known.Limited {
-		n.dir.RecordLimit(s.ID, 1, known)
+		n.dir.HearLimit(s.ID, 1, known)
 	}
 	if !s.PacedBy(known) && !f.deaf {
-		n.tell(from, s.ID)
+		n.tell(from, s.ID, n.dir.KnownFeedback(f.now, s))
 		return
 	}
 	n.start(r.Number, s.ID)
@@ -330,7 +332,7 @@
 	}
 	if changed {
 		for _, o := range f.nodes {
-			n.tell(o, s.id)
+			n.tellOwn(o, s.id)
 		}
 	}
 }
@@ -356,14 +358,17 @@
 	n.ask(number)
 }
 
-// tell tells another instance what a server said.
-func (n *feedbackNode) tell(to *feedbackNode, id string) {
+// tellOwn tells another instance what a server said to this one.
+func (n *feedbackNode) tellOwn(to *feedbackNode, id string) {
+	n.tell(to, id, n.dir.OwnFeedback(n.fleet.now, n.dir.Get(id)))
+}
+
+func (n *feedbackNode) tell(to *feedbackNode, id string, said directory.Feedback) {
 	f := n.fleet
-	said, ok := n.dir.Get(id).LimitStatement()
-	if to == n || !ok || f.deaf {
+	if to == n || said.Limit == nil || f.deaf {
 		return
 	}
-	f.send(n, to, func() { to.dir.RecordLimit(id, 1, said) })
+	f.send(n, to, func() { to.dir.HearLimit(id, 1, *said.Limit) })
 }
 
 func (n *feedbackNode) repeatFeedback() {
@@ -373,7 +378,7 @@
 			continue
 		}
 		for _, o := range n.fleet.nodes {
-			n.tell(o, id)
+			n.tellOwn(o, id)
 		}
 	}
 }
--- a/core/gateway/serverlimit/serverlimit.go
+++ b/core/gateway/serverlimit/serverlimit.go
@@ -52,18 +52,35 @@
 // use.
 type Limit struct {
 	Incarnation int64
-	last        Statement
-	credit      float64 // requests that may be sent at creditAt
+	last        Statement // to any instance
+	own         Statement // to this instance; At 0: none
+	credit      float64   // requests that may be sent at creditAt
 	creditAt    clock.Time
 }
 
 // New returns a Limit that its server has not named yet.
 func New(incarnation int64) *Limit { return &Limit{Incarnation: incarnation} }
 
-// Record records a statement, unless a newer one is known or it would end the limit too
-// soon. It reports whether the limit was named, changed or ended.
+// Record records a statement to this instance, unless a newer one is known or it would end the
+// limit too soon. It reports whether the limit was named, changed or ended.
 func (l *Limit) Record(s Statement) bool {
-	if s.At < l.last.At || !s.Limited && l.last.Limited && s.At.Sub(l.last.At) < minLimitedTime {
+	if !l.accepts(s) {
+		return false
+	}
+	changed := l.Hear(s)
+	l.own = l.last
+	return changed
+}
+
+// accepts reports whether a statement is not older than the newest, and does not end the limit
+// too soon.
+func (l *Limit) accepts(s Statement) bool {
+	return s.At >= l.last.At && (s.Limited || !l.last.Limited || s.At.Sub(l.last.At) >= minLimitedTime)
+}
+
+// Hear is Record for a statement to another instance.
+func (l *Limit) Hear(s Statement) bool {
+	if !l.accepts(s) {
 		return false
 	}
 	s.PerSecond = min(s.PerSecond, maxRate)
@@ -78,9 +95,12 @@
 // ResetCredit makes the next request wait as if one had just been sent.
 func (l *Limit) ResetCredit(now clock.Time) { l.credit, l.creditAt = 0, now }
 
-// Last returns the newest statement.
+// Last returns the newest statement to any instance.
 func (l *Limit) Last() Statement { return l.last }
 
+// Own returns the newest statement to this instance; ok is false if there is none.
+func (l *Limit) Own() (s Statement, ok bool) { return l.own, l.own.At != 0 }
+
 // Active reports whether the server has a limit. A nil Limit is not active.
 func (l *Limit) Active() bool { return l != nil && l.last.Limited }
 
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -205,7 +205,7 @@
 func (g *Gateway) encodeChoiceDetail(now clock.Time, r dispatch.Reply) *choiceDetailMsg {
 	detail := choiceDetailMsg{RetryAfterMS: r.RetryAfter.Milliseconds(), Overflow: r.Choice.Reason == directory.ByOverflow, NoSlot: r.NoSlot, Returned: r.Returned}
 	if s := r.Choice.Server; s != nil {
-		detail.Feedback = g.encodeServerFeedback(now, s)
+		detail.Feedback = g.knownFeedback(now, s)
 		detail.PaceThousandths, detail.WorkTenths = int(math.Round(1000*r.Choice.PaceFactor)), int(math.Round(10*r.Choice.Work))
 		detail.CachedTokens = r.Choice.CachedTokens
 	}
@@ -266,7 +266,7 @@
 		g.handleServerFeedback(now, detail.Feedback)
 		r.Choice.Server = g.servers.Get(w.Server.Server)
 		if s := r.Choice.Server; s != nil && !g.informed(now, s, detail.Feedback) {
-			out = g.feedbackTo(now, w.From, s)
+			out = g.feedbackTo(w.From, g.knownFeedback(now, s))
 			g.metrics.uninformedChoices.Inc()
 			r.Decision = dispatch.NoCandidate
 		}
--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -66,41 +66,50 @@
 	maxRepeatedFeedback = 50
 )
 
-// encodeServerFeedback returns what a server said last; nil if it said nothing. The caller
-// holds mu.
-func (g *Gateway) encodeServerFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
-	said, ok := s.LimitStatement()
-	leaving, resting := g.servers.SaidLeaving(s), s.RestRemaining(now)
-	brittle, isBrittle := g.servers.BrittleStatement(now, s.Group)
-	if !ok && !leaving && resting == 0 && !isBrittle {
+// encodeServerFeedback returns what a server said; nil if it said nothing. The caller holds mu.
+func (g *Gateway) encodeServerFeedback(now clock.Time, s *directory.Server, said directory.Feedback) *serverFeedbackMsg {
+	leaving := g.servers.SaidLeaving(s)
+	if !leaving && said == (directory.Feedback{}) {
 		return nil
 	}
-	f := &serverFeedbackMsg{Server: s.ID, Incarnation: s.Incarnation, Leaving: leaving, RestMS: resting.Milliseconds()}
-	if isBrittle {
-		f.Brittle = &brittleMsg{Group: s.Group, AgeMS: now.Sub(brittle.At).Milliseconds(), Survived: brittle.Survived}
+	f := &serverFeedbackMsg{Server: s.ID, Incarnation: s.Incarnation, Leaving: leaving, RestMS: said.Rest.Milliseconds()}
+	if b := said.Brittle; b != nil {
+		f.Brittle = &brittleMsg{Group: s.Group, AgeMS: now.Sub(b.At).Milliseconds(), Survived: b.Survived}
 	}
-	if ok {
-		f.Limit = &limitMsg{AgeMS: now.Sub(said.At).Milliseconds(), Limited: said.Limited, PerSecond: said.PerSecond}
+	if l := said.Limit; l != nil {
+		f.Limit = &limitMsg{AgeMS: now.Sub(l.At).Milliseconds(), Limited: l.Limited, PerSecond: l.PerSecond}
 	}
 	return f
 }
 
-// feedbackToAll returns the messages that tell all instances what a server said. The
-// dispatcher gets its own, since only it sends requests to a server with a limit. The
+// ownFeedback returns what a server said to this instance, for all others; nil if it said
+// nothing. The caller holds mu.
+func (g *Gateway) ownFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
+	return g.encodeServerFeedback(now, s, g.servers.OwnFeedback(now, s))
+}
+
+// knownFeedback returns what a server said to any instance, for one that chose it or is to use
+// it; nil if it said nothing. The caller holds mu.
+func (g *Gateway) knownFeedback(now clock.Time, s *directory.Server) *serverFeedbackMsg {
+	return g.encodeServerFeedback(now, s, g.servers.KnownFeedback(now, s))
+}
+
+// feedbackToAll returns the messages that tell all instances what a server said to this one.
+// The dispatcher gets its own, since only it sends requests to a server with a limit. The
 // caller holds mu.
 func (g *Gateway) feedbackToAll(now clock.Time, s *directory.Server) []outgoing {
-	f := g.encodeServerFeedback(now, s)
+	f := g.ownFeedback(now, s)
 	if f == nil {
 		return nil
 	}
-	out := g.feedbackTo(now, g.dispatcherName(now), s)
+	out := g.feedbackTo(g.dispatcherName(now), f)
 	return append(out, g.broadcast(now, g.encode(packet{Feedback: &feedbackMsg{Servers: []serverFeedbackMsg{*f}}}), g.members.All(now), true)...)
 }
 
 // feedbackTo returns the message that tells one instance what a server said. The caller
 // holds mu.
-func (g *Gateway) feedbackTo(now clock.Time, name string, s *directory.Server) []outgoing {
-	to, f := g.members.Get(name), g.encodeServerFeedback(now, s)
+func (g *Gateway) feedbackTo(name string, f *serverFeedbackMsg) []outgoing {
+	to := g.members.Get(name)
 	if to == nil || f == nil {
 		return nil
 	}
@@ -118,7 +127,7 @@
 			continue
 		}
 		if s := g.servers.Get(id); s != nil && len(m.Servers) < maxRepeatedFeedback {
-			if f := g.encodeServerFeedback(now, s); f != nil {
+			if f := g.ownFeedback(now, s); f != nil {
 				m.Servers = append(m.Servers, *f)
 			}
 		}
@@ -143,10 +152,10 @@
 		return
 	}
 	if f.Limit != nil && f.Limit.valid() {
-		g.servers.RecordLimit(f.Server, f.Incarnation, f.Limit.statement(now))
+		g.servers.HearLimit(f.Server, f.Incarnation, f.Limit.statement(now))
 	}
 	if b := f.Brittle; b != nil && b.AgeMS >= 0 && b.AgeMS < maxFeedbackMS && b.Survived >= 0 {
-		g.servers.RecordBrittle(b.Group, brittle.Statement{Brittle: true, Survived: b.Survived, At: now.Add(-millis(b.AgeMS))})
+		g.servers.HearBrittle(b.Group, brittle.Statement{Brittle: true, Survived: b.Survived, At: now.Add(-millis(b.AgeMS))})
 	}
 	if f.RestMS > 0 && f.RestMS < maxFeedbackMS {
 		g.servers.RecordRestOfAny(now, f.Server, time.Duration(f.RestMS)*time.Millisecond)
