A dispatcher that does not know the end of a limit is told of it

Cause: an instance turns a choice down, and tells the dispatcher, if the dispatcher does not know a limit; nothing told it of an end. The end is told to all for 2.5 s with one age; who takes the limit as named less than 1 s before (its message came late) drops it each time. From then on the others hold the end as known and tell nothing, so that the dispatcher sends the server one request in two seconds until one of its own callers' requests gets the answer.

Change: an instance that gets a choice of a server which the dispatcher takes for limited, and knows a later end, tells it what it knows, and uses the choice. Its own answers make what it tells newer, so that it is accepted at last.

Test: TestUninformedDispatcherIsTold, case "end": 0 messages before, one now, and the dispatcher takes the limit for ended; none to one that knows.

That this was its cause is not shown.

--- a/core/gateway/directory/limit.go
+++ b/core/gateway/directory/limit.go
@@ -97,6 +97,12 @@
 // that has just begun, or whose message was lost, may not know the limit yet.
 func (s *Server) PacedBy(known serverlimit.Statement) bool { return !s.limit.Active() || known.Limited }
 
+// LimitEnded reports whether a dispatcher that chose the server, and knows it to have said known,
+// does not know that its rate limit has ended.
+func (s *Server) LimitEnded(known serverlimit.Statement) bool {
+	return known.Limited && s.limit != nil && !s.limit.Active()
+}
+
 // RateLimited reports whether the server named a rate limit a short time ago, so that it
 // can't be counted on for its share of the load.
 func (s *Server) RateLimited(now clock.Time) bool { return s.limit.Recent(now) }
--- a/oleander/gateway/dispatchmsg.go
+++ b/oleander/gateway/dispatchmsg.go
@@ -239,7 +239,8 @@
 
 // handleChoiceMsg handles a reply of the dispatcher. If this instance knows that the
 // chosen server drains or is gone, or that it said something that the dispatcher does not
-// know, the request chooses a server locally. The caller holds mu.
+// know, the request chooses a server locally. A dispatcher that does not know the end of a limit
+// is told of it. The caller holds mu.
 func (g *Gateway) handleChoiceMsg(now clock.Time, w *choiceMsg, detail *choiceDetailMsg) []outgoing {
 	if w.Incarnation != g.incarnation {
 		return nil
@@ -269,6 +270,8 @@
 			out = g.feedbackTo(w.From, g.knownFeedback(now, s))
 			g.metrics.uninformedChoices.Inc()
 			r.Decision = dispatch.NoCandidate
+		} else if s != nil && s.LimitEnded(detail.Feedback.limit(now)) {
+			out = g.feedbackTo(w.From, g.knownFeedback(now, s))
 		}
 	}
 	if s := r.Choice.Server; r.Decision == dispatch.Granted && (s == nil || s.Incarnation != w.Server.Incarnation || !s.Usable(now)) {
--- a/oleander/gateway/feedbackmsg.go
+++ b/oleander/gateway/feedbackmsg.go
@@ -169,11 +169,15 @@
 // of it: a rate limit, or that it leaves. One that has just begun, lost the message, or runs
 // an older version does not. known is what it sent with its choice. The caller holds mu.
 func (g *Gateway) informed(now clock.Time, s *directory.Server, known *serverFeedbackMsg) bool {
-	var limit *limitMsg
-	if known != nil {
-		limit = known.Limit
+	return !g.servers.SaidLeaving(s) && s.PacedBy(known.limit(now))
+}
+
+// limit returns what the sender knows of a server's rate limit; nil knows of none.
+func (f *serverFeedbackMsg) limit(now clock.Time) serverlimit.Statement {
+	if f == nil {
+		return serverlimit.Statement{}
 	}
-	return !g.servers.SaidLeaving(s) && s.PacedBy(limit.statement(now))
+	return f.Limit.statement(now)
 }
 
 // limitedServerCount returns the number of servers with a rate limit. The caller holds mu.
--- a/oleander/gateway/feedbackmsg_test.go
+++ b/oleander/gateway/feedbackmsg_test.go
@@ -111,6 +111,7 @@
 	}{
 		{"limit", []limitMsg{{AgeMS: 900, Limited: true, PerSecond: 2}}, nil, true},
 		{"limit after an earlier end", []limitMsg{{AgeMS: 900, Limited: true, PerSecond: 2}}, []limitMsg{{AgeMS: 9000, Limited: true}, {AgeMS: 7000}}, true},
+		{"end", []limitMsg{{AgeMS: 5000, Limited: true}, {AgeMS: 900}}, []limitMsg{{AgeMS: 5000, Limited: true}}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			_, g := single(t)
