--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -29,6 +29,8 @@
 	maxRelaySearch = 100 * time.Millisecond
 	// relayBufferSize is the size of the buffer of each direction.
 	relayBufferSize = 8 << 10
+	// resetNoticeTime is how long a write to a connection that was reset may take to end.
+	resetNoticeTime = 100 * time.Millisecond
 	paramServer     = "server" // ID of the server to connect to
 	// relayProtocol passes the server's bytes on as they are, framedRelayProtocol in frames.
 	// Instances of earlier versions offer and accept the first only.
@@ -269,22 +271,38 @@
 // requestWriter writes a request to a server and remembers a failure. The kernel tells of a reset once: if it
 // tells the write, the read of the response sees a plain end.
 type requestWriter struct {
-	mu  sync.Mutex
-	to  io.Writer
-	err error
+	to    io.Writer
+	mu    sync.Mutex
+	err   error         // of the last write
+	ended chan struct{} // closed when the write ends that is on its way; nil before the first
 }
 
 // Write implements io.Writer.
-func (w *requestWriter) Write(b []byte) (n int, err error) {
+func (w *requestWriter) Write(b []byte) (int, error) {
+	ended := make(chan struct{})
+	defer close(ended)
+	w.mu.Lock()
+	w.ended = ended
+	w.mu.Unlock()
+	n, err := w.to.Write(b)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n, err = w.to.Write(b)
 	w.err = err
 	return n, err
 }
 
-// failed returns the error of the last write, after it has ended.
+// failed returns the error of the last write. One that is on its way ends at once if the connection was reset, but may
+// wait for a server that answered without reading the whole request.
 func (w *requestWriter) failed() error {
+	w.mu.Lock()
+	ended := w.ended
+	w.mu.Unlock()
+	if ended != nil {
+		select {
+		case <-ended:
+		case <-time.After(resetNoticeTime):
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.err
