Routes: a new one is asked right before a request is sent again, too

The last check before a send follows the configuration now, if the request may have run.

What a request waits for after that check, memory of its server and a connection, is not covered.

--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -137,14 +137,10 @@
 // the request arrived, such as a withdrawn key or a moved route.
 func (x *exchange) selectServer() (selection, *refusal) {
 	g := x.g
-	if m := g.manifest.Load(); m != x.config {
-		if ref := x.resolve(); ref != nil {
+	if x.config != g.manifest.Load() {
+		if ref := x.followConfig(); ref != nil {
 			return selection{}, ref
 		}
-		if !x.mayRunAgain() {
-			ref := x.finalRefusal()
-			return selection{}, &ref
-		}
 		if x.possibleRuns == 0 && !x.responseStarted {
 			x.pickGroup()
 		}
@@ -159,6 +155,18 @@
 	return s, ref
 }
 
+// followConfig finds the route and the account in a new configuration, by which the request may not run again.
+func (x *exchange) followConfig() *refusal {
+	if ref := x.resolve(); ref != nil {
+		return ref
+	}
+	if !x.mayRunAgain() {
+		ref := x.finalRefusal()
+		return &ref
+	}
+	return nil
+}
+
 // selectServerLocked asks the dispatcher, or the instance's own queues, if some server has what
 // the request needs, or chooses one locally if there is neither to ask. The caller holds mu.
 func (x *exchange) selectServerLocked(now clock.Time) (selection, []outgoing, *refusal) {
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -95,8 +95,13 @@
 }
 
 // checkSend checks right before a send whether the request may still be sent: servers may
-// have crashed under its copies while it waited.
+// have crashed under its copies while it waited, and its route may have changed.
 func (x *exchange) checkSend() *refusal {
+	if x.possibleRuns > 0 && x.config != x.g.manifest.Load() {
+		if ref := x.followConfig(); ref != nil {
+			return ref
+		}
+	}
 	if ref := x.beginTrial(); ref != nil {
 		return ref
 	}
