--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -279,7 +279,7 @@
 		return x.handleNotRun(t, c, resp, head)
 	case resp.StatusCode < 300 && !head.Signed:
 		return x.attemptFailed(t, c, invalidf("success response without signature"))
-	case promisesNotRun(resp.StatusCode) && !x.route.Retryable():
+	case promisesNotRun(resp.StatusCode) && !x.isRetryable():
 		return x.attemptFailed(t, c, invalidf("status %d, which does not say that the request did not run", resp.StatusCode))
 	case resp.StatusCode >= 500 && x.mayFailOver():
 		return x.attemptFailed(t, c, invalidf("status %d", resp.StatusCode))
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -87,6 +88,20 @@
 	return x.possibleRuns == 0 || x.route.Retryable() && x.possibleRuns < x.route.MaxAttempts
 }
 
+// isRetryable reports whether the request may be repeated by its route, as it was sent and as it is in force.
+func (x *exchange) isRetryable() bool {
+	if !x.route.Retryable() {
+		return false
+	}
+	m := x.g.manifest.Load()
+	if m == x.config {
+		return true
+	}
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	route := m.Match(x.r.Host, path)
+	return route != nil && route.Retryable()
+}
+
 // returnTarget ends the use of a server to which nothing was sent.
 func (x *exchange) returnTarget(t target) {
 	x.prefill = t.prefill
