--- a/oleander/gateway/notrun_test.go
+++ b/oleander/gateway/notrun_test.go
@@ -13,6 +13,7 @@
 	"oleanderdale.org/core/gateway/budget"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/membudget"
+	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/oleander/internal/testutil"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -72,10 +73,12 @@
 	// path is that of a route whose requests may run twice; "" means /read/. Those that may run once have oncePath.
 	path, oncePath string
 	model          string
+	software       string // version of the first server
 	header         []string
 	adapt          func(m *manifest.Manifest) // changes the first configuration
 	before         func(f *fixture)           // called once the instance runs, before its first server is there
 	during         func(f *fixture)           // called while the first attempt is under way
+	reached        func(g *Gateway) bool      // whether the refusal came from where it should after a rejection; may be nil
 }
 
 func (l laterRefusal) paths() map[string]string {
@@ -92,7 +95,7 @@
 	if l.model != "" {
 		group, models = "llm", []string{l.model}
 	}
-	f.backend("a", group, func(w http.ResponseWriter, r *http.Request) {
+	f.softwareBackend("a", group, l.software, func(w http.ResponseWriter, r *http.Request) {
 		if l.during != nil {
 			l.during(f)
 		}
@@ -137,17 +140,43 @@
 	testutil.WaitFor(f.t, func() bool { return f.knows(f.gateways[0], id) })
 }
 
-// blameSubject records crashes of several servers under the request.
-func blameSubject(f *fixture, path, body string) {
+// blameSubject records crashes of servers under the request, and returns its digest.
+func blameSubject(f *fixture, path, body string, servers ...string) poison.Digest {
 	g := f.gateways[0]
 	r := httptest.NewRequest(http.MethodPost, path, nil)
 	r.Host = testHost
 	x := &exchange{g: g, r: r, body: []byte(body), account: &manifest.Account{Name: "account"}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, id := range []string{"c1", "c2", "c3", "c4"} {
+	for _, id := range servers {
 		g.poison.RecordCrash(boottime.Now(), x.requestDigests(), serverHash(id))
 	}
+	return x.requestDigests()[0]
+}
+
+// holdProbe puts the request on probation, and has another copy of it run for as long as this one may wait.
+func holdProbe(f *fixture, path, body string) {
+	digest := blameSubject(f, path, body, "c1")
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	later := boottime.Now().Add(2 * maxProbeWait)
+	g.probes.Ask(later, digest, later)
+}
+
+// beginAtSoftware makes the instance believe that the stream that the request takes up began at a version.
+func beginAtSoftware(f *fixture, software string) {
+	g := f.gateways[0]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.origins.Began(boottime.Now(), originRecord("s", software))
+}
+
+// addSingleAttempts adds a route of streams that may be resumed, but not sent again.
+func addSingleAttempts(m *manifest.Manifest) {
+	r := *m.Match(testHost, "/resume/")
+	r.Name, r.Prefix, r.MaxAttempts = "single", "/single/", 1
+	m.AddRoute(&r)
 }
 
 func setTimes(timeout, objective time.Duration) func(m *manifest.Manifest) {
@@ -272,9 +301,42 @@
 			during: func(f *fixture) {
 				empty(f, "b")
 				for _, path := range []string{"/read/x", "/order/x"} {
-					blameSubject(f, path, strings.Repeat("x", 1000))
+					blameSubject(f, path, strings.Repeat("x", 1000), "c1", "c2", "c3", "c4")
+				}
+			},
+		},
+	}
+}
+
+// laterRefusalsOfCopiesAndVersions returns those that copies of the request cause, or the version that its stream needs.
+func laterRefusalsOfCopiesAndVersions() map[string]laterRefusal {
+	return map[string]laterRefusal{
+		"another copy runs": {
+			reason: reasonCrashesServers,
+			before: func(f *fixture) {
+				addKnown(f, "b", "plain", ok)
+				fill(f, "b")
+			},
+			during: func(f *fixture) {
+				empty(f, "b")
+				for _, path := range []string{"/read/x", "/order/x"} {
+					holdProbe(f, path, strings.Repeat("x", 1000))
 				}
 			},
+			reached: func(g *Gateway) bool { return g.metrics.probesDenied.Get() > 1 },
+		},
+		"version is gone": {
+			reason: reasonNoSoftware, path: "/resume/x", oncePath: "/single/x", model: "warm", software: "v1",
+			header: []string{testModel, "warm", testLast, "2", testResumes, "s"}, adapt: addSingleAttempts,
+			before: func(f *fixture) {
+				f.softwareBackend("b", "llm", "v2", ok, "warm")
+				testutil.WaitFor(f.t, func() bool { return f.knows(f.gateways[0], "b") })
+				beginAtSoftware(f, "v1")
+			},
+			during: func(f *fixture) {
+				f.store.RemoveServer("a")
+				testutil.WaitFor(f.t, func() bool { return f.gateways[0].serverAddress("a") == "" })
+			},
 		},
 	}
 }
@@ -315,6 +377,18 @@
 	}
 }
 
+// Guards against a refusal that promises that a request did not run, since after an attempt that ran it another copy is on probation, or
+// no server has the version of its stream.
+func TestRefusalForACopyOrAVersionAfterARunPromisesNothing(t *testing.T) {
+	for name, l := range laterRefusalsOfCopiesAndVersions() {
+		for kind, path := range l.paths() {
+			for _, end := range []firstEnd{endRejected, endRan} {
+				t.Run(name+"/"+kind+"/"+string(end), func(t *testing.T) { playLaterRefusal(t, l, kind, path, end) })
+			}
+		}
+	}
+}
+
 func playLaterRefusal(t *testing.T, l laterRefusal, kind, path string, end firstEnd) {
 	m := config(1)
 	if l.adapt != nil {
@@ -345,4 +419,7 @@
 	if got.status != want || !strings.Contains(got.body, `"`+string(l.reason)+`"`) {
 		t.Errorf("after a rejection: %d %s, want %d %s", got.status, got.body, want, l.reason)
 	}
+	if l.reached != nil && !l.reached(f.gateways[0]) {
+		t.Error("refused elsewhere, so the test proves nothing")
+	}
 }
