--- a/oleander/gateway/notrun_test.go
+++ b/oleander/gateway/notrun_test.go
@@ -115,13 +115,19 @@
 	m := config(2)
 	change(m)
 	f.store.SetManifest(m)
-	testutil.WaitFor(f.t, func() bool { return f.gateways[0].manifest.Load().Version == 2 })
+	awaitVersion(f, 2)
+}
+
+// awaitVersion waits until the first instance has a configuration in force.
+func awaitVersion(f *fixture, version uint64) {
+	f.t.Helper()
+	testutil.WaitFor(f.t, func() bool { return f.gateways[0].manifest.Load().Version == version })
 }
 
 // withoutRoutes returns a configuration that knows no route.
 func withoutRoutes(f *fixture) {
 	f.store.SetEmptyManifest(2)
-	testutil.WaitFor(f.t, func() bool { return f.gateways[0].manifest.Load().Version == 2 })
+	awaitVersion(f, 2)
 }
 
 // fill makes a server look full to the instance.
