Play late copies of own rejections through another instance

Change: TestLateCopyOfOwnRejectionIsNotBelieved shares its play with a test whose instance has no links of its own; the requests that fill the server are sent again if they are refused, since in one of three runs of the new test one of them did not arrive.

--- a/oleander/gateway/foreign_test.go
+++ b/oleander/gateway/foreign_test.go
@@ -393,6 +393,11 @@
 // Guards against an order that ran and is refused, since the copy of its own rejection is believed that comes after the answer to
 // another request on the connection.
 func TestLateCopyOfOwnRejectionIsNotBelieved(t *testing.T) {
+	playLateCopy(t, func(f *fixture) string { return f.start() })
+}
+
+// playLateCopy sends an order to a server that rejects it, and then another request over the same connection, before the order comes back.
+func playLateCopy(t *testing.T, start func(f *fixture) (url string)) *fixture {
 	f := newFixture(t, config(1))
 	f.slots = 1
 	s := &lateCopy{id: "live", runs: make(map[string]int), held: make(chan struct{})}
@@ -400,15 +405,27 @@
 	f.store.PutServer(directory.Entry{
 		ID: "engine", Address: b.address, Zone: "z", Group: "llm", Incarnation: 1, Slots: 1, LoadedModels: []directory.LoadedModel{{Model: "warm"}},
 	})
-	url := f.start()
+	url := start(f)
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	for n := range 2 { // as many as the server takes at once
-		asking.Go(func() { f.ask(http.MethodPost, url+"/order/x", testID, fmt.Sprint("held", n)) })
+		asking.Go(func() {
+			id := fmt.Sprint("held", n)
+			for range 20 { // it may be refused while the links are not known
+				if s.ran(id) > 0 {
+					return
+				}
+				if got := f.ask(http.MethodPost, url+"/order/x", testID, id); got.status != http.StatusOK {
+					t.Logf("%s: %d %s", id, got.status, got.body)
+				}
+			}
+		})
 	}
 	testutil.WaitFor(t, func() bool { return s.ran("held0")+s.ran("held1") == 2 })
 	f.store.PutServer(directory.Entry{ID: "gone", Address: b.address, Zone: "z", Group: "plain", Incarnation: 1, Slots: 1})
-	testutil.WaitFor(t, func() bool { return f.knows(f.gateways[0], "gone") })
+	for _, g := range f.gateways {
+		testutil.WaitFor(t, func() bool { return f.knows(g, "gone") })
+	}
 	var order answer
 	asked := make(chan struct{})
 	go func() {
@@ -428,6 +445,7 @@
 		t.Error("no other request went over the connection of the rejection, so the test proves nothing")
 	}
 	t.Logf("status %d, %d copies", order.status, s.copies)
+	return f
 }
 
 // Guards against an order that ran and is refused, since its server answers with a status that promises the opposite, without saying that
--- a/oleander/gateway/relayfault_test.go
+++ b/oleander/gateway/relayfault_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// Guards against an order that ran and is refused, since the copy of its own rejection is believed that comes after the answer to
+// another request on a connection through another instance.
+func TestLateCopyOfOwnRejectionThroughAnotherInstanceIsNotBelieved(t *testing.T) {
+	f := playLateCopy(t, func(f *fixture) string {
+		url, _ := f.startCut(1, cutRefuses)
+		return url
+	})
+	if n := f.gateways[1].metrics.relayed.Get(); n == 0 {
+		t.Error("nothing went through another instance, so the test proves nothing")
+	}
+}
+
 var errTestRelay = errors.New("the relay ended")
 
 // relayFault is what a relay does to the requests that it took.
