Log what ends an answer that has begun, and whether the instance stops

Cause: the final line of a stream that is cut says broken-off-midway only; no line tells a stop from a time-out, an empty retry budget or a server that broke off, so the hypotheses of the incident can't be told apart. Change: the line has the reason (cause), and on a stopping instance for how long it has been told to (stopping_for_ms). Result: TestLogsNameTheCause wants cause=broken for a server that broke off; it passes, and failed without the change (no field).

--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -158,6 +158,7 @@
 		x.refuse(ref)
 		return
 	}
+	x.refusal = &ref
 	x.finish(http.StatusOK, reasonBrokenOff)
 	panic(http.ErrAbortHandler)
 }
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -393,6 +393,12 @@
 	if x.call.Resumes != "" {
 		e = e.Str("resumes", x.call.Resumes)
 	}
+	if why == reasonBrokenOff {
+		e = e.Str("cause", string(x.refusal.reason))
+	}
+	if x.g.stopping.Load() {
+		e = e.Int64("stopping_for_ms", boottime.Now().Sub(clock.Time(x.g.stopStartedAt.Load())).Milliseconds())
+	}
 	if why == reasonCrashesServers {
 		e = x.logBlamed(e.Stringer("digest", x.digests[0]))
 	}
--- a/oleander/gateway/logs_test.go
+++ b/oleander/gateway/logs_test.go
@@ -51,7 +51,7 @@
 				events(w, 1, 2)
 				panic(http.ErrAbortHandler)
 			}, "/stream/", []string{testModel, "warm"},
-			[]string{"front: attempt failed", "reason=broken-off-midway", "events=2", "server=a"},
+			[]string{"front: attempt failed", "reason=broken-off-midway", "cause=broken", "events=2", "server=a"},
 		},
 	}
 	for _, tc := range tests {
