Known red: streams cut at a stop, or at their deadline, though their only server lives

Cause: a server that is silent for a second is left although no other has the model; one that rejected once stays left out for the rest of the request; and what waits is refused 3 s before the kill, an answer that has begun, too.

--- /dev/null
+++ b/oleander/gateway/silentstop_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oleanderdale.org/core/gateway/manifest"
+	"oleanderdale.org/oleander/internal/testutil"
+)
+
+// begunStreamTimeout is longer than a grace period.
+const begunStreamTimeout = 20 * time.Second
+
+// patientConfig returns a configuration whose resumable streams may last long.
+func patientConfig() *manifest.Manifest {
+	m := config(1)
+	m.Match(testHost, "/resume/").Timeout = begunStreamTimeout
+	return m
+}
+
+// rejectsFor rejects what resumes a stream for a time after the first stream began.
+type rejectsFor struct {
+	period     time.Duration
+	silence    time.Duration // after the second event
+	breaks     bool          // breaks off after the silence
+	began      atomic.Int64  // Unix nanoseconds
+	rejections atomic.Int64
+}
+
+func (s *rejectsFor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.Header.Get(testLast))
+	s.began.CompareAndSwap(0, time.Now().UnixNano())
+	if after > 0 && time.Since(time.Unix(0, s.began.Load())) < s.period {
+		s.rejections.Add(1)
+		w.Header().Set(testNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(testSigned, "1")
+	for i := after + 1; i <= streamLength; i++ {
+		events(w, i, i)
+		if i != 2 {
+			continue
+		}
+		select {
+		case <-time.After(s.silence):
+		case <-r.Context().Done():
+			return
+		}
+		if s.breaks {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// checkBegunStream plays a stream of one engine, and stops the instance a time after its first event if that is not 0. The stream must be whole.
+func checkBegunStream(t *testing.T, s *rejectsFor, stopAfter time.Duration) {
+	t.Helper()
+	f := newFixture(t, patientConfig())
+	f.backend("a", "llm", s.ServeHTTP, "warm")
+	url := f.start()
+	if stopAfter > 0 {
+		go func() {
+			testutil.WaitFor(t, func() bool { return s.began.Load() != 0 })
+			time.Sleep(stopAfter)
+			close(f.stops[0])
+		}()
+	}
+	began := time.Now()
+	got := f.ask(http.MethodPost, url+"/resume/", testModel, "warm", testWait, fmt.Sprint(begunStreamTimeout.Milliseconds()))
+	t.Logf("status %d, %d bytes, %v, after %v, %d rejections", got.status, len(got.body), got.err, time.Since(began).Round(time.Millisecond), s.rejections.Load())
+	if got.status != http.StatusOK || got.err != nil || got.body != eventsText(1, streamLength) {
+		t.Errorf("the stream is not whole: %+v", got)
+	}
+	if took := time.Since(began); took > begunStreamTimeout/2 {
+		t.Errorf("took %v", took)
+	}
+}
+
+// Guards against a stream that is cut as its instance stops, though its only server lives and is but silent for a while.
+func TestSilentServerAtAStop(t *testing.T) {
+	t.Parallel()
+	checkBegunStream(t, &rejectsFor{period: time.Hour, silence: 3200 * time.Millisecond}, 100*time.Millisecond)
+}
+
+// Guards against a stream that is cut at its deadline, since its only server was left for its silence and rejected it once.
+func TestSilentServerOfABegunStream(t *testing.T) {
+	t.Parallel()
+	checkBegunStream(t, &rejectsFor{period: time.Hour, silence: 3200 * time.Millisecond}, 0)
+}
+
+// Guards against a stream that is cut as its instance stops, since its only server broke off and rejected it for a while.
+func TestRejectedTakeUpAtAStop(t *testing.T) {
+	t.Parallel()
+	checkBegunStream(t, &rejectsFor{period: 2800 * time.Millisecond, breaks: true}, 100*time.Millisecond)
+}
+
+// Guards against a stream that is cut at its deadline, since its only server broke off and rejected it once.
+func TestRejectedTakeUp(t *testing.T) {
+	t.Parallel()
+	checkBegunStream(t, &rejectsFor{period: 3500 * time.Millisecond, breaks: true}, 0)
+}
