Stay with a silent server that lives while no other can take the stream

Cause: a request that may go on elsewhere left its server after a second without an event, whether or not another server could take it. With one server for its model it waited for that same server, which then had to read the prompt again, or rejected it. Change: a read that reaches the limit asks (core/gateway/continuation) whether another server has a free slot now, the route still allows a repeat, a retry is left, and the instance still lets requests wait. A model that only the silent server has is wanted elsewhere meanwhile, as before. The deadline is no longer that of the read, so that nothing of a head or chunk is lost (rawhttp.OnReadTimeout).

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -82,6 +82,11 @@
 	return true
 }
 
+// MayRetry reports whether TryRetry would return true.
+func (b *Budget) MayRetry(now clock.Time, group string, instances int) bool {
+	return b.remaining(now, group, instances) >= 1
+}
+
 // Remaining returns the number of retries left to this instance in the group with the
 // fewest. Without any requests it is the instance's share of the allowance.
 func (b *Budget) Remaining(now clock.Time, instances int) float64 {
--- a/oleander/connection/rawhttp/arrived.go
+++ b/oleander/connection/rawhttp/arrived.go
@@ -32,6 +32,9 @@
 		return 0, errHeadTooLong
 	}
 	n, err := r.read(b)
+	for n == 0 && isTimeoutError(err) && c.extendReadDeadline() {
+		n, err = r.read(b)
+	}
 	if err == io.EOF && (c.aborted.Load() || c.reset.Load()) {
 		err = errReset
 	}
@@ -47,8 +50,7 @@
 func (r arrivedReader) read(b []byte) (int, error) {
 	c := r.c
 	n, err := c.conn.Read(b)
-	var timeout net.Error
-	if n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+	if n > 0 || !isTimeoutError(err) {
 		return n, err
 	}
 	deadline := time.Unix(0, c.readDeadline.Load())
@@ -111,3 +113,25 @@
 // EndedByServer reports whether the server had ended the connection, with nothing left to read, before
 // Abort was called first.
 func (c *Conn) EndedByServer() bool { return c.endedByServer.Load() }
+
+func isTimeoutError(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// OnReadTimeout sets what decides, in the goroutine that reads, whether a read that reached its deadline waits on: until
+// the time that it returns, or not if that has passed. It holds until the connection is released; nil waits on for nothing.
+func (c *Conn) OnReadTimeout(until func() time.Time) { c.onReadTimeout = until }
+
+// extendReadDeadline reports whether a read that reached its deadline waits on.
+func (c *Conn) extendReadDeadline() bool {
+	if c.onReadTimeout == nil || c.aborted.Load() {
+		return false
+	}
+	until := c.onReadTimeout()
+	if !until.After(time.Now()) {
+		return false
+	}
+	c.SetReadDeadline(until)
+	return true
+}
--- a/oleander/connection/rawhttp/idle.go
+++ b/oleander/connection/rawhttp/idle.go
@@ -102,6 +102,7 @@
 		c.Close()
 		return
 	}
+	c.onReadTimeout = nil
 	c.SetDeadline(time.Time{})
 	now := time.Now()
 	c.idleDeadline = now.Add(idleTimeout(resp.Header.Get("Keep-Alive")))
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -89,6 +89,7 @@
 	headError     error // of reading it, which ends it; nil outside a head
 	readFailed    bool
 	readDeadline  atomic.Int64 // Unix nanoseconds
+	onReadTimeout func() time.Time
 	aborted       atomic.Bool
 	endedByServer atomic.Bool // before it was aborted
 	reset         atomic.Bool // by the server, as seen other than by a read
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -26,7 +26,7 @@
 	// responseGrace is how long a server's response is awaited after the request's
 	// deadline: it is more informative than a timeout of the gateway.
 	responseGrace = 120 * time.Millisecond
-	// The first event of a stream that may fail over must arrive within
+	// Without the first event of a stream that may fail over, another server is looked for after
 	// firstEventTimeoutFactor times the objective, and at least minFirstEventTimeout,
 	// which a full batch takes to reach a new prompt.
 	firstEventTimeoutFactor = 4
@@ -96,6 +96,8 @@
 		return x.attemptFailed(t, c, err)
 	}
 	if x.mayFailOver() {
+		defer x.endSilence()
+		c.OnReadTimeout(func() time.Time { return x.onSilence(t) })
 		c.SetReadDeadline(wallTime(min(x.deadline.Add(responseGrace), boottime.Now().Add(x.firstEventTimeout()))))
 	}
 	resp, err := c.ReadResponse(x.r.Method)
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -118,7 +118,8 @@
 	linkFailed      bool            // the current attempt ended since the instance has no path to any server, or its relay ended
 	openRun         *poison.OpenRun // the current attempt, while its outcome is not known; nil: it is, or nothing was sent
 	probe           grantedProbe
-	possibleRuns    int // sends that may have run
+	silent          silentWait // for the current attempt
+	possibleRuns    int        // sends that may have run
 	excluded        map[string]bool
 	broken          string // server where the stream broke last, as long as it may return there
 	lastServer      string // of the last attempt
