Decide in one place what ends a response that has begun

Cause: whatever refuses a request ended a response that had begun, too: the end of waits on a stopping instance, a full or resting server, an empty retry budget, four sends, the time for which callers usually wait for an event. And a server that rejected it once stayed left out for the rest of the request, also where no other had the model. Change: exchange.waitsOn is the only place where a response that has begun ends. core/gateway/continuation decides by the refusal's reason: what may pass is waited for until the deadline, on a stopping instance until its process ends; only a route, account or number of runs that rules out a repeat, and the lack of any server, last. Retries still come from the budget.

--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -50,7 +50,7 @@
 		}
 		// A dispatcher of an earlier version does not know what the stream requires.
 		x.returnTarget(t)
-		x.excluded[t.id] = true
+		x.leaveOut(t.id)
 	}
 }
 
@@ -161,8 +161,7 @@
 		return ref
 	}
 	if !x.mayRunAgain() {
-		ref := x.finalRefusal()
-		return &ref
+		return x.finalRefusal()
 	}
 	return nil
 }
@@ -194,7 +193,7 @@
 		g.placer.RecordAdapterUse(now, s.ID, x.call.Model, x.call.Adapter)
 		return selection{target: t}, g.loadMessages(now), nil
 	}
-	if ends, resting := g.servers.RestEnds(now, req, x.excluded); resting && !c.AllFull {
+	if ends, resting := g.servers.RestEnds(now, req, x.leftOut(now)); resting && !c.AllFull {
 		if wait, ref := x.awaitRest(now, ends); wait || ref != nil {
 			return selection{allFull: true, changed: g.stateChanged}, nil, ref
 		}
@@ -214,7 +213,7 @@
 // whether there are any. No other one has what it needs, and to load that takes longer than its
 // caller waits for an event. A server that crashed refuses the connection.
 func (x *exchange) returnToBroken() bool {
-	if !x.responseStarted || x.broken == "" || !x.excluded[x.broken] {
+	if _, leftOut := x.excluded[x.broken]; !x.responseStarted || !leftOut {
 		return false
 	}
 	delete(x.excluded, x.broken)
@@ -288,7 +287,7 @@
 	case <-t.C:
 	case <-x.r.Context().Done():
 		return unavailable(reasonCallerGone, 0)
-	case <-x.g.refuseQueued:
+	case <-x.stopSignal():
 		return unavailable(reasonStopping, retryDelay)
 	}
 	return nil
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -259,7 +259,7 @@
 		case <-x.r.Context().Done():
 			x.abandonQuery(s, false)
 			return target{}, unavailable(reasonCallerGone, 0)
-		case <-x.g.refuseQueued:
+		case <-x.stopSignal():
 			x.abandonQuery(s, false)
 			return target{}, unavailable(reasonStopping, retryDelay)
 		}
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -12,7 +12,7 @@
 )
 
 // maxSends bounds how many servers one request is sent to, including those that
-// rejected it.
+// rejected it. After as many, one whose response has begun waits before each further one.
 const maxSends = 4
 
 // pickGroup chooses a server group of the route by the request ID, or by that of the request
@@ -29,6 +29,58 @@
 func (x *exchange) serve() {
 	x.g.recordArrival(x.call.Model)
 	defer x.endProbe(false)
+	for {
+		done, ref := x.serveOnce()
+		switch {
+		case done:
+			return
+		case ref != nil && !x.waitsOn(ref):
+			x.fail(*ref)
+			return
+		}
+	}
+}
+
+// serveOnce sends the request to a server. It reports whether the caller has the response, or why the request
+// can't be sent, or not again.
+func (x *exchange) serveOnce() (done bool, ref *refusal) {
+	t, ref := x.nextServer()
+	if ref != nil {
+		return false, ref
+	}
+	res := x.attempt(t)
+	x.g.metrics.attempt(res)
+	x.endProbe(false)
+	if res == resultDone {
+		return true, nil
+	}
+	if !x.linkFailed {
+		x.leaveOut(t.id)
+	}
+	switch res {
+	case resultCallerGone, resultSlowReader:
+		// A caller may have closed only its side, and net/http would end the response as if it were whole.
+		panic(http.ErrAbortHandler)
+	case resultTimeout:
+		return false, &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
+	case resultBroken:
+		x.possibleRuns++
+		x.broken = t.id
+		if !x.mayRunAgain() {
+			return false, x.finalRefusal()
+		}
+	}
+	switch {
+	case x.sends < maxSends:
+		return false, nil
+	case x.responseStarted:
+		return false, unavailable(reasonRefused, retryDelay)
+	}
+	return false, x.finalRefusal()
+}
+
+// nextServer waits for a server to which the request may be sent.
+func (x *exchange) nextServer() (target, *refusal) {
 	for {
 		t, ref := x.chooseServer()
 		if ref != nil {
@@ -36,49 +88,19 @@
 				ref = unavailable(reasonMemory, max(ref.retryAfter, membudget.MinRetryAfter))
 				x.g.metrics.memoryRefused.Inc()
 			}
-			x.fail(*ref)
-			return
+			return target{}, ref
 		}
-		if !x.mayProbe() {
-			x.g.metrics.probesDenied.Inc()
-			x.returnTarget(t)
-			if ref := x.awaitProbe(); ref != nil {
-				x.fail(*ref)
-				return
+		if x.mayProbe() {
+			if ref = x.checkSend(); ref == nil {
+				return t, nil
 			}
-			continue
-		}
-		if ref := x.checkSend(); ref != nil {
 			x.returnTarget(t)
-			x.fail(*ref)
-			return
+			return target{}, ref
 		}
-		res := x.attempt(t)
-		x.g.metrics.attempt(res)
-		x.endProbe(false)
-		if !x.linkFailed {
-			x.excluded[t.id] = true
-		}
-		switch res {
-		case resultDone:
-			return
-		case resultCallerGone, resultSlowReader:
-			// A caller may have closed only its side, and net/http would end the response as if it were whole.
-			panic(http.ErrAbortHandler)
-		case resultTimeout:
-			x.fail(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
-			return
-		case resultBroken:
-			x.possibleRuns++
-			x.broken = t.id
-			if !x.mayRunAgain() {
-				x.fail(x.finalRefusal())
-				return
-			}
-		}
-		if x.sends >= maxSends {
-			x.fail(x.finalRefusal())
-			return
+		x.g.metrics.probesDenied.Inc()
+		x.returnTarget(t)
+		if ref := x.awaitProbe(); ref != nil {
+			return target{}, ref
 		}
 	}
 }
@@ -121,8 +143,10 @@
 		return ref
 	}
 	if x.sends > 0 && !x.takeRetry() {
-		ref := x.finalRefusal()
-		return &ref
+		if x.responseStarted {
+			return unavailable(reasonNoRetry, retryDelay)
+		}
+		return x.finalRefusal()
 	}
 	return nil
 }
@@ -141,20 +165,20 @@
 
 // finalRefusal returns the answer to a request that is not sent again. It promises
 // that the request did not run only if no server can have run it.
-func (x *exchange) finalRefusal() refusal {
+func (x *exchange) finalRefusal() *refusal {
 	if x.possibleRuns > 0 {
-		return refusal{status: http.StatusBadGateway, reason: reasonBroken}
+		return &refusal{status: http.StatusBadGateway, reason: reasonBroken}
 	}
-	return refusal{status: http.StatusServiceUnavailable, reason: reasonRefused, retryAfter: retryDelay}
+	return unavailable(reasonRefused, retryDelay)
 }
 
 // fail ends a request that has no response. If a part of one was sent, the connection
 // is aborted, so that the caller does not take it for complete.
 func (x *exchange) fail(ref refusal) {
-	if x.possibleRuns > 0 && ref.status == http.StatusServiceUnavailable {
-		ref = refusal{status: http.StatusBadGateway, reason: reasonBroken}
-	}
 	if !x.responseStarted {
+		if x.possibleRuns > 0 && ref.status == http.StatusServiceUnavailable {
+			ref = refusal{status: http.StatusBadGateway, reason: reasonBroken}
+		}
 		x.refuse(ref)
 		return
 	}
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -112,12 +112,13 @@
 	return all
 }
 
-// waitWindow returns how long the caller can be kept waiting. In the middle of a stream
-// the time counts from the last event.
+// waitWindow returns how long the caller can be kept waiting. One that has a part of its response decides by itself
+// how long it waits for the rest; it can't be told to come back.
 func (x *exchange) waitWindow(began clock.Time) outlook.WaitWindow {
 	window := outlook.WaitWindow{Arrived: x.arrived, End: x.deadline}
 	if x.responseStarted {
 		window.Arrived = began
+		return window
 	}
 	if x.route.FirstEventTimeout > 0 {
 		window.End = min(window.End, window.Arrived.Add(x.route.FirstEventTimeout))
--- a/oleander/gateway/forward.go
+++ b/oleander/gateway/forward.go
@@ -125,7 +125,7 @@
 	default:
 		x.w.Header().Set("Content-Length", strconv.Itoa(size))
 	}
-	x.responseStarted = true
+	x.beginResponse()
 	x.w.WriteHeader(resp.StatusCode)
 }
 
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/continuation"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/origin"
@@ -47,6 +48,7 @@
 	reasonOriginUnknown   reason = "origin-not-known"
 	reasonNoSoftware      reason = "no-server-of-version"
 	reasonRefused         reason = "refused-by-servers"
+	reasonNoRetry         reason = "no-retry-left"
 	reasonStopping        reason = "stopping"
 	reasonBroken          reason = "broken"
 	reasonTimeout         reason = "timeout"
@@ -118,12 +120,13 @@
 	linkFailed      bool            // the current attempt ended since the instance has no path to any server, or its relay ended
 	openRun         *poison.OpenRun // the current attempt, while its outcome is not known; nil: it is, or nothing was sent
 	probe           grantedProbe
-	silent          silentWait // for the current attempt
-	possibleRuns    int        // sends that may have run
-	excluded        map[string]bool
-	broken          string // server where the stream broke last, as long as it may return there
-	lastServer      string // of the last attempt
-	lastSoftware    string // version of that server's software
+	silent          silentWait            // for the current attempt
+	possibleRuns    int                   // sends that may have run
+	excluded        map[string]clock.Time // until when servers are left out, by ID
+	continuation    continuation.Response // once the response has begun
+	broken          string                // server where the stream broke last, as long as it may return there
+	lastServer      string                // of the last attempt
+	lastSoftware    string                // version of that server's software
 	queueTime       time.Duration
 	responseStarted bool // part of the response was written
 	unframed        bool // the caller's response has neither a length nor chunks
@@ -144,7 +147,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	g.carriedRequest(r)
-	x := &exchange{g: g, w: countedWriter{w, g}, r: r, arrived: boottime.Now(), excluded: make(map[string]bool)}
+	x := &exchange{g: g, w: countedWriter{w, g}, r: r, arrived: boottime.Now(), excluded: make(map[string]clock.Time)}
 	x.call = g.dialect.ParseCall(r)
 	x.lastEventID = x.call.LastEventID
 	defer x.releaseMemory()
@@ -285,7 +288,7 @@
 		PromptTokens: promptTokens, SharedTokens: sharedTokens, PauseObjective: pauseObjective,
 		Group: x.group, Model: x.call.Model, Adapter: x.call.Adapter,
 		Affinity: x.affinity(), Zone: x.g.settings.Zone, AllowedRegions: x.allowedRegions,
-		Exclude: x.g.servers.ExcludeResting(now, x.group, x.excluded), Origin: x.requiredOrigin(now),
+		Exclude: x.g.servers.ExcludeResting(now, x.group, x.leftOut(now)), Origin: x.requiredOrigin(now),
 	}
 }
 
--- a/oleander/gateway/memory.go
+++ b/oleander/gateway/memory.go
@@ -346,7 +346,7 @@
 			ok = false
 		case <-x.r.Context().Done():
 			ok = false
-		case <-x.g.refuseQueued:
+		case <-x.stopSignal():
 			ok = false
 		}
 		h.waited += boottime.Now().Sub(began)
--- a/oleander/gateway/probes.go
+++ b/oleander/gateway/probes.go
@@ -67,7 +67,7 @@
 		return nil
 	case <-x.r.Context().Done():
 		return unavailable(reasonCallerGone, 0)
-	case <-x.g.refuseQueued:
+	case <-x.stopSignal():
 		return unavailable(reasonStopping, retryDelay)
 	}
 }
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -95,7 +95,7 @@
 	if x.responseEnd.withConnection || !x.r.ProtoAtLeast(1, 1) {
 		x.beginUnframed()
 	}
-	x.responseStarted = true
+	x.beginResponse()
 	x.w.WriteHeader(resp.StatusCode)
 }
 
@@ -118,6 +118,7 @@
 	}
 	x.timing.partForwarded(x.arrived)
 	x.recordEvents(events)
+	x.continuation.Continued()
 	return nil
 }
 
