A second SIGTERM no longer ends an instance at once

Cause: the second signal of any kind aborted the process, as a second Ctrl-C does. Change: only a later interrupt aborts; a later SIGTERM is logged.

--- a/oleander/cmd/oleanderd/main.go
+++ b/oleander/cmd/oleanderd/main.go
@@ -62,12 +62,16 @@
 }
 
 // stopOnSignals starts a graceful shutdown on the first signal and stops
-// immediately on the second.
+// immediately on a later interrupt. A later SIGTERM says nothing new.
 func stopOnSignals(i *daemon.Instance, stopNow context.CancelFunc) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
 	i.Stop()
-	<-signals
-	stopNow()
+	for s := range signals {
+		if s == os.Interrupt {
+			stopNow()
+			return
+		}
+	}
 }
