Leave a silent server only with retries to spare; end a broken response at once without one

Cause: a stream that left its silent server for one that rejected it waited for 6 s for a retry (a restarted instance has two in its first ten seconds), and was cut as the process ended. And one that its server broke off would wait for a retry until its deadline, though its caller can resume it at once, which costs no retry of ours. Change: a server is left for its silence only with three retries to spare; without a retry, what a server broke off ends at once.

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -82,9 +82,9 @@
 	return true
 }
 
-// MayRetry reports whether TryRetry would return true.
-func (b *Budget) MayRetry(now clock.Time, group string, instances int) bool {
-	return b.remaining(now, group, instances) >= 1
+// MayRetry reports whether TryRetry would return true so many times in a row.
+func (b *Budget) MayRetry(now clock.Time, group string, instances, times int) bool {
+	return b.remaining(now, group, instances) >= float64(times)
 }
 
 // Remaining returns the number of retries left to this instance in the group with the
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -193,6 +193,7 @@
 		return x.callerGone()
 	}
 	timeout := isTimeout(err)
+	x.brokenOff = x.brokenOff || !timeout
 	g.links.done(c, x)
 	x.linkFailed = x.linkFailed || errors.Is(err, errRelayEnded)
 	g.attemptEnded(t.id, x.call.Model, x.linkOutcome(c, directory.Failed))
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -124,6 +124,7 @@
 	possibleRuns    int                   // sends that may have run
 	excluded        map[string]clock.Time // until when servers are left out, by ID
 	continuation    continuation.Response // once the response has begun
+	brokenOff       bool                  // by a server, not by leaving it
 	broken          string                // server where the stream broke last, as long as it may return there
 	lastServer      string                // of the last attempt
 	lastSoftware    string                // version of that server's software
--- a/oleander/gateway/goeson.go
+++ b/oleander/gateway/goeson.go
@@ -27,7 +27,11 @@
 	if !x.responseStarted {
 		return false
 	}
-	wait, ok := x.continuation.Wait(boottime.Now(), x.deadline, obstacles[ref.reason], x.serverLeft())
+	obstacle := obstacles[ref.reason]
+	if ref.reason == reasonNoRetry && x.brokenOff {
+		obstacle = continuation.Lasting // its caller may resume it at once, which takes no retry of ours
+	}
+	wait, ok := x.continuation.Wait(boottime.Now(), x.deadline, obstacle, x.serverLeft())
 	if !ok {
 		return false
 	}
--- a/oleander/gateway/onsilence.go
+++ b/oleander/gateway/onsilence.go
@@ -9,8 +9,12 @@
 	"oleanderdale.org/oleander/process/boottime"
 )
 
-// silenceRecheck is how often another server is looked for while one is silent.
-const silenceRecheck = 250 * time.Millisecond
+const (
+	// silenceRecheck is how often another server is looked for while one is silent.
+	silenceRecheck = 250 * time.Millisecond
+	// retriesToLeave is how many retries must be left before a silent server is left: the other one may reject the request.
+	retriesToLeave = 3
+)
 
 // silentWait is what a request does while its server is silent.
 type silentWait struct {
@@ -61,7 +65,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryBudget.MayRetry(now, x.group, g.members.Count())
+	return g.retryBudget.MayRetry(now, x.group, g.members.Count(), retriesToLeave)
 }
 
 // demandElsewhere makes the request's model wanted, so that it is loaded on another server than the silent one.
