Tell callers at the end of a stop, and log it, instead of ending their connections

Callers without a response saw their connection closed as a stopping instance ended; the log had no line about their requests. Cause: net/http's Shutdown leaves what is open at its deadline to the end of the process. Change: the contexts of all requests end with errStopped 0.6 s before the kill. A request without a response is answered 502 (503 if it was not sent), one whose response has begun is cut by exchange.waitsOn's decision like any other; the final line names stopping.

--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -47,11 +47,12 @@
 	resultCallerGone                      // the caller disconnected
 	resultTimeout                         // the deadline passed; the request may have run
 	resultSlowReader                      // the caller did not read the response
+	resultStopped                         // this instance ended; the request may have run if it was sent
 )
 
 // String names a result in the metrics.
 func (r attemptResult) String() string {
-	return [...]string{"done", "not-run", "broken", "caller-gone", "timeout", "slow-reader"}[r]
+	return [...]string{"done", "not-run", "broken", "caller-gone", "timeout", "slow-reader", "stopped"}[r]
 }
 
 // attempt sends the request to one server. The caller has counted the request there;
@@ -65,7 +66,7 @@
 	if !x.startTransfer(t.id) {
 		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
 		if ctx.Err() != nil {
-			return x.callerGone()
+			return x.contextEnded()
 		}
 		return resultNotRun
 	}
@@ -73,7 +74,7 @@
 	c, ok := x.open(ctx, t)
 	if !ok {
 		if ctx.Err() != nil {
-			return x.callerGone()
+			return x.contextEnded()
 		}
 		return resultNotRun // nothing was sent, so it does not count in sends
 	}
@@ -163,6 +164,25 @@
 	return max(minFirstEventTimeout, firstEventTimeoutFactor*x.route.LatencyObjective)
 }
 
+// contextEnded ends an attempt whose request's context has ended.
+func (x *exchange) contextEnded() attemptResult {
+	if x.stopped() {
+		return resultStopped
+	}
+	return x.callerGone()
+}
+
+// contextRefusal refuses a request whose context has ended.
+func (x *exchange) contextRefusal() *refusal {
+	if x.stopped() {
+		return unavailable(reasonStopping, retryDelay)
+	}
+	return unavailable(reasonCallerGone, 0)
+}
+
+// stopped reports whether the request's context ended since this instance does.
+func (x *exchange) stopped() bool { return context.Cause(x.r.Context()) == errStopped }
+
 func (x *exchange) callerGone() attemptResult {
 	x.refundQuota()
 	x.finish(0, reasonCallerGone)
@@ -190,7 +210,7 @@
 		}
 		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
 		x.possibleRuns++
-		return x.callerGone()
+		return x.contextEnded()
 	}
 	timeout := isTimeout(err)
 	x.brokenOff = x.brokenOff || !timeout
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -146,7 +146,7 @@
 		}
 	}
 	if x.r.Context().Err() != nil {
-		return selection{}, unavailable(reasonCallerGone, 0)
+		return selection{}, x.contextRefusal()
 	}
 	g.mu.Lock()
 	s, out, ref := x.selectServerLocked(boottime.Now())
@@ -286,7 +286,7 @@
 	case <-changed:
 	case <-t.C:
 	case <-x.r.Context().Done():
-		return unavailable(reasonCallerGone, 0)
+		return x.contextRefusal()
 	case <-x.stopSignal():
 		return unavailable(reasonStopping, retryDelay)
 	}
--- a/oleander/gateway/dispatch.go
+++ b/oleander/gateway/dispatch.go
@@ -258,7 +258,7 @@
 			}
 		case <-x.r.Context().Done():
 			x.abandonQuery(s, false)
-			return target{}, unavailable(reasonCallerGone, 0)
+			return target{}, x.contextRefusal()
 		case <-x.stopSignal():
 			x.abandonQuery(s, false)
 			return target{}, unavailable(reasonStopping, retryDelay)
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -61,6 +61,8 @@
 	case resultCallerGone, resultSlowReader:
 		// A caller may have closed only its side, and net/http would end the response as if it were whole.
 		panic(http.ErrAbortHandler)
+	case resultStopped:
+		return false, unavailable(reasonStopping, retryDelay)
 	case resultTimeout:
 		return false, &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	case resultBroken:
@@ -177,7 +179,11 @@
 func (x *exchange) fail(ref refusal) {
 	if !x.responseStarted {
 		if x.possibleRuns > 0 && ref.status == http.StatusServiceUnavailable {
-			ref = refusal{status: http.StatusBadGateway, reason: reasonBroken}
+			why := reasonBroken
+			if x.stopped() {
+				why = reasonStopping
+			}
+			ref = refusal{status: http.StatusBadGateway, reason: why}
 		}
 		x.refuse(ref)
 		return
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -179,8 +179,11 @@
 	watchingStore     atomic.Bool // waits at the store for configuration changes
 	// refuseQueued is closed shortly before a stopping process is killed.
 	refuseQueued chan struct{}
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// serving is the context of all requests. It ends with errStopped shortly before the process does.
+	serving    context.Context
+	endServing context.CancelCauseFunc
+	ctx        context.Context
+	cancel     context.CancelFunc
 
 	mu              sync.Mutex
 	lag             lag.Meter
@@ -323,6 +326,7 @@
 	}, g.members)
 	g.quotaTimer = time.AfterFunc(time.Hour, func() { g.withQuota(g.limiter.Tick) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.serving, g.endServing = context.WithCancelCause(context.Background())
 	g.pool = rawhttp.NewPool(dialTimeout, g.metrics.connections.Inc)
 	g.placer = placer.New(invariant.Reporting(g.reportViolation))
 	leaseSettings := leader.Settings{
--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -34,7 +34,7 @@
 	case o = <-outcome:
 	case <-x.r.Context().Done():
 		x.g.cancelAcquire(number)
-		return unavailable(reasonCallerGone, 0)
+		return x.contextRefusal()
 	case <-x.g.refuseQueued:
 		x.g.cancelAcquire(number)
 		return unavailable(reasonStopping, retryDelay)
--- a/oleander/gateway/memory.go
+++ b/oleander/gateway/memory.go
@@ -269,10 +269,10 @@
 		case <-x.g.refuseQueued:
 			return unavailable(reasonStopping, retryDelay)
 		case <-x.r.Context().Done():
-			return unavailable(reasonCallerGone, 0)
+			return x.contextRefusal()
 		case <-check.C:
 			if callerLeft(x.r.Context()) {
-				return unavailable(reasonCallerGone, 0)
+				return x.contextRefusal()
 			}
 		}
 	}
--- a/oleander/gateway/probes.go
+++ b/oleander/gateway/probes.go
@@ -66,7 +66,7 @@
 	case <-time.After(probeRetryInterval):
 		return nil
 	case <-x.r.Context().Done():
-		return unavailable(reasonCallerGone, 0)
+		return x.contextRefusal()
 	case <-x.stopSignal():
 		return unavailable(reasonStopping, retryDelay)
 	}
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -28,8 +28,10 @@
 	// accepted only if they end before the kill; refused ones are served elsewhere at once.
 	stopAcceptPeriod   = 2800 * time.Millisecond
 	stopAcceptFraction = 0.35
-	// stopMargin is how long before the kill the last connections are closed.
+	// stopMargin is how long before the kill the last requests are ended.
 	stopMargin = 600 * time.Millisecond
+	// endWriteTime is how long the responses may take that say so.
+	endWriteTime = 150 * time.Millisecond
 	// finalAnswerWait is the time between the last order and the end of the process;
 	// an order is answered within a few milliseconds.
 	finalAnswerWait = 50 * time.Millisecond
@@ -59,7 +61,7 @@
 	callerServer := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ErrorLog: nil, ConnContext: g.withCallerConn,
-		ConnState: g.countCallerConn,
+		ConnState: g.countCallerConn, BaseContext: func(net.Listener) context.Context { return g.serving },
 	}
 	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	listenCallers := func(address string) (net.Listener, error) { return listenForCallers(address, g.takesConnection) }
@@ -139,12 +141,26 @@
 	defer cancel()
 	if err := server.Shutdown(drain); err != nil {
 		g.log.Warn().Err(err).Int64("active", g.activeRequests.Load()).Msg("gateway: requests aborted at the end of the grace period")
+		g.endRequests(ctx, server)
 	}
 	g.awaitRelayed(drain)
 	g.releaseLeases()
 	g.log.Info().Msg("gateway: stopped")
 }
 
+// errStopped ends the requests that are open as the process ends.
+var errStopped = errors.New("gateway: stopped")
+
+// endRequests ends all requests, and waits until those that have no response are told so.
+func (g *Gateway) endRequests(ctx context.Context, server *http.Server) {
+	g.endServing(errStopped)
+	ctx, cancel := context.WithTimeout(ctx, endWriteTime)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		g.log.Warn().Err(err).Int64("active", g.activeRequests.Load()).Msg("gateway: requests left without a response")
+	}
+}
+
 // awaitRelayed waits for the requests of other instances on relayed connections.
 func (g *Gateway) awaitRelayed(ctx context.Context) {
 	for g.relayedConns() > 0 && ctx.Err() == nil {
--- a/oleander/gateway/silentstop_test.go
+++ b/oleander/gateway/silentstop_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -104,3 +105,52 @@
 	t.Parallel()
 	checkBegunStream(t, &rejectsFor{period: 3500 * time.Millisecond, breaks: true}, 0)
 }
+
+// Guards against a request that its caller sees cut, without a word, as its instance ends: one without an answer is told so, and the
+// log names the stop as what ended the others.
+func TestRequestsAtTheEndOfAStop(t *testing.T) {
+	t.Parallel()
+	m := patientConfig()
+	m.Match(testHost, "/order/").Timeout = begunStreamTimeout
+	f := newFixture(t, m)
+	var waiting atomic.Int64
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/resume/begun") {
+			events(w, 1, 1)
+		}
+		waiting.Add(1)
+		<-r.Context().Done()
+	}
+	f.backend("a", "llm", slow, "warm")
+	f.backend("b", "plain", slow)
+	url := f.start()
+	answers := make(map[string]chan answer)
+	for _, path := range []string{"/order/", "/resume/silent", "/resume/begun"} {
+		got := make(chan answer, 1)
+		answers[path] = got
+		go func() {
+			got <- f.ask(http.MethodPost, url+path, testID, path, testModel, map[bool]string{true: "warm"}[path != "/order/"], testWait, fmt.Sprint(begunStreamTimeout.Milliseconds()))
+		}()
+	}
+	testutil.WaitFor(t, func() bool { return waiting.Load() == 3 })
+	began := time.Now()
+	close(f.stops[0])
+	for path, got := range answers {
+		a := <-got
+		took := time.Since(began)
+		t.Logf("%s: %d, %v, after %v", path, a.status, a.err, took.Round(time.Millisecond))
+		if took < testGrace*5/6 || took > testGrace {
+			t.Errorf("%s ended %v after the stop, of %v", path, took, testGrace)
+		}
+		switch {
+		case path == "/resume/begun" && (a.status != http.StatusOK || a.err == nil):
+			t.Errorf("%s: %+v, want it cut", path, a)
+		case path != "/resume/begun" && (a.status != http.StatusBadGateway || a.err != nil):
+			t.Errorf("%s: %+v, want 502", path, a)
+		}
+		testutil.WaitFor(t, func() bool { return strings.Contains(f.explain(path), "request ended") })
+		if e := f.explain(path); !strings.Contains(e, "=stopping") || !strings.Contains(e, "stopping_for_ms=") {
+			t.Errorf("the stop is not named:\n%s", e)
+		}
+	}
+}
