Go by the earliest time at which the stop signal may have been sent

Callers saw requests cut by the kill that an instance had accepted later than 3 s after its SIGTERM, or that waited there. Cause: an instance that stood still, or has no processor, notices the signal late, and counted its grace period from then on. And with a grace period under 3.6 s it ended what was open before the last sixth. Change: core/gateway/grace decides what is accepted, how long requests wait and when open ones end. Accepting and waiting go by the noticed time less the lag of the last second, ending by the noticed time; the margin before the kill is at most a seventh of the period. The lag is measured from the start of the process on, not from its first tick. TestNothingIsEndedBeforeTheLastSixth holds for grace periods from 1 s on.

--- a/core/gateway/continuation/continuation.go
+++ b/core/gateway/continuation/continuation.go
@@ -15,9 +15,9 @@
 
 // Obstacles.
 const (
-	Lasting Obstacle = iota // the request may not run again, its caller left, or the process ends
-	Passing                 // servers are full, at rest or without the model, or no retry is allowed now
-	NoServer                // no server takes the request; passes if one of them is left out for a while only
+	Lasting  Obstacle = iota // the request may not run again, its caller left, or the process ends
+	Passing                  // servers are full, at rest or without the model, or no retry is allowed now
+	NoServer                 // no server takes the request; passes if one of them is left out for a while only
 )
 
 const (
--- a/core/gateway/lag/lag.go
+++ b/core/gateway/lag/lag.go
@@ -37,6 +37,9 @@
 	trips []sample
 }
 
+// Started records that the instance starts and will call Ticked.
+func (m *Meter) Started(now clock.Time) { m.due = now.Add(Interval) }
+
 // Ticked records that a timer fired that was set to now+Interval at the last call, and how long a
 // goroutine waited to run at most since then. Timers alone don't show a queue of goroutines,
 // which they go before.
--- a/oleander/gateway/choose.go
+++ b/oleander/gateway/choose.go
@@ -17,9 +17,6 @@
 	// refusalLead is how long before its caller leaves a waiting request is refused:
 	// an answer could no longer be in time.
 	refusalLead = 150 * time.Millisecond
-	// stopRefusalLead is how long before the kill a stopping process refuses waiting
-	// requests, so that they can be served elsewhere.
-	stopRefusalLead = 3 * time.Second
 	// rateLimitedWait is how long a request waits for a dispatcher while only the
 	// dispatcher may send to the servers that could run it: a silent one is asked again
 	// or replaced within this time.
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -401,8 +401,8 @@
 	if why == reasonBrokenOff {
 		e = e.Str("cause", string(x.refusal.reason))
 	}
-	if x.g.stopping.Load() {
-		e = e.Int64("stopping_for_ms", boottime.Now().Sub(clock.Time(x.g.stopStartedAt.Load())).Milliseconds())
+	if p := x.g.grace.Load(); p != nil {
+		e = e.Int64("stopping_for_ms", boottime.Now().Sub(p.Noticed()).Milliseconds())
 	}
 	if why == reasonCrashesServers {
 		e = x.logBlamed(e.Stringer("digest", x.digests[0]))
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/dispatch"
 	"oleanderdale.org/core/gateway/evacuation"
+	"oleanderdale.org/core/gateway/grace"
 	"oleanderdale.org/core/gateway/lag"
 	"oleanderdale.org/core/gateway/lapse"
 	"oleanderdale.org/core/gateway/leader"
@@ -171,8 +172,8 @@
 	// known to be the newest.
 	configConfirmedAt atomic.Int64
 	stopping          atomic.Bool
-	stopStartedAt     atomic.Int64 // a clock.Time
-	activeRequests    atomic.Int64 // requests being served
+	grace             atomic.Pointer[grace.Period] // nil until it stops
+	activeRequests    atomic.Int64                 // requests being served
 	housekeepNow      chan struct{}
 	reregister        chan struct{} // signals that the store may have lost this instance's row
 	fetchingManifest  atomic.Bool
--- a/oleander/gateway/lag.go
+++ b/oleander/gateway/lag.go
@@ -21,6 +21,9 @@
 func (g *Gateway) measureLag() {
 	var logged clock.Time
 	waits := schedwait.New()
+	g.mu.Lock()
+	g.lag.Started(boottime.Now())
+	g.mu.Unlock()
 	for g.sleep(lag.Interval) {
 		g.mu.Lock()
 		now := boottime.Now()
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/grace"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -19,17 +20,8 @@
 	// idleTimeout bounds an idle connection of a caller.
 	idleTimeout    = 16 * time.Second
 	maxHeaderBytes = 64 << 10
-	// stopListenDelay is how long after the stop signal new connections are still
-	// accepted: the load balancer probes once a second and needs two failed probes.
-	stopListenDelay = 3500 * time.Millisecond
-	// stopAcceptPeriod is how long after the stop signal all requests are still
-	// accepted; a short grace period limits it to stopAcceptFraction. Later requests
-	// come over open connections or from a balancer that has not probed yet. They are
-	// accepted only if they end before the kill; refused ones are served elsewhere at once.
-	stopAcceptPeriod   = 2800 * time.Millisecond
-	stopAcceptFraction = 0.35
-	// stopMargin is how long before the kill the last requests are ended.
-	stopMargin = 600 * time.Millisecond
+	// lagBeforeStop is how long before its stop signal is noticed an instance that was late may have missed it.
+	lagBeforeStop = time.Second
 	// endWriteTime is how long the responses may take that say so.
 	endWriteTime = 150 * time.Millisecond
 	// finalAnswerWait is the time between the last order and the end of the process;
@@ -123,21 +115,19 @@
 // open connections are served, and requests that still wait near the end are refused
 // so that they are served elsewhere. A lease holder sends orders until the end.
 func (g *Gateway) shutdown(ctx context.Context, server *http.Server) {
-	g.log.Info().Int64("active", g.activeRequests.Load()).Msg("gateway: stopping")
-	g.stopStartedAt.Store(int64(boottime.Now()))
+	p := g.beginGrace()
+	g.log.Info().Int64("active", g.activeRequests.Load()).Int64("noticed_late_ms", p.Late().Milliseconds()).Msg("gateway: stopping")
 	g.stopping.Store(true)
-	began := time.Now()
 	g.stopLeaseCandidacy()
 	g.withQuota(g.limiter.Leave)
-	end := began.Add(g.settings.GracePeriod - stopMargin)
-	refuseTimer := time.AfterFunc(g.settings.GracePeriod-stopRefusalLead, func() { close(g.refuseQueued) })
+	refuseTimer := time.AfterFunc(boottime.Until(p.QueueEnd()), func() { close(g.refuseQueued) })
 	defer refuseTimer.Stop()
 	select {
-	case <-time.After(min(stopListenDelay, g.settings.GracePeriod/2)):
+	case <-time.After(boottime.Until(p.ListenEnd())):
 	case <-ctx.Done():
 		return
 	}
-	drain, cancel := context.WithDeadline(ctx, end)
+	drain, cancel := context.WithDeadline(ctx, wallTime(p.End()))
 	defer cancel()
 	if err := server.Shutdown(drain); err != nil {
 		g.log.Warn().Err(err).Int64("active", g.activeRequests.Load()).Msg("gateway: requests aborted at the end of the grace period")
@@ -171,14 +161,20 @@
 	}
 }
 
+// beginGrace begins the grace period. The signal may have been sent since this instance was last known not to be late.
+func (g *Gateway) beginGrace() *grace.Period {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	p := grace.Begin(now, g.lag.Processor(now, now.Add(-lagBeforeStop)), g.settings.GracePeriod)
+	g.grace.Store(&p)
+	return &p
+}
+
 // tooLateToAccept reports whether a request that may take so long might not end
 // before a stopping process is killed.
 func (g *Gateway) tooLateToAccept(now clock.Time, duration time.Duration) bool {
-	if !g.stopping.Load() {
-		return false
-	}
-	elapsed := now.Sub(clock.Time(g.stopStartedAt.Load()))
-	return elapsed > min(stopAcceptPeriod, time.Duration(stopAcceptFraction*float64(g.settings.GracePeriod))) && elapsed+duration > g.settings.GracePeriod-stopMargin
+	return g.stopping.Load() && !g.grace.Load().Accepts(now, duration)
 }
 
 // stopLeaseCandidacy keeps a stopping instance from taking a lease.
