Take the only known version for the only one while in step only

Cause: a caller that names no stream goes on at the only version that the instance knows, however old that knowledge is. An instance cut off from the store and from the others does not learn of a second version; one that stood still has not read of it yet. Change: an instance relies on it only while it sees servers join (origin.Sight): the store answers it while it awaits changes there, or a holder that does is heard, within a second, and it was not late by half a second in the last one. Otherwise 503, to retry elsewhere. The same before a version is guessed for a named stream. Nothing changes where servers name no version. Evidence: TestStreamTakenUpAtAnInstanceOutOfStep, cut off and unnamed: 200 with v1 events of a stream that began at v2, red before, 503 now. Named: refused before, too. Stood still (in process, 8 requests at once): no mix before either, so only the cut is shown.

--- a/oleander/gateway/follow.go
+++ b/oleander/gateway/follow.go
@@ -71,6 +71,7 @@
 	now := boottime.Now()
 	g.observeEra(now, g.store.Era())
 	if err == nil {
+		g.storeAnsweredAt = now
 		g.lapse.RecordAnswer(now)
 		if g.storeFailedAt != 0 && now.Sub(g.storeFailedAt) >= storeRecoveryPeriod {
 			g.storeFailedAt = 0
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -240,6 +240,8 @@
 	holderPublishedAt clock.Time
 	// serversReadAt is when the store last answered a call for the servers.
 	serversReadAt       clock.Time
+	storeAnsweredAt     clock.Time        // last answer of the store to any call
+	watchingServers     bool              // a call waits at the store for changes of the servers
 	serversRevision     revision.Revision // revision of the store at that answer
 	serversComplete     bool              // all entries were read once
 	serversDoubtful     bool              // entries were dropped that the store may have
--- a/oleander/gateway/serverread.go
+++ b/oleander/gateway/serverread.go
@@ -159,7 +159,9 @@
 func (g *Gateway) watchServerChanges(at revision.Revision, wait time.Duration) (revision.Revision, error) {
 	began := boottime.Now()
 	ctx, recoveries := g.storeWatches.begin(g.ctx, "servers", wait+storeTimeout)
+	g.setWatchingServers(true)
 	changes, next, err := g.store.WatchServers(ctx, at, wait)
+	g.setWatchingServers(false)
 	if restart := g.storeWatches.end("servers", recoveries); restart && err != nil && !errors.Is(err, ports.ErrHistoryGone) {
 		return at, errWatchRestart
 	}
@@ -262,6 +264,12 @@
 	return g.storeFailedAt != 0 && now.Sub(g.storeFailedAt) < leaseTerm
 }
 
+func (g *Gateway) setWatchingServers(watching bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watchingServers = watching
+}
+
 func (g *Gateway) removeLapsed(now clock.Time) {
 	for id, r := range g.removedServers {
 		if now.Sub(r.removedAt) > removedServerRetention {
--- a/oleander/gateway/takeup.go
+++ b/oleander/gateway/takeup.go
@@ -17,6 +17,8 @@
 	// unknownRounds is how often all must answer that they do not know it: the message of the
 	// instance where it began may be on its way.
 	unknownRounds = 2
+	// lagMemory is for how long an instance that stood still does not rely on what it knows of the others.
+	lagMemory = time.Second
 )
 
 // originWait is a wait for the origin of a stream.
@@ -34,13 +36,18 @@
 	}
 	g := x.g
 	software, ok := g.soleSoftware(x.group)
-	// Callers who name no stream are those of a platform without versions.
-	if x.call.Resumes != "" && !(ok && software == "") {
+	versionless := ok && software == ""
+	switch {
+	case versionless:
+	case x.call.Resumes == "":
+		// Its caller may well have read it elsewhere, from servers that this instance can't know while it is out of touch.
+		ok = ok && g.seesServers()
+	default:
 		began, answers, found := g.askOrigin(x.r.Context(), streamOf(x.call.Resumes))
 		if found {
 			software = began
 		}
-		ok = found || ok && g.knowsAllVersions(answers)
+		ok = found || ok && g.seesServers() && g.knowsAllVersions(answers)
 	}
 	if !ok {
 		g.metrics.originsUnknown.Inc()
@@ -58,6 +65,23 @@
 	return g.servers.SoleSoftware(boottime.Now(), group, g.takeUpPeriod())
 }
 
+// seesServers reports whether this instance learns of servers that join now.
+func (g *Gateway) seesServers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	s := origin.Sight{StoreAt: g.serversReadAt, Late: g.lag.Processor(now, now.Add(-lagMemory))}
+	if g.watchingServers {
+		s.StoreAt = max(s.StoreAt, g.storeAnsweredAt)
+	}
+	if h := g.fleetHolder; g.serversReadFencing == h.fencing || g.serverListFencing == h.fencing {
+		if !h.serversStale && !h.storeUnreachable {
+			s.HolderAt = h.heardAt
+		}
+	}
+	return s.Current(now)
+}
+
 // knowsAllVersions reports whether this instance knew the servers all the while, and is in touch
 // with the other instances: some answered, or there are none.
 func (g *Gateway) knowsAllVersions(answers int) bool {
