--- a/core/gateway/leader/era.go
+++ b/core/gateway/leader/era.go
@@ -1,6 +1,9 @@
 package leader
 
-import "oleanderdale.org/core/clock"
+import (
+	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/revision"
+)
 
 // When the store is restored from an older snapshot, the lease row may name a previous
 // holder, and the version that a renewal expects may be assigned again to another holder's
@@ -21,6 +24,15 @@
 // firstFencing returns the first fencing token of an era.
 func firstFencing(era int64) int64 { return era<<eraShift + 1 }
 
+// unreadableHolder stands for the holder that a row which can't be read may name.
+const unreadableHolder = "?"
+
+// UnreadableRecord returns the record of a row that can't be read. Its holder is unknown, so that the lease is taken over
+// after a term and a quiet period. Its fencing token is higher than all before: each of them took a write to the store.
+func UnreadableRecord(at revision.Revision) Record {
+	return Record{Holder: unreadableHolder, Fencing: firstFencing(at.Era) + at.Version}
+}
+
 // eraState is what a Lease knows about the store's eras.
 type eraState struct {
 	current int64
