Refund a request to the account that paid for it

Cause: a request follows its key to another account when the configuration changes, and its refund went there: the account that had paid got 429, and the other one more than its limit. Change: the grant remembers the account.

--- a/oleander/gateway/limit.go
+++ b/oleander/gateway/limit.go
@@ -15,6 +15,7 @@
 // quotaGrant is the quota granted to a request.
 type quotaGrant struct {
 	number     uint64
+	account    string  // that paid; the request's key may move to another one later
 	cost       float64 // tokens that the request counts
 	heldTokens float64 // granted and not returned
 	outcome    quota.Outcome
@@ -39,7 +40,7 @@
 		x.g.cancelAcquire(number)
 		return unavailable(reasonStopping, retryDelay)
 	}
-	x.quotaGrant.number, x.quotaGrant.cost, x.quotaGrant.outcome = number, cost, o
+	x.quotaGrant = quotaGrant{number: number, account: x.account.Name, cost: cost, outcome: o}
 	x.g.metrics.recordReturn(returnAtLimit, o.Returned)
 	switch o.Verdict {
 	case quota.Granted:
@@ -67,12 +68,12 @@
 
 // refundQuota returns the tokens of a request that did not run.
 func (x *exchange) refundQuota() {
-	if x.account == nil || x.quotaGrant.heldTokens == 0 || x.possibleRuns > 0 {
+	if x.quotaGrant.heldTokens == 0 || x.possibleRuns > 0 {
 		return
 	}
 	g := x.g
 	g.withQuota(func(now clock.Time) {
-		g.limiter.Refund(now, x.quotaGrant.number, x.account.Name, x.quotaGrant.heldTokens, x.quotaGrant.outcome.Owner)
+		g.limiter.Refund(now, x.quotaGrant.number, x.quotaGrant.account, x.quotaGrant.heldTokens, x.quotaGrant.outcome.Owner)
 	})
 	g.metrics.quotaRefunded.Add(int(x.quotaGrant.heldTokens))
 	x.quotaGrant.heldTokens = 0
