Ask the route again after the waits before a send

Cause: whether a request that may have run may run again was asked before the wait for bytes in flight to its server and before the dial; a route that came to forbid it meanwhile was not followed, and the request ran twice. Change: attempt asks right before it writes, for the kind of route and the number of runs in the configuration in force.

--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -78,6 +78,12 @@
 		}
 		return resultNotRun // nothing was sent, so it does not count in sends
 	}
+	if x.repeatForbidden() { // since a wait for the server; the choice of the next one follows the configuration
+		c.Close()
+		g.links.done(c, x)
+		g.attemptEnded(t.id, x.call.Model, directory.Neutral)
+		return resultNotRun
+	}
 	remaining := x.deadline.Sub(boottime.Now())
 	x.stopAbort = context.AfterFunc(ctx, c.Abort)
 	defer x.stopAbort()
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/membudget"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -114,16 +115,27 @@
 
 // isRetryable reports whether the request may be repeated by its route, as it was sent and as it is in force.
 func (x *exchange) isRetryable() bool {
-	if !x.route.Retryable() {
-		return false
-	}
+	inForce := x.routeInForce()
+	return x.route.Retryable() && inForce != nil && inForce.Retryable()
+}
+
+// routeInForce returns the route in the configuration in force, nil if there is none.
+func (x *exchange) routeInForce() *manifest.Route {
 	m := x.g.manifest.Load()
 	if m == x.config {
-		return true
+		return x.route
 	}
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	route := m.Match(x.r.Host, path)
-	return route != nil && route.Retryable()
+	return m.Match(x.r.Host, path)
+}
+
+// repeatForbidden reports whether the request may have run and the configuration in force does not let it run again.
+func (x *exchange) repeatForbidden() bool {
+	if x.possibleRuns == 0 {
+		return false
+	}
+	r := x.routeInForce()
+	return r == nil || !r.Retryable() || x.possibleRuns >= r.MaxAttempts
 }
 
 // returnTarget ends the use of a server to which nothing was sent.
