Own interface: what a service answers after a run is no promise that there was none

Cause: a 503 of a service counted as not run, so a call that must run once ran 8 times and was answered as not run; its own 429 and 408 after a run were passed on to the caller, for whom they mean the same. Change: of a call that must run once, only a response with Oleanderdale-Not-Run (or Oleanderdale-Leaving with 503) says that it did not run; other responses with these statuses end it with an unknown outcome, 502. Other calls are as before.

--- a/oleander/connection/upstream/upstream.go
+++ b/oleander/connection/upstream/upstream.go
@@ -21,6 +21,7 @@
 	HeaderAttempt      = "Attempt-Id"
 	HeaderResumeOffset = "Resume-Offset"
 	HeaderLeaving      = "Oleanderdale-Leaving"
+	HeaderNotRun       = "Oleanderdale-Not-Run"
 )
 
 const (
@@ -64,27 +65,40 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Do sends r. Status 503 is returned as an *Error, and so is any other status of 500 or more unless
-// once, that r must not be sent again, is set. The caller must close the body of all other responses.
+// Do sends r. A response that says that the request did not run is returned as an *Error, and so is any other
+// status of 500 or more unless once, that r must not be sent again, is set. With once, it has to say so by a header:
+// a service may answer 408, 429 or 503 after a run, too, and callers take these statuses for the opposite. The caller
+// must close the body of all other responses.
 func (c *Client) Do(r *http.Request, once bool) (*http.Response, error) {
 	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		return nil, c.classifyTransportError(r, err)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable {
+	leaving := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderLeaving) == "true"
+	refused := leaving || resp.Header.Get(HeaderNotRun) == "true" || resp.StatusCode == http.StatusServiceUnavailable && !once
+	if refused {
 		defer drain(resp.Body)
 		return nil, &Error{
-			Result: event.AttemptRefused, Leaving: resp.Header.Get(HeaderLeaving) == "true",
+			Result: event.AttemptRefused, Leaving: leaving,
 			cause: errors.New("the backend server refused the call"),
 		}
 	}
-	if resp.StatusCode >= http.StatusInternalServerError && !once {
+	if once && promisesNotRun(resp.StatusCode) || resp.StatusCode >= http.StatusInternalServerError && !once {
 		defer drain(resp.Body)
 		return nil, &Error{Result: event.AttemptBroken, cause: errors.Errorf("status %d", resp.StatusCode)}
 	}
 	return resp, nil
 }
 
+// promisesNotRun reports whether callers take a response status for the promise that the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // classifyTransportError classifies an error of the HTTP transport. After a failed
 // dial the request was not sent.
 func (c *Client) classifyTransportError(r *http.Request, err error) *Error {
--- a/oleander/standin/service/service.go
+++ b/oleander/standin/service/service.go
@@ -33,6 +33,7 @@
 	AccountHeader        = "Client-Account"
 	AttemptHeader        = "Attempt-Id"
 	LeavingHeader        = "Oleanderdale-Leaving"
+	NotRunHeader         = "Oleanderdale-Not-Run"
 )
 
 const maxRequestBytes = 4 << 20
@@ -257,6 +258,7 @@
 		return true
 	}
 	if s.faults.Consume(func(f *Faults) *int { return &f.RefuseCalls }) {
+		w.Header().Set(NotRunHeader, "true")
 		http.Error(w, "refused by an injected fault", http.StatusServiceUnavailable)
 		return true
 	}
