Own interface: an unframed answer of an ended process does not look whole

Cause: only the gateway made the connection of an answer without a length end with a reset until all of it is sent; our own interface did not, so the part that a killed or aborted instance had sent looked whole. Change: that logic moves to oleander/connection/callerconn, used by both. The limit on connections is a listener of ours, as that of x/net hides SetLinger. TestLimitListener for the listener.

--- a/oleander/gateway/forward.go
+++ b/oleander/gateway/forward.go
@@ -37,7 +37,7 @@
 			return x.callerGone()
 		}
 	}
-	x.endUnframed()
+	x.unframed.End()
 	x.timing.partForwarded(x.arrived)
 	x.finish(resp.StatusCode, reasonAnswered)
 	return resultDone
@@ -108,7 +108,7 @@
 	if err := x.writeBoundedResponse(parts); err != nil {
 		return x.writeFailed(resp.StatusCode, err)
 	}
-	x.endUnframed()
+	x.unframed.End()
 	x.timing.partForwarded(x.arrived)
 	x.finish(resp.StatusCode, reasonAnswered)
 	return resultDone
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -20,6 +20,7 @@
 	"oleanderdale.org/core/gateway/outlook"
 	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/core/gateway/regions"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -129,8 +130,8 @@
 	lastServer      string                // of the last attempt
 	lastSoftware    string                // version of that server's software
 	queueTime       time.Duration
-	responseStarted bool // part of the response was written
-	unframed        bool // the caller's response has neither a length nor chunks
+	responseStarted bool                 // part of the response was written
+	unframed        *callerconn.Unframed // the caller's response, if it has neither a length nor chunks
 	lastEventID     string
 	origin          origin.Requirement // of the stream, once it has begun
 	required        origin.Requirement // of them, what distinguishes servers now
--- a/oleander/gateway/memory.go
+++ b/oleander/gateway/memory.go
@@ -15,6 +15,7 @@
 
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/membudget"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -504,7 +505,7 @@
 		return x.callerGone()
 	}
 	x.g.metrics.slowReaders.Inc()
-	if c, ok := callerConn(x.r.Context()).(*net.TCPConn); ok {
+	if c, ok := callerconn.Of(x.r.Context()).(*net.TCPConn); ok {
 		_ = c.SetLinger(0) // the kernel discards what the caller has not read
 	}
 	x.finish(status, reasonSlowReader)
@@ -523,26 +524,19 @@
 	}
 }
 
-type callerConnKey struct{}
-
 // withCallerConn keeps the connection in the context of its requests. With a bound on the
 // memory it limits the send buffer.
 func (g *Gateway) withCallerConn(ctx context.Context, c net.Conn) context.Context {
 	if t, ok := c.(*net.TCPConn); ok && g.memory != nil {
 		_ = t.SetWriteBuffer(callerSendBuffer)
 	}
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
-func callerConn(ctx context.Context) net.Conn {
-	c, _ := ctx.Value(callerConnKey{}).(net.Conn)
-	return c
+	return callerconn.With(ctx, c)
 }
 
 // callerLeft reports whether the caller closed its connection, also when sent data is
 // still unread.
 func callerLeft(ctx context.Context) bool {
-	c, ok := callerConn(ctx).(syscall.Conn)
+	c, ok := callerconn.Of(ctx).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -73,7 +73,7 @@
 	switch {
 	case verdict == ending.BrokenOff:
 		return x.attemptFailed(t, c, errors.New("stream ended in the middle of an event or before the first"))
-	case verdict == ending.Unconfirmed && x.responseStarted && !x.unframed:
+	case verdict == ending.Unconfirmed && x.responseStarted && x.unframed == nil:
 		// An earlier server's part is on its way in chunks, and a last one would claim the end.
 		return x.attemptFailed(t, c, invalidf("end of the resumed stream is not confirmed"))
 	}
@@ -83,7 +83,7 @@
 	if !x.responseStarted {
 		x.writeResponseHead(resp)
 	}
-	x.endUnframed()
+	x.unframed.End()
 	x.finish(resp.StatusCode, reasonAnswered)
 	return resultDone
 }
--- a/oleander/gateway/responseend.go
+++ b/oleander/gateway/responseend.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 
 	"github.com/rs/zerolog"
 
 	"oleanderdale.org/core/gateway/ending"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/connection/rawhttp"
 )
 
@@ -44,24 +44,4 @@
 }
 
 // beginUnframed prepares the caller's response for an end that only its connection tells.
-// Until endUnframed, every end of the connection is a reset, also if the process is killed:
-// a plain end would pass for that of the response.
-func (x *exchange) beginUnframed() {
-	x.unframed = true
-	if x.r.ProtoAtLeast(1, 1) {
-		x.w.Header().Set("Transfer-Encoding", "identity") // keeps net/http from sending chunks
-	}
-	if c, ok := callerConn(x.r.Context()).(*net.TCPConn); ok {
-		_ = c.SetLinger(0)
-	}
-}
-
-// endUnframed lets the connection end plainly after the response, once all of it is with the kernel.
-func (x *exchange) endUnframed() {
-	if !x.unframed || http.NewResponseController(x.w).Flush() != nil {
-		return
-	}
-	if c, ok := callerConn(x.r.Context()).(*net.TCPConn); ok {
-		_ = c.SetLinger(-1)
-	}
-}
+func (x *exchange) beginUnframed() { x.unframed = callerconn.BeginUnframed(x.w, x.r) }
--- a/oleander/request/front/exchange.go
+++ b/oleander/request/front/exchange.go
@@ -11,6 +11,7 @@
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/process/boottime"
 	"oleanderdale.org/oleander/process/metric"
 )
@@ -79,7 +80,7 @@
 		x.refuse(w, c.Refusal)
 		return true
 	case event.Answer:
-		x.writeAnswer(w, c)
+		x.writeAnswer(w, r, c)
 		return true
 	case event.Dispatch:
 		return x.handleDispatch(w, r, a, c)
@@ -190,21 +191,24 @@
 
 // writeAnswer sends a complete response that the core holds: that of a
 // non-idempotent call, or of an earlier call with the same idempotency key.
-func (x *exchange) writeAnswer(w http.ResponseWriter, a event.Answer) {
+func (x *exchange) writeAnswer(w http.ResponseWriter, r *http.Request, a event.Answer) {
 	if a.ContentType != "" {
 		w.Header().Set("Content-Type", a.ContentType)
 	}
 	if a.Replay {
 		w.Header().Set(headerReplayed, "true")
 	}
+	var unframed *callerconn.Unframed
 	if a.Unconfirmed {
 		// The service may have crashed midway: a length or chunks would say that it did not.
-		w.Header().Set("Transfer-Encoding", "identity")
+		unframed = callerconn.BeginUnframed(w, r)
 	}
 	x.observe(true, "")
 	x.recordEnd(outcomeAnswered, "")
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
+	if _, err := w.Write(a.Body); err == nil {
+		unframed.End()
+	}
 }
 
 // outcome says how a call ended. Its values appear in logs and metrics.
--- a/oleander/request/front/front.go
+++ b/oleander/request/front/front.go
@@ -17,11 +17,11 @@
 
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/connection/upstream"
 	"oleanderdale.org/oleander/process/metric"
 )
@@ -86,7 +86,7 @@
 	}
 	f.server = &http.Server{
 		Handler: f.Handler(), MaxHeaderBytes: s.MaxHeaderSize,
-		ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: 2 * time.Minute,
+		ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: 2 * time.Minute, ConnContext: callerconn.With,
 	}
 	return f
 }
@@ -115,7 +115,7 @@
 // Serve accepts connections on l until the server is shut down.
 func (f *Front) Serve(l net.Listener) error {
 	if f.settings.MaxConnections > 0 {
-		l = netutil.LimitListener(l, f.settings.MaxConnections)
+		l = newLimitListener(l, f.settings.MaxConnections)
 	}
 	return f.server.Serve(l)
 }
--- a/oleander/request/front/service.go
+++ b/oleander/request/front/service.go
@@ -13,6 +13,7 @@
 
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/connection/upstream"
 )
@@ -112,13 +113,16 @@
 	if t := resp.Header.Get("Content-Type"); t != "" {
 		s.w.Header().Set("Content-Type", t)
 	}
+	var unframed *callerconn.Unframed
 	if rawhttp.EndsWithConnection(resp) {
 		// The service may have crashed midway: a length or chunks would say that it did not.
-		s.w.Header().Set("Transfer-Encoding", "identity")
+		unframed = callerconn.BeginUnframed(s.w, s.r)
 	}
 	s.w.WriteHeader(resp.StatusCode)
 	s.exchange.recordResponseStart()
-	_, _ = s.w.Write(body)
+	if _, err := s.w.Write(body); err == nil {
+		unframed.End()
+	}
 }
 
 // forwardedHeaders lists the headers of callers that are forwarded to plain
