Ask what others know before the only known version counts as the only one

Cause: the mend before refused every unnamed take-up while the store was away, though then no server can join unseen; and an instance that had lost the message about a new version still counted as in step. Change: heartbeats carry a hash of the versions that the sender knows, by group (9 bytes; earlier versions skip it). An instance relies on its only version if the store or another instance was heard within a second, or no other instance is known, none that is heard knows other versions, and it was not late. An instance tells no hash before it has read all servers.

--- a/core/gateway/directory/software.go
+++ b/core/gateway/directory/software.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleanderdale.org/core/clock"
 )
 
@@ -40,6 +42,20 @@
 	return software, ok
 }
 
+// SoftwareHash returns a hash of which versions the servers of each group have; it is not 0.
+func (d *Directory) SoftwareHash() uint64 {
+	seen := make(map[groupSoftware]bool)
+	sum := uint64(0)
+	for _, s := range d.servers {
+		k := groupSoftware{s.Group, s.Software}
+		if !seen[k] {
+			seen[k] = true
+			sum += xxhash.Sum64String(k.group + "\x00" + k.software) // in any order
+		}
+	}
+	return max(1, sum)
+}
+
 // SetSoftware sets the version of a server that is known from a message without it.
 func (d *Directory) SetSoftware(now clock.Time, id string, incarnation int64, software string) {
 	s := d.servers[id]
--- a/core/gateway/origin/sight_test.go
+++ b/core/gateway/origin/sight_test.go
@@ -16,10 +16,12 @@
 		want  bool
 	}{
 		"the store answers":                      {Sight{StoreAt: ago(200 * time.Millisecond)}, true},
-		"the holder is heard":                    {Sight{StoreAt: ago(time.Minute), HolderAt: ago(600 * time.Millisecond)}, true},
-		"cut off":                                {Sight{StoreAt: ago(2 * time.Second), HolderAt: ago(1500 * time.Millisecond)}, false},
-		"stood still, messages are read by now":  {Sight{StoreAt: now, HolderAt: now, Late: 2 * time.Second}, false},
-		"stood still, nothing has been read yet": {Sight{StoreAt: ago(2 * time.Second), HolderAt: ago(2 * time.Second), Late: 2 * time.Second}, false},
+		"the store is away, others are heard":    {Sight{StoreAt: ago(time.Minute), PeerAt: ago(600 * time.Millisecond)}, true},
+		"the store is away, nobody else is":      {Sight{StoreAt: ago(time.Minute), Alone: true}, true},
+		"others know another version":            {Sight{StoreAt: now, PeerAt: now, Differs: true}, false},
+		"cut off":                                {Sight{StoreAt: ago(2 * time.Second), PeerAt: ago(1500 * time.Millisecond)}, false},
+		"stood still, messages are read by now":  {Sight{StoreAt: now, PeerAt: now, Late: 2 * time.Second}, false},
+		"stood still, nothing has been read yet": {Sight{StoreAt: ago(2 * time.Second), PeerAt: ago(2 * time.Second), Late: 2 * time.Second}, false},
 		"has seen nothing yet":                   {Sight{}, false},
 	} {
 		if got := tc.sight.Current(now); got != tc.want {
--- a/oleander/gateway/beat.go
+++ b/oleander/gateway/beat.go
@@ -125,6 +125,7 @@
 	heartbeat := g.newHeartbeat(now)
 	packet := g.heartbeatPacket(now, heartbeat)
 	packet.Links, packet.InDoubt, packet.Late = g.linksMessage(), g.crashRecords.inDoubt(now, g.started), g.late(now)
+	packet.Versions = g.softwareHash
 	if to != audienceHolder {
 		g.checkSilence(now)
 		packet.Suspects = encodeSuspects(g.settings.Name, g.poison.Report(now))
@@ -204,7 +205,11 @@
 		g.recordPeerStatus(now, m.Heartbeat, m.LeaseRelease)
 		g.handleSuspects(now, m.Suspects)
 		g.handleDoubt(now, m.Heartbeat, m.InDoubt)
-		g.peerStateOf(m.Heartbeat.Name, m.Heartbeat.Incarnation).late = m.Late
+		peer := g.peerStateOf(m.Heartbeat.Name, m.Heartbeat.Incarnation)
+		peer.late = m.Late
+		if m.Versions != 0 {
+			peer.versions = m.Versions
+		}
 		if m.Heartbeat.Name != g.settings.Name {
 			g.handleLinks(now, m.Heartbeat, m.Links)
 		}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -210,6 +210,7 @@
 	originWaits     map[origin.Stream][]*originWait // requests that wait for the origin of a stream
 	mixedGroups     map[string]bool                 // groups with servers of several versions
 	softwareSeenAt  clock.Time                      // last update of mixedGroups
+	softwareHash    uint64                          // as of that update; 0 until all servers were read
 	fleetLease      *leader.Lease                   // its holder plans for the fleet, dispatches requests and publishes the servers
 	zoneLease       *leader.Lease                   // its holder sends the orders to the engines of this zone
 	zoneHolders     map[string]zoneHolder
@@ -284,7 +285,8 @@
 	heardAt          clock.Time
 	storeUnreachable bool
 	links            linksMsg
-	late             bool // it does not keep up with what it receives
+	late             bool   // it does not keep up with what it receives
+	versions         uint64 // see Directory.SoftwareHash; 0: not told
 }
 
 // removedServer is a backend server that is gone.
--- a/oleander/gateway/origins.go
+++ b/oleander/gateway/origins.go
@@ -134,6 +134,9 @@
 	}
 	g.softwareSeenAt = now
 	g.origins.Expire(now)
+	if g.serversComplete {
+		g.softwareHash = g.servers.SoftwareHash()
+	}
 	tell := false
 	for name := range m.Groups {
 		_, sole := g.servers.SoleSoftware(now, name, g.takeUpPeriod())
--- a/oleander/gateway/peers.go
+++ b/oleander/gateway/peers.go
@@ -203,6 +203,7 @@
 	Probe           *probeMsg      `cbor:"31,keyasint,omitempty"`
 	InDoubt         bool           `cbor:"32,keyasint,omitempty"` // with Heartbeat: there may have been crashes of which the sender can't know
 	Late            bool           `cbor:"33,keyasint,omitempty"` // with Heartbeat: the sender does not keep up with what it receives
+	Versions        uint64         `cbor:"34,keyasint,omitempty"` // with Heartbeat: see Directory.SoftwareHash
 	// AcquireReplyDetail goes with AcquireReply.
 	AcquireReplyDetail *acquireReplyDetailMsg `cbor:"21,keyasint,omitempty"`
 	Relayed            [][]byte               `cbor:"9,keyasint,omitempty"` // encoded packets relayed by another instance of the zone
--- a/oleander/gateway/takeup.go
+++ b/oleander/gateway/takeup.go
@@ -65,19 +65,23 @@
 	return g.servers.SoleSoftware(boottime.Now(), group, g.takeUpPeriod())
 }
 
-// seesServers reports whether this instance learns of servers that join now.
+// seesServers reports whether this instance knows the versions of all servers at which streams can have begun.
 func (g *Gateway) seesServers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	s := origin.Sight{StoreAt: g.serversReadAt, Late: g.lag.Processor(now, now.Add(-lagMemory))}
+	s := origin.Sight{Alone: g.members.Count() == 1, StoreAt: g.serversReadAt, Late: g.lag.Processor(now, now.Add(-lagMemory))}
 	if g.watchingServers {
 		s.StoreAt = max(s.StoreAt, g.storeAnsweredAt)
 	}
-	if h := g.fleetHolder; g.serversReadFencing == h.fencing || g.serverListFencing == h.fencing {
-		if !h.serversStale && !h.storeUnreachable {
-			s.HolderAt = h.heardAt
+	own := g.servers.SoftwareHash()
+	for _, m := range g.members.All(now) {
+		peer := g.peerStates[m.Name]
+		if peer == nil || !m.Live(now) {
+			continue
 		}
+		s.PeerAt = max(s.PeerAt, m.LastHeard)
+		s.Differs = s.Differs || peer.versions != 0 && peer.versions != own
 	}
 	return s.Current(now)
 }
