--- a/proving/processes/answers_test.go
+++ b/proving/processes/answers_test.go
@@ -53,6 +53,9 @@
 // largeBody is larger than what the kernel holds of an answer for a caller.
 var largeBody = bytes.Repeat([]byte("x"), 15<<20)
 
+// slowCall is how long a slow call runs.
+const slowCall = 2500 * time.Millisecond
+
 // shopServer is a service that runs each call, and answers as the last part of its path says: with a status, or with a large body that
 // has a length or ends with the connection.
 type shopServer struct {
@@ -72,6 +75,9 @@
 	case "unframed":
 		w.Header().Set("Transfer-Encoding", "identity")
 		_, _ = w.Write(largeBody)
+	case "slow":
+		time.Sleep(slowCall)
+		_, _ = io.WriteString(w, "{}")
 	default:
 		status, err := strconv.Atoi(kind)
 		if err != nil {
@@ -251,3 +257,22 @@
 func TestUnframedAnswerOfAStoppedInstanceIsNotWhole(t *testing.T) {
 	checkTornByEnd(t, "unframed", false, stopAtOnce)
 }
+
+// Guards against calls that a second SIGTERM cuts.
+func TestSecondSIGTERMCutsNoCall(t *testing.T) {
+	c, _ := startShop(t)
+	caller := NewCaller(c.APIKey, callTimeout)
+	for n, service := range []string{"shelf", "single"} {
+		inst := c.Instances[n]
+		got := make(chan Result, 1)
+		go func() { got <- callShop(context.Background(), caller, inst, service, "slow", "slow-"+service) }()
+		time.Sleep(300 * time.Millisecond)
+		for range 3 {
+			_ = inst.process.cmd.Process.Signal(syscall.SIGTERM)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if r := <-got; r.Status != http.StatusOK || r.Err != nil {
+			t.Errorf("%s: %+v", service, r)
+		}
+	}
+}
