--- a/oleander/gateway/silentstop_test.go
+++ b/oleander/gateway/silentstop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -28,6 +29,8 @@
 	period     time.Duration
 	silence    time.Duration // after the second event
 	breaks     bool          // breaks off after the silence
+	status     int           // of the rejections; 0: 503
+	rest       time.Duration // asked for with them
 	began      atomic.Int64  // Unix nanoseconds
 	rejections atomic.Int64
 }
@@ -38,7 +41,10 @@
 	if after > 0 && time.Since(time.Unix(0, s.began.Load())) < s.period {
 		s.rejections.Add(1)
 		w.Header().Set(testNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		if s.rest > 0 {
+			w.Header().Set(testRest, strconv.FormatInt(s.rest.Milliseconds(), 10))
+		}
+		w.WriteHeader(cmp.Or(s.status, http.StatusServiceUnavailable))
 		return
 	}
 	w.Header().Set(testSigned, "1")
@@ -100,6 +106,18 @@
 	checkBegunStream(t, &rejectsFor{period: 2800 * time.Millisecond, breaks: true}, 100*time.Millisecond)
 }
 
+// Guards against the same where the server says that it has not the model, or wants to rest.
+func TestOtherRejectionsAtAStop(t *testing.T) {
+	t.Run("421", func(t *testing.T) {
+		t.Parallel()
+		checkBegunStream(t, &rejectsFor{period: 1500 * time.Millisecond, breaks: true, status: http.StatusMisdirectedRequest}, 100*time.Millisecond)
+	})
+	t.Run("rest", func(t *testing.T) {
+		t.Parallel()
+		checkBegunStream(t, &rejectsFor{period: 1500 * time.Millisecond, breaks: true, rest: 800 * time.Millisecond}, 100*time.Millisecond)
+	})
+}
+
 // Guards against a stream that is cut at its deadline, since its only server broke off and rejected it once.
 func TestRejectedTakeUp(t *testing.T) {
 	t.Parallel()
