Reserve the retries of a stream that leaves its silent server; leave none on a stopping instance

Cause, read from the code and to be shown by a run with logs: many streams leave at once, each seeing three retries left; together they use up the budget, and the rejected ones wait for the next window. Change: three retries are reserved for a stream as it leaves, and those not needed are returned with its next event or its end (budget.Reserve, Return). A response that has begun on a stopping instance stays where it is. TestReservedRetriesCountUntilTheyAreReturned.

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -82,9 +82,33 @@
 	return true
 }
 
-// MayRetry reports whether TryRetry would return true so many times in a row.
-func (b *Budget) MayRetry(now clock.Time, group string, instances, times int) bool {
-	return b.remaining(now, group, instances) >= float64(times)
+// Reservation is retries that were counted before they are made.
+type Reservation struct {
+	Left  int // not made
+	group string
+	slot  int64
+}
+
+// Reserve counts retries that a request may make later, or none if the share of one of so many instances does not
+// allow all of them.
+func (b *Budget) Reserve(now clock.Time, group string, instances, retries int) Reservation {
+	counts := b.currentSlot(now, group)
+	if b.remaining(now, group, instances) < float64(retries) {
+		return Reservation{}
+	}
+	counts.retries += retries
+	return Reservation{Left: retries, group: group, slot: counts.slot}
+}
+
+// Return takes back the count of retries that were not made.
+func (b *Budget) Return(r Reservation) {
+	ring := b.groups[r.group]
+	if ring == nil {
+		return
+	}
+	if counts := &ring[r.slot%(slotsPerWindow+1)]; counts.slot == r.slot {
+		counts.retries -= r.Left
+	}
 }
 
 // Remaining returns the number of retries left to this instance in the group with the
--- a/core/gateway/budget/budget_test.go
+++ b/core/gateway/budget/budget_test.go
@@ -100,3 +100,36 @@
 		})
 	}
 }
+
+// Guards against reserved retries that count twice, not at all, or for good.
+func TestReservedRetriesCountUntilTheyAreReturned(t *testing.T) {
+	b := New(0, Settings{Window: 10 * time.Second, Ratio: 0, Allowance: 10}) // eight, as four fifths are used
+	now := clock.Time(time.Minute)
+	r := b.Reserve(now, "g", 1, 3)
+	if r.Left != 3 {
+		t.Fatalf("%+v", r)
+	}
+	for range 5 {
+		if !b.TryRetry(now, "g", 1) {
+			t.Fatal("a retry beside the reserved ones is denied")
+		}
+	}
+	if b.TryRetry(now, "g", 1) || b.Reserve(now, "g", 1, 1).Left > 0 {
+		t.Fatal("more retries than the budget has")
+	}
+	r.Left--
+	b.Return(r)
+	for range 2 {
+		if !b.TryRetry(now.Add(time.Second), "g", 1) {
+			t.Fatal("a returned retry is denied")
+		}
+	}
+	if b.TryRetry(now.Add(time.Second), "g", 1) {
+		t.Fatal("the retry that was made counts no longer")
+	}
+	b.Return(r) // long after, it must not free retries of another window
+	if b.TryRetry(now.Add(time.Minute), "g", 1); b.Reserve(now.Add(time.Minute), "g", 1, 8).Left > 0 {
+		t.Fatal("an old reservation frees retries of a later window")
+	}
+	b.Return(Reservation{})
+}
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -30,6 +30,7 @@
 func (x *exchange) serve() {
 	x.g.recordArrival(x.call.Model)
 	defer x.endProbe(false)
+	defer x.returnRetries()
 	for {
 		done, ref := x.serveOnce()
 		switch {
@@ -167,6 +168,10 @@
 
 // takeRetry takes one retry from the retry budget.
 func (x *exchange) takeRetry() bool {
+	if x.reserved.Left > 0 {
+		x.reserved.Left--
+		return true
+	}
 	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/budget"
 	"oleanderdale.org/core/gateway/continuation"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
@@ -122,6 +123,7 @@
 	openRun         *poison.OpenRun // the current attempt, while its outcome is not known; nil: it is, or nothing was sent
 	probe           grantedProbe
 	silent          silentWait            // for the current attempt
+	reserved        budget.Reservation    // of retries, after a silent server was left
 	possibleRuns    int                   // sends that may have run
 	excluded        map[string]clock.Time // until when servers are left out, by ID
 	continuation    continuation.Response // once the response has begun
--- a/oleander/gateway/onsilence.go
+++ b/oleander/gateway/onsilence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/budget"
 	"oleanderdale.org/core/gateway/continuation"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/process/boottime"
@@ -12,7 +13,7 @@
 const (
 	// silenceRecheck is how often another server is looked for while one is silent.
 	silenceRecheck = 250 * time.Millisecond
-	// retriesToLeave is how many retries must be left before a silent server is left: the other one may reject the request.
+	// retriesToLeave is how many retries are reserved for a request that leaves a silent server: the other one may reject it.
 	retriesToLeave = 3
 )
 
@@ -31,8 +32,8 @@
 		return time.Time{}
 	}
 	alternative, loaded := x.findAlternative(now, t)
-	s := continuation.Silence{Alternative: alternative, MayRepeat: x.mayLeave(now), Ending: x.g.refusesQueued()}
-	if s.Leave() {
+	s := continuation.Silence{Alternative: alternative, MayRepeat: x.mayFailOver() && x.isRetryable(), Ending: x.ending()}
+	if s.Leave() && x.reserveRetries(now) {
 		return time.Time{}
 	}
 	if !loaded && s.MayRepeat {
@@ -57,15 +58,36 @@
 	return c.Server != nil, c.Server != nil || c.AllFull
 }
 
-// mayLeave reports whether the request may be sent to another server.
-func (x *exchange) mayLeave(now clock.Time) bool {
-	g := x.g
-	if !x.mayFailOver() || !x.isRetryable() {
-		return false
+// ending reports whether this instance stops, so that the request had better stay where it is: one without a response
+// is still in time to be answered elsewhere.
+func (x *exchange) ending() bool {
+	if x.responseStarted {
+		return x.g.stopping.Load()
 	}
+	return x.g.refusesQueued()
+}
+
+// reserveRetries reserves the retries of a request that leaves its server. Without them it would go without a server
+// until the budget allows one.
+func (x *exchange) reserveRetries(now clock.Time) bool {
+	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryBudget.MayRetry(now, x.group, g.members.Count(), retriesToLeave)
+	if x.reserved.Left == 0 {
+		x.reserved = g.retryBudget.Reserve(now, x.group, g.members.Count(), retriesToLeave)
+	}
+	return x.reserved.Left > 0
+}
+
+// returnRetries returns the reserved retries that the request did not need.
+func (x *exchange) returnRetries() {
+	if x.reserved.Left == 0 {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.retryBudget.Return(x.reserved)
+	x.reserved = budget.Reservation{}
 }
 
 // demandElsewhere makes the request's model wanted, so that it is loaded on another server than the silent one.
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -119,6 +119,7 @@
 	x.timing.partForwarded(x.arrived)
 	x.recordEvents(events)
 	x.continuation.Continued()
+	x.returnRetries()
 	return nil
 }
 
