--- /dev/null
+++ b/proving/processes/misbehaving_test.go
@@ -0,0 +1,110 @@
+package processes
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/standin/badcallers"
+)
+
+// The crowd, the limits of an instance, and the bounds that follow from these.
+const (
+	crowdMemoryMB       = 96
+	crowdMaxConnections = 900
+	crowdBodyBytes      = 1 << 20
+	crowdBodies         = 400
+	crowdConnections    = 1200
+	crowdStay           = 4 * time.Second
+	// otherDescriptors are for servers, other instances, the platform and files.
+	otherDescriptors = 300
+	// answerWait is how long an ordinary caller tries to get an answer.
+	answerWait = 20 * time.Second
+
+	// Of an instance with default settings.
+	defaultMemoryMB    = 512
+	defaultBodyBytes   = 4 << 20
+	defaultDescriptors = 4096 + otherDescriptors
+	defaultBodies      = 300
+)
+
+// Guards against callers that take an instance beyond its memory or descriptors, or that keep others out.
+func TestMisbehavingCallers(t *testing.T) {
+	t.Setenv("OLEANDERD_MEMORY_MB", fmt.Sprint(crowdMemoryMB))
+	t.Setenv("OLEANDERD_MAX_BODY", fmt.Sprint(crowdBodyBytes))
+	t.Setenv("OLEANDERD_MAX_CONNECTIONS", fmt.Sprint(crowdMaxConnections))
+	c := startClusterOf(t, 1)
+	for _, k := range badcallers.Kinds(crowdBodies, crowdConnections, "") {
+		bounds := badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdMaxConnections + otherDescriptors}
+		t.Run(k.Name, func(t *testing.T) { testCrowd(t, c, crowdRequest(c, crowdBodyBytes), k, bounds) })
+	}
+	r := crowdRequest(c, crowdBodyBytes)
+	r.Header = "Authorization: Bearer odk_another\r\n"
+	t.Run("wrong key", func(t *testing.T) {
+		testCrowd(t, c, r, badcallers.Kinds(crowdBodies, crowdConnections, "")[0], badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdMaxConnections + otherDescriptors})
+	})
+}
+
+// Guards against an instance without a bound on its memory unless a setting names one.
+func TestMisbehavingCallersMeetDefaultSettings(t *testing.T) {
+	c := startClusterOf(t, 1)
+	for _, k := range badcallers.Kinds(defaultBodies, crowdConnections, "")[:3] {
+		bounds := badcallers.Usage{Resident: defaultMemoryMB << 20, Descriptors: defaultDescriptors}
+		t.Run(k.Name, func(t *testing.T) { testCrowd(t, c, crowdRequest(c, defaultBodyBytes), k, bounds) })
+	}
+}
+
+// crowdRequest is what the crowd asks of an instance.
+func crowdRequest(c *Cluster, bodyBytes int) badcallers.Request {
+	return badcallers.Request{Host: "oleander.example", Path: "/services/orders/new", Header: "Authorization: Bearer " + c.APIKey + "\r\n", BodyBytes: bodyBytes}
+}
+
+// testCrowd lets a crowd come to a new process of one instance.
+func testCrowd(t *testing.T, c *Cluster, r badcallers.Request, k badcallers.Kind, bounds badcallers.Usage) {
+	ctx := context.Background()
+	inst := c.Instances[0]
+	if err := inst.Kill(); err != nil && !inst.Exited() {
+		t.Fatal(err)
+	}
+	if err := c.StartInstance(inst); err != nil {
+		t.Fatal(err)
+	}
+	if err := inst.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	awaitAnswer(t, c, inst, "before")
+	watch := badcallers.StartWatch(inst.process.cmd.Process.Pid, inst.CallerAddress)
+	callers := badcallers.Start(inst.CallerAddress, r, k)
+	time.Sleep(crowdStay)
+	awaitAnswer(t, c, inst, "beside the crowd")
+	callers.Stop()
+	awaitAnswer(t, c, inst, "after the crowd")
+	peak, err := watch.Stop()
+	opened, closed := callers.Opened()
+	t.Logf("%v; %d connections opened, %d of them closed", peak, opened, closed)
+	switch {
+	case err != nil:
+		t.Errorf("the process has ended: %v", err)
+	case peak.Memory() >= bounds.Resident:
+		t.Errorf("%v; the bound is %d MB", peak, bounds.Resident>>20)
+	case peak.Descriptors > bounds.Descriptors:
+		t.Errorf("%d descriptors; the bound is %d", peak.Descriptors, bounds.Descriptors)
+	}
+}
+
+// awaitAnswer sends ordinary orders until one of them is answered.
+func awaitAnswer(t *testing.T, c *Cluster, inst *Instance, when string) {
+	t.Helper()
+	caller := NewCaller(c.APIKey, 3*time.Second)
+	caller.Client.Transport = &http.Transport{DisableKeepAlives: true}
+	var last Result
+	for end := time.Now().Add(answerWait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		last = caller.PlaceOrder(context.Background(), inst.CallerAddress, fmt.Sprintf("ordinary-%d", time.Now().UnixNano()))
+		if !last.Interrupted() && last.Status == http.StatusOK {
+			return
+		}
+	}
+	t.Errorf("no ordinary order is answered %s: %+v", when, last)
+}
--- a/proving/processes/processes_test.go
+++ b/proving/processes/processes_test.go
@@ -15,6 +15,12 @@
 // startCluster builds and starts a deployment with three instances in each of
 // three availability zones.
 func startCluster(t *testing.T) *Cluster {
+	t.Helper()
+	return startClusterOf(t, 3)
+}
+
+// startClusterOf is startCluster with another number of instances in each zone.
+func startClusterOf(t *testing.T, perZone int) *Cluster {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	t.Cleanup(cancel)
@@ -22,7 +28,7 @@
 	if err := Build(ctx, dir); err != nil {
 		t.Fatal(err)
 	}
-	c, err := Start(ctx, dir, "testdata/deployment.yaml", 3)
+	c, err := Start(ctx, dir, "testdata/deployment.yaml", perZone)
 	if err != nil {
 		t.Fatal(err)
 	}
