Memory bound: one body inside the limits fits in calm

With the contract pressure a lone body of 32 MB at 160 MB of memory, and of 16 MB at 64 MB, got 503 again and again: a body could have half of the bound at most, the rest was kept for responses although there were none. It may now use these reserves while nothing else is held but small bodies, and says that it must not be held while a response is awaited (KeepsForRetry), so that the two can't wait for each other. A small body beside it uses its own reserve.

--- a/core/gateway/membudget/membudget.go
+++ b/core/gateway/membudget/membudget.go
@@ -26,6 +26,10 @@
 // more. So one of them, the grower, has as much reserved as it may still need; no other
 // body is granted bytes of that. A body becomes the grower only if all that fits, or, when
 // the previous grower is complete, if it has the most bytes of those that wait.
+//
+// One body may exceed what all bodies together are given otherwise, if nothing else is held but
+// small bodies: a request inside the limits is served in calm. It uses the reserves of responses,
+// so its request must not hold it while it waits for its response (see KeepsForRetry).
 package membudget
 
 import (
@@ -55,6 +59,8 @@
 	// The parts of the bound that are reserved for small bodies, for responses, and for the
 	// leader.
 	smallPart, responsePart, leaderPart = 8, 8, 4
+	// besideLarge is what a body that uses the reserves of responses leaves of them.
+	besideLarge = 4 * Chunk
 )
 
 // MaxWait returns how long a body may wait: a quarter of the route's latency objective, or
@@ -162,7 +168,7 @@
 		return Granted
 	}
 	if h.kind == Body {
-		if h.waitLeft <= 0 || h.total() > b.maxBody(h.total()) {
+		if h.waitLeft <= 0 || !b.CanHold(h.total()) {
 			h.asked = 0
 			return Refused
 		}
@@ -186,7 +192,7 @@
 	return cmp.Or(cmp.Compare(a.total(), b.total()), cmp.Compare(a.id, b.id))
 }
 
-// maxBody returns the most bytes that a body of this size could ever hold.
+// maxBody returns the most bytes that a body of this size may hold beside others.
 func (b *Budget) maxBody(size int64) int64 {
 	most := b.bound - b.leaderReserve - b.responseReserve
 	if size > SmallBody {
@@ -196,13 +202,36 @@
 }
 
 // CanHold reports whether a body of this size could be held if there were no others.
-func (b *Budget) CanHold(size int64) bool { return size <= b.maxBody(size) }
+func (b *Budget) CanHold(size int64) bool { return size <= b.MaxBody() }
+
+// MaxBody returns the size of the largest body that can be held.
+func (b *Budget) MaxBody() int64 { return max(b.maxBody(0), b.bound-b.smallReserve-besideLarge) }
+
+// KeepsForRetry reports whether a body of this size may be held while its request waits for a response.
+func (b *Budget) KeepsForRetry(size int64) bool { return size <= b.maxBody(size) }
 
 // fits reports whether what the holder asks for may be granted now.
 func (b *Budget) fits(h *holder) bool { return b.missing(h) <= 0 }
 
 // missing returns how many bytes have to be released before the holder's charge fits.
 func (b *Budget) missing(h *holder) int64 {
+	if h.kind == Body && h.total() > b.maxBody(h.total()) {
+		return b.missingAlone(h)
+	}
+	return b.missingBeside(h)
+}
+
+// missingAlone is missing for a body that is too large to be held beside others than small bodies.
+func (b *Budget) missingAlone(h *holder) int64 {
+	others := b.held - b.heldSmall
+	if h.held > SmallBody {
+		others -= h.held
+	}
+	return max(others, h.total()-b.MaxBody())
+}
+
+// missingBeside is missing for a holder that others have room beside.
+func (b *Budget) missingBeside(h *holder) int64 {
 	small, responses := b.heldSmall, b.heldResponses
 	if h.kind == Body {
 		if h.held <= SmallBody {
@@ -212,6 +241,9 @@
 			small += h.total()
 		}
 	}
+	if h.kind == Body && h.total() <= SmallBody && small <= b.smallReserve {
+		return 0
+	}
 	need := b.held + h.asked + max(0, b.smallReserve-small)
 	if h == b.leader {
 		return need - b.bound
@@ -434,6 +466,23 @@
 	return max(MinRetryAfter, time.Duration(seconds*float64(time.Second)))
 }
 
+// Size returns the bytes that a holder has.
+func (b *Budget) Size(id ID) int64 {
+	if h := b.holders[id]; h != nil {
+		return h.held
+	}
+	return 0
+}
+
+// Missing returns how many bytes have to be released before a holder could be charged n more.
+func (b *Budget) Missing(id ID, n int64) int64 {
+	h := b.holders[id]
+	asked := h.asked
+	defer func() { h.asked = asked }()
+	h.asked = n
+	return b.missing(h)
+}
+
 // Status returns the state of the budget.
 func (b *Budget) Status() Status {
 	return Status{Bound: b.bound, Held: b.held, WaitingBodies: len(b.bodies), WaitingResponses: len(b.responses)}
