--- a/core/eviction/eviction.go
+++ b/core/eviction/eviction.go
@@ -26,15 +26,20 @@
 const (
 	// minRate is the pace, in bytes per second, that a caller has to keep while it sends or reads.
 	minRate = 16 << 10
-	// minBehind is the part of the time allowed from which a caller may be chosen. Callers that
-	// come together are not closed for each other's sake before they could send anything.
-	minBehind = 0.1
 )
 
-// allowed is how far a caller may fall behind in a phase before others need no room; a multiple of it ranks
-// callers in different phases.
-var allowed = map[Phase]time.Duration{
-	Head: 3 * time.Second, Body: 3 * time.Second, Response: 2 * time.Second, Idle: 16 * time.Second,
+// patience is what callers are given in a phase.
+type patience struct {
+	allowed time.Duration // ranks callers in different phases, by how often they are that far behind
+	least   time.Duration // a caller that is less behind is not chosen
+}
+
+// patiences spare callers that come together, which could not send anything yet, and those that pause while they read.
+var patiences = map[Phase]patience{
+	Head:     {allowed: 3 * time.Second, least: 300 * time.Millisecond},
+	Body:     {allowed: 3 * time.Second, least: 300 * time.Millisecond},
+	Response: {allowed: 2 * time.Second, least: 2 * time.Second},
+	Idle:     {allowed: 16 * time.Second, least: 1600 * time.Millisecond},
 }
 
 // State is what is known of a connection.
@@ -57,14 +62,19 @@
 	if s.Phase == Busy {
 		return 0
 	}
-	return now.Sub(s.due).Seconds() / allowed[s.Phase].Seconds()
+	return now.Sub(s.due).Seconds() / patiences[s.Phase].allowed.Seconds()
+}
+
+// mayGo reports whether the caller is behind far enough to make way.
+func (s *State) mayGo(now clock.Time) bool {
+	return s.Phase != Busy && now.Sub(s.due) >= patiences[s.Phase].least
 }
 
 // Furthest returns the index of the state furthest behind, or -1 if none is behind far enough.
 func Furthest(now clock.Time, states []State) int {
-	found, most := -1, minBehind
+	found, most := -1, 0.0
 	for i := range states {
-		if behind := states[i].Behind(now); behind > most {
+		if behind := states[i].Behind(now); behind > most && states[i].mayGo(now) {
 			found, most = i, behind
 		}
 	}
--- a/core/eviction/eviction_test.go
+++ b/core/eviction/eviction_test.go
@@ -30,6 +30,7 @@
 		"a head before a kept connection":    {[]State{stateAt(Idle, 0), stateAt(Head, 0)}, late, 1},
 		"an unread answer before a head":     {[]State{stateAt(Head, 0), stateAt(Response, 0)}, late, 1},
 		"a kept connection if there is none": {[]State{stateAt(Busy, 0), stateAt(Idle, 0)}, late, 1},
+		"a short pause of a reader":          {[]State{stateAt(Response, 0)}, start.Add(1900 * time.Millisecond), -1},
 		"a burst does not earn a pause":      {[]State{stateAt(Body, 1<<30)}, late, 0},
 	} {
 		if got := Furthest(tc.now, tc.states); got != tc.want {
--- a/core/gateway/intake/intake.go
+++ b/core/gateway/intake/intake.go
@@ -57,6 +57,7 @@
 	TooLate            Verdict = "late"
 	LinkFull           Verdict = "link-full"
 	TooManyConnections Verdict = "too-many-connections"
+	NoMemory           Verdict = "memory" // for one more connection, as its taker found
 )
 
 // Gate decides for one instance. It is not safe for concurrent use.
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -205,6 +205,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BodyParts follow Body.
+	BodyParts [][]byte
+}
+
+func (r *Request) bodySize() int {
+	n := len(r.Body)
+	for _, p := range r.BodyParts {
+		n += len(p)
+	}
+	return n
 }
 
 // Send writes a request. If it fails, part of the request may have been sent, unless
@@ -217,11 +227,11 @@
 	if err := r.Header.Write(&b); err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if n := r.bodySize(); n > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		b.WriteString("Content-Length: " + strconv.Itoa(n) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	buffers := net.Buffers{b.Bytes(), r.Body} // one system call, without a copy of the body
+	buffers := append(net.Buffers{b.Bytes(), r.Body}, r.BodyParts...) // one system call, without a copy of the body
 	_, err := buffers.WriteTo(c.conn)
 	return errors.Wrap(err, "rawhttp: send request")
 }
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -94,7 +94,7 @@
 	x.beginRun(t)
 	x.timing.attemptSent()
 	err := c.Send(rawhttp.Request{
-		ID: x.call.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		ID: x.call.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, BodyParts: x.body,
 		Header: g.dialect.ForwardHeaders(x.r.Header, ports.Attempt{
 			Account: x.accountName(), Server: t.id, Timeout: remaining, Priority: x.priority(), LastEventID: x.lastEventID,
 		}),
@@ -158,12 +158,12 @@
 
 // mayRepeat reports whether the request may be sent again if the current attempt breaks.
 func (x *exchange) mayRepeat() bool {
-	return x.route.Retryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.sends+1 < maxSends
+	return !x.bodyGone && x.route.Retryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.sends+1 < maxSends
 }
 
 // mayFailOver reports whether the request leaves a silent server for another one.
 func (x *exchange) mayFailOver() bool {
-	return x.route.Kind == manifest.Stream && x.route.Resumable && x.possibleRuns+1 < x.route.MaxAttempts
+	return !x.bodyGone && x.route.Kind == manifest.Stream && x.route.Resumable && x.possibleRuns+1 < x.route.MaxAttempts
 }
 
 func (x *exchange) firstEventTimeout() time.Duration {
--- a/oleander/gateway/callerlistener.go
+++ b/oleander/gateway/callerlistener.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"oleanderdale.org/oleander/connection/callermem"
 )
 
 // refuseTime is how long connections are refused at a time.
@@ -16,19 +18,19 @@
 // refused costs a packet, and its caller turns to another instance at once.
 type callerListener struct {
 	address string
-	takes   func() bool
+	admit   func(net.Conn) (net.Conn, bool)
 
 	mu      sync.Mutex
 	current net.Listener // nil while connections are refused
 	closed  chan struct{}
 }
 
-func listenForCallers(address string, takes func() bool) (*callerListener, error) {
-	l, err := net.Listen("tcp", address)
+func listenForCallers(address string, admit func(net.Conn) (net.Conn, bool)) (*callerListener, error) {
+	l, err := callermem.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{address: address, takes: takes, current: l, closed: make(chan struct{})}, nil
+	return &callerListener{address: address, admit: admit, current: l, closed: make(chan struct{})}, nil
 }
 
 // Accept implements net.Listener.
@@ -40,25 +42,21 @@
 		if current == nil {
 			return nil, net.ErrClosed
 		}
-		c, err := current.Accept()
-		if err != nil || l.takes() {
-			return c, err
+		accepted, err := current.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c, ok := l.admit(accepted)
+		if ok {
+			return c, nil
 		}
-		closeUnread(c)
+		callermem.CloseUnread(accepted)
 		if err := l.refuse(); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// closeUnread resets a connection. The end of an open one could be that of an answer that was cut off.
-func closeUnread(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 // refuse refuses connections for refuseTime.
 func (l *callerListener) refuse() error {
 	l.mu.Lock()
@@ -73,7 +71,7 @@
 			return net.ErrClosed
 		case <-time.After(refuseTime):
 		}
-		again, err := net.Listen("tcp", l.address)
+		again, err := callermem.Listen(l.address)
 		if err != nil {
 			continue // another socket may still have the address
 		}
--- a/oleander/gateway/callerlistener_test.go
+++ b/oleander/gateway/callerlistener_test.go
@@ -14,7 +14,7 @@
 // Guards against a listener that stays closed, or leaks, once connections were refused.
 func TestCallerListenerRefusesForAWhile(t *testing.T) {
 	var takes atomic.Bool
-	l, err := listenForCallers("127.0.0.1:0", takes.Load)
+	l, err := listenForCallers("127.0.0.1:0", func(c net.Conn) (net.Conn, bool) { return c, takes.Load() })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/oleander/gateway/configure.go
+++ b/oleander/gateway/configure.go
@@ -130,6 +130,7 @@
 		return
 	}
 	g.logLimits(m)
+	g.checkBodyLimit(m)
 	g.logUnusedRegions(m)
 	g.manifest.Store(m)
 	g.packedManifest.Store(newPackedManifest(raw))
@@ -177,6 +178,23 @@
 	}
 }
 
+// bodyLimit returns the size of the largest body that a version allows.
+func bodyLimit(m *manifest.Manifest) int64 {
+	if m.Limits.BodyBytes > 0 {
+		return m.Limits.BodyBytes
+	}
+	return maxBodyBytes
+}
+
+// checkBodyLimit warns about bodies that a version allows and this instance can't hold: their requests are refused.
+func (g *Gateway) checkBodyLimit(m *manifest.Manifest) {
+	if g.memory == nil || bodyLimit(m) <= g.memory.MaxBody() {
+		return
+	}
+	g.log.Warn().Uint64("version", m.Version).Int64("max_body_bytes", bodyLimit(m)).Int64("largest_that_fits", g.memory.MaxBody()).
+		Msg("memory: bodies inside the limits do not fit")
+}
+
 // logUnusedRegions warns about region lists without any region in use: requests bound
 // to them are refused.
 func (g *Gateway) logUnusedRegions(m *manifest.Manifest) {
--- a/oleander/gateway/crash_test.go
+++ b/oleander/gateway/crash_test.go
@@ -263,7 +263,7 @@
 		return len(g.localDemand) > 0
 	})
 	digest = (&exchange{g: g, account: config(1).Accounts["account"], r: &http.Request{Method: http.MethodPost, Host: testHost, RequestURI: "/stream/"},
-		body: bytes.Repeat([]byte("x"), 1000)}).requestDigests()[0]
+		body: [][]byte{bytes.Repeat([]byte("x"), 1000)}}).requestDigests()[0]
 	crashes := []poison.ServerAge{{Server: 1}, {Server: 2}, {Server: 3}}
 	g.mu.Lock()
 	g.poison.Merge(boottime.Now(), "peer", poison.Report{Suspects: []poison.SuspectReport{{Digest: digest, Crashes: crashes}}})
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -75,7 +75,7 @@
 		}
 	}
 	switch {
-	case x.sends < maxSends:
+	case x.sends < maxSends && !x.bodyGone:
 		return false, nil
 	case x.responseStarted:
 		return false, unavailable(reasonRefused, retryDelay)
@@ -111,7 +111,7 @@
 
 // mayRunAgain reports whether the route lets the request be sent, after the runs that it may have had.
 func (x *exchange) mayRunAgain() bool {
-	return x.possibleRuns == 0 || x.route.Retryable() && x.possibleRuns < x.route.MaxAttempts
+	return x.possibleRuns == 0 || !x.bodyGone && x.route.Retryable() && x.possibleRuns < x.route.MaxAttempts
 }
 
 // isRetryable reports whether the request may be repeated by its route, as it was sent and as it is in force.
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -294,7 +294,7 @@
 	}
 	s := Settings{
 		Name: fmt.Sprint("g", n), Zone: zone, Regions: f.regions, CallerAddress: own[0], ReadinessAddress: own[1], PeerAddress: own[2], GracePeriod: testGrace,
-		OrderQuietPeriod: 100 * time.Millisecond, MemoryBound: f.memory, MaxDrainDelay: 2 * time.Second,
+		OrderQuietPeriod: 100 * time.Millisecond, MemoryBound: f.memory, ConnectionMemory: f.memory, CutSlowReaders: f.memory > 0, ServersFailOnLoad: f.memory > 0, MaxDrainDelay: 2 * time.Second,
 		RetryBudget:    budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 		LoadScheduling: f.loadScheduling,
 	}
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -22,6 +22,7 @@
 	"oleanderdale.org/core/gateway/poison"
 	"oleanderdale.org/core/gateway/regions"
 	"oleanderdale.org/oleander/connection/callerconn"
+	"oleanderdale.org/oleander/connection/callermem"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -58,6 +59,7 @@
 	reasonCallerGone      reason = "caller-gone"
 	reasonMemory          reason = "memory"
 	reasonSlowReader      reason = "slow-reader"
+	reasonMadeWay         reason = "made-way"
 	reasonAnswered        reason = "answered"
 )
 
@@ -98,7 +100,8 @@
 	account        *manifest.Account
 	allowedRegions regions.Set // allowed by the route and the account
 	config         *manifest.Manifest
-	body           []byte
+	body           [][]byte // in parts
+	bodyGone       bool     // the body was released though the route allows another attempt
 	digests        []poison.Digest
 	shared         []poison.Digest // see sharedDigests
 	blamed         []poison.Digest // of shared, what the request is refused for
@@ -164,6 +167,9 @@
 
 // admit finds the route and the account, reads the body, and charges the quota.
 func (x *exchange) admit() *refusal {
+	if err := callermem.BeginRequest(x.r.Context()); err != nil {
+		return x.unreadRefusal(err)
+	}
 	if ref := x.resolve(); ref != nil {
 		return ref
 	}
@@ -214,10 +220,7 @@
 }
 
 func (x *exchange) readBody() *refusal {
-	limit := int64(maxBodyBytes)
-	if n := x.config.Limits.BodyBytes; n > 0 {
-		limit = n
-	}
+	limit := bodyLimit(x.config)
 	if x.g.memory != nil {
 		return x.readBoundedBody(limit)
 	}
@@ -228,7 +231,10 @@
 	if int64(len(body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	}
-	x.body = body
+	x.held.unread = false
+	if len(body) > 0 {
+		x.body = [][]byte{body}
+	}
 	return nil
 }
 
@@ -250,7 +256,9 @@
 	path, query, _ := strings.Cut(x.r.RequestURI, "?")
 	d := xxhash.New()
 	_, _ = d.WriteString(x.accountName() + "\n" + x.r.Method + " " + strings.ToLower(x.r.Host) + path + "\n")
-	_, _ = d.Write(x.body)
+	for _, part := range x.body {
+		_, _ = d.Write(part)
+	}
 	digests := []poison.Digest{poison.Digest(d.Sum64())}
 	if query != "" {
 		_, _ = d.WriteString("\n" + query)
@@ -348,7 +356,7 @@
 	x.finish(ref.status, ref.reason)
 	if x.held.unread {
 		x.releaseMemory()
-		x.dropBody()
+		callermem.Drain(x.w, x.r)
 	}
 }
 
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -70,9 +70,14 @@
 	// LoadScheduling says whether requests are scheduled by due time, account and measured
 	// work. Auto follows the configuration (manifest.Manifest.SchedulesLoad).
 	LoadScheduling Switch
-	// MemoryBound is the most bytes of requests and responses held at a time; 0 means no
-	// bound.
-	MemoryBound int64
+	// MemoryBound is the most bytes of bodies and responses held at a time, ConnectionMemory that of
+	// connections and heads; 0 means no bound on either.
+	MemoryBound, ConnectionMemory int64
+	// CutSlowReaders says that a caller has slowReaderTimeout to read a part of a response. Otherwise
+	// it is cut off when others need the memory or the connection.
+	CutSlowReaders bool
+	// ServersFailOnLoad says that backend servers fail if they get too many bytes at a time.
+	ServersFailOnLoad bool
 	// RefuseWhenLate says whether connections are refused while this instance is late and most others
 	// are not. Instances in one process are late together.
 	RefuseWhenLate bool
@@ -312,7 +317,7 @@
 	}
 	g := &Gateway{
 		settings: s, incarnation: binary.LittleEndian.Uint64(seed[:]) >> 1, started: boottime.Now(), log: log,
-		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), memory: newMemory(s.MemoryBound), links: newServerLinks(), intake: newCallerIntake(s),
+		store: store, engines: engines, dialect: dialect, metrics: newMetrics(), links: newServerLinks(), intake: newCallerIntake(s),
 		housekeepNow: make(chan struct{}, 1), reregister: make(chan struct{}, 1), stateChanged: make(chan struct{}), refuseQueued: make(chan struct{}),
 		servers: directory.New(), members: members.New(s.Name), configSync: configsync.New(boottime.Now(), s.Name, s.Zone), quotaWaiters: make(map[uint64]chan quota.Outcome),
 		retryBudget: budget.New(boottime.Now(), s.RetryBudget), poison: poison.New(), probes: poison.NewProbes(), probeWaits: make(map[uint64]chan poison.ProbeAnswer), origins: origin.NewBook(), originWaits: make(map[origin.Stream][]*originWait), mixedGroups: make(map[string]bool),
@@ -322,6 +327,7 @@
 		publisher: newServerPublisher(), evacuations: evacuation.New(s.MaxEvacuationDelay), storeWatches: storeWatches{cancels: make(map[string]context.CancelFunc)},
 		feedbackLog: make(feedbackLog), feedbackHeardAt: make(map[string]clock.Time),
 	}
+	g.memory = newMemory(s, g.metrics.evicted, log)
 	g.servers.SetRegions(s.Regions)
 	g.dispatcher.Dispatcher, g.ownQueues.Dispatcher = dispatch.New(s.Name, g.servers), dispatch.NewLocal(s.Name, g.servers)
 	g.dispatchClient, g.pendingQueries = dispatch.NewClient(), make(map[uint64]*pendingQuery)
--- a/oleander/gateway/intake.go
+++ b/oleander/gateway/intake.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -47,6 +48,32 @@
 	}
 }
 
+// admit decides on a new connection of a caller. One that stops short makes way for it.
+func (g *Gateway) admit(c net.Conn) (net.Conn, bool) {
+	if g.memory != nil {
+		g.memory.MakeRoomForConnection()
+	}
+	if !g.takesConnection() {
+		return c, false
+	}
+	if g.memory == nil {
+		return c, true
+	}
+	c, ok := g.memory.Admit(c)
+	if !ok {
+		g.refusedConnection(intake.NoMemory)
+	}
+	return c, ok
+}
+
+// openConnections returns the number of connections of callers.
+func (g *Gateway) openConnections() int {
+	if g.memory != nil {
+		return g.memory.Connections()
+	}
+	return int(g.callerConns.Load())
+}
+
 // takesConnection decides on a new connection of a caller.
 func (g *Gateway) takesConnection() bool {
 	now := boottime.Now()
@@ -57,10 +84,24 @@
 	if v == intake.Take {
 		return true
 	}
+	g.countClosed(now, v)
+	return false
+}
+
+// refusedConnection counts a connection that the gate would have taken.
+func (g *Gateway) refusedConnection(v intake.Verdict) {
+	g.intake.mu.Lock()
+	defer g.intake.mu.Unlock()
+	g.countClosed(boottime.Now(), v)
+}
+
+// countClosed counts a connection closed unread, and logs. The caller holds intake.mu.
+func (g *Gateway) countClosed(now clock.Time, v intake.Verdict) {
+	in := &g.intake
 	g.metrics.closedUnread(v)
 	in.closed[v]++
 	if now.Sub(in.loggedAt) >= intakeLogInterval {
-		e := g.log.Warn().Int64("lag_ms", in.ownLag.Milliseconds()).Int64("caller_connections", g.callerConns.Load()).Int64("active", g.activeRequests.Load())
+		e := g.log.Warn().Int64("lag_ms", in.ownLag.Milliseconds()).Int("caller_connections", g.openConnections()).Int64("active", g.activeRequests.Load())
 		for why, n := range in.closed {
 			e = e.Int(string(why), n)
 		}
@@ -68,7 +109,6 @@
 		in.loggedAt = now
 		clear(in.closed)
 	}
-	return false
 }
 
 // intakeState returns what the gate decides by. The caller holds intake.mu.
@@ -77,7 +117,7 @@
 	if g.intake.lastTick != 0 {
 		overdue = now.Sub(g.intake.lastTick.Add(lag.Interval))
 	}
-	return intake.State{Lag: max(g.intake.ownLag, overdue), Connections: int(g.callerConns.Load()), OthersLate: g.intake.othersLate}
+	return intake.State{Lag: max(g.intake.ownLag, overdue), Connections: g.openConnections(), OthersLate: g.intake.othersLate}
 }
 
 // updateIntake tells the intake how late this instance and the others are. The caller holds mu.
@@ -118,7 +158,7 @@
 func (g *Gateway) asksToClose() bool {
 	g.intake.mu.Lock()
 	defer g.intake.mu.Unlock()
-	return g.intake.gate.AskToClose(boottime.Now(), int(g.callerConns.Load()))
+	return g.intake.gate.AskToClose(boottime.Now(), g.openConnections())
 }
 
 // carried records bytes on the machine's link, in both directions.
--- /dev/null
+++ b/oleander/gateway/madeway_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"oleanderdale.org/oleander/internal/testutil"
+)
+
+// Guards against a request that is sent again without its body, which was released for its response.
+func TestLoneLargeBodyIsSentOnce(t *testing.T) {
+	f := boundedFixture(t, 6*mb, 2*time.Second)
+	broken := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testSigned, "1")
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write(make([]byte, 10))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	a, b := f.backend("a", "plain", broken), f.backend("b", "plain", broken)
+	url := f.start() + "/read/"
+	if got := f.post(http.DefaultClient, url, "large", 4*mb, false); got.status != http.StatusBadGateway {
+		t.Errorf("status %d %s, want 502", got.status, got.body)
+	}
+	if sent := a.requests() + b.requests(); sent != 1 {
+		t.Errorf("sent %d times", sent)
+	}
+	f.awaitNothingHeld()
+}
+
+// Guards against a caller that stops short and keeps memory that others need, and against a refusal that promises
+// less than that the request did not run.
+func TestStalledBodyIsRefused(t *testing.T) {
+	f := boundedFixture(t, 5*mb, 8*time.Second)
+	a := f.backend("a", "plain", ok)
+	url := f.start()
+	g := f.gateways[0]
+	c, err := net.Dial("tcp", g.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "POST /order/ HTTP/1.1\r\nHost: %s\r\n%s: stalled\r\n%s: secret\r\nContent-Length: %d\r\n\r\nbegin", testHost, testID, testKey, 2*mb)
+	testutil.WaitFor(t, func() bool { return g.memory.status().Held == 2*mb })
+	time.Sleep(500 * time.Millisecond)
+	if got := f.post(http.DefaultClient, url+"/order/", "other", 2*mb, false); got.status != http.StatusOK {
+		t.Errorf("another caller: status %d %s", got.status, got.body)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("status %d, %v", resp.StatusCode, resp.Header)
+	}
+	testutil.WaitFor(t, func() bool { return strings.Contains(f.explain("stalled"), "reason=made-way") })
+	if a.requests() != 1 {
+		t.Errorf("%d requests sent", a.requests())
+	}
+	f.awaitNothingHeld()
+}
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/eviction"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/intake"
 	"oleanderdale.org/core/gateway/placer"
@@ -123,6 +124,11 @@
 	}
 }
 
+// evicted counts connections that were closed to make room for others.
+func (i *instruments) evicted(p eviction.Phase) {
+	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_connections_evicted_total{phase=%q}`, p)).Inc()
+}
+
 // closedUnread counts connections of callers that were not taken.
 func (i *instruments) closedUnread(why intake.Verdict) {
 	i.set.GetOrCreateCounter(fmt.Sprintf(`oleanderd_connections_closed_unread_total{reason=%q}`, why)).Inc()
@@ -189,10 +195,11 @@
 	metrics.WriteGaugeUint64(w, "oleanderd_servers_slow", uint64(slow))
 	metrics.WriteGaugeUint64(w, "oleanderd_config_version", i.configVersion.Load())
 	metrics.WriteGaugeFloat64(w, "oleanderd_lag_seconds", time.Duration(i.lag.Load()).Seconds())
-	metrics.WriteGaugeUint64(w, "oleanderd_caller_connections", uint64(g.callerConns.Load()))
+	metrics.WriteGaugeUint64(w, "oleanderd_caller_connections", uint64(g.openConnections()))
 	metrics.WriteGaugeUint64(w, "oleanderd_requests_active", uint64(g.activeRequests.Load()))
 	held := g.memory.status()
 	metrics.WriteGaugeUint64(w, "oleanderd_memory_held_bytes", uint64(held.Held))
+	metrics.WriteGaugeUint64(w, "oleanderd_connection_memory_held_bytes", uint64(held.ConnectionBytes))
 	metrics.WriteGaugeUint64(w, "oleanderd_memory_bodies_waiting", uint64(held.WaitingBodies))
 	metrics.WriteGaugeUint64(w, "oleanderd_memory_responses_waiting", uint64(held.WaitingResponses))
 	metrics.WriteGaugeUint64(w, "oleanderd_models_waited_for", uint64(waits))
--- a/oleander/gateway/notrun_test.go
+++ b/oleander/gateway/notrun_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/budget"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/membudget"
@@ -151,7 +150,7 @@
 	g := f.gateways[0]
 	r := httptest.NewRequest(http.MethodPost, path, nil)
 	r.Host = testHost
-	x := &exchange{g: g, r: r, body: []byte(body), account: &manifest.Account{Name: "account"}}
+	x := &exchange{g: g, r: r, body: [][]byte{[]byte(body)}, account: &manifest.Account{Name: "account"}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, id := range servers {
@@ -292,7 +291,7 @@
 			reason: reasonNoServer,
 			before: func(f *fixture) {
 				m := f.gateways[0].memory
-				m.update(func(clock.Time) { m.servers.Start("b", membudget.ID(1<<40), membudget.MaxServerBytes) })
+				m.update(func() { m.servers.Start("b", membudget.ID(1<<40), membudget.MaxServerBytes) })
 				addKnown(f, "b", "plain", ok)
 				fill(f, "b")
 			},
--- a/oleander/gateway/routechange_send_test.go
+++ b/oleander/gateway/routechange_send_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/manifest"
 	"oleanderdale.org/core/gateway/membudget"
 	"oleanderdale.org/oleander/internal/testutil"
@@ -48,7 +47,7 @@
 	url := f.start()
 	fill(f, "b")
 	m := f.gateways[0].memory
-	m.update(func(clock.Time) { m.servers.Start("b", membudget.ID(1<<40), membudget.MaxServerBytes) })
+	m.update(func() { m.servers.Start("b", membudget.ID(1<<40), membudget.MaxServerBytes) })
 	var got answer
 	var wait sync.WaitGroup
 	wait.Go(func() { got = f.ask(http.MethodPost, url+"/read/x", testID, subjectID) })
@@ -60,7 +59,7 @@
 		return len(m.transfers) == 1
 	})
 	forbidRepeats(f)
-	m.update(func(clock.Time) { m.servers.End("b", membudget.MaxServerBytes) })
+	m.update(func() { m.servers.End("b", membudget.MaxServerBytes) })
 	wait.Wait()
 	t.Logf("status %d", got.status)
 	runs.check(t, subjectID, got.status, 1)
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -12,6 +12,8 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/grace"
 	"oleanderdale.org/core/gateway/leader"
+	"oleanderdale.org/oleander/connection/callerconn"
+	"oleanderdale.org/oleander/connection/callermem"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -52,11 +54,11 @@
 	defer g.peers.close()
 	callerServer := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ErrorLog: nil, ConnContext: g.withCallerConn,
+		DisableGeneralOptionsHandler: true, ErrorLog: nil, ConnContext: callerconn.With,
 		ConnState: g.countCallerConn, BaseContext: func(net.Listener) context.Context { return g.serving },
 	}
 	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
-	listenCallers := func(address string) (net.Listener, error) { return listenForCallers(address, g.takesConnection) }
+	listenCallers := func(address string) (net.Listener, error) { return listenForCallers(address, g.admit) }
 	servers := []struct {
 		address string
 		listen  func(address string) (net.Listener, error)
@@ -95,7 +97,8 @@
 	}
 }
 
-func (g *Gateway) countCallerConn(_ net.Conn, s http.ConnState) {
+func (g *Gateway) countCallerConn(c net.Conn, s http.ConnState) {
+	callermem.ConnState(c, s)
 	switch s {
 	case http.StateNew:
 		g.callerConns.Add(1)
--- a/oleander/gateway/unflushed_test.go
+++ b/oleander/gateway/unflushed_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"oleanderdale.org/core/gateway/membudget"
+	"oleanderdale.org/oleander/connection/callerconn"
 	"oleanderdale.org/oleander/internal/testutil"
 )
 
@@ -40,7 +41,7 @@
 			l := testutil.Listen(t)
 			var conns atomic.Int64
 			server := &http.Server{Handler: g, ReadHeaderTimeout: time.Second, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-				ctx = g.withCallerConn(ctx, c)
+				ctx = callerconn.With(ctx, c)
 				_ = c.(*net.TCPConn).SetWriteBuffer(int(conns.Add(1)) * 512)
 				return ctx
 			}}
