--- a/oleander/gateway/madeway_test.go
+++ b/oleander/gateway/madeway_test.go
@@ -66,3 +66,27 @@
 	}
 	f.awaitNothingHeld()
 }
+
+// Guards against a refusal before the body that waits for the rest of it.
+func TestRefusalDoesNotAwaitTheBody(t *testing.T) {
+	f := boundedFixture(t, 5*mb, 8*time.Second)
+	f.backend("a", "plain", ok)
+	f.start()
+	for path, want := range map[string]int{"/none/": http.StatusNotFound, "/order/": http.StatusUnauthorized} {
+		c, err := net.Dial("tcp", f.gateways[0].settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: r\r\n%s: wrong\r\nContent-Length: 100\r\n\r\nbegin", path, testHost, testID, testKey)
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		_ = resp.Body.Close()
+		_ = c.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: status %d", path, resp.StatusCode)
+		}
+	}
+}
