Own interface: one account for all that callers make an instance hold, by default

What callers saw: 300 bodies of 4 MB less a byte took an instance with default settings to 1,749 to 2,420 MB; at 96 MB a crowd of 400 took it to 122 to 834 MB with up to 473 MB unread, and beside 1,200 callers that stop short, or send one request and stay, no order was answered in 20 s.

Cause: io.ReadAll for each body, no bound on memory, and a listener that waits as long as all connections are open, whoever has them. A body that timed out left its deadline off, and net/http waited for the rest of it.

The heap keeps to 60% of the memory.

--- a/oleander/cmd/oleanderd/main.go
+++ b/oleander/cmd/oleanderd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -19,6 +20,10 @@
 // exitFailure is the exit code of an instance that fails to start or stops on an error.
 const exitFailure = 1
 
+// heapShare is the part of the machine's memory that the Go runtime keeps to. The rest is for memory that it does not
+// count, such as socket buffers.
+const heapShare = 0.6
+
 // commands is the command line of oleanderd; serve is the default command.
 type commands struct {
 	Serve    daemon.Settings `cmd:"" default:"withargs" help:"Serve oleanderdale's own interface."`
@@ -51,6 +56,7 @@
 	logWriter := logs.New(os.Stdout)
 	defer logWriter.Close()
 	log := zerolog.New(logWriter).Level(level).With().Timestamp().Logger()
+	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB<<20)))
 	i, err := daemon.New(s, log)
 	if err != nil {
 		return err
--- a/oleander/process/daemon/daemon.go
+++ b/oleander/process/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"oleanderdale.org/oleander/clients/instancelist"
 	"oleanderdale.org/oleander/clients/objects"
 	"oleanderdale.org/oleander/clients/tablesvc"
+	"oleanderdale.org/oleander/connection/callermem"
 	"oleanderdale.org/oleander/connection/peer"
 	"oleanderdale.org/oleander/connection/upstream"
 	"oleanderdale.org/oleander/process/burn"
@@ -93,6 +94,7 @@
 	i.core = instance.New(i.coreSettings(), invariant.Reporting(i.reportViolation))
 	i.loop = loop.New(i.core, i.log)
 	frontSettings := front.DefaultSettings()
+	frontSettings.Memory = i.settings.MemoryMB << 20
 	frontSettings.Instance, frontSettings.MaxBodySize, frontSettings.MaxConnections, frontSettings.DefaultTimeout = i.name, i.settings.MaxBody, i.settings.MaxConnections, i.settings.Deadline
 	i.front = front.New(frontSettings, i.loop, i.upstream, x.appliedConfig.Load, i.burn.Observe, i.log)
 	server, client, err := peerTLS(i.settings.TLSCA, i.settings.TLSCert, i.settings.TLSKey)
@@ -117,15 +119,18 @@
 		listener *net.Listener
 		flag     string
 		address  string
-	}{{&i.callerListener, "listen", i.settings.Listen}, {&i.adminListener, "admin", i.settings.Admin}, {&i.peerListener, "peer", i.settings.Peer}} {
+		open     func(address string) (net.Listener, error)
+	}{{&i.callerListener, "listen", i.settings.Listen, callermem.Listen}, {&i.adminListener, "admin", i.settings.Admin, listenTCP}, {&i.peerListener, "peer", i.settings.Peer, listenTCP}} {
 		var err error
-		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
+		if *l.listener, err = l.open(l.address); err != nil {
 			return errors.Wrapf(err, "daemon: --%s=%s", l.flag, l.address)
 		}
 	}
 	return nil
 }
 
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func (i *Instance) closeListeners() {
 	for _, l := range []net.Listener{i.callerListener, i.adminListener, i.peerListener} {
 		if l != nil {
--- a/oleander/process/daemon/settings.go
+++ b/oleander/process/daemon/settings.go
@@ -45,6 +45,7 @@
 	DrainDelay time.Duration `help:"How long new calls are still taken after SIGTERM, so that the balancer sees it." env:"OLEANDERD_DRAIN_DELAY" default:"2s"`
 	Grace      time.Duration `help:"How long running calls may take to end after that." env:"OLEANDERD_GRACE" default:"60s"`
 
+	MemoryMB       int64         `name:"memory-mb" help:"Memory of the machine, in MB; half of it is for callers." env:"OLEANDERD_MEMORY_MB" default:"512"`
 	MaxBody        int64         `help:"Largest body of a call, in bytes." env:"OLEANDERD_MAX_BODY" default:"4194304"`
 	MaxConnections int           `help:"Most open connections of callers." env:"OLEANDERD_MAX_CONNECTIONS" default:"4096"`
 	Deadline       time.Duration `help:"Deadline of calls that name none." env:"OLEANDERD_DEADLINE" default:"60s"`
@@ -57,6 +58,8 @@
 	minLeaseTerm = 2 * time.Second
 	maxLeaseTerm = 5 * time.Minute
 	minInterval  = 50 * time.Millisecond
+	// minMemoryMB is the least memory of a machine, in MB, which the program needs for itself.
+	minMemoryMB = 48
 )
 
 // SettingError reports an invalid setting and what is allowed.
@@ -92,6 +95,7 @@
 		func() error { return checkDuration("drain-delay", s.DrainDelay, 0, time.Minute) },
 		func() error { return checkDuration("grace", s.Grace, 0, time.Hour) },
 		func() error { return checkDuration("deadline", s.Deadline, time.Second, 24*time.Hour) },
+		func() error { return checkInteger("memory-mb", s.MemoryMB, minMemoryMB, 1<<20) },
 		func() error { return checkInteger("max-body", s.MaxBody, 1024, 64<<20) },
 		func() error { return checkInteger("max-connections", int64(s.MaxConnections), 1, 1<<20) },
 	}
--- a/oleander/process/daemon/settings_test.go
+++ b/oleander/process/daemon/settings_test.go
@@ -11,7 +11,7 @@
 		Name: "lahore-a-1", Zone: "lahore-a", Listen: "127.0.0.1:1", Admin: "127.0.0.1:2", Peer: "127.0.0.1:3",
 		TableURL: "http://10.0.0.1:8000", ObjectURL: "http://10.0.0.1:9000", ListURL: "http://10.0.0.1/instances",
 		LeaseTerm: 9 * time.Second, ListEvery: time.Second, TableLimit: 2 * time.Second, DrainDelay: time.Second,
-		Grace: time.Minute, Deadline: time.Minute, MaxBody: 1 << 20, MaxConnections: 10,
+		Grace: time.Minute, Deadline: time.Minute, MemoryMB: 256, MaxBody: 1 << 20, MaxConnections: 10,
 	}
 }
 
@@ -36,6 +36,7 @@
 		{func(s *Settings) { s.LeaseTerm = time.Second }, "--lease-term=1s: allowed is 2s to 5m0s"},
 		{func(s *Settings) { s.TableLimit = time.Minute }, "--table-limit=1m0s: allowed is 50ms to 4.5s"},
 		{func(s *Settings) { s.Grace = -1 }, "--grace=-1ns: allowed is 0s to 1h0m0s"},
+		{func(s *Settings) { s.MemoryMB = 1 }, "--memory-mb=1: allowed is 48 to"},
 		{func(s *Settings) { s.MaxBody = 1 }, "--max-body=1: allowed is 1024 to"},
 		{func(s *Settings) { s.MaxConnections = 0 }, "--max-connections=0: allowed is 1 to"},
 	} {
--- a/oleander/process/dev/dev.go
+++ b/oleander/process/dev/dev.go
@@ -253,7 +253,7 @@
 		TLSCA: d.dir + "/" + certs.CAFile, TLSCert: d.dir + "/" + certs.CertFile, TLSKey: d.dir + "/" + certs.KeyFile,
 		LeaseTerm: 9 * time.Second, ListEvery: 500 * time.Millisecond, TableLimit: 2 * time.Second,
 		DrainDelay: 200 * time.Millisecond, Grace: 5 * time.Second,
-		MaxBody: 4 << 20, MaxConnections: 1024, Deadline: time.Minute,
+		MemoryMB: 128, MaxBody: 4 << 20, MaxConnections: 1024, Deadline: time.Minute,
 	}
 }
 
--- a/oleander/process/metric/metric.go
+++ b/oleander/process/metric/metric.go
@@ -67,6 +67,14 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_refused_total{reason=%q}`, reason))
 }
 
+// Evicted counts connections of callers that made way for others, by what they waited for.
+func Evicted(phase string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_connections_evicted_total{phase=%q}`, phase))
+}
+
+// ConnectionsRefused counts connections of callers for which there was no room.
+var ConnectionsRefused = metrics.NewCounter(`oleanderd_connections_refused_total`)
+
 // Orders counts load and unload orders by kind and result.
 func Orders(kind, result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`oleanderd_orders_total{kind=%q,result=%q}`, kind, result))
--- a/oleander/request/front/completion.go
+++ b/oleander/request/front/completion.go
@@ -23,22 +23,19 @@
 
 // handleCompletion serves /v1/chat/completions and /v1/completions.
 func (f *Front) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	body, call, err := f.readCall(w, r)
-	if err != nil {
-		writeProblem(w, problemFromError(err))
-		return
-	}
-	stream, err := parseCompletion(r.URL.Path == chatPath, body, &call)
-	if err != nil {
-		writeProblem(w, problemFromError(err))
+	stream := false
+	x, body := f.readCall(w, r, func(body []byte, call *event.Call) (err error) {
+		stream, err = parseCompletion(r.URL.Path == chatPath, body, call)
+		return err
+	})
+	if x == nil {
 		return
 	}
-	x := f.open(call)
-	defer f.close(x)
+	defer x.end()
 	x.streaming = stream
 	x.run(w, r, &completionCall{
 		exchange: x, w: w, path: r.URL.Path, body: body,
-		assembler: connection.New[string](connection.Options{Resumes: f.canResumeStreams(call), Repeatable: true}),
+		assembler: connection.New[string](connection.Options{Resumes: f.canResumeStreams(x.call), Repeatable: true}),
 	})
 }
 
@@ -97,7 +94,7 @@
 	if c.exchange.streaming && resp.StatusCode == http.StatusOK {
 		return c.copyStream(d, resp)
 	}
-	return c.copyBuffered(resp, ended)
+	return c.copyBuffered(ctx, resp, ended)
 }
 
 // newRequest returns the request to the engine. After an interrupted stream it
@@ -187,13 +184,12 @@
 // copyBuffered relays a response that is not streamed, after it has arrived
 // completely. If it is interrupted, the caller has received nothing and the call
 // can be retried.
-func (c *completionCall) copyBuffered(resp *http.Response, ended *event.AttemptEnded) error {
-	limit := c.exchange.front.settings.MaxResponseSize
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return errors.Wrap(err, "front: read the response of the engine")
+func (c *completionCall) copyBuffered(ctx context.Context, resp *http.Response, ended *event.AttemptEnded) error {
+	body, err := c.exchange.readResponse(ctx, resp)
+	if err != nil && !errors.Is(err, errResponseNotHeld) {
+		return err
 	}
-	if int64(len(body)) > limit || (resp.StatusCode == http.StatusOK && !json.Valid(body)) {
+	if err != nil || (resp.StatusCode == http.StatusOK && !json.Valid(body)) {
 		return &upstream.Error{Result: event.AttemptBroken}
 	}
 	var u usageBody
--- a/oleander/request/front/exchange.go
+++ b/oleander/request/front/exchange.go
@@ -12,6 +12,7 @@
 	"oleanderdale.org/core/event"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/oleander/connection/callerconn"
+	"oleanderdale.org/oleander/connection/callermem"
 	"oleanderdale.org/oleander/process/boottime"
 	"oleanderdale.org/oleander/process/metric"
 )
@@ -33,13 +34,14 @@
 type exchange struct {
 	front           *Front
 	call            event.Call
-	commands        chan event.Effect // from Deliver
-	start           time.Time         // when the request had been read
-	responseStarted bool              // a part of the response was sent to the caller
-	streaming       bool              // the response is a stream of server-sent events
-	observed        bool              // observe has counted the call
-	endRecorded     bool              // recordEnd has logged and counted the end of the call
-	responseLatency time.Duration     // from start to the first part of the response; 0 before it
+	commands        chan event.Effect  // from Deliver
+	start           time.Time          // when the request had been read
+	responseStarted bool               // a part of the response was sent to the caller
+	streaming       bool               // the response is a stream of server-sent events
+	observed        bool               // observe has counted the call
+	endRecorded     bool               // recordEnd has logged and counted the end of the call
+	responseLatency time.Duration      // from start to the first part of the response; 0 before it
+	body, response  *callermem.Holding // nil: none
 }
 
 // attemptRunner sends one attempt of a call to a backend server and reports how
--- a/oleander/request/front/front.go
+++ b/oleander/request/front/front.go
@@ -20,8 +20,10 @@
 
 	"oleanderdale.org/core/config"
 	"oleanderdale.org/core/event"
+	"oleanderdale.org/core/eviction"
 	"oleanderdale.org/core/id"
 	"oleanderdale.org/oleander/connection/callerconn"
+	"oleanderdale.org/oleander/connection/callermem"
 	"oleanderdale.org/oleander/connection/upstream"
 	"oleanderdale.org/oleander/process/metric"
 )
@@ -33,6 +35,7 @@
 	MaxResponseSize int64         // bytes of a response that is buffered
 	MaxHeaderSize   int           // bytes of the headers of a request
 	MaxConnections  int           // open connections; 0 means no limit
+	Memory          int64         // bytes of the machine's memory
 	HeaderTimeout   time.Duration // for reading the headers
 	BodyTimeout     time.Duration // for reading the body
 	DefaultTimeout  time.Duration // of a call without a Request-Timeout header
@@ -42,12 +45,15 @@
 // DefaultSettings returns the settings of a small entry instance.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxBodySize: 4 << 20, MaxResponseSize: 16 << 20, MaxHeaderSize: 32 << 10, MaxConnections: 4096,
+		MaxBodySize: 4 << 20, MaxResponseSize: 16 << 20, MaxHeaderSize: 32 << 10, MaxConnections: 4096, Memory: DefaultMemoryMB << 20,
 		HeaderTimeout: 5 * time.Second, BodyTimeout: 20 * time.Second,
 		DefaultTimeout: time.Minute, MaxTimeout: 24 * time.Hour,
 	}
 }
 
+// DefaultMemoryMB is the memory, in MB, of the machine of an instance whose settings name none.
+const DefaultMemoryMB = 512
+
 // Poster queues events for the core.
 type Poster interface{ Post(e event.Event) }
 
@@ -59,6 +65,7 @@
 	config   func() *config.Config // in force; returns nil before the first configuration
 	log      zerolog.Logger
 	server   *http.Server
+	memory   *callermem.Account
 	observe  func(Observation)
 
 	lastRequest atomic.Uint64
@@ -84,9 +91,17 @@
 		settings: s, poster: p, upstream: u, config: config, observe: observe, log: log,
 		exchanges: make(map[id.Request]*exchange),
 	}
+	held := callermem.SettingsFor(s.Memory, s.MaxConnections)
+	held.OnEviction = func(p eviction.Phase) { metric.Evicted(p.String()).Inc() }
+	held.Log = log
+	f.memory = callermem.New(held)
+	if most := f.memory.MaxBody(); s.MaxBodySize > most {
+		log.Warn().Int64("max_body", s.MaxBodySize).Int64("largest_that_fits", most).Msg("front: bodies inside the limits do not fit in the memory")
+	}
 	f.server = &http.Server{
 		Handler: f.Handler(), MaxHeaderBytes: s.MaxHeaderSize,
 		ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: 2 * time.Minute, ConnContext: callerconn.With,
+		ConnState: callermem.ConnState,
 	}
 	return f
 }
@@ -95,6 +110,7 @@
 func (f *Front) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.UseEncodedPath()
+	r.Use(f.refuseWithoutMemory)
 	// By default the router cleans paths and redirects with status 301. The
 	// caller would then repeat its request, at a path that it did not ask for.
 	r.SkipClean(true)
@@ -114,10 +130,7 @@
 
 // Serve accepts connections on l until the server is shut down.
 func (f *Front) Serve(l net.Listener) error {
-	if f.settings.MaxConnections > 0 {
-		l = newLimitListener(l, f.settings.MaxConnections)
-	}
-	return f.server.Serve(l)
+	return f.server.Serve(f.memory.Listener(l, func() { metric.ConnectionsRefused.Inc() }))
 }
 
 // Server returns the HTTP server, so that the owner can shut it down.
--- a/oleander/request/front/parse.go
+++ b/oleander/request/front/parse.go
@@ -46,41 +46,24 @@
 
 // callError is an error in a request, with a text for the caller.
 type callError struct {
-	reason event.Reason
-	detail string
+	reason     event.Reason
+	detail     string
+	retryAfter time.Duration // 0: none
 }
 
 // Error implements error.
 func (b *callError) Error() string { return "front: " + b.detail }
 
 // badRequest returns an error with the reason bad-request.
-func badRequest(detail string) error { return &callError{reasonBadRequest, detail} }
+func badRequest(detail string) error { return &callError{reason: reasonBadRequest, detail: detail} }
 
 // problemFromError returns the problem for an error from reading a call.
 func problemFromError(err error) problem {
 	var b *callError
 	if !errors.As(err, &b) {
-		b = &callError{reasonBadRequest, "the call can't be read"}
+		b = &callError{reason: reasonBadRequest, detail: "the call can't be read"}
 	}
-	return problem{Reason: b.reason, Status: reasonInfos[b.reason].status, Execution: event.NotRun, Detail: b.detail}
-}
-
-// readBody reads the body of a request, within MaxBodySize and BodyTimeout.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(time.Now().Add(f.settings.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.settings.MaxBodySize))
-	_ = c.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &callError{reasonTooLarge, "the body is larger than " + strconv.FormatInt(f.settings.MaxBodySize, 10) + " bytes"}
-	case errors.Is(err, errReadTimeout):
-		return nil, &callError{reasonBodyTimeout, "the body did not come in time"}
-	case err != nil:
-		return nil, badRequest("the body could not be read")
-	}
-	return body, nil
+	return problem{Reason: b.reason, Status: reasonInfos[b.reason].status, Execution: event.NotRun, Detail: b.detail, RetryAfter: b.retryAfter}
 }
 
 // parseAPIKey returns the API key in the Authorization header and its digest.
@@ -88,20 +71,32 @@
 func parseAPIKey(r *http.Request) (key string, digest id.Digest, err error) {
 	authorization := r.Header.Get("Authorization")
 	if len(authorization) <= len(bearerPrefix) || !strings.EqualFold(authorization[:len(bearerPrefix)], bearerPrefix) {
-		return "", "", &callError{event.ReasonUnknownKey, "send your key as Authorization: Bearer KEY"}
+		return "", "", &callError{reason: event.ReasonUnknownKey, detail: "send your key as Authorization: Bearer KEY"}
 	}
 	key = strings.TrimSpace(authorization[len(bearerPrefix):])
 	return key, apikey.Digest(key), nil
 }
 
-// readCall reads the body of a request and the headers common to all calls.
-func (f *Front) readCall(w http.ResponseWriter, r *http.Request) ([]byte, event.Call, error) {
-	body, err := f.readBody(w, r)
+// readCall reads the body of a request and the headers common to all calls, and opens the call. If it returns nil, the
+// request was refused.
+func (f *Front) readCall(w http.ResponseWriter, r *http.Request, parse func(body []byte, c *event.Call) error) (*exchange, []byte) {
+	body, h, err := f.readBody(w, r)
 	if err != nil {
-		return nil, event.Call{}, err
+		f.refuseUnread(w, r, err)
+		return nil, nil
 	}
 	call, err := f.parseCall(r, body)
-	return body, call, err
+	if err == nil {
+		err = parse(body, &call)
+	}
+	if err != nil {
+		h.Close()
+		writeProblem(w, problemFromError(err))
+		return nil, nil
+	}
+	x := f.open(call)
+	x.body = h
+	return x, body
 }
 
 // parseCall returns a call with the fields that are common to completions and
--- a/oleander/request/front/problem.go
+++ b/oleander/request/front/problem.go
@@ -18,6 +18,8 @@
 	reasonBadRequest       event.Reason = "bad-request"
 	reasonTooLarge         event.Reason = "too-large"
 	reasonBodyTimeout      event.Reason = "body-timeout"
+	reasonNoMemory         event.Reason = "memory"
+	reasonMadeWay          event.Reason = "made-way"
 )
 
 // problemTypePrefix is the prefix of the problem types (RFC 9457).
@@ -81,6 +83,8 @@
 	reasonBadRequest:             {http.StatusBadRequest, "The call can't be read"},
 	reasonTooLarge:               {http.StatusRequestEntityTooLarge, "The call is too large"},
 	reasonBodyTimeout:            {http.StatusRequestTimeout, "The call came too slowly"},
+	reasonNoMemory:               {http.StatusServiceUnavailable, "No memory for the call now"},
+	reasonMadeWay:                {http.StatusServiceUnavailable, "The call made way for others"},
 }
 
 // callerErrors lists the reasons that are the caller's own fault. They don't count
--- a/oleander/request/front/service.go
+++ b/oleander/request/front/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -22,20 +21,16 @@
 
 // handleService serves calls of plain services, which are not model engines.
 func (f *Front) handleService(w http.ResponseWriter, r *http.Request) {
-	body, call, err := f.readCall(w, r)
-	if err != nil {
-		writeProblem(w, problemFromError(err))
-		return
-	}
-	if call.IdempotencyKey, err = parseIdempotencyKey(r); err != nil {
-		writeProblem(w, problemFromError(err))
+	name := mux.Vars(r)["service"]
+	x, body := f.readCall(w, r, func(_ []byte, call *event.Call) (err error) {
+		call.Service = id.Service(name)
+		call.IdempotencyKey, err = parseIdempotencyKey(r)
+		return err
+	})
+	if x == nil {
 		return
 	}
-	name := mux.Vars(r)["service"]
-	call.Service = id.Service(name)
-	call.PromptTokens = 0
-	x := f.open(call)
-	defer f.close(x)
+	defer x.end()
 	x.run(w, r, &serviceCall{exchange: x, w: w, r: r, body: body, path: servicePath(r, name)})
 }
 
@@ -92,14 +87,13 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	limit := s.exchange.front.settings.MaxResponseSize
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return errors.Wrap(err, "front: read the response of the service")
-	}
-	if int64(len(body)) > limit {
+	body, err := s.exchange.readResponse(ctx, resp)
+	if errors.Is(err, errResponseNotHeld) {
 		return &upstream.Error{Result: event.AttemptBroken}
 	}
+	if err != nil {
+		return err
+	}
 	ended.Status, ended.ContentType, ended.Body = resp.StatusCode, resp.Header.Get("Content-Type"), body
 	ended.Unconfirmed = rawhttp.EndsWithConnection(resp)
 	if !d.AtMostOnce {
