Own interface: a chat of many small messages takes its bytes, not 20 times as many

What callers saw: 400 whole bodies of 1 MB with messages of a byte each, legal in size, took an instance with 96 MB to 310. Cause: each message was parsed into a slice of its own, after the charge for the body.

--- a/oleander/request/front/parse.go
+++ b/oleander/request/front/parse.go
@@ -186,13 +186,13 @@
 // completionFields holds the fields of a completion request that the front reads.
 // The body is sent to the engine unchanged.
 type completionFields struct {
-	Model               string            `json:"model"`
-	Stream              bool              `json:"stream"`
-	N                   *int              `json:"n"`
-	MaxTokens           *int              `json:"max_tokens"`
-	MaxCompletionTokens *int              `json:"max_completion_tokens"`
-	Prompt              json.RawMessage   `json:"prompt"`
-	Messages            []json.RawMessage `json:"messages"`
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	N                   *int            `json:"n"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            json.RawMessage `json:"messages"` // not a slice: many small messages would take 20 times their bytes
 }
 
 // parseCompletion sets the fields of call from the JSON body of a completion, and
@@ -205,7 +205,11 @@
 	if c.Model == "" {
 		return false, badRequest(`the field "model" is missing`)
 	}
-	if chat && len(c.Messages) == 0 {
+	if len(c.Messages) > 0 && c.Messages[0] != '[' && string(c.Messages) != "null" {
+		return false, badRequest(`the field "messages" takes an array`)
+	}
+	messages := readMessages(c.Messages)
+	if chat && messages.size == 0 {
 		return false, badRequest(`the field "messages" is missing or empty`)
 	}
 	if !chat && len(c.Prompt) == 0 {
@@ -224,25 +228,16 @@
 		}
 		call.MaxOutputTokens = *maxTokens
 	}
-	prompt := promptBytes(c)
+	size, prefix := messages.size, messages.prefix
+	if size == 0 {
+		size, prefix = len(c.Prompt), c.Prompt[:min(prefixHashBytes, len(c.Prompt))]
+	}
 	call.Artifact = id.Artifact(c.Model)
-	call.PromptTokens = len(prompt)/bytesPerToken + 1
-	call.PrefixHash = xxhash.Sum64(prompt[:min(prefixHashBytes, len(prompt))])
+	call.PromptTokens = size/bytesPerToken + 1
+	call.PrefixHash = xxhash.Sum64(prefix)
 	return c.Stream, nil
 }
 
-// promptBytes returns the prompt, or all messages of a chat, as JSON.
-func promptBytes(c completionFields) []byte {
-	if len(c.Messages) == 0 {
-		return c.Prompt
-	}
-	var b bytes.Buffer
-	for _, m := range c.Messages {
-		b.Write(m)
-	}
-	return b.Bytes()
-}
-
 // describeJSONError says where JSON is invalid, without quoting its content.
 func describeJSONError(err error) string {
 	var syntaxError *json.SyntaxError
--- a/oleander/standin/badcallers/badcallers.go
+++ b/oleander/standin/badcallers/badcallers.go
@@ -300,3 +300,12 @@
 		{Name: "one whole request, then idle", Callers: connections, Send: whole(1, exactly(100), ""), Reads: true},
 	}
 }
+
+// ManyValues sends whole JSON objects of the largest size that hold as many small values as possible.
+func ManyValues(begin, end string) func(io.Writer, Request, string) error {
+	return func(w io.Writer, r Request, id string) error {
+		values := strings.Repeat("0,", (r.BodyBytes-len(begin)-len(end))/2)
+		text := begin + strings.TrimSuffix(values, ",") + end
+		return write(w, r.head(id), fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text)), text)
+	}
+}
--- a/proving/processes/misbehaving_test.go
+++ b/proving/processes/misbehaving_test.go
@@ -42,6 +42,12 @@
 	}
 	r := crowdRequest(c, crowdBodyBytes)
 	r.Header = "Authorization: Bearer odk_another\r\n"
+	completions := crowdRequest(c, crowdBodyBytes)
+	completions.Path = "/v1/chat/completions"
+	t.Run("many messages", func(t *testing.T) {
+		send := badcallers.ManyValues(`{"model":"summary","max_tokens":1,"messages":[`, "]}")
+		testCrowd(t, c, completions, badcallers.Kind{Name: "many messages", Callers: crowdBodies, Send: send, Reads: true}, badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdMaxConnections + otherDescriptors})
+	})
 	t.Run("wrong key", func(t *testing.T) {
 		testCrowd(t, c, r, badcallers.Kinds(crowdBodies, crowdConnections, "")[0], badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdMaxConnections + otherDescriptors})
 	})
