Callers' memory: heads are charged by their headers and items, too

What callers saw: 1,200 heads of 30 KB that consist of headers of six bytes, each followed by a body that stops short, took an instance with 96 MB to 121 MB (own interface 143): net/http holds each header as an entry of a map and two strings, and the account knew bytes alone. A head now takes 256 bytes a header and 64 an item of a list beside twice its bytes, counted as it arrives, before it is parsed.

--- a/oleander/connection/callermem/account.go
+++ b/oleander/connection/callermem/account.go
@@ -29,14 +29,16 @@
 	// connectionBytes is what an open connection takes: its buffers in the process and the kernel,
 	// its goroutine and its state.
 	connectionBytes = receiveBuffer + 12<<10
-	// requestBytes is what a request takes beside its body: a head of up to freeHeadBytes, its
-	// parsed form and the state of the request.
-	requestBytes  = 16 << 10
-	freeHeadBytes = 8 << 10
-	// headFactor is what a byte of a longer head takes: it is held as read and as parsed.
-	headFactor = 2
-	// headStep is by how many bytes of a head its charge grows.
-	headStep = 8 << 10
+	// requestBytes is what a request takes beside its body: a usual head, and the state of the request.
+	requestBytes = 16 << 10
+	// What a head takes: its bytes, as read and as parsed, and more for each header and each item of a list.
+	headFactor  = 2
+	headerBytes = 256
+	itemBytes   = 64
+	// freeHeadBytes is how much of that is part of requestBytes.
+	freeHeadBytes = 12 << 10
+	// headStep is by how many bytes the charge of a head grows.
+	headStep = 16 << 10
 	// callerCheckInterval is how often the connection of a caller with an unread body is
 	// checked. net/http notices a closed connection only when the body was read.
 	callerCheckInterval = 50 * time.Millisecond
--- a/oleander/connection/callermem/account_test.go
+++ b/oleander/connection/callermem/account_test.go
@@ -51,7 +51,7 @@
 
 // ServeHTTP reads the body and answers with its size.
 func (x *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if err := BeginRequest(r.Context()); err != nil {
+	if err := BeginRequest(r); err != nil {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		Drain(w, r)
--- a/oleander/connection/callermem/conn.go
+++ b/oleander/connection/callermem/conn.go
@@ -1,11 +1,13 @@
 package callermem
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,10 +31,10 @@
 	*net.TCPConn
 	account *Account
 
-	mu        sync.Mutex
-	state     eviction.State
-	headBytes int64 // read of the current head
-	headRoom  int64 // bytes that the head may have without a further charge
+	mu       sync.Mutex
+	state    eviction.State
+	head     headCost // of what was read of the current head
+	headPaid int64    // how much of that was charged
 
 	// Guarded by account.mu.
 	holdings     []membudget.ID
@@ -54,56 +56,69 @@
 // Evicted reports whether the connection makes way for others. It is false for a nil Conn.
 func (c *Conn) Evicted() bool { return c != nil && c.evicted.Load() }
 
-// Read implements net.Conn. Of a head, it reads no more than was charged.
+// Read implements net.Conn. What it returns of a head was charged; without memory for it the head is not read further,
+// which ends the connection.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.chargeHead(len(p)); err != nil {
-		return 0, err
-	}
 	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.received(n)
+	if n > 0 && !c.received(p[:n]) {
+		return 0, os.ErrDeadlineExceeded // net/http closes the connection without an answer
 	}
 	return n, err
 }
 
-// received records bytes of the caller.
-func (c *Conn) received(n int) {
+// received records bytes of the caller. It reports whether there is memory for those of a head.
+func (c *Conn) received(b []byte) bool {
 	c.mu.Lock()
-	begins := c.state.Phase == eviction.Idle
-	if begins {
+	if c.state.Phase == eviction.Idle {
 		c.state.Enter(now(), eviction.Head)
 	}
-	c.state.Passed(now(), n)
-	first := c.state.Phase == eviction.Head && c.headBytes == 0
-	if c.state.Phase == eviction.Head {
-		c.headBytes += int64(n)
+	c.state.Passed(now(), len(b))
+	inHead := c.state.Phase == eviction.Head
+	first := inHead && c.head == 0
+	if inHead {
+		c.head += costOf(len(b), bytes.Count(b, []byte{'\n'}), bytes.Count(b, []byte{','}))
 	}
 	c.mu.Unlock()
 	if first {
 		c.account.chargeRequest(c)
 	}
+	return !inHead || c.payHead()
 }
 
-// chargeHead charges the next bytes of a head beyond what every request may have. Without memory for them the head
-// is not read further, which ends the connection.
-func (c *Conn) chargeHead(n int) error {
-	c.mu.Lock()
-	missing := int64(0)
-	if c.state.Phase == eviction.Head && c.headBytes > 0 {
-		missing = c.headBytes + int64(n) - c.headRoom
+// headCost is what a head takes, in bytes.
+type headCost int64
+
+func costOf(size, headers, items int) headCost {
+	return headCost(headFactor*size + headerBytes*headers + itemBytes*items)
+}
+
+// costOfHeaders is costOf for headers that were read.
+func costOfHeaders(h http.Header) headCost {
+	cost := headCost(0)
+	for name, values := range h {
+		for _, v := range values {
+			cost += costOf(len(name)+len(v), 1, strings.Count(v, ","))
+		}
 	}
+	return cost
+}
+
+// payHead charges what the head takes beyond what was charged. It reports whether there is memory for it.
+func (c *Conn) payHead() bool {
+	c.mu.Lock()
+	missing := int64(c.head) - c.headPaid
 	c.mu.Unlock()
 	if missing <= 0 {
-		return nil
+		return true
 	}
-	room := (missing + headStep - 1) / headStep * headStep
-	if !c.account.chargeConnection(c, headFactor*room, true) {
-		return os.ErrDeadlineExceeded // net/http closes the connection without an answer
+	step := (missing + headStep - 1) / headStep * headStep
+	if !c.account.chargeConnection(c, step, true) {
+		return false
 	}
 	c.mu.Lock()
-	c.headRoom += room
+	c.headPaid += step
 	c.mu.Unlock()
-	return nil
+	return true
 }
 
 // Write implements net.Conn.
@@ -154,27 +169,27 @@
 	}
 	c.mu.Lock()
 	c.state.Enter(now(), eviction.Idle)
-	c.headBytes, c.headRoom = 0, freeHeadBytes
+	c.head, c.headPaid = 0, freeHeadBytes
 	c.mu.Unlock()
 	c.overloaded.Store(false)
 	c.account.endRequest(c)
 }
 
 // BeginRequest says that the head of a request was read. It returns an error if there was no memory for it.
-func BeginRequest(ctx context.Context) error {
-	c := Of(ctx)
+func BeginRequest(r *http.Request) error {
+	c := Of(r.Context())
 	if c == nil {
 		return nil
 	}
 	c.mu.Lock()
 	c.state.Enter(now(), eviction.Busy)
-	whole := c.headBytes == 0 // it came with the request before
-	c.headBytes = max(1, c.headBytes)
+	withLast := c.head == 0 // it came together with the request before
+	c.head = max(c.head, costOfHeaders(r.Header))
 	c.mu.Unlock()
-	if whole {
+	if withLast {
 		c.account.chargeRequest(c)
 	}
-	if c.overloaded.Load() || c.Evicted() {
+	if !c.payHead() || c.overloaded.Load() || c.Evicted() {
 		return &NoMemoryError{RetryAfter: membudget.MinRetryAfter}
 	}
 	return nil
--- a/oleander/connection/callermem/room.go
+++ b/oleander/connection/callermem/room.go
@@ -52,7 +52,7 @@
 		return conn, true
 	}
 	_ = t.SetWriteBuffer(sendBuffer)
-	c := &Conn{TCPConn: t, account: a, headRoom: freeHeadBytes}
+	c := &Conn{TCPConn: t, account: a, headPaid: freeHeadBytes}
 	c.state.Enter(now(), eviction.Head)
 	a.MakeRoomForConnection()
 	if !a.chargeConnection(c, connectionBytes, false) {
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -168,7 +168,7 @@
 // admit finds the route and the account, reads the body, and charges the quota.
 func (x *exchange) admit() *refusal {
 	x.held.unread = x.r.ContentLength != 0 && x.r.Body != http.NoBody
-	if err := callermem.BeginRequest(x.r.Context()); err != nil {
+	if err := callermem.BeginRequest(x.r); err != nil {
 		return x.unreadRefusal(err)
 	}
 	if ref := x.resolve(); ref != nil {
--- a/oleander/request/front/body.go
+++ b/oleander/request/front/body.go
@@ -15,7 +15,7 @@
 // refuseWithoutMemory refuses requests for which there is no memory beside their bodies.
 func (f *Front) refuseWithoutMemory(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := callermem.BeginRequest(r.Context()); err != nil {
+		if err := callermem.BeginRequest(r); err != nil {
 			f.refuseUnread(w, r, f.bodyError(r, err))
 			return
 		}
--- a/oleander/standin/badcallers/badcallers.go
+++ b/oleander/standin/badcallers/badcallers.go
@@ -234,6 +234,31 @@
 	}
 }
 
+// smallHeaders sends a head of small headers with names of their own, and a body without its last byte.
+func smallHeaders(size int) func(io.Writer, Request, string) error {
+	return func(w io.Writer, r Request, id string) error {
+		head := strings.Builder{}
+		for n := 0; head.Len() < size; n++ {
+			head.WriteString(string([]byte{'a' + byte(n%26), 'a' + byte(n/26%26), 'a' + byte(n/676%26)}) + ":\r\n")
+		}
+		if err := write(w, r.head(id), head.String(), "Content-Length: 100\r\n\r\n"); err != nil {
+			return err
+		}
+		return fill(w, 99, blockBytes)
+	}
+}
+
+// smallItems sends a head with one header of small items, and a body without its last byte.
+func smallItems(size int) func(io.Writer, Request, string) error {
+	return func(w io.Writer, r Request, id string) error {
+		items := "X-Oleanderdale-Prompt-Prefix: " + strings.Repeat("1:1,", size/4) + "1:1\r\n"
+		if err := write(w, r.head(id), items, "Content-Length: 100\r\n\r\n"); err != nil {
+			return err
+		}
+		return fill(w, 99, blockBytes)
+	}
+}
+
 // longExtension sends one chunk whose extension does not end.
 func longExtension(w io.Writer, r Request, id string) error {
 	if err := write(w, r.head(id), chunkedHead, "1;"); err != nil {
@@ -287,6 +312,8 @@
 		{Name: "24 MB in chunks", Callers: bodies, Send: endlessChunks(24 << 20), Reads: true},
 		{Name: "24 MB in chunks, nothing read", Callers: bodies, Send: endlessChunks(24 << 20)},
 		{Name: "heads of 60 KB without end", Callers: connections, Send: openHead(60 << 10), Reads: true},
+		{Name: "heads of small headers, a body short", Callers: connections, Send: smallHeaders(30 << 10), Reads: true},
+		{Name: "heads of small items, a body short", Callers: connections, Send: smallItems(30 << 10), Reads: true},
 		{Name: "heads beyond the limit", Callers: connections, Send: openHead(1 << 20), Reads: true},
 		{Name: "long chunk extensions", Callers: bodies, Send: longExtension, Reads: true},
 		{Name: "trailers without end", Callers: bodies, Send: manyTrailers, Reads: true},
