Callers' memory: an idle connection that makes way still delivers its last answer

It was reset, which drops what the kernel holds of an answer that its caller reads late. It is closed now. TestLastAnswerOfIdleConnectionIsDelivered: 8041 bytes of 100 KB before, all of it now.

--- a/oleander/connection/callermem/account.go
+++ b/oleander/connection/callermem/account.go
@@ -237,7 +237,7 @@
 		}
 		victims = a.makeRoom(h.conn, a.budget.Missing(h.id, n))
 	})
-	a.evict(victims)
+	refuseAll(victims)
 	switch verdict {
 	case membudget.Granted:
 		return nil
@@ -319,7 +319,7 @@
 			victims = a.makeRoom(h.conn, a.budget.Missing(h.id, n))
 		}
 	})
-	a.evict(victims)
+	refuseAll(victims)
 }
 
 // noMemory refuses n bytes. There is no Retry-After if they could never be held.
--- a/oleander/connection/callermem/account_test.go
+++ b/oleander/connection/callermem/account_test.go
@@ -77,6 +77,10 @@
 		defer x.holding.Add(-1)
 		<-x.release
 	}
+	if r.URL.Path == "/large" {
+		_, _ = io.WriteString(w, body(100*kb))
+		return
+	}
 	_, _ = fmt.Fprint(w, size)
 }
 
@@ -201,6 +205,33 @@
 	}
 }
 
+// Guards against an answer that its caller has not read yet, and that is lost as the idle connection makes way.
+func TestLastAnswerOfIdleConnectionIsDelivered(t *testing.T) {
+	s := usual()
+	s.MaxConnections = 1
+	x := newSite(t, s)
+	first := x.dial()
+	_ = first.Conn.(*net.TCPConn).SetReadBuffer(4 * kb)
+	first.send(head("/large", 10) + body(10))
+	time.Sleep(1700 * time.Millisecond)
+	other := x.dial()
+	other.send(head("/", 10) + body(10))
+	if got := other.status(); got != http.StatusOK {
+		t.Errorf("another caller: status %d", got)
+	}
+	resp, err := http.ReadResponse(first.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); n != 100*kb || err != nil {
+		t.Errorf("the caller that reads late: %d bytes, %v", n, err)
+	}
+	_ = resp.Body.Close()
+	if got := first.status(); got != 0 {
+		t.Errorf("status %d after the end", got)
+	}
+}
+
 // Guards against heads without end that take the memory for connections.
 func TestHeadsAreCharged(t *testing.T) {
 	s := usual()
--- a/oleander/connection/callermem/conn.go
+++ b/oleander/connection/callermem/conn.go
@@ -156,6 +156,18 @@
 	_ = c.Close()
 }
 
+// end closes a connection that makes way. The kernel still delivers the last answer on one that is idle.
+func (c *Conn) end() {
+	c.mu.Lock()
+	idle := c.state.Phase == eviction.Idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close()
+		return
+	}
+	c.reset()
+}
+
 // forget removes a holding that was closed. The caller holds account.mu.
 func (c *Conn) forget(id membudget.ID) {
 	c.holdings = slices.DeleteFunc(c.holdings, func(o membudget.ID) bool { return o == id })
--- a/oleander/connection/callermem/room.go
+++ b/oleander/connection/callermem/room.go
@@ -42,7 +42,7 @@
 			victims = a.furthest(nil, 1, func(*Conn) int64 { return 1 })
 		}
 	})
-	a.close(victims)
+	closeAll(victims)
 }
 
 // Admit charges a new connection. It returns false if there is no room for it; the connection is open then.
@@ -78,7 +78,7 @@
 	a.update(func(clock.Time) {
 		victims = a.furthest(c, a.connections.Missing(n), func(o *Conn) int64 { return o.charged })
 	})
-	a.close(victims) // gives back what they hold at once
+	closeAll(victims) // gives back what they hold at once
 	return a.tryConnection(c, n, ofRequest)
 }
 
@@ -208,14 +208,14 @@
 	return true
 }
 
-// evict ends callers whose bodies and responses make way. One whose body is read gets a refusal.
-func (a *Account) evict(victims []*Conn) {
+// refuseAll ends callers whose bodies and responses make way. One whose body is read gets a refusal.
+func refuseAll(victims []*Conn) {
 	for _, c := range victims {
 		c.mu.Lock()
 		body := c.state.Phase == eviction.Body
 		c.mu.Unlock()
 		if !body {
-			c.reset()
+			c.end()
 			continue
 		}
 		_ = c.SetReadDeadline(time.Unix(1, 0))
@@ -223,9 +223,9 @@
 	}
 }
 
-// close ends callers whose connections make way.
-func (a *Account) close(victims []*Conn) {
+// closeAll closes connections that make way.
+func closeAll(victims []*Conn) {
 	for _, c := range victims {
-		c.reset()
+		c.end()
 	}
 }
