Test: the request waits for a slot before its route changes, on a busy machine, too

The log: its second send came 10 ms after it began, from a queue of 0 ms, 300 ms before the new version: the servers were not full. The test took them for full when two looks in a row, a few milliseconds apart, saw the same count. They now have to stay so for 200 ms; what is checked is the same.

--- a/oleander/gateway/routechange_wait_test.go
+++ b/oleander/gateway/routechange_wait_test.go
@@ -43,15 +43,15 @@
 			var got answer
 			wait.Go(func() { got = f.ask(http.MethodPost, url+"/read/x", testID, subjectID) })
 			testutil.WaitFor(t, func() bool { return runs.of(subjectID) == 1 })
-			before := -1
+			before, changed := -1, time.Now()
 			for range 40 {
 				wait.Go(func() { f.ask(http.MethodPost, url+"/order/x") })
 			}
-			testutil.WaitFor(t, func() bool {
-				n := total()
-				full := n > 6 && n == before
-				before = n
-				return full
+			testutil.WaitFor(t, func() bool { // until the servers are full
+				if n := total(); n != before {
+					before, changed = n, time.Now()
+				}
+				return before > 6 && time.Since(changed) >= 200*time.Millisecond
 			})
 			release()
 			time.Sleep(300 * time.Millisecond)
