--- a/oleander/standin/badcallers/badcallers.go
+++ b/oleander/standin/badcallers/badcallers.go
@@ -28,12 +28,14 @@
 type Request struct {
 	Host, Path string
 	Header     string // lines that end with CRLF
+	IDHeader   string // names the request
+	ListHeader string // takes a list of ID:NUMBER
 	BodyBytes  int    // the largest body that is allowed
 }
 
 // head returns a request's head without the empty line that ends it.
 func (r Request) head(id string) string {
-	return "POST " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\nX-Oleanderdale-Request-Id: " + id + "\r\nIdempotency-Key: " + id + "\r\n" + r.Header
+	return "POST " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n" + r.IDHeader + ": " + id + "\r\n" + r.Header
 }
 
 // Kind is one way to misbehave.
@@ -251,7 +253,7 @@
 // smallItems sends a head with one header of small items, and a body without its last byte.
 func smallItems(size int) func(io.Writer, Request, string) error {
 	return func(w io.Writer, r Request, id string) error {
-		items := "X-Oleanderdale-Prompt-Prefix: " + strings.Repeat("1:1,", size/4) + "1:1\r\n"
+		items := r.ListHeader + ": " + strings.Repeat("1:1,", size/4) + "1:1\r\n"
 		if err := write(w, r.head(id), items, "Content-Length: 100\r\n\r\n"); err != nil {
 			return err
 		}
