Stand-in callers: count what the kernel holds on all sockets of a process

Unread bytes were counted at the callers' address alone, so what servers and others had sent was left out.

--- a/oleander/standin/badcallers/usage.go
+++ b/oleander/standin/badcallers/usage.go
@@ -22,7 +22,7 @@
 // Usage is what a process holds.
 type Usage struct {
 	Resident    int64 // bytes of memory
-	Unread      int64 // bytes that callers sent and the process has not read
+	Unread      int64 // bytes that the kernel has received for the process and that it has not read
 	Descriptors int
 }
 
@@ -46,10 +46,25 @@
 		return Usage{}, errors.Wrap(err, "badcallers: descriptors")
 	}
 	u.Descriptors = len(entries)
-	u.Unread, err = unread(address)
+	u.Unread, err = unread(address, sockets(pid, entries))
 	return u, err
 }
 
+// sockets returns the inodes of a process's sockets.
+func sockets(pid int, entries []os.DirEntry) map[string]bool {
+	inodes := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		target, err := os.Readlink(filepath.Join("/proc", strconv.Itoa(pid), "fd", e.Name()))
+		if err != nil {
+			continue // closed since
+		}
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			inodes[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return inodes
+}
+
 // resident returns the resident memory in the status of a process.
 func resident(status string) int64 {
 	var kb int64
@@ -61,11 +76,14 @@
 	return 0
 }
 
-// States of /proc/net/tcp.
-const stateListen = "0A"
+// Of /proc/net/tcp.
+const (
+	stateListen = "0A"
+	inodeField  = 9
+)
 
-// unread returns the bytes that were received at an address and not read.
-func unread(address string) (int64, error) {
+// unread returns the bytes that were received and not read, at an address, accepted or not, and by sockets of a process.
+func unread(address string, inodes map[string]bool) (int64, error) {
 	local, err := procAddress(address)
 	if err != nil {
 		return 0, err
@@ -79,7 +97,7 @@
 	lines := bufio.NewScanner(f)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || fields[1] != local || fields[3] == stateListen {
+		if len(fields) <= inodeField || fields[3] == stateListen || fields[1] != local && !inodes[fields[inodeField]] {
 			continue
 		}
 		_, received, _ := strings.Cut(fields[4], ":")
