Ports that are not for callers: short heads, and little received ahead

Heads had Go's default of 1 MB there, and the kernel received up to 6 MB ahead for bodies that nobody reads (32 + 228 and 40 + 206 MB). A call for a lease was decoded without a bound. Connections to these ports still have no bound, and 431 from these ports is not counted.

--- a/oleander/connection/callermem/room.go
+++ b/oleander/connection/callermem/room.go
@@ -12,7 +12,7 @@
 	"oleanderdale.org/core/eviction"
 )
 
-// Listen listens for callers. The kernel receives little ahead on the connections.
+// Listen listens for callers and others that send short requests. The kernel receives little ahead on the connections.
 func Listen(address string) (net.Listener, error) {
 	l := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -24,6 +24,9 @@
 // hedgeDelay is when an unanswered call is also made through another instance.
 const hedgeDelay = 120 * time.Millisecond
 
+// maxLeaseCallBytes bounds a leaseCall on the wire, which is far shorter.
+const maxLeaseCallBytes = 16 << 10
+
 // leaseCall is a read or write of a lease row.
 type leaseCall struct {
 	Name   ports.LeaseName   `json:"name"`
@@ -151,7 +154,7 @@
 // serveLease makes a call on behalf of another instance.
 func (g *Gateway) serveLease(w http.ResponseWriter, r *http.Request) {
 	var c leaseCall
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLeaseCallBytes)).Decode(&c); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -29,6 +29,8 @@
 	maxRelaySearch = 100 * time.Millisecond
 	// relayBufferSize is the size of the buffer of each direction.
 	relayBufferSize = 8 << 10
+	// relayReceiveBuffer is how many bytes the kernel receives ahead from the other instance.
+	relayReceiveBuffer = 256 << 10
 	// resetNoticeTime is how long a write to a connection that was reset may take to end.
 	resetNoticeTime = 100 * time.Millisecond
 	paramServer     = "server" // ID of the server to connect to
@@ -199,6 +201,9 @@
 		protocol = framedRelayProtocol
 	}
 	_ = caller.SetDeadline(time.Time{})
+	if tcp, ok := caller.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(relayReceiveBuffer) // the listener's is for short requests
+	}
 	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
 		abort(caller)
 		abort(server)
--- a/oleander/gateway/serve.go
+++ b/oleander/gateway/serve.go
@@ -22,6 +22,8 @@
 	// idleTimeout bounds an idle connection of a caller.
 	idleTimeout    = 16 * time.Second
 	maxHeaderBytes = 64 << 10
+	// maxToolHeaderBytes bounds the heads of probes and of other instances, which are short.
+	maxToolHeaderBytes = 8 << 10
 	// lagBeforeStop is how long before its stop signal is noticed an instance that was late may have missed it.
 	lagBeforeStop = time.Second
 	// endWriteTime is how long the responses may take that say so.
@@ -57,7 +59,6 @@
 		DisableGeneralOptionsHandler: true, ErrorLog: nil, ConnContext: callerconn.With,
 		ConnState: g.countCallerConn, BaseContext: func(net.Listener) context.Context { return g.serving },
 	}
-	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	listenCallers := func(address string) (net.Listener, error) { return listenForCallers(address, g.admit) }
 	servers := []struct {
 		address string
@@ -65,8 +66,10 @@
 		server  *http.Server
 	}{
 		{g.settings.CallerAddress, listenCallers, callerServer},
-		{g.settings.ReadinessAddress, listen, &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{g.settings.PeerAddress, listen, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout}},
+		{g.settings.ReadinessAddress, callermem.Listen, &http.Server{
+			Handler: http.HandlerFunc(g.serveReadiness), ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxToolHeaderBytes,
+		}},
+		{g.settings.PeerAddress, callermem.Listen, &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxToolHeaderBytes}},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
--- a/oleander/process/daemon/daemon.go
+++ b/oleander/process/daemon/daemon.go
@@ -36,6 +36,9 @@
 
 func itoa(v int64) string { return strconv.FormatInt(v, 10) }
 
+// maxAdminHeaderBytes bounds the heads of requests at the admin address, which are short.
+const maxAdminHeaderBytes = 8 << 10
+
 // Instance is one run of an entry instance.
 type Instance struct {
 	settings     Settings
@@ -110,7 +113,7 @@
 	}
 	x.loop, x.front, x.peers = i.loop, i.front, i.peers
 	i.executor = x
-	i.adminServer = &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+	i.adminServer = &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxAdminHeaderBytes}
 	return nil
 }
 
@@ -120,7 +123,7 @@
 		flag     string
 		address  string
 		open     func(address string) (net.Listener, error)
-	}{{&i.callerListener, "listen", i.settings.Listen, callermem.Listen}, {&i.adminListener, "admin", i.settings.Admin, listenTCP}, {&i.peerListener, "peer", i.settings.Peer, listenTCP}} {
+	}{{&i.callerListener, "listen", i.settings.Listen, callermem.Listen}, {&i.adminListener, "admin", i.settings.Admin, callermem.Listen}, {&i.peerListener, "peer", i.settings.Peer, listenTCP}} {
 		var err error
 		if *l.listener, err = l.open(l.address); err != nil {
 			return errors.Wrapf(err, "daemon: --%s=%s", l.flag, l.address)
--- a/proving/processes/misbehaving_test.go
+++ b/proving/processes/misbehaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,6 +54,26 @@
 	})
 }
 
+// Guards against a port that is not for callers and that a crowd fills the instance through.
+func TestMisbehavingCallersAtOtherPorts(t *testing.T) {
+	t.Setenv("OLEANDERD_MEMORY_MB", fmt.Sprint(crowdMemoryMB))
+	c := startClusterOf(t, 1)
+	for name, port := range map[string]func(*Instance) string{
+		"admin": func(inst *Instance) string { return inst.AdminAddress },
+		"peer":  func(inst *Instance) string { return inst.PeerAddress },
+	} {
+		for _, k := range badcallers.Kinds(crowdBodies, crowdConnections, "") {
+			if !slices.Contains([]string{"length, a byte short", "24 MB in chunks", "heads of 60 KB without end", "heads beyond the limit", "idle connections"}, k.Name) {
+				continue
+			}
+			bounds := badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdConnections + otherDescriptors}
+			t.Run(name+", "+k.Name, func(t *testing.T) {
+				testCrowdAt(t, c, port, crowdRequest(c, crowdBodyBytes), k, bounds)
+			})
+		}
+	}
+}
+
 // Guards against an instance without a bound on its memory unless a setting names one.
 func TestMisbehavingCallersMeetDefaultSettings(t *testing.T) {
 	c := startClusterOf(t, 1)
@@ -68,10 +89,16 @@
 		IDHeader: "Idempotency-Key", ListHeader: "Accept"}
 }
 
-// testCrowd lets a crowd come to a new process of one instance.
+// testCrowd lets a crowd come to the callers' port of a new process of one instance.
 func testCrowd(t *testing.T, c *Cluster, r badcallers.Request, k badcallers.Kind, bounds badcallers.Usage) {
+	t.Helper()
+	testCrowdAt(t, c, func(inst *Instance) string { return inst.CallerAddress }, r, k, bounds)
+}
+
+// testCrowdAt does the same at another port.
+func testCrowdAt(t *testing.T, c *Cluster, port func(*Instance) string, r badcallers.Request, k badcallers.Kind, bounds badcallers.Usage) {
 	ctx := context.Background()
-	inst := c.Instances[0]
+	inst, address := c.Instances[0], port(c.Instances[0])
 	if err := inst.Kill(); err != nil && !inst.Exited() {
 		t.Fatal(err)
 	}
@@ -82,8 +109,8 @@
 		t.Fatal(err)
 	}
 	awaitAnswer(t, c, inst, "before")
-	watch := badcallers.StartWatch(inst.process.cmd.Process.Pid, inst.CallerAddress)
-	callers := badcallers.Start(inst.CallerAddress, r, k)
+	watch := badcallers.StartWatch(inst.process.cmd.Process.Pid, address)
+	callers := badcallers.Start(address, r, k)
 	time.Sleep(crowdStay)
 	awaitAnswer(t, c, inst, "beside the crowd")
 	callers.Stop()
