Callers' memory: a caller whose bytes are there does not make way

A caller is behind by the time since its last byte was read; an instance that runs late reads late, and took that for its callers' fault. One with unread bytes (SIOCINQ) is no longer chosen. TestCallerWhoseBytesAreNotReadKeepsItsPlace failed before. A crowd gains nothing: bodies that wait for memory are never chosen anyway, the others are read at once. All 24 kinds of TestMisbehavingCallers hold (at most 73 + 0 and 70 + 11 MB of 96). The play of the steady caller counts only if that caller itself paused for at most 200 ms; five plays are tried, and none that counts is a failure.

--- a/oleander/connection/callermem/conn.go
+++ b/oleander/connection/callermem/conn.go
@@ -207,6 +207,19 @@
 	return nil
 }
 
+// hasArrived reports whether the kernel has received bytes that were not read.
+func (c *Conn) hasArrived() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) // 0 if it fails
+	})
+	return err == nil && unread > 0
+}
+
 // callerLeft reports whether the caller closed its connection, also when sent data is
 // still unread.
 func callerLeft(ctx context.Context) bool {
--- a/oleander/connection/callermem/room.go
+++ b/oleander/connection/callermem/room.go
@@ -196,12 +196,12 @@
 	return victims
 }
 
-// makeWay marks a connection as evicted, unless it has left a phase since. A body that was read to its end is so not
-// given up: its request may already be on its way to a server.
+// makeWay marks a connection as evicted, unless it has left a phase since, or the instance is behind rather than the
+// caller. A body that was read to its end is so not given up: its request may already be on its way to a server.
 func (c *Conn) makeWay(p eviction.Phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.Phase != p {
+	if c.state.Phase != p || p != eviction.Response && c.hasArrived() {
 		return false
 	}
 	c.evicted.Store(true)
