--- a/proving/processes/misbehaving_test.go
+++ b/proving/processes/misbehaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,6 +75,39 @@
 	}
 }
 
+// Shares of the time in which an instance stands still, as on a machine with little processor time.
+const (
+	standsStillFor = 80 * time.Millisecond
+	runsFor        = 20 * time.Millisecond
+)
+
+// Guards against an instance that stands a crowd only with all the processor time that it asks for.
+func TestMisbehavingCallersAtInstanceWithLittleTime(t *testing.T) {
+	t.Setenv("OLEANDERD_MEMORY_MB", fmt.Sprint(crowdMemoryMB))
+	t.Setenv("OLEANDERD_MAX_BODY", fmt.Sprint(crowdBodyBytes))
+	t.Setenv("OLEANDERD_MAX_CONNECTIONS", fmt.Sprint(crowdMaxConnections))
+	c := startClusterOf(t, 1)
+	bounds := badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdMaxConnections + otherDescriptors}
+	for _, k := range badcallers.Kinds(crowdBodies, crowdConnections, "") {
+		if !slices.Contains([]string{"length, a byte short", "chunks of a byte, short", "24 MB in chunks", "six whole bodies each, answers not read", "bodies of 100 bytes, a byte short"}, k.Name) {
+			continue
+		}
+		t.Run(k.Name, func(t *testing.T) {
+			restartCrowded(t, c)
+			process := c.Instances[0].process.cmd.Process
+			go func() {
+				for t.Context().Err() == nil {
+					_ = process.Signal(syscall.SIGSTOP)
+					time.Sleep(standsStillFor)
+					_ = process.Signal(syscall.SIGCONT)
+					time.Sleep(runsFor)
+				}
+			}()
+			sendCrowd(t, c, c.Instances[0].CallerAddress, crowdRequest(c, crowdBodyBytes), k, bounds)
+		})
+	}
+}
+
 // Guards against an instance without a bound on its memory unless a setting names one.
 func TestMisbehavingCallersMeetDefaultSettings(t *testing.T) {
 	c := startClusterOf(t, 1)
@@ -97,17 +131,30 @@
 
 // testCrowdAt does the same at another port.
 func testCrowdAt(t *testing.T, c *Cluster, port func(*Instance) string, r badcallers.Request, k badcallers.Kind, bounds badcallers.Usage) {
-	ctx := context.Background()
-	inst, address := c.Instances[0], port(c.Instances[0])
+	t.Helper()
+	restartCrowded(t, c)
+	sendCrowd(t, c, port(c.Instances[0]), r, k, bounds)
+}
+
+// restartCrowded restarts the instance that crowds come to.
+func restartCrowded(t *testing.T, c *Cluster) {
+	t.Helper()
+	inst := c.Instances[0]
 	if err := inst.Kill(); err != nil && !inst.Exited() {
 		t.Fatal(err)
 	}
 	if err := c.StartInstance(inst); err != nil {
 		t.Fatal(err)
 	}
-	if err := inst.AwaitReady(ctx); err != nil {
+	if err := inst.AwaitReady(context.Background()); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// sendCrowd lets a crowd come to an address of the first instance, go, and checks what the instance does meanwhile.
+func sendCrowd(t *testing.T, c *Cluster, address string, r badcallers.Request, k badcallers.Kind, bounds badcallers.Usage) {
+	t.Helper()
+	inst := c.Instances[0]
 	awaitAnswer(t, c, inst, "before")
 	watch := badcallers.StartWatch(inst.process.cmd.Process.Pid, address)
 	callers := badcallers.Start(address, r, k)
