Test: connections at ports that are not for callers take no descriptors beyond the machine's; known red

2,400 idle connections at the port for readiness or for instances take an instance with 2,000 descriptors to 2,418; with our own interface 1,500 take the admin address and the port for instances to 1,527 and 1,528, where 1,200 are the bound. Cause: only the callers' listener knows a limit. Memory (42 to 49 MB) and ordinary callers hold.

--- a/proving/processes/misbehaving_test.go
+++ b/proving/processes/misbehaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"syscall"
@@ -75,6 +76,24 @@
 	}
 }
 
+// Guards against connections to ports that are not for callers, which take all descriptors.
+func TestMisbehavingCallersTakeNoDescriptorsAtOtherPorts(t *testing.T) {
+	t.Setenv("OLEANDERD_MEMORY_MB", fmt.Sprint(crowdMemoryMB))
+	t.Setenv("OLEANDERD_MAX_CONNECTIONS", fmt.Sprint(crowdMaxConnections))
+	c := startClusterOf(t, 1)
+	bounds := badcallers.Usage{Resident: crowdMemoryMB << 20, Descriptors: crowdMaxConnections + otherDescriptors}
+	idle := badcallers.Kind{Name: "idle connections", Callers: bounds.Descriptors + otherDescriptors, Send: sendNothing, Reads: true}
+	t.Run("admin", func(t *testing.T) {
+		testCrowdAt(t, c, func(inst *Instance) string { return inst.AdminAddress }, crowdRequest(c, crowdBodyBytes), idle, bounds)
+	})
+	t.Run("peer", func(t *testing.T) {
+		testCrowdAt(t, c, func(inst *Instance) string { return inst.PeerAddress }, crowdRequest(c, crowdBodyBytes), idle, bounds)
+	})
+}
+
+// sendNothing leaves a connection idle.
+func sendNothing(io.Writer, badcallers.Request, string) error { return nil }
+
 // Shares of the time in which an instance stands still, as on a machine with little processor time.
 const (
 	standsStillFor = 80 * time.Millisecond
