Callers' memory: a refusal is not overtaken by a reset

What callers saw: a chunked body beyond the limit got "connection reset by peer" in place of 413, if its caller was still sending. Cause: since the refusal closes its connection, 256 KB of the rest are dropped and the read deadline is then set to the past. net/http waits for 500 ms before it resets a connection only if it dropped 256 KB itself; with that deadline it reads nothing and closes at once. The response had left, but a client that fails to write may not look at it. Change: if more of the body comes than is dropped, the connection stays open for 500 ms, as net/http does. Nothing is read meanwhile, the connection counts as one with an answer, and makes way as such.

--- a/oleander/connection/callermem/body.go
+++ b/oleander/connection/callermem/body.go
@@ -20,6 +20,9 @@
 	// that a caller that reads the response only after sending its body gets it.
 	drainTimeout = 2 * time.Second
 	drainBytes   = 256 << 10
+	// resetDelay is how long a connection with unread bytes stays open after its response: closing it resets it, and
+	// a caller that is still sending would learn of the reset alone.
+	resetDelay = 500 * time.Millisecond
 )
 
 // ErrTooLarge says that a body exceeds its limit.
@@ -159,7 +162,10 @@
 		return
 	}
 	c.enter(eviction.Body)
-	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)
-	c.enter(eviction.Response)                   // until net/http has closed the connection
+	_, err := io.CopyN(io.Discard, r.Body, drainBytes)
+	c.enter(eviction.Response) // until net/http has closed the connection
+	if err == nil {
+		time.Sleep(resetDelay)
+	}
 	_ = control.SetReadDeadline(time.Unix(1, 0)) // net/http reads on otherwise
 }
--- a/oleander/gateway/madeway_test.go
+++ b/oleander/gateway/madeway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -90,3 +91,47 @@
 		}
 	}
 }
+
+// Guards against a refusal that its caller does not get, since a reset overtakes it while the caller still sends.
+func TestRefusalIsNotOvertakenByAReset(t *testing.T) {
+	const size, limit = 8 * mb, 100_000
+	for name, tc := range map[string]struct {
+		path, head string
+		want       int
+	}{
+		"chunks beyond the limit": {"/order/", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), http.StatusRequestEntityTooLarge},
+		"length beyond the limit": {"/order/", fmt.Sprintf("Content-Length: %d\r\n\r\n", size), http.StatusRequestEntityTooLarge},
+		"no route":                {"/none/", fmt.Sprintf("Content-Length: %d\r\n\r\n", size), http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := config(2)
+			m.Limits.BodyBytes = limit
+			f := newFixture(t, m)
+			f.backend("a", "plain", ok)
+			f.start()
+			c, err := net.Dial("tcp", f.gateways[0].settings.CallerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			sent := make(chan error, 1)
+			go func() {
+				_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: sends\r\n%s: secret\r\n%s", tc.path, testHost, testID, testKey, tc.head)
+				_, err := io.CopyN(c, neverEnding('x'), size)
+				sent <- err
+			}()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tc.want {
+				t.Errorf("status %d, want %d", resp.StatusCode, tc.want)
+			}
+			select {
+			case err := <-sent:
+				t.Errorf("sending ended with %v as the answer arrived", err)
+			case <-time.After(200 * time.Millisecond):
+			}
+		})
+	}
+}
