Links: a begun answer that is silent makes its instance probe its links

What callers saw: a begun stream hung until its deadline, or until its stopping instance ended, and was cut, though another instance had a path to the server. Cause: the clock that makes an instance probe its links starts with a send. One that sends nothing new, as each that stops, never noticed that they hang. Now the silence of an answer starts it, too; a server that is reached stops it.

--- a/oleander/gateway/onsilence.go
+++ b/oleander/gateway/onsilence.go
@@ -31,6 +31,7 @@
 	if now.Reached(end) {
 		return time.Time{}
 	}
+	x.g.links.sent(now) // on an instance that sends nothing else, no one would notice a cut
 	alternative, loaded := x.findAlternative(now, t)
 	s := continuation.Silence{Alternative: alternative, MayRepeat: x.mayFailOver() && x.isRetryable(), Ending: x.ending()}
 	if s.Leave() && x.reserveRetries(now) {
