Planner: an engine that started again waits out orders of unknown planners

An order to load got no answer, as its engine crashed, and the planner was killed. The engine came back empty under its ID, the next planner filled it, and 11 s later the old order was carried out: the count that it names had come back.

Cause: orders without an answer are known to the planner alone that sent them. Besides, the next planner ordered the engine 0.2 s after its start, by a report, before the entry named the new start.

Change: a planner knows since when it alone orders a zone's engines. One that may have started again since 12.5 s before gets no orders until 12.5 s after. A start shows in the directory, in the entry's age as an instance begins, and in a report that the entry can't have led to. The holder of a zone's lease holds back orders passed on to it if it planned itself just before.

The contract test of stores compares entries without their ages, which differ by clock; TestAgeOfEntry checks these.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -37,6 +37,8 @@
 	Revision revision.Revision
 	Slots    int
 	Draining bool
+	// Age is the time since the start of the server by its own clock; 0 if unknown.
+	Age time.Duration
 	// Software is the version of the server's software. Servers of several may serve a group.
 	Software string
 	// RemainingLifetime is the time until a server that is being reclaimed is gone;
@@ -83,6 +85,7 @@
 	lastUsed         clock.Time
 	modelLastUsed    map[string]clock.Time // last known request, by model
 	updatedAt        clock.Time            // last Put of its entry
+	restartedAt      clock.Time            // 0: not lately
 	region           string
 	zoneState        evacuation.State
 	coldUntil        clock.Time
@@ -155,6 +158,10 @@
 	departures map[string]departure
 	// rests are the servers that asked for rest, by ID. They outlive the entry and restarts.
 	rests map[string]*rest
+	// gone are the servers whose entries are gone since a short time, by ID.
+	gone       map[string]goneServer
+	complete   bool // all entries were read once
+	completeAt clock.Time
 	// softwareSeen says when a server of a version was last seen.
 	softwareSeen map[groupSoftware]clock.Time
 
@@ -170,8 +177,8 @@
 		servers: make(map[string]*Server), serversByPeer: make(map[string][]string),
 		zoneStates: make(map[string]evacuation.State), warmupLimits: make(map[string]warmup.Limit),
 		limits: make(map[string]*serverlimit.Limit), brittleGroups: make(map[string]*brittle.Group), departures: make(map[string]departure), rests: make(map[string]*rest),
-		softwareSeen: make(map[groupSoftware]clock.Time),
-		paces:        pace.New(),
+		softwareSeen: make(map[groupSoftware]clock.Time), gone: make(map[string]goneServer),
+		paces: pace.New(),
 	}
 }
 
@@ -210,7 +217,8 @@
 	if s == nil || s.Incarnation != e.Incarnation {
 		d.servers[e.ID] = &Server{
 			Entry: e, published: e, local: make(map[string]int), peers: make(map[string]peerLoad), modelLastUsed: make(map[string]clock.Time), updatedAt: now,
-			region: d.regionByZone[e.Zone], zoneState: d.zoneStates[e.Zone], coldUntil: now.Add(e.ColdFor), limit: d.keptLimit(e.ID, e.Incarnation), rest: d.rests[e.ID],
+			restartedAt: d.restartOf(now, s, e),
+			region:      d.regionByZone[e.Zone], zoneState: d.zoneStates[e.Zone], coldUntil: now.Add(e.ColdFor), limit: d.keptLimit(e.ID, e.Incarnation), rest: d.rests[e.ID],
 		}
 		return
 	}
@@ -231,6 +239,7 @@
 		return
 	}
 	d.noteSoftware(now, d.servers[id])
+	d.noteGone(now, d.servers[id])
 	delete(d.servers, id)
 	d.ids, d.groups = nil, nil
 }
--- a/core/gateway/placer/candidates.go
+++ b/core/gateway/placer/candidates.go
@@ -93,7 +93,7 @@
 	if e.loading != nil {
 		c.readyIn += max(0, e.loading.expectedAt.Sub(now))
 	}
-	c.readyIn += p.queuedWork[e]
+	c.readyIn += max(0, e.heldUntil.Sub(now)) + p.queuedWork[e]
 	// A load hardly slows the requests that run on the engine, but the first tokens of the
 	// new model wait behind them, so an engine with fewer requests is preferred.
 	c.readyIn += time.Duration(e.server.Running()) * time.Millisecond
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -27,13 +27,18 @@
 
 	reservation reservation
 	pending     *pendingOrder // an order without a final result
-	late        []lateOrder   // orders to earlier starts that may still be carried out
-	loading     *modelLoad    // an accepted load of a model
-	conflicts   int           // orders in a row refused as busy
-	changedAt   clock.Time    // when an order last changed the models or adapters
-	needsQuery  bool
-	queriedAt   clock.Time
-	retryAt     clock.Time
+	restartedAt clock.Time    // when a report showed a start that is newer than the entry; 0: none did
+	// reportedIncarnation is that start; 0: not told.
+	reportedIncarnation int64
+	toldHeldUntil       clock.Time  // heldUntil at the last call of NewlyHeld
+	heldUntil           clock.Time  // it gets no orders before: see Placer.heldUntil
+	late                []lateOrder // orders to earlier starts that may still be carried out
+	loading             *modelLoad  // an accepted load of a model
+	conflicts           int         // orders in a row refused as busy
+	changedAt           clock.Time  // when an order last changed the models or adapters
+	needsQuery          bool
+	queriedAt           clock.Time
+	retryAt             clock.Time
 }
 
 type loadedModel struct {
@@ -204,7 +209,7 @@
 
 // canTakeOrder reports whether the engine can take an order now.
 func (e *engineState) canTakeOrder(now clock.Time) bool {
-	return e.known && !e.leaving && e.reachability == Reachable && !e.needsQuery && e.pending == nil && e.loading == nil && now.Reached(e.retryAt)
+	return e.known && !e.leaving && e.reachability == Reachable && !e.needsQuery && e.pending == nil && e.loading == nil && now.Reached(e.retryAt) && now.Reached(e.heldUntil)
 }
 
 // queryDue reports whether the engine must be queried for its state now.
--- a/core/gateway/placer/late.go
+++ b/core/gateway/placer/late.go
@@ -1,10 +1,12 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/manifest"
 )
 
@@ -12,6 +14,11 @@
 // engine has started again meanwhile: the engine then counts its orders anew, and the count that the
 // order names comes back. So the memory of a new start is planned as if each such order may still be
 // carried out, until the count is past it.
+//
+// A planner does not know such orders of the planners before it, nor how many there are: one may make
+// way for the next. An engine that may have started again since they were sent gets no orders from it
+// until they can't arrive any more. Until then it holds what these orders load at most, which fitted
+// into its earlier start.
 
 // maxOrderDelay is how long an order may be on its way, by the platform's pages, with a margin for the
 // clocks.
@@ -23,6 +30,99 @@
 	until clock.Time
 }
 
+// TakeOver says that other planners may have given orders until now.
+func (p *Placer) TakeOver() { clear(p.takenOver) }
+
+// updateTakenOver records from when on this placer alone gives orders to the engines of each zone. While a
+// zone's engines can't be ordered from here, another planner may do so.
+func (p *Placer) updateTakenOver(now clock.Time, servers []*directory.Server) {
+	orderable := func(zone string) bool { return p.reachability == nil || p.reachability(zone) == Reachable }
+	for zone := range p.takenOver {
+		if !orderable(zone) {
+			delete(p.takenOver, zone)
+		}
+	}
+	for _, s := range servers {
+		if _, known := p.takenOver[s.Zone]; !known && orderable(s.Zone) {
+			p.takenOver[s.Zone] = now
+		}
+	}
+}
+
+// heldUntil returns before when an engine gets no orders.
+func (p *Placer) heldUntil(now clock.Time, e *engineState) clock.Time {
+	takenOver, ok := p.takenOver[e.server.Zone]
+	if !ok {
+		takenOver = now
+	}
+	return HeldUntil(max(e.server.RestartedAt(), e.restartedAt), takenOver)
+}
+
+// restartedSinceEntry reports whether a report shows that the engine has started again since it wrote its
+// entry: it says so, or fewer orders were accepted than it takes to come from the models of the entry to
+// those of the report.
+func (e *engineState) restartedSinceEntry(r Report) bool {
+	if r.Incarnation != 0 {
+		return r.Incarnation != cmp.Or(e.reportedIncarnation, e.incarnation)
+	}
+	return e.restartedAt == 0 && r.Sequence < int64(e.changedModels(r))
+}
+
+// changedModels returns how many models either the entry or a report names.
+func (e *engineState) changedModels(r Report) int {
+	entry := e.server.PublishedEntry()
+	n := len(entry.LoadedModels)
+	for _, l := range r.LoadedModels {
+		if _, ok := entry.LoadedModel(l.Model); ok {
+			n--
+		} else {
+			n++
+		}
+	}
+	return n
+}
+
+// recordRestart replaces the state by that of a new start, whose entry is not known yet.
+func (e *engineState) recordRestart(now clock.Time, r Report) {
+	e.restartedAt, e.reportedIncarnation = now, r.Incarnation
+	e.pending, e.loading, e.reservation = nil, nil, reservation{}
+	e.sequence, e.changedAt = -1, 0
+}
+
+// HeldEngine is an engine that gets no orders for a while, since unknown ones may still arrive.
+type HeldEngine struct {
+	Server   string
+	For      time.Duration
+	ByReport bool // its report shows the restart, its entry does not
+}
+
+// NewlyHeld returns the engines that get no orders since the last call.
+func (p *Placer) NewlyHeld(now clock.Time) []HeldEngine {
+	var held []HeldEngine
+	for _, e := range p.sortedEngines {
+		if now.Before(e.heldUntil) && e.heldUntil != e.toldHeldUntil {
+			held = append(held, HeldEngine{Server: e.id, For: e.heldUntil.Sub(now), ByReport: e.restartedAt > e.server.RestartedAt()})
+		}
+		e.toldHeldUntil = e.heldUntil
+	}
+	return held
+}
+
+// HeldUntil returns before when an engine that started again at a time, 0 if it did not, gets no orders from a
+// planner that knows those since takenOver.
+func HeldUntil(restartedAt, takenOver clock.Time) clock.Time {
+	if restartedAt == 0 {
+		return 0
+	}
+	return min(takenOver, restartedAt.Add(maxEntryLag)).Add(maxOrderDelay)
+}
+
+// RecordUnanswered records an order of another planner that was sent here and got no response.
+func (p *Placer) RecordUnanswered(now clock.Time, o Order) {
+	p.expireLateOrders(now)
+	p.recordUnanswered(o, now)
+}
+
 // recordUnanswered records that a copy of an order that was sent at a time got no response.
 func (p *Placer) recordUnanswered(o Order, sentAt clock.Time) {
 	if o.Kind != Load {
@@ -60,7 +160,7 @@
 func (e *engineState) setLateOrders(late []lateOrder) {
 	e.late = e.late[:0]
 	for _, o := range late {
-		if o.Incarnation != e.incarnation {
+		if o.Incarnation != e.incarnation || e.restartedAt != 0 && !e.restartedAt.Add(maxOrderDelay).Before(o.until) {
 			e.late = append(e.late, o)
 		}
 	}
--- a/core/gateway/placer/late_test.go
+++ b/core/gateway/placer/late_test.go
@@ -1,8 +1,11 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"oleanderdale.org/core/clock"
 )
 
 // restartUnderOrder plays an engine that is full and swaps, and restarts as it gets the order to load. It
@@ -100,3 +103,120 @@
 		}
 	}
 }
+
+// Guards against the order of a planner that another one does not know: it may arrive on all paths by which that
+// one comes to plan.
+func TestOrderOfAnUnknownPlannerFits(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		takeOver func(sim *simulation, e *fakeEngine)
+	}{
+		{"instance that started after the engine", func(sim *simulation, e *fakeEngine) {
+			sim.restart(e)
+			sim.replacePlanner()
+			sim.tick()
+			sim.forgetEntries()
+		}},
+		{"entry gone before", func(sim *simulation, e *fakeEngine) {
+			sim.dir.Remove(sim.now, e.id)
+			sim.replacePlanner()
+			sim.tick()
+			sim.restart(e)
+		}},
+		{"planner of the zone before", func(sim *simulation, e *fakeEngine) {
+			sim.forgetOrders()
+			sim.placer.TakeOver()
+			sim.restart(e)
+		}},
+		{"zone cut off before", func(sim *simulation, e *fakeEngine) {
+			sim.forgetOrders()
+			sim.placer.SetReachability(func(string) Reachability { return Unreachable })
+			sim.tick()
+			sim.placer.SetReachability(nil)
+			sim.restart(e)
+		}},
+		{"report before the entry", func(sim *simulation, e *fakeEngine) { sim.restartBeforeEntry(e) }},
+		{"report before the entry, which does not tell the start", func(sim *simulation, e *fakeEngine) {
+			sim.startUntold = true
+			sim.restartBeforeEntry(e)
+		}},
+		{"report before the entry, which never comes", func(sim *simulation, e *fakeEngine) {
+			sim.replacePlanner()
+			sim.entriesLate, sim.startUntold = true, true
+			sim.restart(e)
+		}},
+		{"known order, report before the entry, which never comes", func(sim *simulation, e *fakeEngine) {
+			sim.entriesLate, sim.startUntold = true, true
+			sim.restart(e)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sim := newSimulation(t, 2, 1, 5)
+			e, late := restartUnderOrder(t, sim)
+			sentAt := sim.now
+			clear(sim.demand)
+			tc.takeOver(sim, e)
+			full := 0
+			for i := 0; sim.now.Sub(sentAt) < 25*time.Second; i++ {
+				if i%100 == 0 {
+					sim.request(Key{Group: group, Model: model(i / 100 % 3)})
+				}
+				sim.tick()
+				if sim.now.Sub(sentAt) <= 12*time.Second && sim.overfills(e, late) {
+					t.Fatalf("%v after the order was sent: count %d, %d models, so that it overfills the engine", sim.now.Sub(sentAt), e.sequence, len(e.models))
+				}
+				full = max(full, len(e.models))
+			}
+			if full != 3 {
+				t.Errorf("%d models at most, want 3 once the order can't arrive any more", full)
+			}
+		})
+	}
+}
+
+// Guards against adapters beyond an engine's slots: a second planner fills them, then the first one's orders arrive.
+func TestAdapterOrdersOfAnotherPlannerFit(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSimulation(t, seed, 1, 3)
+		e := sim.engines["e00"]
+		e.onDisk = sortedKeys(sim.config.Models)
+		sim.run(time.Second, 0, nil)
+		sim.restart(e)
+		ask := func(models int) {
+			sim.checkDelayed()
+			if sim.rng.IntN(10) == 0 {
+				sim.request(Key{Model: model(sim.rng.IntN(models)), Adapter: fmt.Sprintf("a%d", sim.rng.IntN(30))})
+			}
+		}
+		sim.run(maxOrderDelay, 0, nil)
+		sim.request(Key{Model: model(0)})
+		sim.run(3*time.Second, 0, func() { ask(1) })
+		sim.noResponseRate = 0.5
+		sim.run(3*time.Second, 0, func() { ask(1) })
+		sim.noResponseRate = 0
+		sim.restart(e)
+		sim.replacePlanner()
+		clear(sim.demand)
+		sim.run(20*time.Second, 0, func() { ask(2) })
+	}
+}
+
+// Guards against an engine that is held back for no reason: it is new, or nobody else gave orders since it started.
+func TestEngineWithoutUnknownOrdersIsNotHeld(t *testing.T) {
+	now := clock.Time(time.Hour)
+	for _, tc := range []struct {
+		name                   string
+		restartedAt, takenOver clock.Time
+		held                   bool
+	}{
+		{"no earlier start", 0, now, false},
+		{"start long ago", now.Add(-maxOrderDelay - maxEntryLag), now, false},
+		{"start long after the last planner", now, now.Add(-maxOrderDelay), false},
+		{"start just after the last planner", now, now.Add(-time.Second), true},
+		{"start just before this planner", now.Add(-time.Second), now, true},
+	} {
+		if got := now.Before(HeldUntil(tc.restartedAt, tc.takenOver)); got != tc.held {
+			t.Errorf("%s: held %v, want %v", tc.name, got, tc.held)
+		}
+	}
+}
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -165,6 +165,7 @@
 
 // Report is the state of an engine as it reports it.
 type Report struct {
+	Incarnation  int64 // start of the engine; 0 if it doesn't tell
 	Sequence     int64
 	Busy         bool
 	LoadedModels []directory.LoadedModel // including adapters that are being loaded
@@ -182,6 +183,7 @@
 	storeTokensAt clock.Time
 	notFoundAt    map[Key]clock.Time
 	lateOrders    map[string][]lateOrder // by server
+	takenOver     map[string]clock.Time  // by zone: when this placer began to plan for it; none while another may
 	// storeClaimedAt is when a model with saturated engines last requested a load from the
 	// weight store.
 	storeClaimedAt clock.Time
@@ -212,6 +214,7 @@
 	return &Placer{
 		check: check, engines: make(map[string]*engineState), demand: make(map[Key]Demand),
 		rates: make(map[string]*arrivalRate), notFoundAt: make(map[Key]clock.Time), lateOrders: make(map[string][]lateOrder),
+		takenOver:     make(map[string]clock.Time),
 		expectedReady: make(map[Key]clock.Time), queuedWork: make(map[*engineState]time.Duration),
 	}
 }
@@ -257,6 +260,7 @@
 	}
 	clear(p.engines)
 	clear(p.expectedReady)
+	p.TakeOver()
 	p.sortedEngines = nil
 }
 
@@ -276,6 +280,7 @@
 // Sync updates the engines from their directory entries and removes those that are gone.
 func (p *Placer) Sync(now clock.Time, servers []*directory.Server, groups map[string]*manifest.Group) {
 	p.expireLateOrders(now)
+	p.updateTakenOver(now, servers)
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		g := groups[s.Group]
@@ -291,10 +296,11 @@
 			e = newEngineState(s, now)
 			p.engines[s.ID] = e
 		}
-		e.setLateOrders(p.lateOrders[s.ID])
 		if p.reachability != nil {
 			e.setReachability(p.reachability(s.Zone))
 		}
+		e.setLateOrders(p.lateOrders[s.ID])
+		e.heldUntil = p.heldUntil(now, e)
 		p.observeLoad(now, e, func() { e.syncEntry(now, s, s.PublishedEntry(), g.Engine) })
 	}
 	for id, e := range p.engines {
@@ -376,6 +382,10 @@
 // HandleReport applies an engine's response to a query that was sent at queriedAt.
 func (p *Placer) HandleReport(now clock.Time, server string, incarnation int64, queriedAt clock.Time, r Report) {
 	if e := p.engines[server]; e != nil && e.incarnation == incarnation {
+		if e.restartedSinceEntry(r) {
+			p.recordAbandoned(e)
+			e.recordRestart(now, r)
+		}
 		p.observeLoad(now, e, func() { e.handleReport(now, queriedAt, r) })
 	}
 }
--- a/core/gateway/placer/placer_test.go
+++ b/core/gateway/placer/placer_test.go
@@ -28,6 +28,7 @@
 	id          string
 	zone        string
 	incarnation int64
+	startedAt   clock.Time
 	sequence    int64
 	models      map[string]map[string]bool // adapters by model
 	onDisk      []string
@@ -60,6 +61,8 @@
 	storeLoads     []clock.Time // when each load from the weight store started
 	waitTimes      []time.Duration
 	unloads        int
+	entriesLate    bool // engines' entries aren't written
+	startUntold    bool // reports don't tell the engine's start
 	// storeAtOnce is how many loads from the weight store run at full speed; 0: any number.
 	storeAtOnce int
 }
@@ -103,7 +106,10 @@
 
 // writeEntry writes an engine's entry to the directory.
 func (sim *simulation) writeEntry(e *fakeEngine) {
-	entry := directory.Entry{ID: e.id, Address: e.id, Zone: e.zone, Group: group, Incarnation: e.incarnation, Slots: 16, OnDisk: e.onDisk, InMemory: e.inMemory}
+	if sim.entriesLate {
+		return
+	}
+	entry := directory.Entry{ID: e.id, Address: e.id, Zone: e.zone, Group: group, Incarnation: e.incarnation, Slots: 16, OnDisk: e.onDisk, InMemory: e.inMemory, Age: sim.now.Sub(e.startedAt)}
 	entry.LoadedModels = e.loadedModels()
 	sim.dir.Put(sim.now, entry)
 }
@@ -257,8 +263,11 @@
 
 // query responds to a query with the state of the engine at the time of the query.
 func (sim *simulation) query(e *fakeEngine) {
-	queriedAt, incarnation := sim.now, e.incarnation
-	r := Report{Sequence: e.sequence, Busy: e.loading != "", LoadedModels: e.loadedModels()}
+	queriedAt, incarnation := sim.now, sim.dir.Get(e.id).Incarnation
+	r := Report{Incarnation: e.incarnation, Sequence: e.sequence, Busy: e.loading != "", LoadedModels: e.loadedModels()}
+	if sim.startUntold {
+		r.Incarnation = 0
+	}
 	sim.responses = append(sim.responses, scheduledResponse{sim.now.Add(20 * time.Millisecond), func() {
 		sim.placer.HandleReport(sim.now, e.id, incarnation, queriedAt, r)
 	}})
@@ -310,10 +319,42 @@
 // restart restarts an engine under the same id; only the copies on its disk remain.
 func (sim *simulation) restart(e *fakeEngine) {
 	e.incarnation++
+	e.startedAt = sim.now
 	e.sequence, e.models, e.loading, e.inMemory = 0, make(map[string]map[string]bool), "", nil
 	sim.writeEntry(e)
 }
 
+// replacePlanner lets an instance plan that knows none of the orders given so far.
+func (sim *simulation) replacePlanner() { sim.placer, sim.responses = New(nil), nil }
+
+// forgetOrders makes the orders given so far those of another planner, which this one does not know.
+func (sim *simulation) forgetOrders() {
+	clear(sim.placer.engines)
+	clear(sim.placer.lateOrders)
+	sim.responses = nil
+}
+
+// restartBeforeEntry restarts an engine, whose entry says so a second later, and lets another instance plan.
+func (sim *simulation) restartBeforeEntry(e *fakeEngine) {
+	sim.replacePlanner()
+	sim.entriesLate = true
+	sim.restart(e)
+	for range int(time.Second / testTick) {
+		sim.tick()
+	}
+	sim.entriesLate = false
+	sim.writeEntry(e)
+}
+
+// forgetEntries makes the entries new to the planner's instance, which knows their age alone.
+func (sim *simulation) forgetEntries() {
+	sim.dir = directory.New()
+	for _, e := range sim.engines {
+		sim.writeEntry(e)
+	}
+	sim.dir.SetComplete(sim.now)
+}
+
 func (sim *simulation) run(d time.Duration, perSecond float64, beforeTick func()) {
 	for range int(d / testTick) {
 		if sim.rng.Float64() < perSecond*testTick.Seconds() {
--- a/core/gateway/placer/property_test.go
+++ b/core/gateway/placer/property_test.go
@@ -33,6 +33,9 @@
 	restartUnder  = "restart under a load without a response"
 	entryGone     = "entry gone" // and back, with the same start
 	handedOver    = "planner hands over for a moment"
+	replaced      = "another instance plans"
+	replacedUnder = "restart under a load without a response, and another instance plans"
+	startedAnew   = "another instance plans that has just started"
 	ordersLost    = "orders without a response"
 	troublesInRun = 12
 )
@@ -41,7 +44,7 @@
 	return trouble{
 		asked:  rapid.SliceOfNDistinct(rapid.IntRange(0, models-1), 3, 4, rapid.ID).Draw(t, "asked"),
 		after:  time.Duration(rapid.IntRange(0, 12000).Draw(t, "after, ms")) * time.Millisecond,
-		kind:   rapid.SampledFrom([]string{restart, restartUnder, restartUnder, restartUnder, entryGone, handedOver, ordersLost}).Draw(t, "kind"),
+		kind:   rapid.SampledFrom([]string{restart, restartUnder, restartUnder, restartUnder, entryGone, handedOver, replaced, replacedUnder, startedAnew, ordersLost}).Draw(t, "kind"),
 		engine: rapid.IntRange(0, engines-1).Draw(t, "engine"),
 		share:  rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "share"),
 	}
@@ -78,6 +81,9 @@
 func (sim *simulation) checkDelayed() {
 	for _, e := range sim.engines {
 		for _, d := range e.delayed {
+			if d.order.Kind == Load && d.order.Adapter != "" && sim.exceedsSlots(e, d.order) {
+				sim.t.Fatalf("%s: an order to load %s/%s with count %d may come", e.id, d.order.Model, d.order.Adapter, d.order.Precondition)
+			}
 			if d.order.Kind == Load && d.order.Adapter == "" && sim.overfills(e, d.order) {
 				sim.t.Fatalf("%s: an order to load %s with count %d may come, beside %v", e.id, d.order.Model, d.order.Precondition, sortedKeys(e.models))
 			}
@@ -85,6 +91,15 @@
 	}
 }
 
+// exceedsSlots reports whether an engine would hold too many adapters if an order arrived now.
+func (sim *simulation) exceedsSlots(e *fakeEngine, o Order) bool {
+	n := 0
+	for _, a := range e.models {
+		n += len(a)
+	}
+	return o.Precondition == e.sequence && e.models[o.Model] != nil && !e.models[o.Model][o.Adapter] && n >= sim.config.AdapterSlots
+}
+
 // apply lets a trouble happen, while some models are asked for.
 func (sim *simulation) apply(tr trouble, rate float64, asked []int) {
 	e := sim.engines[fmt.Sprintf("e%02d", tr.engine)]
@@ -104,6 +119,15 @@
 		sim.writeEntry(e)
 	case handedOver:
 		sim.placer.ForgetEngines()
+	case replacedUnder:
+		tr.kind = restartUnder
+		sim.apply(tr, rate, asked)
+		sim.replacePlanner()
+	case replaced:
+		sim.replacePlanner()
+	case startedAnew:
+		sim.replacePlanner()
+		sim.forgetEntries()
 	case ordersLost:
 		sim.noResponseRate = tr.share
 	}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -51,6 +51,8 @@
 	PeerAddress      string // listens for other instances (TCP and UDP) and serves the metrics
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
+	// FirstStart says that all instances start for the first time, so that no orders were given before.
+	FirstStart bool
 	// Strength is the relative CPU capacity of the machine. It ranks the candidates
 	// for the leases: a holder has more work than other instances and must finish it
 	// in time.
@@ -222,6 +224,7 @@
 	forwardedOrders forwardedOrders // orders that other instances were asked to send
 	reports         reportQueue
 	planScope       placer.Scope // scope of the last plan
+	zonePlannedAt   clock.Time   // last plan for this zone alone; 0: never
 	plannedAt       clock.Time   // time of the last plan
 	placer          *placer.Placer
 	outlook         *outlook.Tracker[placer.Key]
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -116,6 +116,9 @@
 	pause := housekeepInterval
 	if scope != placer.ScopeNone {
 		g.outlook.RecordHolder(now, now.Add(promiseDuration), now)
+		if scope == placer.ScopeZone {
+			g.zonePlannedAt = now
+		}
 		orders, reports = g.plan(now, scope)
 		if scope == placer.ScopeFleet {
 			messages = append(messages, g.publishServers(now)...)
@@ -149,6 +152,7 @@
 	}
 	g.log.Info().Stringer("scope", scope).Stringer("before", g.planScope).Msg("placer: planning scope changed")
 	g.planScope = scope
+	g.placer.TakeOver()
 	g.placer.SetStorePlanners(now, g.plannerCount(scope))
 	clear(g.publisher.published)
 	g.reports.clear()
--- a/oleander/gateway/passorder.go
+++ b/oleander/gateway/passorder.go
@@ -94,11 +94,32 @@
 }
 
 func (g *Gateway) replyOrderResult(m *orderMsg, o placer.Order, requester *members.Member) {
-	result := g.sendOrder(o)
+	result := g.sendForwarded(o)
 	reply := g.encode(packet{OrderResult: &orderResultMsg{Incarnation: m.Incarnation, Number: m.Number, Result: result}})
 	g.peers.send(reply, []recipient{g.recipient(requester)})
 }
 
+// sendForwarded sends an order that another instance planned. An engine that started again may still get
+// orders that this instance planned while it did not hear the other one, which does not know of them.
+func (g *Gateway) sendForwarded(o placer.Order) placer.OrderResult {
+	now := boottime.Now()
+	g.mu.Lock()
+	s := g.servers.Get(o.Server)
+	held := g.zonePlannedAt != 0 && s != nil && now.Before(placer.HeldUntil(s.RestartedAt(), g.zonePlannedAt))
+	g.mu.Unlock()
+	if held {
+		g.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("model", o.Model).Msg("placer: forwarded order held back, an earlier one may still arrive")
+		return placer.Busy
+	}
+	result := g.sendOrder(o)
+	if result == placer.NoResponse {
+		g.mu.Lock()
+		g.placer.RecordUnanswered(boottime.Now(), o)
+		g.mu.Unlock()
+	}
+	return result
+}
+
 // handleOrderResult handles the answer to a forwarded order. The caller holds mu.
 func (g *Gateway) handleOrderResult(m *orderResultMsg) {
 	if m.Incarnation != g.incarnation {
--- a/oleander/gateway/portstest/store.go
+++ b/oleander/gateway/portstest/store.go
@@ -260,11 +260,11 @@
 	}
 }
 
-// withoutRevisions returns copies of entries without their revisions.
+// withoutRevisions returns copies of entries without what no store repeats: revisions and ages.
 func withoutRevisions(all []directory.Entry) []directory.Entry {
 	var plain []directory.Entry
 	for _, e := range all {
-		e.Revision = revision.Revision{}
+		e.Revision, e.Age = revision.Revision{}, 0
 		plain = append(plain, e)
 	}
 	return plain
@@ -296,7 +296,7 @@
 		if !at.Before(c.Entry.Revision) || next.Before(c.Entry.Revision) {
 			t.Errorf("change at %+v, watched from %+v to %+v", c.Entry.Revision, at, next)
 		}
-		c.Entry.Revision = revision.Revision{}
+		c.Entry.Revision, c.Entry.Age = revision.Revision{}, 0
 		switch {
 		case c.Entry.ID == "s0" && c.Removed:
 		case !c.Removed && reflect.DeepEqual(c.Entry, draining):
--- a/oleander/gateway/serverread.go
+++ b/oleander/gateway/serverread.go
@@ -140,6 +140,7 @@
 		}
 	}
 	g.serversComplete, g.serversOffered = true, !g.serversDoubtful
+	g.servers.SetComplete(now)
 	g.log.Info().Str("source", source).Int("servers", r.Count()).Int("pages", r.Pages()).Dur("duration", now.Sub(r.began)).
 		Int64("era", r.At().Era).Int64("version", r.At().Version).Msg("servers: all entries read")
 }
@@ -194,6 +195,10 @@
 	return next, nil
 }
 
+// firstOrderDelay is the time from the first start of all instances within which no engine that got an order
+// can have started again.
+const firstOrderDelay = 2 * time.Second
+
 // putServer stores an entry in the directory. The caller holds mu.
 func (g *Gateway) putServer(now clock.Time, e directory.Entry) {
 	if g.isStaleEntry(now, e.ID, e.Incarnation) {
@@ -202,6 +207,9 @@
 	g.lapse.Forget(e.ID)
 	delete(g.removedServers, e.ID)
 	delete(g.publisher.gone, e.ID)
+	if g.settings.FirstStart && now.Sub(g.started) < firstOrderDelay {
+		e.Age = 0 // nobody gave orders before
+	}
 	old := g.servers.Get(e.ID)
 	g.recordStart(now, old, e)
 	// Until all entries were read, the servers are new to this instance only: one line for
--- a/oleander/gateway/transfer.go
+++ b/oleander/gateway/transfer.go
@@ -76,6 +76,8 @@
 	InMemory    []string         `cbor:"12,keyasint,omitempty"`
 	OnDisk      []string         `cbor:"13,keyasint,omitempty"`
 	Software    *string          `cbor:"14,keyasint,omitempty"` // nil: from an earlier version
+	// RestartedMS is how long ago the server may have started again under its ID; 0: not lately, or unknown.
+	RestartedMS int64 `cbor:"15,keyasint,omitempty"`
 }
 
 type loadedModelMsg struct {
@@ -97,6 +99,9 @@
 		ID: s.ID, Incarnation: s.Incarnation, Address: s.Address, Zone: s.Zone, Group: s.Group, Era: s.Revision.Era, Version: s.Revision.Version,
 		Slots: s.Slots, Leaving: s.Draining, ColdMS: s.ColdRemaining(now).Milliseconds(), InMemory: s.InMemory, OnDisk: s.OnDisk, Software: &s.Software,
 	}
+	if at := s.RestartedAt(); at != 0 {
+		m.RestartedMS = max(1, now.Sub(at).Milliseconds())
+	}
 	for _, l := range s.LoadedModels {
 		m.Models = append(m.Models, loadedModelMsg{Model: l.Model, Version: l.Version, Adapters: l.Adapters})
 	}
@@ -106,7 +111,7 @@
 func (m *serverEntryMsg) decode() directory.Entry {
 	e := directory.Entry{
 		ID: m.ID, Incarnation: m.Incarnation, Address: m.Address, Zone: m.Zone, Group: m.Group, Revision: revision.Revision{Era: m.Era, Version: m.Version},
-		Slots: m.Slots, Draining: m.Leaving, ColdFor: time.Duration(m.ColdMS) * time.Millisecond, InMemory: m.InMemory, OnDisk: m.OnDisk,
+		Slots: m.Slots, Draining: m.Leaving, ColdFor: time.Duration(m.ColdMS) * time.Millisecond, Age: time.Duration(m.RestartedMS) * time.Millisecond, InMemory: m.InMemory, OnDisk: m.OnDisk,
 	}
 	if e.Software = directory.UnknownSoftware(m.ID, m.Incarnation); m.Software != nil {
 		e.Software = *m.Software
