Streams: an end that only the connection tells is confirmed, or broken off

The kernel closes a killed server's connections plainly.

Cause: nothing asked further after a plain end of a response that has neither a length nor chunks.

Change: another server is asked for what follows the last event, where the route and half of the retry budget allow it. Otherwise the server is asked for a sign of life, over another instance if the response came so; without one the stream is broken off, and any other such response if its server has ended.

The stand-in of TestUnframedResponseIsNotFramedAsComplete sent a stream anew to who asked for what follows an event; it sends what follows now, and the test also asks that a stream that is cut between two events goes on elsewhere.

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -123,12 +123,24 @@
 
 func (b *Budget) remaining(now clock.Time, group string, instances int) float64 {
 	counts := b.sum(now, group)
+	return b.allowed(now, counts, instances) - float64(counts.retries)
+}
+
+// HalfLeft reports whether at least half of the retries to a group that one of so many instances may make, and one
+// of them, is left.
+func (b *Budget) HalfLeft(now clock.Time, group string, instances int) bool {
+	counts := b.sum(now, group)
+	allowed := b.allowed(now, counts, instances)
+	return allowed-float64(counts.retries) >= max(1, allowed/2)
+}
+
+// allowed returns how many retries one of so many instances may make in the window.
+func (b *Budget) allowed(now clock.Time, counts slotCounts, instances int) float64 {
 	allowance := safetyFactor * b.settings.Allowance
 	if now.Sub(b.started) < b.settings.Window {
 		allowance = firstWindowFactor * b.settings.Allowance
 	}
-	allowed := safetyFactor*float64(counts.requests)*b.settings.Ratio + allowance/float64(max(1, instances))
-	return allowed - float64(counts.retries)
+	return safetyFactor*float64(counts.requests)*b.settings.Ratio + allowance/float64(max(1, instances))
 }
 
 func (b *Budget) sum(now clock.Time, group string) slotCounts {
--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -321,15 +321,32 @@
 // DoOnce is Do on a connection of its own, which it closes after the response. A late copy of an earlier
 // response can't be taken for the one to this request.
 func DoOnce(ctx context.Context, address string, dialTimeout time.Duration, r Request, limit int64) (*http.Response, []byte, error) {
-	conn, err := DialTCP(ctx, address, dialTimeout)
+	dial := func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, address, dialTimeout) }
+	resp, body, err := DoOver(ctx, address, dial, r, limit)
+	var failed *dialError
+	if errors.As(err, &failed) {
+		err = errors.Wrap(ErrNotSent, err.Error())
+	}
+	return resp, body, err
+}
+
+// DoOver is DoOnce on a connection that dial opens. A failure to open it keeps its cause.
+func DoOver(ctx context.Context, address string, dial DialFunc, r Request, limit int64) (*http.Response, []byte, error) {
+	conn, err := dial(ctx)
 	if err != nil {
-		return nil, nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, nil, &dialError{err}
 	}
 	c := newConn(conn, address)
 	defer c.Close()
 	return c.roundTrip(ctx, r, limit)
 }
 
+// dialError is the error of a connection that was not opened.
+type dialError struct{ error }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.error }
+
 // roundTrip sends a request and reads the complete response. The connection is aborted if this fails, and
 // if ctx has ended.
 func (c *Conn) roundTrip(ctx context.Context, r Request, limit int64) (*http.Response, []byte, error) {
--- a/oleander/gateway/attempt.go
+++ b/oleander/gateway/attempt.go
@@ -41,18 +41,19 @@
 
 // Results of an attempt.
 const (
-	resultDone       attemptResult = iota // the caller has the response
-	resultNotRun                          // the server certainly did not run the request
-	resultBroken                          // the request may have run; no complete response arrived
-	resultCallerGone                      // the caller disconnected
-	resultTimeout                         // the deadline passed; the request may have run
-	resultSlowReader                      // the caller did not read the response
-	resultStopped                         // this instance ended; the request may have run if it was sent
+	resultDone        attemptResult = iota // the caller has the response
+	resultNotRun                           // the server certainly did not run the request
+	resultBroken                           // the request may have run; no complete response arrived
+	resultCallerGone                       // the caller disconnected
+	resultTimeout                          // the deadline passed; the request may have run
+	resultSlowReader                       // the caller did not read the response
+	resultUnconfirmed                      // the caller has all events, but only the connection's end told that they are all
+	resultStopped                          // this instance ended; the request may have run if it was sent
 )
 
 // String names a result in the metrics.
 func (r attemptResult) String() string {
-	return [...]string{"done", "not-run", "broken", "caller-gone", "timeout", "slow-reader", "stopped"}[r]
+	return [...]string{"done", "not-run", "broken", "caller-gone", "timeout", "slow-reader", "unconfirmed", "stopped"}[r]
 }
 
 // attempt sends the request to one server. The caller has counted the request there;
--- a/oleander/gateway/exchange.go
+++ b/oleander/gateway/exchange.go
@@ -36,6 +36,9 @@
 		switch {
 		case done:
 			return
+		case ref != nil && x.unconfirmed != nil:
+			x.notTakenUp()
+			return
 		case ref != nil && !x.waitsOn(ref):
 			x.fail(*ref)
 			return
@@ -67,6 +70,7 @@
 		return false, unavailable(reasonStopping, retryDelay)
 	case resultTimeout:
 		return false, &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
+	case resultUnconfirmed:
 	case resultBroken:
 		x.possibleRuns++
 		x.broken = t.id
--- a/oleander/gateway/forecast.go
+++ b/oleander/gateway/forecast.go
@@ -118,6 +118,9 @@
 	window := outlook.WaitWindow{Arrived: x.arrived, End: x.deadline}
 	if x.responseStarted {
 		window.Arrived = began
+		if x.unconfirmed != nil {
+			window.End = min(window.End, x.unconfirmed.takeUpUntil)
+		}
 		return window
 	}
 	if x.route.FirstEventTimeout > 0 {
--- a/oleander/gateway/forward.go
+++ b/oleander/gateway/forward.go
@@ -28,7 +28,9 @@
 	if err != nil {
 		return x.attemptFailed(t, c, bodyError(c, err))
 	}
-	x.responseEnd.judge(nil)
+	if x.bodyBrokenOff(t) {
+		return x.attemptFailed(t, c, errServerEnded)
+	}
 	x.releaseConn(c, resp)
 	x.attemptAnswered(t, resp.StatusCode)
 	x.writeBufferedHead(resp, size)
@@ -95,7 +97,10 @@
 		}
 		return x.attemptFailed(t, c, bodyError(c, err))
 	}
-	x.responseEnd.judge(nil)
+	if x.bodyBrokenOff(t) {
+		x.releaseResponse()
+		return x.attemptFailed(t, c, errServerEnded)
+	}
 	x.releaseConn(c, resp)
 	x.endTransfer()
 	x.releaseBody()
--- a/oleander/gateway/front.go
+++ b/oleander/gateway/front.go
@@ -141,6 +141,7 @@
 	origin          origin.Requirement // of the stream, once it has begun
 	required        origin.Requirement // of them, what distinguishes servers now
 	eventCount      int
+	unconfirmed     *unconfirmedEnd // of the stream so far; nil: none, or more events came
 	responseEnd     responseEnd
 	refusal         *refusal // that ended the request
 }
--- a/oleander/gateway/metrics.go
+++ b/oleander/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/eviction"
 	"oleanderdale.org/core/gateway/directory"
+	"oleanderdale.org/core/gateway/ending"
 	"oleanderdale.org/core/gateway/intake"
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/core/gateway/reservation"
@@ -59,6 +60,11 @@
 	lag           atomic.Int64 // a time.Duration
 }
 
+// unconfirmedEnd counts a response that ended with its connection, by what became of its server.
+func (m *instruments) unconfirmedEnd(s ending.ServerState) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("oleanderd_unconfirmed_ends_total{server=%q}", s)).Inc()
+}
+
 func newMetrics() *instruments {
 	s := metrics.NewSet()
 	return &instruments{
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -21,6 +22,8 @@
 
 // Errors of a Store.
 var (
+	// ErrServerEnded says that a backend server has ended.
+	ErrServerEnded = errors.New("server has ended")
 	// ErrHistoryGone says that the store does not have the changes after the given
 	// revision. The caller reads the whole table again.
 	ErrHistoryGone = errors.New("store: history is gone")
@@ -196,7 +199,14 @@
 	// FetchReport returns what the engine of a backend server has loaded. It fails if
 	// another server listens at the address.
 	FetchReport(ctx context.Context, address, server string) (placer.Report, Feedback, error)
-	// Ping asks a backend server for a sign of life on a new connection: a plain one at the path of
-	// its liveness check, an engine, with an empty path, for its report. Any response is one.
-	Ping(ctx context.Context, address, server, path string) error
+	// Ping asks a backend server for a sign of life on a new connection. Any response of that server is one.
+	// It fails with ErrServerEnded if nothing listens at the address, or another server.
+	Ping(ctx context.Context, p Ping) error
+}
+
+// Ping is a question for a sign of life.
+type Ping struct {
+	Address, Server string
+	Path            string                                      // of a plain server's liveness check; "": that of an engine's report
+	Dial            func(ctx context.Context) (net.Conn, error) // nil: connects to the address
 }
--- a/oleander/gateway/portstest/engines.go
+++ b/oleander/gateway/portstest/engines.go
@@ -291,8 +291,8 @@
 
 // feedbackTo returns what the engine says about itself to a call for a server.
 // Ping implements ports.Engines.
-func (m *MemoryEngines) Ping(ctx context.Context, address, server, _ string) error {
-	_, _, err := m.FetchReport(ctx, address, server)
+func (m *MemoryEngines) Ping(ctx context.Context, p ports.Ping) error {
+	_, _, err := m.FetchReport(ctx, p.Address, p.Server)
 	return err
 }
 
--- a/oleander/gateway/relay.go
+++ b/oleander/gateway/relay.go
@@ -77,14 +77,12 @@
 		// An earlier server's part is on its way in chunks, and a last one would claim the end.
 		return x.attemptFailed(t, c, invalidf("end of the resumed stream is not confirmed"))
 	}
+	if verdict == ending.Unconfirmed {
+		return x.streamUnconfirmed(t, c, resp)
+	}
 	x.releaseConn(c, resp)
 	x.attemptAnswered(t, resp.StatusCode)
-	x.limitWriteTime()
-	if !x.responseStarted {
-		x.writeResponseHead(resp)
-	}
-	x.unframed.End()
-	x.finish(resp.StatusCode, reasonAnswered)
+	x.endStream(resp)
 	return resultDone
 }
 
@@ -118,6 +116,7 @@
 	}
 	x.timing.partForwarded(x.arrived)
 	x.recordEvents(events)
+	x.unconfirmed = nil
 	x.continuation.Continued()
 	x.returnRetries()
 	return nil
--- a/oleander/gateway/serverends.go
+++ b/oleander/gateway/serverends.go
@@ -10,6 +10,7 @@
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/directory"
 	"oleanderdale.org/core/gateway/poison"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -98,7 +99,7 @@
 		if server == nil || !g.zoneHeard(now, server.Zone) {
 			continue
 		}
-		if path, ok := g.pingPath(server); ok {
+		if path, ok := g.pingPath(server.Group); ok {
 			go g.pingSilent(serverStart{server.ID, server.Incarnation}, server.Address, path)
 		}
 	}
@@ -129,14 +130,14 @@
 	return false
 }
 
-// pingPath returns where a server is asked for a sign of life; false if it has nothing to ask. The
+// pingPath returns where a server of a group is asked for a sign of life; false if it has nothing to ask. The
 // caller holds mu.
-func (g *Gateway) pingPath(s *directory.Server) (path string, ok bool) {
+func (g *Gateway) pingPath(groupName string) (path string, ok bool) {
 	m := g.manifest.Load()
-	if m == nil || m.Groups[s.Group] == nil {
+	if m == nil || m.Groups[groupName] == nil {
 		return "", false
 	}
-	group := m.Groups[s.Group]
+	group := m.Groups[groupName]
 	if group.Engine != nil {
 		return "", true
 	}
@@ -147,7 +148,7 @@
 func (g *Gateway) pingSilent(s serverStart, address, path string) {
 	ctx, cancel := context.WithTimeout(g.ctx, silencePingTimeout)
 	defer cancel()
-	err := g.engines.Ping(ctx, address, s.server, path)
+	err := g.engines.Ping(ctx, ports.Ping{Address: address, Server: s.server, Path: path})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
--- a/oleander/gateway/unframed_test.go
+++ b/oleander/gateway/unframed_test.go
@@ -59,6 +59,9 @@
 				if got.claimsToBeComplete() {
 					t.Errorf("status %d, framed as complete: %q", got.status, got.body)
 				}
+				if want := eventsText(1, 3); kind == "resumable" && name == "between two events" && got.body != want {
+					t.Errorf("body %q, want the rest from another server: %q", got.body, want)
+				}
 				if name != "half-way" && name != "between two events" && got.status == http.StatusOK && got.err == nil {
 					t.Errorf("looks like a whole stream: %q", got.body)
 				}
@@ -76,15 +79,23 @@
 	}
 }
 
-// askUnframed plays a request to two servers that answer with parts.
+// askUnframed plays a request to two servers that answer with parts. What follows a whole event of a stream of three they
+// send to who asks for it.
 func askUnframed(t *testing.T, path string, stream bool, parts []string) answer {
 	f := newFixture(t, config(1))
 	group, model := "plain", ""
 	if stream {
 		group, model = "llm", "warm"
 	}
+	first := unframed(0, parts...)
 	for i := range 2 {
-		f.backend("s"+strconv.Itoa(i), group, unframed(0, parts...), "warm")
+		f.backend("s"+strconv.Itoa(i), group, func(w http.ResponseWriter, r *http.Request) {
+			if from, err := strconv.Atoi(r.Header.Get(testLast)); err == nil && strings.HasSuffix(strings.Join(parts, ""), "\n\n") {
+				unframed(0, eventsText(from+1, 3))(w, r)
+				return
+			}
+			first(w, r)
+		}, "warm")
 	}
 	return f.ask(http.MethodPost, f.start()+path, testModel, model)
 }
