Responses: a status that HTTP doesn't have is no response

Callers of servers that answer 000, 001, 099 or 101 waited until their timeout and got 504, or got the text of another response from the body as their answer (MIXED); 600 and 999 were passed on. An order, a report, a sign of life and an answer of the store were read from such a body too.

Cause: every status below 200 passed for an informational one, which has no body, and what followed was read as the next response.

Change: a status below 100 or above 599, and a switch of protocols that nobody asked for, is a malformed response; nothing after its head is read. The client of the own interface takes it for a broken attempt.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -236,8 +236,12 @@
 	return errors.Wrap(err, "rawhttp: send request")
 }
 
+// statusEnd is the first number above the status codes of HTTP (RFC 9110, 15).
+const statusEnd = 600
+
 // ReadResponse reads the status line and headers of the response to a request with
-// this method, and skips informational responses. The caller reads the body. Its errors wrap
+// this method, and skips informational responses. A status that HTTP does not have is no response, and what follows
+// it is not read: a body there may hold the text of another response. The caller reads the body. Its errors wrap
 // ErrMalformed if the connection did not fail.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.inHead, c.headBytes = true, c.reader.Buffered()
@@ -250,8 +254,11 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "rawhttp: read response")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case resp.StatusCode >= http.StatusOK && resp.StatusCode < statusEnd:
 			return resp, nil
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode >= statusEnd, resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
 		}
 	}
 }
--- a/oleander/connection/upstream/upstream.go
+++ b/oleander/connection/upstream/upstream.go
@@ -65,8 +65,8 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Do sends r. A response that says that the request did not run is returned as an *Error, and so is any other
-// status of 500 or more unless once, that r must not be sent again, is set. With once, it has to say so by a header:
+// Do sends r. A response that says that the request did not run is returned as an *Error, and so is one with a status
+// that HTTP does not have, or that switches protocols, and any other status of 500 or more unless once, that r must not be sent again, is set. With once, it has to say so by a header:
 // a service may answer 408, 429 or 503 after a run, too, and callers take these statuses for the opposite. The caller
 // must close the body of all other responses.
 func (c *Client) Do(r *http.Request, once bool) (*http.Response, error) {
@@ -74,6 +74,10 @@
 	if err != nil {
 		return nil, c.classifyTransportError(r, err)
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= statusEnd {
+		_ = resp.Body.Close() // what follows such a status is nobody's
+		return nil, &Error{Result: event.AttemptBroken, cause: errors.Errorf("status %03d, which HTTP does not have", resp.StatusCode)}
+	}
 	leaving := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderLeaving) == "true"
 	refused := leaving || resp.Header.Get(HeaderNotRun) == "true" || resp.StatusCode == http.StatusServiceUnavailable && !once
 	if refused {
@@ -90,6 +94,9 @@
 	return resp, nil
 }
 
+// statusEnd is the first number above the status codes of HTTP (RFC 9110, 15).
+const statusEnd = 600
+
 // promisesNotRun reports whether callers take a response status for the promise that the request did not run.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/oleander/connection/upstream/upstream_test.go
+++ b/oleander/connection/upstream/upstream_test.go
@@ -101,6 +101,30 @@
 	}
 }
 
+// Guards against a status that HTTP doesn't have and that callers get, or that ends their connection as it is written.
+func TestStatusThatHTTPDoesNotHave(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		for _, once := range []bool{true, false} {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nUpgrade: x\r\nConnection: Upgrade\r\nContent-Length: 2\r\n\r\nhi")
+			}))
+			client := New()
+			_, err := client.Do(post(t, s.URL), once)
+			var e *Error
+			if !errors.As(err, &e) || e.Result != event.AttemptBroken {
+				t.Errorf("status %s, once %v: %v", status, once, err)
+			}
+			client.Close()
+			s.Close()
+		}
+	}
+}
+
 // TestCrashedServer: a server drops the connection and no longer listens. This must
 // be classified as a crash, since the request may have caused it.
 func TestCrashedServer(t *testing.T) {
