Leases: the answer of another instance is bounded

An instance that asks another one to read or write a lease row decoded whatever came: an answer without end filled its memory until the call's timeout.

The head of a relay's response is bounded as well.

--- a/oleander/gateway/leasecall.go
+++ b/oleander/gateway/leasecall.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -24,7 +25,7 @@
 // hedgeDelay is when an unanswered call is also made through another instance.
 const hedgeDelay = 120 * time.Millisecond
 
-// maxLeaseCallBytes bounds a leaseCall on the wire, which is far shorter.
+// maxLeaseCallBytes bounds a leaseCall and a leaseAnswer on the wire, which are far shorter.
 const maxLeaseCallBytes = 16 << 10
 
 // leaseCall is a read or write of a lease row.
@@ -134,7 +135,7 @@
 		return a, errors.Wrap(err, "gateway: lease call through another instance")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return a, errors.Wrap(json.NewDecoder(resp.Body).Decode(&a), "gateway: lease call through another instance")
+	return a, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxLeaseCallBytes)).Decode(&a), "gateway: lease call through another instance")
 }
 
 // peerReachingStore returns the address of a live instance that reaches the store, or
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -144,6 +144,9 @@
 	return relayedConn{c}, nil
 }
 
+// maxRelayHeadBytes bounds a relay's response, which is a line and two headers.
+const maxRelayHeadBytes = 4 << 10
+
 // requestRelay asks an instance to relay a new connection. It reports whether the relay
 // sends frames.
 func requestRelay(ctx context.Context, c net.Conn, relay, server string) (framed bool, err error) {
@@ -156,7 +159,7 @@
 		return false, errors.Wrap(errRelayFailed, err.Error())
 	}
 	// The server sends nothing before it gets a request, so the reader holds nothing of it.
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(c, maxRelayHeadBytes)), nil)
 	if err != nil {
 		return false, errors.Wrap(errRelayFailed, err.Error())
 	}
