Relays: connections through an instance that stops carry no further requests

Callers of an instance that reaches the servers through others had answers cut as one of those others ended after a planned stop (LOST): streams that may not be repeated, too.

Cause: a relay that stops takes no new connections, but those that are kept go on until its end, and the one used last is used first. A request that begins late in the relay's grace period is cut with it.

Change: an idle connection through an instance that stops, or is not heard, is closed in place of being used again.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -105,6 +105,12 @@
 	return p.get(ctx, address, id, false, p.dialer(address))
 }
 
+// Keeper is implemented by connections of a DialFunc that may have to be left while they are idle.
+type Keeper interface {
+	// Keep reports whether a further request may go over the connection.
+	Keep() bool
+}
+
 // GetIndirect is Get, but opens a new connection with dial. Its errors wrap those of dial.
 func (p *Pool) GetIndirect(ctx context.Context, address, id string, dial DialFunc) (*Conn, error) {
 	return p.get(ctx, address, id, true, dial)
@@ -187,11 +193,14 @@
 
 // usable reports whether the server has neither closed the idle connection nor
 // sent data on it. Unsolicited data would be read as the response to the next
-// request.
+// request. What an indirect connection goes through may have to be left.
 func (c *Conn) usable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if k, ok := c.conn.(Keeper); ok && !k.Keep() {
+		return false
+	}
 	_, err := c.peek()
 	return errors.Is(err, unix.EAGAIN)
 }
--- a/oleander/gateway/confirm.go
+++ b/oleander/gateway/confirm.go
@@ -151,7 +151,7 @@
 		}
 		tried[name] = true
 		var c net.Conn
-		if c, err = dialRelay(ctx, address, server); err == nil {
+		if c, err = dialRelay(ctx, address, server, nil); err == nil {
 			return c, nil
 		}
 	}
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -83,7 +83,9 @@
 			break
 		}
 		tried[name] = true
-		c, err := g.pool.GetIndirect(ctx, t.address, id, func(ctx context.Context) (net.Conn, error) { return dialRelay(ctx, address, t.id) })
+		c, err := g.pool.GetIndirect(ctx, t.address, id, func(ctx context.Context) (net.Conn, error) {
+			return dialRelay(ctx, address, t.id, func() bool { return g.remains(name) })
+		})
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
@@ -125,8 +127,17 @@
 	return name, addresses[name]
 }
 
-// dialRelay opens a connection to a server through the instance at an address.
-func dialRelay(ctx context.Context, relay, server string) (net.Conn, error) {
+// remains reports whether an instance is heard and does not stop.
+func (g *Gateway) remains(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members.Get(name)
+	return m != nil && m.Live(boottime.Now()) && !m.Leaving
+}
+
+// dialRelay opens a connection to a server through the instance at an address. It is kept for further requests as long as
+// keep says so: those that come late in the grace period of a relay that stops would be cut at its end.
+func dialRelay(ctx context.Context, relay, server string, keep func() bool) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
 	defer cancel()
 	c, err := rawhttp.DialTCP(ctx, relay, links.ProbeTimeout)
@@ -139,9 +150,9 @@
 		_ = c.Close()
 		return nil, err
 	case framed:
-		return &framedConn{relayedConn: relayedConn{c}}, nil
+		return &framedConn{relayedConn: relayedConn{c, keep}}, nil
 	}
-	return relayedConn{c}, nil
+	return relayedConn{c, keep}, nil
 }
 
 // maxRelayHeadBytes bounds a relay's response, which is a line and two headers.
--- a/oleander/gateway/relayconn_test.go
+++ b/oleander/gateway/relayconn_test.go
@@ -111,7 +111,7 @@
 			if _, err := io.WriteString(server, part); err != nil {
 				t.Fatal(err)
 			}
-			c := &framedConn{relayedConn: relayedConn{instance}}
+			c := &framedConn{relayedConn: relayedConn{Conn: instance}}
 			_ = c.SetReadDeadline(time.Now().Add(testutil.Timeout))
 			got := make([]byte, len(part))
 			if _, err := io.ReadFull(c, got); err != nil || string(got) != part {
--- a/oleander/gateway/relayframe.go
+++ b/oleander/gateway/relayframe.go
@@ -48,7 +48,13 @@
 }
 
 // relayedConn is a connection to a server through a relay.
-type relayedConn struct{ net.Conn }
+type relayedConn struct {
+	net.Conn
+	keep func() bool // nil: always
+}
+
+// Keep implements rawhttp.Keeper.
+func (c relayedConn) Keep() bool { return c.keep == nil || c.keep() }
 
 // SyscallConn implements syscall.Conn.
 func (c relayedConn) SyscallConn() (syscall.RawConn, error) {
--- a/oleander/gateway/relayunread_test.go
+++ b/oleander/gateway/relayunread_test.go
@@ -25,7 +25,7 @@
 	if c, ok := server.(interface{ CloseWrite() error }); ok {
 		_ = c.CloseWrite()
 	}
-	c := &framedConn{relayedConn: relayedConn{instance}}
+	c := &framedConn{relayedConn: relayedConn{Conn: instance}}
 	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	if all, err := io.ReadAll(c); err != nil || string(all) != "whole" {
 		t.Errorf("got %q, error %v, want the whole response and its end", all, err)
--- a/oleander/gateway/tornrelay_test.go
+++ b/oleander/gateway/tornrelay_test.go
@@ -24,7 +24,7 @@
 	var frame bytes.Buffer
 	_, _ = frameWriter{&frame}.Write(part)
 	instance, relay := tcpPair(t)
-	c := &framedConn{relayedConn: relayedConn{instance}}
+	c := &framedConn{relayedConn: relayedConn{Conn: instance}}
 	_, _ = relay.Write(frame.Bytes()[:1])
 	_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
 	if n, err := c.Read(make([]byte, 1)); n != 0 || !isTimeout(err) {
@@ -72,7 +72,7 @@
 			}
 		}
 	}()
-	c := &framedConn{relayedConn: relayedConn{instance}}
+	c := &framedConn{relayedConn: relayedConn{Conn: instance}}
 	_, _ = io.WriteString(server, "part")
 	if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
 		return err
@@ -97,9 +97,9 @@
 	instance, relay := tcpPair(s.t)
 	go s.relayTorn(relay, server, framed)
 	if framed {
-		return &framedConn{relayedConn: relayedConn{instance}}, nil
+		return &framedConn{relayedConn: relayedConn{Conn: instance}}, nil
 	}
-	return relayedConn{instance}, nil
+	return relayedConn{Conn: instance}, nil
 }
 
 func (s *tornServers) relayTorn(instance, server net.Conn, framed bool) {
