Planner: an engine that is busy after its load gets no order

Cause: while a zone is cut off its own planner orders its engines. Afterwards the fleet's planner still has a load of its own in its books. A report that names that model ends the load; that the engine is busy, with the other planner's order, was dropped.

Change: the engine is queried again before it gets an order.

--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -235,6 +235,7 @@
 		if h.Model == e.loading.model {
 			e.finishLoad(now)
 			e.adoptState(now, r.Sequence, r.LoadedModels)
+			e.needsQuery = r.Busy // with the order of another planner, whose model the report does not name yet
 			return
 		}
 	}
--- a/core/gateway/placer/late_test.go
+++ b/core/gateway/placer/late_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleanderdale.org/core/clock"
+	"oleanderdale.org/core/gateway/directory"
 )
 
 // restartUnderOrder plays an engine that is full and swaps, and restarts as it gets the order to load. It
@@ -220,3 +221,31 @@
 		}
 	}
 }
+
+// Guards against an order beyond an engine's memory: a report shows the end of this planner's load, and the engine is busy
+// with a load of another planner.
+func TestBusyEngineAfterItsLoadGetsNoOrder(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 5)
+	e := sim.engines["e00"]
+	delete(e.models, model(0))
+	e.onDisk = sortedKeys(sim.config.Models)
+	sim.writeEntry(e)
+	sim.run(time.Second, 0, nil)
+	sim.request(Key{Model: model(3)})
+	state := sim.placer.engines[e.id]
+	for end := sim.now.Add(time.Second); state.loading == nil; sim.tick() {
+		if sim.now > end {
+			t.Fatal("no load began")
+		}
+	}
+	report := Report{Sequence: e.sequence + 1, Busy: true, LoadedModels: append(e.loadedModels(), directory.LoadedModel{Model: state.loading.model})}
+	sim.placer.HandleReport(sim.now, e.id, e.incarnation, sim.now, report)
+	if state.canTakeOrder(sim.now) {
+		t.Errorf("the engine takes an order while it loads a model that nobody counts")
+	}
+	report.Busy = false
+	sim.placer.HandleReport(sim.now, e.id, e.incarnation, sim.now, report)
+	if !state.canTakeOrder(sim.now) {
+		t.Errorf("the engine takes no order though it is free")
+	}
+}
