--- a/core/gateway/placer/late_test.go
+++ b/core/gateway/placer/late_test.go
@@ -48,6 +48,25 @@
 	return o.Precondition == e.sequence && !holds && e.loading == "" && float64(held+1)*modelMB > sim.config.MemoryMB
 }
 
+// fillBeside asks for three models until a time after an order was sent that got no response, which must not overfill the
+// engine whenever it arrives; the engine must hold the three once it can't.
+func (sim *simulation) fillBeside(e *fakeEngine, late Order, sentAt clock.Time, until time.Duration) {
+	full := 0
+	for i := 0; sim.now.Sub(sentAt) < until; i++ {
+		if i%100 == 0 {
+			sim.request(Key{Group: group, Model: model(i / 100 % 3)})
+		}
+		sim.tick()
+		if sim.now.Sub(sentAt) <= 12*time.Second && sim.overfills(e, late) {
+			sim.t.Fatalf("%v after the order was sent: count %d, %d models, so that it overfills the engine", sim.now.Sub(sentAt), e.sequence, len(e.models))
+		}
+		full = max(full, len(e.models))
+	}
+	if full != 3 {
+		sim.t.Errorf("%d models at most, want 3 once the order can't arrive any more", full)
+	}
+}
+
 // Guards against an order that overfills its engine, which has started again since it was sent.
 func TestOrderFromBeforeARestartFits(t *testing.T) {
 	for _, tc := range []struct {
@@ -68,20 +87,7 @@
 			}
 			sim.restart(e)
 			clear(sim.demand)
-			full := 0
-			for i := 0; sim.now.Sub(sentAt) < 20*time.Second; i++ {
-				if i%100 == 0 {
-					sim.request(Key{Group: group, Model: model(i / 100 % 3)})
-				}
-				sim.tick()
-				if sim.now.Sub(sentAt) <= 12*time.Second && sim.overfills(e, late) {
-					t.Fatalf("%v after the order was sent: count %d, %d models, so that it overfills the engine", sim.now.Sub(sentAt), e.sequence, len(e.models))
-				}
-				full = max(full, len(e.models))
-			}
-			if full != 3 {
-				t.Errorf("%d models at most, want 3 once the order can't arrive any more", full)
-			}
+			sim.fillBeside(e, late, sentAt, 20*time.Second)
 		})
 	}
 }
@@ -157,20 +163,7 @@
 			sentAt := sim.now
 			clear(sim.demand)
 			tc.takeOver(sim, e)
-			full := 0
-			for i := 0; sim.now.Sub(sentAt) < 25*time.Second; i++ {
-				if i%100 == 0 {
-					sim.request(Key{Group: group, Model: model(i / 100 % 3)})
-				}
-				sim.tick()
-				if sim.now.Sub(sentAt) <= 12*time.Second && sim.overfills(e, late) {
-					t.Fatalf("%v after the order was sent: count %d, %d models, so that it overfills the engine", sim.now.Sub(sentAt), e.sequence, len(e.models))
-				}
-				full = max(full, len(e.models))
-			}
-			if full != 3 {
-				t.Errorf("%d models at most, want 3 once the order can't arrive any more", full)
-			}
+			sim.fillBeside(e, late, sentAt, 25*time.Second)
 		})
 	}
 }
