Planner: room is kept for orders of unknown planners, in place of no orders

Causes: an engine got no orders at all, where room for what may arrive is enough; a zone's holder that planned for some milliseconds while the fleet's planner was not heard yet held back all that planner's orders to restarted engines for 12.5 s; and an ID that was new to an instance counted as a restart for half a minute after its start.

Change: room for one model and four adapters is kept. The zone's holder holds an order back only if one of its own, without a response, may come beside it. Instances tell each other for how long they have known which servers ended, and at the first start of the whole system nothing was ordered before.

--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -239,7 +239,8 @@
 		return
 	}
 	d.noteSoftware(now, d.servers[id])
-	d.noteGone(now, d.servers[id])
+	s := d.servers[id]
+	d.noteGone(now, id, goneServer{incarnation: s.Incarnation, restartedAt: s.restartedAt, at: now})
 	delete(d.servers, id)
 	d.ids, d.groups = nil, nil
 }
--- a/core/gateway/directory/restart.go
+++ b/core/gateway/directory/restart.go
@@ -8,10 +8,10 @@
 
 const (
 	// restartMemory is how long a restart under the same ID, and an ID without an entry, are remembered:
-	// longer than an order can be on its way.
-	restartMemory = 30 * time.Second
-	// clockError is by how much the clocks of a server and of this instance may differ.
-	clockError = 5 * time.Second
+	// longer than an order can be on its way that was sent before its sender knew of the restart.
+	restartMemory = 17 * time.Second
+	// clockError is by how much the clocks of a server and of this instance may differ, one of which has jumped.
+	clockError = 2500 * time.Millisecond
 )
 
 // goneServer is what is remembered of a server whose entry is gone.
@@ -21,20 +21,27 @@
 	at          clock.Time
 }
 
-// RestartedAt returns when the server may have started again under its ID, at the latest; 0 if it did not
-// within the last half minute.
+// RestartedAt returns when the server may have started again under its ID, at the latest; 0 if it did not, or long ago.
 func (s *Server) RestartedAt() clock.Time { return s.restartedAt }
 
-// SetComplete records that all entries were read once.
-func (d *Directory) SetComplete(now clock.Time) {
+// SetComplete records that all entries were read, and that the IDs of all servers are known that ended within a time.
+func (d *Directory) SetComplete(now clock.Time, endsKnownFor time.Duration) {
+	if since := now.Add(-endsKnownFor); !d.complete || since < d.completeAt {
+		d.complete, d.completeAt = true, since
+	}
+}
+
+// EndsKnownFor returns how long the IDs of all servers that end are known; 0 if they are not.
+func (d *Directory) EndsKnownFor(now clock.Time) time.Duration {
 	if !d.complete {
-		d.complete, d.completeAt = true, now
+		return 0
 	}
+	return now.Sub(d.completeAt)
 }
 
 // knewEarlierStarts reports whether the ID of each server that ended lately is known.
 func (d *Directory) knewEarlierStarts(now clock.Time) bool {
-	return d.complete && now.Sub(d.completeAt) > restartMemory
+	return d.EndsKnownFor(now) > restartMemory
 }
 
 // restartOf returns when the server of an entry may have started again under its ID. old is the server as
@@ -55,12 +62,17 @@
 	return max(1, now.Add(-max(0, e.Age-clockError)))
 }
 
+// NoteGone remembers a server whose entry was gone before it was known here.
+func (d *Directory) NoteGone(now clock.Time, id string, incarnation int64) {
+	d.noteGone(now, id, goneServer{incarnation: incarnation, at: now})
+}
+
 // noteGone remembers a server whose entry is gone.
-func (d *Directory) noteGone(now clock.Time, s *Server) {
+func (d *Directory) noteGone(now clock.Time, id string, s goneServer) {
 	for id, g := range d.gone {
 		if now.Sub(g.at) > restartMemory {
 			delete(d.gone, id)
 		}
 	}
-	d.gone[s.ID] = goneServer{incarnation: s.Incarnation, restartedAt: s.restartedAt, at: now}
+	d.gone[id] = s
 }
--- a/core/gateway/placer/candidates.go
+++ b/core/gateway/placer/candidates.go
@@ -81,7 +81,11 @@
 		c.readyIn = max(c.readyIn, time.Duration(float64(c.readyIn)*float64(p.storeLoads()+1)/float64(concurrency)))
 	}
 	if e.usedMB()+spec.WeightsMB > e.config.MemoryMB {
-		if victim, ok := p.chooseVictim(now, e, urgent); ok {
+		victim, ok := p.chooseVictim(now, e, urgent)
+		if ok && e.unknownMB > 0 && e.usedMB()-e.config.Models[victim].WeightsMB+spec.WeightsMB > e.config.MemoryMB {
+			return candidate{}, false // the room that is kept would take what the unload frees
+		}
+		if ok {
 			c.victim, c.victimIdle = victim, now.Sub(e.models[victim].lastUsed)
 		} else {
 			c.blocked = true
@@ -93,7 +97,7 @@
 	if e.loading != nil {
 		c.readyIn += max(0, e.loading.expectedAt.Sub(now))
 	}
-	c.readyIn += max(0, e.heldUntil.Sub(now)) + p.queuedWork[e]
+	c.readyIn += p.queuedWork[e]
 	// A load hardly slows the requests that run on the engine, but the first tokens of the
 	// new model wait behind them, so an engine with fewer requests is preferred.
 	c.readyIn += time.Duration(e.server.Running()) * time.Millisecond
--- a/core/gateway/placer/lane.go
+++ b/core/gateway/placer/lane.go
@@ -31,7 +31,9 @@
 	// reportedIncarnation is that start; 0: not told.
 	reportedIncarnation int64
 	toldHeldUntil       clock.Time  // heldUntil at the last call of NewlyHeld
-	heldUntil           clock.Time  // it gets no orders before: see Placer.heldUntil
+	heldUntil           clock.Time  // room is kept until then: see Placer.keepRoom
+	unknownMB           float64     // room kept for orders of other planners
+	unknownAdapters     int         // adapters for which room is kept
 	late                []lateOrder // orders to earlier starts that may still be carried out
 	loading             *modelLoad  // an accepted load of a model
 	conflicts           int         // orders in a row refused as busy
@@ -209,7 +211,7 @@
 
 // canTakeOrder reports whether the engine can take an order now.
 func (e *engineState) canTakeOrder(now clock.Time) bool {
-	return e.known && !e.leaving && e.reachability == Reachable && !e.needsQuery && e.pending == nil && e.loading == nil && now.Reached(e.retryAt) && now.Reached(e.heldUntil)
+	return e.known && !e.leaving && e.reachability == Reachable && !e.needsQuery && e.pending == nil && e.loading == nil && now.Reached(e.retryAt)
 }
 
 // queryDue reports whether the engine must be queried for its state now.
@@ -318,7 +320,7 @@
 // usedMB returns the memory in use by models and adapters, including a load in progress, and what orders
 // to earlier starts may still take.
 func (e *engineState) usedMB() float64 {
-	total := e.lateMB()
+	total := e.lateMB() + e.unknownMB
 	for name, m := range e.models {
 		spec := e.config.Models[name]
 		total += spec.WeightsMB + float64(len(m.adapters))*spec.AdapterMB
@@ -332,7 +334,7 @@
 // adapterCount returns the number of adapters of all models, and of those that orders to earlier starts
 // may still load.
 func (e *engineState) adapterCount() int {
-	n := e.lateAdapters()
+	n := e.lateAdapters() + e.unknownAdapters
 	for _, m := range e.models {
 		n += len(m.adapters)
 	}
--- a/core/gateway/placer/late.go
+++ b/core/gateway/placer/late.go
@@ -15,19 +15,27 @@
 // order names comes back. So the memory of a new start is planned as if each such order may still be
 // carried out, until the count is past it.
 //
-// A planner does not know such orders of the planners before it, nor how many there are: one may make
-// way for the next. An engine that may have started again since they were sent gets no orders from it
-// until they can't arrive any more. Until then it holds what these orders load at most, which fitted
-// into its earlier start.
+// A planner does not know such orders of the planners before it. On an engine that may have started again
+// since they were sent it keeps room for one model and some adapters until they can't arrive any more. One
+// that arrives makes the engine busy, and the count that the next one names is passed by the next order
+// that the engine gets.
 
 // maxOrderDelay is how long an order may be on its way, by the platform's pages, with a margin for the
 // clocks.
 const maxOrderDelay = 12*time.Second + 500*time.Millisecond
 
+// maxRestartLag is how long after an engine's start orders to the earlier one may still be sent: until all
+// instances have read its entry.
+const maxRestartLag = 2500 * time.Millisecond
+
+// unknownAdapters is for how many adapters of other planners room is kept; they make no engine busy.
+const unknownAdapters = 4
+
 // lateOrder is an order to load that may still be carried out at a later start of its engine.
 type lateOrder struct {
 	Order
-	until clock.Time
+	until     clock.Time
+	forwarded bool // of another planner, which knows of it
 }
 
 // TakeOver says that other planners may have given orders until now.
@@ -49,13 +57,21 @@
 	}
 }
 
-// heldUntil returns before when an engine gets no orders.
-func (p *Placer) heldUntil(now clock.Time, e *engineState) clock.Time {
+// keepRoom sets for what room is kept on an engine, and until when.
+func (p *Placer) keepRoom(now clock.Time, e *engineState) {
 	takenOver, ok := p.takenOver[e.server.Zone]
 	if !ok {
 		takenOver = now
 	}
-	return HeldUntil(max(e.server.RestartedAt(), e.restartedAt), takenOver)
+	e.heldUntil = HeldUntil(max(e.server.RestartedAt(), e.restartedAt), takenOver)
+	e.unknownMB, e.unknownAdapters = 0, 0
+	if now.Reached(e.heldUntil) {
+		return
+	}
+	for _, m := range e.config.Models {
+		e.unknownMB = max(e.unknownMB, m.WeightsMB)
+	}
+	e.unknownAdapters = min(unknownAdapters, e.config.AdapterSlots/2)
 }
 
 // restartedSinceEntry reports whether a report shows that the engine has started again since it wrote its
@@ -89,14 +105,14 @@
 	e.sequence, e.changedAt = -1, 0
 }
 
-// HeldEngine is an engine that gets no orders for a while, since unknown ones may still arrive.
+// HeldEngine is an engine on which room is kept for a while, since unknown orders may still arrive.
 type HeldEngine struct {
 	Server   string
 	For      time.Duration
 	ByReport bool // its report shows the restart, its entry does not
 }
 
-// NewlyHeld returns the engines that get no orders since the last call.
+// NewlyHeld returns the engines on which room is kept since the last call.
 func (p *Placer) NewlyHeld(now clock.Time) []HeldEngine {
 	var held []HeldEngine
 	for _, e := range p.sortedEngines {
@@ -108,34 +124,46 @@
 	return held
 }
 
-// HeldUntil returns before when an engine that started again at a time, 0 if it did not, gets no orders from a
-// planner that knows those since takenOver.
+// HeldUntil returns until when unknown orders may arrive at an engine that started again at a time, 0 if it did not,
+// for a planner that knows those since takenOver.
 func HeldUntil(restartedAt, takenOver clock.Time) clock.Time {
 	if restartedAt == 0 {
 		return 0
 	}
-	return min(takenOver, restartedAt.Add(maxEntryLag)).Add(maxOrderDelay)
+	return min(takenOver, restartedAt.Add(maxRestartLag)).Add(maxOrderDelay)
 }
 
-// RecordUnanswered records an order of another planner that was sent here and got no response.
-func (p *Placer) RecordUnanswered(now clock.Time, o Order) {
+// RecordForwarded records an order of another planner that was sent here and got no response.
+func (p *Placer) RecordForwarded(now clock.Time, o Order) {
 	p.expireLateOrders(now)
-	p.recordUnanswered(o, now)
+	p.record(lateOrder{Order: o, until: now.Add(maxOrderDelay), forwarded: true})
+}
+
+// MayGetOwnOrder reports whether an order of this planner to an earlier start may be carried out after another
+// planner's order to an engine, or before it.
+func (p *Placer) MayGetOwnOrder(now clock.Time, o Order) bool {
+	return slices.ContainsFunc(p.lateOrders[o.Server], func(l lateOrder) bool {
+		return !l.forwarded && now.Before(l.until) && l.Incarnation != o.Incarnation && l.Precondition >= o.Precondition
+	})
 }
 
 // recordUnanswered records that a copy of an order that was sent at a time got no response.
 func (p *Placer) recordUnanswered(o Order, sentAt clock.Time) {
+	p.record(lateOrder{Order: o, until: sentAt.Add(maxOrderDelay)})
+}
+
+func (p *Placer) record(o lateOrder) {
 	if o.Kind != Load {
 		return // it takes no memory
 	}
 	late := p.lateOrders[o.Server]
 	for i := range late {
-		if late[i].Order == o {
-			late[i].until = max(late[i].until, sentAt.Add(maxOrderDelay))
+		if late[i].Order == o.Order && late[i].forwarded == o.forwarded {
+			late[i].until = max(late[i].until, o.until)
 			return
 		}
 	}
-	p.lateOrders[o.Server] = append(late, lateOrder{o, sentAt.Add(maxOrderDelay)})
+	p.lateOrders[o.Server] = append(late, o)
 }
 
 // recordAbandoned records the order that an engine's state is dropped with.
--- a/core/gateway/placer/placer.go
+++ b/core/gateway/placer/placer.go
@@ -300,8 +300,8 @@
 			e.setReachability(p.reachability(s.Zone))
 		}
 		e.setLateOrders(p.lateOrders[s.ID])
-		e.heldUntil = p.heldUntil(now, e)
 		p.observeLoad(now, e, func() { e.syncEntry(now, s, s.PublishedEntry(), g.Engine) })
+		p.keepRoom(now, e)
 	}
 	for id, e := range p.engines {
 		if !present[id] {
--- a/core/gateway/placer/plan.go
+++ b/core/gateway/placer/plan.go
@@ -29,7 +29,7 @@
 func (p *Placer) resendUnanswered(now clock.Time) []Order {
 	var orders []Order
 	for _, e := range p.sortedEngines {
-		if pending := e.pending; pending != nil && e.known && !pending.inFlight && now.Sub(pending.sentAt) >= resendDelay && !e.server.ZoneClosed() && e.reachability == Reachable && now.Reached(e.heldUntil) {
+		if pending := e.pending; pending != nil && e.known && !pending.inFlight && now.Sub(pending.sentAt) >= resendDelay && !e.server.ZoneClosed() && e.reachability == Reachable {
 			pending.sentAt, pending.inFlight, pending.resent = now, true, true
 			orders = append(orders, pending.order)
 		}
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -224,7 +224,6 @@
 	forwardedOrders forwardedOrders // orders that other instances were asked to send
 	reports         reportQueue
 	planScope       placer.Scope // scope of the last plan
-	zonePlannedAt   clock.Time   // last plan for this zone alone; 0: never
 	plannedAt       clock.Time   // time of the last plan
 	placer          *placer.Placer
 	outlook         *outlook.Tracker[placer.Key]
--- a/oleander/gateway/housekeep.go
+++ b/oleander/gateway/housekeep.go
@@ -116,9 +116,6 @@
 	pause := housekeepInterval
 	if scope != placer.ScopeNone {
 		g.outlook.RecordHolder(now, now.Add(promiseDuration), now)
-		if scope == placer.ScopeZone {
-			g.zonePlannedAt = now
-		}
 		orders, reports = g.plan(now, scope)
 		if scope == placer.ScopeFleet {
 			messages = append(messages, g.publishServers(now)...)
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -36,7 +36,7 @@
 	g.placer.Sync(now, g.enginesInScope(scope), m.Groups)
 	for _, h := range g.placer.NewlyHeld(now) {
 		g.log.Info().Str("server", h.Server).Dur("for", h.For).Bool("by_report", h.ByReport).
-			Msg("placer: engine started again, held back until orders of other planners can't arrive")
+			Msg("placer: engine started again, room is kept until orders of other planners can't arrive")
 	}
 	orders := g.placer.Plan(now)
 	for _, id := range g.placer.DueQueries(now) {
--- a/oleander/gateway/passorder.go
+++ b/oleander/gateway/passorder.go
@@ -100,12 +100,10 @@
 }
 
 // sendForwarded sends an order that another instance planned. An engine that started again may still get
-// orders that this instance planned while it did not hear the other one, which does not know of them.
+// orders without a response that this instance planned while it did not hear the other one, which does not know of them.
 func (g *Gateway) sendForwarded(o placer.Order) placer.OrderResult {
-	now := boottime.Now()
 	g.mu.Lock()
-	s := g.servers.Get(o.Server)
-	held := g.zonePlannedAt != 0 && s != nil && now.Before(placer.HeldUntil(s.RestartedAt(), g.zonePlannedAt))
+	held := g.placer.MayGetOwnOrder(boottime.Now(), o)
 	g.mu.Unlock()
 	if held {
 		g.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("model", o.Model).Msg("placer: forwarded order held back, an earlier one may still arrive")
@@ -114,7 +112,7 @@
 	result := g.sendOrder(o)
 	if result == placer.NoResponse {
 		g.mu.Lock()
-		g.placer.RecordUnanswered(boottime.Now(), o)
+		g.placer.RecordForwarded(boottime.Now(), o)
 		g.mu.Unlock()
 	}
 	return result
--- a/oleander/gateway/serverread.go
+++ b/oleander/gateway/serverread.go
@@ -19,6 +19,8 @@
 	catalog.Read
 	began   clock.Time
 	fencing int64 // of the lease holder known when the read began
+	// endsKnownFor is for how long the instance that gave the entries had known the IDs of all servers that ended.
+	endsKnownFor time.Duration
 }
 
 // loadServers reads all entries at least at a revision, from another instance of the zone
@@ -140,7 +142,10 @@
 		}
 	}
 	g.serversComplete, g.serversOffered = true, !g.serversDoubtful
-	g.servers.SetComplete(now)
+	if g.atFirstStart(now) {
+		r.endsKnownFor = firstStartKnown
+	}
+	g.servers.SetComplete(now, r.endsKnownFor)
 	g.log.Info().Str("source", source).Int("servers", r.Count()).Int("pages", r.Pages()).Dur("duration", now.Sub(r.began)).
 		Int64("era", r.At().Era).Int64("version", r.At().Version).Msg("servers: all entries read")
 }
@@ -199,6 +204,14 @@
 // can have started again.
 const firstOrderDelay = 2 * time.Second
 
+// firstStartKnown stands for all the time before the first start, in which no server was ordered.
+const firstStartKnown = time.Hour
+
+// atFirstStart reports whether no instance can have given orders yet.
+func (g *Gateway) atFirstStart(now clock.Time) bool {
+	return g.settings.FirstStart && now.Sub(g.started) < firstOrderDelay
+}
+
 // putServer stores an entry in the directory. The caller holds mu.
 func (g *Gateway) putServer(now clock.Time, e directory.Entry) {
 	if g.isStaleEntry(now, e.ID, e.Incarnation) {
@@ -207,7 +220,7 @@
 	g.lapse.Forget(e.ID)
 	delete(g.removedServers, e.ID)
 	delete(g.publisher.gone, e.ID)
-	if g.settings.FirstStart && now.Sub(g.started) < firstOrderDelay {
+	if g.atFirstStart(now) {
 		e.Age = 0 // nobody gave orders before
 	}
 	old := g.servers.Get(e.ID)
--- a/oleander/gateway/transfer.go
+++ b/oleander/gateway/transfer.go
@@ -58,6 +58,8 @@
 	Servers []serverEntryMsg `cbor:"4,keyasint,omitempty"`
 	Gone    []serverGoneMsg  `cbor:"5,keyasint,omitempty"` // in the first page: removed recently
 	Others  []string         `cbor:"6,keyasint,omitempty"`
+	// EndsKnownMS is for how long the sender has known the IDs of all servers that ended.
+	EndsKnownMS int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // serverEntryMsg is the entry of a server. Zero values are left out.
@@ -129,6 +131,8 @@
 	end     string           // the entries from this ID on are not known yet; "": all are known
 	entries []serverEntryMsg // sorted by ID
 	gone    []serverGoneMsg
+	// endsKnownFor is for how long the IDs of all servers that ended were known.
+	endsKnownFor time.Duration
 
 	mu    sync.Mutex
 	pages map[string]encodedPage // by the ID at which they begin
@@ -167,7 +171,7 @@
 	if s := g.serversSnapshot; s != nil && now.Sub(s.madeAt) < snapshotAge && !s.at.Before(least) && s.at.Era == at.Era && s.end == end {
 		return s
 	}
-	s := &serversSnapshot{madeAt: now, at: at, end: end, pages: make(map[string]encodedPage)}
+	s := &serversSnapshot{madeAt: now, at: at, end: end, endsKnownFor: g.servers.EndsKnownFor(now), pages: make(map[string]encodedPage)}
 	for _, id := range g.servers.IDs() {
 		if v := g.servers.Get(id); end == "" || id < end && g.serversPartial.Includes(id, v.Revision) {
 			s.entries = append(s.entries, encodeServerEntry(now, v))
@@ -204,7 +208,7 @@
 		return 0
 	})
 	end := min(begin+serversPerPage, len(s.entries))
-	m := serversPageMsg{Era: s.at.Era, Version: s.at.Version, Servers: s.entries[begin:end], Next: s.end}
+	m := serversPageMsg{Era: s.at.Era, Version: s.at.Version, Servers: s.entries[begin:end], Next: s.end, EndsKnownMS: s.endsKnownFor.Milliseconds()}
 	if end < len(s.entries) {
 		m.Next = s.entries[end].ID
 	}
@@ -304,6 +308,7 @@
 			page.Entries = append(page.Entries, p.Servers[i].decode())
 		}
 		g.handleTransferredGone(p.Gone)
+		r.endsKnownFor = millis(p.EndsKnownMS)
 		switch g.handleServersPage(&r, page, step.From) {
 		case catalog.Restart:
 			return unreadRevision, &transferRefusal{answer: catalog.Incomplete}
@@ -389,6 +394,7 @@
 			g.removeServer(now, m.ID, at)
 		case s == nil && (!remembered || known.goneRevision.Before(at)):
 			g.removedServers[m.ID] = removedServer{incarnation: m.Incarnation, removedAt: now, goneRevision: at}
+			g.servers.NoteGone(now, m.ID, m.Incarnation)
 		}
 	}
 }
