Planner: reports of engines come through another instance if there is no connection

What callers saw: while the instance that plans for the fleet reached no server, an engine that started got no order, and its models counted as not loaded at all instances.

Cause: reports were fetched from the planner directly alone. An engine without one is unknown and gets no order. A report for which there was no connection is asked for through another instance now, as requests are.

FetchReport and Ping take a route; rawhttp.DoOnce, which only tests still used, is DoOver.

--- a/oleander/connection/rawhttp/rawhttp.go
+++ b/oleander/connection/rawhttp/rawhttp.go
@@ -334,19 +334,8 @@
 	return resp, body, nil
 }
 
-// DoOnce is Do on a connection of its own, which it closes after the response. A late copy of an earlier
-// response can't be taken for the one to this request.
-func DoOnce(ctx context.Context, address string, dialTimeout time.Duration, r Request, limit int64) (*http.Response, []byte, error) {
-	dial := func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, address, dialTimeout) }
-	resp, body, err := DoOver(ctx, address, dial, r, limit)
-	var failed *dialError
-	if errors.As(err, &failed) {
-		err = errors.Wrap(ErrNotSent, err.Error())
-	}
-	return resp, body, err
-}
-
-// DoOver is DoOnce on a connection that dial opens. A failure to open it keeps its cause.
+// DoOver is Do on a connection of its own, which dial opens and which is closed after the response. A late copy of an
+// earlier response can't be taken for the one to this request. If dial fails, the error wraps ErrNotSent and that of dial.
 func DoOver(ctx context.Context, address string, dial DialFunc, r Request, limit int64) (*http.Response, []byte, error) {
 	conn, err := dial(ctx)
 	if err != nil {
@@ -360,8 +349,8 @@
 // dialError is the error of a connection that was not opened.
 type dialError struct{ error }
 
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error { return e.error }
+// Unwrap returns the cause and ErrNotSent.
+func (e *dialError) Unwrap() []error { return []error{e.error, ErrNotSent} }
 
 // roundTrip sends a request and reads the complete response. The connection is aborted if this fails, and
 // if ctx has ended.
--- a/oleander/connection/rawhttp/torn_test.go
+++ b/oleander/connection/rawhttp/torn_test.go
@@ -168,7 +168,8 @@
 			for cut := range len(answer) {
 				s := startServer(t, "!"+answer[:cut])
 				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-				if _, body, err := DoOnce(ctx, s.address, time.Second, Request{Method: "POST", Target: "/", Host: "h"}, 1<<20); err == nil {
+				dial := func(ctx context.Context) (net.Conn, error) { return DialTCP(ctx, s.address, time.Second) }
+				if _, body, err := DoOver(ctx, s.address, dial, Request{Method: "POST", Target: "/", Host: "h"}, 1<<20); err == nil {
 					t.Errorf("cut after %q: body %q", answer[:cut], body)
 				}
 				cancel()
--- a/oleander/gateway/confirm.go
+++ b/oleander/gateway/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -117,21 +116,21 @@
 	case restarted:
 		state = ending.Ended
 	case known:
-		ping := ports.Ping{Address: t.address, Server: t.id, Path: path}
+		to := ports.Route{Address: t.address, Server: t.id}
 		if relayed {
-			ping.Dial = func(ctx context.Context) (net.Conn, error) { return g.dialAnyRelay(ctx, t.id) }
+			to = g.relayedRoute(to)
 		}
-		state = g.pingState(x.r.Context(), ping)
+		state = g.pingState(x.r.Context(), to, path)
 	}
 	g.metrics.unconfirmedEnd(state)
 	return state
 }
 
 // pingState pings a server.
-func (g *Gateway) pingState(ctx context.Context, ping ports.Ping) ending.ServerState {
+func (g *Gateway) pingState(ctx context.Context, to ports.Route, path string) ending.ServerState {
 	ctx, cancel := context.WithTimeout(ctx, signOfLifeTimeout)
 	defer cancel()
-	switch err := g.engines.Ping(ctx, ping); {
+	switch err := g.engines.Ping(ctx, to, path); {
 	case err == nil:
 		return ending.Lives
 	case errors.Is(err, ports.ErrServerEnded):
@@ -139,21 +138,3 @@
 	}
 	return ending.Silent
 }
-
-// dialAnyRelay connects to a server through another instance.
-func (g *Gateway) dialAnyRelay(ctx context.Context, server string) (net.Conn, error) {
-	tried := make(map[string]bool)
-	err := error(errNoRelay)
-	for range maxRelays {
-		name, address := g.chooseRelay(tried)
-		if name == "" || ctx.Err() != nil {
-			break
-		}
-		tried[name] = true
-		var c net.Conn
-		if c, err = dialRelay(ctx, address, server, nil); err == nil {
-			return c, nil
-		}
-	}
-	return nil, err
-}
--- a/oleander/gateway/fake_test.go
+++ b/oleander/gateway/fake_test.go
@@ -205,20 +205,21 @@
 
 // fixture is one or more gateways with backends.
 type fixture struct {
-	t         *testing.T
-	store     *portstest.MemoryStore
-	wrapStore func(ports.Store) ports.Store // wraps the store for each gateway
-	engines   *portstest.MemoryEngines
-	gateways  []*Gateway
-	stops     []chan struct{}
-	cancels   []context.CancelFunc // end a gateway at once
-	ended     []chan struct{}
-	log       logBuffer         // of all gateways
-	regions   map[string]string // by zone; may be nil
-	zones     []string          // of the gateways in order; further ones are in zone z
-	memory    int64             // bound of each gateway; 0: none
-	slots     int               // of each server; 0: 4
-	asked     atomic.Int64      // requests of callers
+	t           *testing.T
+	store       *portstest.MemoryStore
+	wrapStore   func(ports.Store) ports.Store // wraps the store for each gateway
+	wrapEngines func(gateway int, e ports.Engines) ports.Engines
+	engines     *portstest.MemoryEngines
+	gateways    []*Gateway
+	stops       []chan struct{}
+	cancels     []context.CancelFunc // end a gateway at once
+	ended       []chan struct{}
+	log         logBuffer         // of all gateways
+	regions     map[string]string // by zone; may be nil
+	zones       []string          // of the gateways in order; further ones are in zone z
+	memory      int64             // bound of each gateway; 0: none
+	slots       int               // of each server; 0: 4
+	asked       atomic.Int64      // requests of callers
 
 	loadScheduling Switch
 }
@@ -252,6 +253,7 @@
 func newFixture(t *testing.T, config *manifest.Manifest) *fixture {
 	f := &fixture{t: t, store: portstest.NewMemoryStore(), engines: portstest.NewMemoryEngines()}
 	f.wrapStore = func(s ports.Store) ports.Store { return s }
+	f.wrapEngines = func(_ int, e ports.Engines) ports.Engines { return e }
 	f.store.SetManifest(config)
 	return f
 }
@@ -298,7 +300,7 @@
 		RetryBudget:    budget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 		LoadScheduling: f.loadScheduling,
 	}
-	g, err := New(s, f.wrapStore(f.store.Store(n)), f.engines, fakeDialect{}, zerolog.New(&f.log).With().Timestamp().Str("instance", s.Name).Logger())
+	g, err := New(s, f.wrapStore(f.store.Store(n)), f.wrapEngines(n, f.engines), fakeDialect{}, zerolog.New(&f.log).With().Timestamp().Str("instance", s.Name).Logger())
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderdale.org/core/clock"
 	"oleanderdale.org/core/gateway/leader"
 	"oleanderdale.org/core/gateway/placer"
+	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
@@ -91,10 +94,14 @@
 }
 
 func (g *Gateway) fetchReport(request reportRequest) {
+	to := ports.Route{Address: request.address, Server: request.server}
 	requestedAt := boottime.Now()
-	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-	defer cancel()
-	report, feedback, err := g.engines.FetchReport(ctx, request.address, request.server)
+	report, feedback, err := g.fetchReportOver(to)
+	if direct := err; errors.Is(direct, rawhttp.ErrNotSent) {
+		if report, feedback, err = g.fetchReportOver(g.relayedRoute(to)); err != nil {
+			err = errors.Wrap(direct, err.Error())
+		}
+	}
 	g.handleEngineFeedback(target{id: request.server, incarnation: request.incarnation}, feedback)
 	g.metrics.report(err == nil)
 	g.mu.Lock()
@@ -109,6 +116,13 @@
 	g.triggerHousekeeping()
 }
 
+// fetchReportOver fetches an engine's report over a route.
+func (g *Gateway) fetchReportOver(to ports.Route) (placer.Report, ports.Feedback, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	return g.engines.FetchReport(ctx, to)
+}
+
 // runLeaseStep starts a call for a lease row.
 func (g *Gateway) runLeaseStep(name ports.LeaseName, l *leader.Lease, step leader.Step) {
 	if step.Action == leader.None {
--- a/oleander/gateway/ports/ports.go
+++ b/oleander/gateway/ports/ports.go
@@ -20,10 +20,11 @@
 	"oleanderdale.org/core/gateway/revision"
 )
 
+// ErrServerEnded says that a backend server has ended.
+var ErrServerEnded = errors.New("server has ended")
+
 // Errors of a Store.
 var (
-	// ErrServerEnded says that a backend server has ended.
-	ErrServerEnded = errors.New("server has ended")
 	// ErrHistoryGone says that the store does not have the changes after the given
 	// revision. The caller reads the whole table again.
 	ErrHistoryGone = errors.New("store: history is gone")
@@ -197,16 +198,16 @@
 	// SendOrder sends an order as the lease holder with a fencing number.
 	SendOrder(ctx context.Context, o placer.Order, holder string, fencing int64) (placer.OrderResult, Feedback)
 	// FetchReport returns what the engine of a backend server has loaded. It fails if
-	// another server listens at the address.
-	FetchReport(ctx context.Context, address, server string) (placer.Report, Feedback, error)
+	// another server listens at the address, and wraps rawhttp.ErrNotSent if there was no connection.
+	FetchReport(ctx context.Context, to Route) (placer.Report, Feedback, error)
 	// Ping asks a backend server for a sign of life on a new connection. Any response of that server is one.
+	// path is that of a plain server's liveness check; "": that of an engine's report.
 	// It fails with ErrServerEnded if nothing listens at the address, or another server.
-	Ping(ctx context.Context, p Ping) error
+	Ping(ctx context.Context, to Route, path string) error
 }
 
-// Ping is a question for a sign of life.
-type Ping struct {
+// Route is the way to a backend server.
+type Route struct {
 	Address, Server string
-	Path            string                                      // of a plain server's liveness check; "": that of an engine's report
 	Dial            func(ctx context.Context) (net.Conn, error) // nil: connects to the address
 }
--- a/oleander/gateway/portstest/engines.go
+++ b/oleander/gateway/portstest/engines.go
@@ -76,7 +76,7 @@
 func (e *engineCase) waitIdle() placer.Report {
 	e.t.Helper()
 	for end := time.Now().Add(20 * LoadTime); time.Now().Before(end); time.Sleep(LoadTime / 10) {
-		r, _, err := e.harness.Engines().FetchReport(soon(e.t), e.address, "e1")
+		r, _, err := e.harness.Engines().FetchReport(soon(e.t), ports.Route{Address: e.address, Server: "e1"})
 		if err != nil {
 			e.t.Fatal(err)
 		}
@@ -139,7 +139,7 @@
 	if got != placer.WrongServer {
 		t.Errorf("result %v, want that of a wrong server", got)
 	}
-	if _, _, err := e.harness.Engines().FetchReport(soon(t), e.address, "e2"); err == nil {
+	if _, _, err := e.harness.Engines().FetchReport(soon(t), ports.Route{Address: e.address, Server: "e2"}); err == nil {
 		t.Error("a report of another server was accepted")
 	}
 }
@@ -149,7 +149,7 @@
 	if got := e.sendOrder(brief(t), placer.Load, "cold", 0); got != placer.NoResponse {
 		t.Errorf("result %v, want that of no response", got)
 	}
-	if _, _, err := e.harness.Engines().FetchReport(brief(t), e.address, "e1"); err == nil {
+	if _, _, err := e.harness.Engines().FetchReport(brief(t), ports.Route{Address: e.address, Server: "e1"}); err == nil {
 		t.Error("report without a response: no error")
 	}
 }
@@ -271,16 +271,16 @@
 }
 
 // FetchReport implements ports.Engines.
-func (m *MemoryEngines) FetchReport(ctx context.Context, address, server string) (placer.Report, ports.Feedback, error) {
-	e := m.lookup(ctx, address)
+func (m *MemoryEngines) FetchReport(ctx context.Context, to ports.Route) (placer.Report, ports.Feedback, error) {
+	e := m.lookup(ctx, to.Address)
 	if e == nil {
 		return placer.Report{}, ports.Feedback{}, errors.New("memory: no response")
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e.finishLoad()
-	if e.id != server {
-		return placer.Report{}, ports.Feedback{}, errors.Errorf("memory: server %s is not %s", e.id, server)
+	if e.id != to.Server {
+		return placer.Report{}, ports.Feedback{}, errors.Errorf("memory: server %s is not %s", e.id, to.Server)
 	}
 	r := placer.Report{Sequence: e.sequence, Busy: e.loading != ""}
 	for name := range e.models {
@@ -289,13 +289,13 @@
 	return r, e.feedback, nil
 }
 
-// feedbackTo returns what the engine says about itself to a call for a server.
 // Ping implements ports.Engines.
-func (m *MemoryEngines) Ping(ctx context.Context, p ports.Ping) error {
-	_, _, err := m.FetchReport(ctx, p.Address, p.Server)
+func (m *MemoryEngines) Ping(ctx context.Context, to ports.Route, _ string) error {
+	_, _, err := m.FetchReport(ctx, to)
 	return err
 }
 
+// feedbackTo returns what the engine says about itself to a call for a server.
 func (e *memoryEngine) feedbackTo(server string) ports.Feedback {
 	if server != e.id {
 		return ports.Feedback{}
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -14,6 +14,7 @@
 
 	"oleanderdale.org/core/gateway/links"
 	"oleanderdale.org/oleander/connection/rawhttp"
+	"oleanderdale.org/oleander/gateway/ports"
 	"oleanderdale.org/oleander/process/boottime"
 )
 
@@ -127,6 +128,30 @@
 	return name, addresses[name]
 }
 
+// relayedRoute returns the route to a server through another instance, on a connection of its own.
+func (g *Gateway) relayedRoute(to ports.Route) ports.Route {
+	to.Dial = func(ctx context.Context) (net.Conn, error) { return g.dialAnyRelay(ctx, to.Server) }
+	return to
+}
+
+// dialAnyRelay connects to a server through another instance.
+func (g *Gateway) dialAnyRelay(ctx context.Context, server string) (net.Conn, error) {
+	tried := make(map[string]bool)
+	err := error(errNoRelay)
+	for range maxRelays {
+		name, address := g.chooseRelay(tried)
+		if name == "" || ctx.Err() != nil {
+			break
+		}
+		tried[name] = true
+		var c net.Conn
+		if c, err = dialRelay(ctx, address, server, nil); err == nil {
+			return c, nil
+		}
+	}
+	return nil, err
+}
+
 // remains reports whether an instance is heard and does not stop.
 func (g *Gateway) remains(name string) bool {
 	g.mu.Lock()
--- a/oleander/gateway/serverends.go
+++ b/oleander/gateway/serverends.go
@@ -148,7 +148,7 @@
 func (g *Gateway) pingSilent(s serverStart, address, path string) {
 	ctx, cancel := context.WithTimeout(g.ctx, silencePingTimeout)
 	defer cancel()
-	err := g.engines.Ping(ctx, ports.Ping{Address: address, Server: s.server, Path: path})
+	err := g.engines.Ping(ctx, ports.Route{Address: address, Server: s.server}, path)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
