Planner: reports in vain cost one relay at most, none once refused

Cause: a report without a connection was asked for through up to three other instances, each time, also of an engine that had ended and refused the connection.

Change: one other instance is asked, and none after a refusal, unless this instance is cut off from all engines. The next report of an engine may come through another one, since they take turns.

Measured: TestReportsThatAreAskedForThroughARelay; TestEnginesThatStartWhileThePlannerIsCutOff and the tests of relays and of cut instances three times each: passed.

--- a/oleander/gateway/confirm.go
+++ b/oleander/gateway/confirm.go
@@ -118,7 +118,7 @@
 	case known:
 		to := ports.Route{Address: t.address, Server: t.id}
 		if relayed {
-			to = g.relayedRoute(to)
+			to = g.relayedRoute(to, maxRelays)
 		}
 		state = g.pingState(x.r.Context(), to, path)
 	}
--- a/oleander/gateway/cutreport_test.go
+++ b/oleander/gateway/cutreport_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderdale.org/core/gateway/placer"
 	"oleanderdale.org/oleander/connection/rawhttp"
 	"oleanderdale.org/oleander/gateway/ports"
@@ -60,3 +64,34 @@
 		}
 	}
 }
+
+// Guards against reports of engines that have ended, each of which is asked for through another instance in vain.
+func TestReportsThatAreAskedForThroughARelay(t *testing.T) {
+	g := &Gateway{links: newServerLinks()}
+	for _, c := range []struct {
+		name      string
+		err       error
+		want, cut bool // cut: wanted of an instance that is cut off
+	}{
+		{"no connection", rawhttp.ErrNotSent, true, true},
+		{"refused", notSentFor(syscall.ECONNREFUSED), false, true},
+		{"timed out", notSentFor(context.DeadlineExceeded), true, true},
+		{"no response", errors.New("reset"), false, false},
+	} {
+		if got := g.mayBeOwnLink(c.err); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+		cut := &Gateway{links: newServerLinks()}
+		cut.links.monitor.ProbeEnded(2, 1, false)
+		if got := cut.mayBeOwnLink(c.err); got != c.cut {
+			t.Errorf("%s, cut off: %t, want %t", c.name, got, c.cut)
+		}
+	}
+}
+
+// notSentFor returns the error of a connection that was not opened, for a reason.
+func notSentFor(reason error) error {
+	dial := func(context.Context) (net.Conn, error) { return nil, reason }
+	_, _, err := rawhttp.DoOver(context.Background(), "127.0.0.1:1", dial, rawhttp.Request{Method: http.MethodGet, Target: "/"}, 1)
+	return err
+}
--- a/oleander/gateway/orders.go
+++ b/oleander/gateway/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,8 +98,8 @@
 	to := ports.Route{Address: request.address, Server: request.server}
 	requestedAt := boottime.Now()
 	report, feedback, err := g.fetchReportOver(to)
-	if direct := err; errors.Is(direct, rawhttp.ErrNotSent) {
-		if report, feedback, err = g.fetchReportOver(g.relayedRoute(to)); err != nil {
+	if direct := err; g.mayBeOwnLink(direct) {
+		if report, feedback, err = g.fetchReportOver(g.relayedRoute(to, reportRelays)); err != nil {
 			err = errors.Wrap(direct, err.Error())
 		}
 	}
@@ -116,6 +117,15 @@
 	g.triggerHousekeeping()
 }
 
+// reportRelays is how many instances are tried for a report; the next one may come through another.
+const reportRelays = 1
+
+// mayBeOwnLink reports whether a call failed for want of a connection that another instance may have. A server
+// that refuses connections has ended, unless this instance is cut off from all.
+func (g *Gateway) mayBeOwnLink(err error) bool {
+	return errors.Is(err, rawhttp.ErrNotSent) && (g.links.cut() || !errors.Is(err, syscall.ECONNREFUSED))
+}
+
 // fetchReportOver fetches an engine's report over a route.
 func (g *Gateway) fetchReportOver(to ports.Route) (placer.Report, ports.Feedback, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
--- a/oleander/gateway/relayconn.go
+++ b/oleander/gateway/relayconn.go
@@ -128,17 +128,18 @@
 	return name, addresses[name]
 }
 
-// relayedRoute returns the route to a server through another instance, on a connection of its own.
-func (g *Gateway) relayedRoute(to ports.Route) ports.Route {
-	to.Dial = func(ctx context.Context) (net.Conn, error) { return g.dialAnyRelay(ctx, to.Server) }
+// relayedRoute returns the route to a server through another instance, one of at most so many that are tried, on a
+// connection of its own.
+func (g *Gateway) relayedRoute(to ports.Route, relays int) ports.Route {
+	to.Dial = func(ctx context.Context) (net.Conn, error) { return g.dialAnyRelay(ctx, to.Server, relays) }
 	return to
 }
 
-// dialAnyRelay connects to a server through another instance.
-func (g *Gateway) dialAnyRelay(ctx context.Context, server string) (net.Conn, error) {
+// dialAnyRelay connects to a server through one of at most so many other instances.
+func (g *Gateway) dialAnyRelay(ctx context.Context, server string, relays int) (net.Conn, error) {
 	tried := make(map[string]bool)
 	err := error(errNoRelay)
-	for range maxRelays {
+	for range relays {
 		name, address := g.chooseRelay(tried)
 		if name == "" || ctx.Err() != nil {
 			break
