--- a/core/gateway/directory/directory.go
+++ b/core/gateway/directory/directory.go
@@ -158,7 +158,7 @@
 	departures map[string]departure
 	// rests are the servers that asked for rest, by ID. They outlive the entry and restarts.
 	rests map[string]*rest
-	// gone are the servers whose entries are gone since a short time, by ID.
+	// gone are the servers without an entry for at most restartMemory, by ID.
 	gone       map[string]goneServer
 	complete   bool // all entries were read once
 	completeAt clock.Time
--- a/core/gateway/directory/restart.go
+++ b/core/gateway/directory/restart.go
@@ -44,8 +44,8 @@
 	return d.EndsKnownFor(now) > restartMemory
 }
 
-// restartOf returns when the server of an entry may have started again under its ID. old is the server as
-// known before, or nil.
+// restartOf returns when the server of an entry may have started again under its ID. old is the directory's
+// server of that ID, or nil.
 func (d *Directory) restartOf(now clock.Time, old *Server, e Entry) clock.Time {
 	gone, wasKnown := d.gone[e.ID]
 	delete(d.gone, e.ID)
@@ -62,7 +62,7 @@
 	return max(1, now.Add(-max(0, e.Age-clockError)))
 }
 
-// NoteGone remembers a server whose entry was gone before it was known here.
+// NoteGone remembers a server without an entry that the directory does not hold.
 func (d *Directory) NoteGone(now clock.Time, id string, incarnation int64) {
 	d.noteGone(now, id, goneServer{incarnation: incarnation, at: now})
 }
--- a/core/gateway/directory/restart_test.go
+++ b/core/gateway/directory/restart_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against a start under a known ID that is taken for the first one, so that orders to the earlier start are
-// not expected any more.
+// not expected.
 func TestRestartedAt(t *testing.T) {
 	now := clock.Time(time.Hour)
 	entry := func(incarnation int64, age time.Duration) Entry {
--- a/core/gateway/ending/confirm.go
+++ b/core/gateway/ending/confirm.go
@@ -6,7 +6,7 @@
 // Server states.
 const (
 	Lives   ServerState = iota // the same start of the server answers
-	Ended                      // nothing listens there any more, or another server
+	Ended                      // nothing listens there, or another server
 	Silent                     // neither is known
 	Unasked                    // there is nothing to ask it
 )
--- a/core/gateway/placer/late.go
+++ b/core/gateway/placer/late.go
@@ -15,7 +15,7 @@
 // order names comes back. So the memory of a new start is planned as if each such order may still be
 // carried out, until the count is past it.
 //
-// A planner does not know such orders of the planners before it. On an engine that may have started again
+// A planner does not know such orders of other planners. On an engine that may have started again
 // since they were sent it keeps room for one model and some adapters until they can't arrive any more. One
 // that arrives makes the engine busy, and the count that the next one names is passed by the next order
 // that the engine gets.
@@ -38,7 +38,7 @@
 	forwarded bool // of another planner, which knows of it
 }
 
-// TakeOver says that other planners may have given orders until now.
+// TakeOver says that this placer alone gives orders from the next call of Sync on.
 func (p *Placer) TakeOver() { clear(p.takenOver) }
 
 // updateTakenOver records from when on this placer alone gives orders to the engines of each zone. While a
@@ -112,7 +112,7 @@
 	ByReport bool // its report shows the restart, its entry does not
 }
 
-// NewlyHeld returns the engines on which room is kept since the last call.
+// NewlyHeld returns the engines on which room is kept and was not at the last call.
 func (p *Placer) NewlyHeld(now clock.Time) []HeldEngine {
 	var held []HeldEngine
 	for _, e := range p.sortedEngines {
--- a/oleander/gateway/gateway.go
+++ b/oleander/gateway/gateway.go
@@ -51,7 +51,7 @@
 	PeerAddress      string // listens for other instances (TCP and UDP) and serves the metrics
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
-	// FirstStart says that all instances start for the first time, so that no orders were given before.
+	// FirstStart says that all instances start for the first time, so that no engine has got orders.
 	FirstStart bool
 	// Strength is the relative CPU capacity of the machine. It ranks the candidates
 	// for the leases: a holder has more work than other instances and must finish it
--- a/oleander/gateway/serverread.go
+++ b/oleander/gateway/serverread.go
@@ -204,7 +204,7 @@
 // can have started again.
 const firstOrderDelay = 2 * time.Second
 
-// firstStartKnown stands for all the time before the first start, in which no server was ordered.
+// firstStartKnown is longer than any order is on its way.
 const firstStartKnown = time.Hour
 
 // atFirstStart reports whether no instance can have given orders yet.
@@ -221,7 +221,7 @@
 	delete(g.removedServers, e.ID)
 	delete(g.publisher.gone, e.ID)
 	if g.atFirstStart(now) {
-		e.Age = 0 // nobody gave orders before
+		e.Age = 0 // no engine has got an order
 	}
 	old := g.servers.Get(e.ID)
 	g.recordStart(now, old, e)
